--- /dev/null
+++ b/briarglade/cli/briarglade_main.cc
@@ -0,0 +1,6 @@
+// The entry point of the one binary.
+
+int main()
+{
+  return 0;
+}
--- /dev/null
+++ b/standin/standin_main.cc
@@ -0,0 +1,6 @@
+// The entry point of a tool.
+
+int main()
+{
+  return 0;
+}
