--- /dev/null
+++ b/briarglade/net/event_loop.h
@@ -0,0 +1,80 @@
+// The one loop of the process: timers, deferred calls and signals on libevent.
+//
+// Example:
+//   EventLoop loop;
+//   loop.RunEvery(Millis(50), [&] { node.Tick(); });
+//   loop.OnSignal(SIGTERM, [&] { node.BeginShutdown(); });
+//   loop.Run();
+
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "briarglade/base/millis.h"
+
+struct event;
+struct event_base;
+
+namespace briarglade {
+
+// A timer that stops when it is destroyed.
+class Timer
+{
+public:
+  Timer(event_base* aBase, std::function<void()> aCallback);
+  ~Timer();
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+
+  // Calls back once after the delay; replaces an earlier setting.
+  void Start(Millis aDelay);
+  // Forgets the setting, if any.
+  void Stop();
+
+private:
+  event* m_event = nullptr;
+  std::function<void()> m_callback;
+};
+
+// Owns the event base. Everything in the process runs inside Run().
+class EventLoop
+{
+public:
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  // Returns the time since the machine's steady epoch.
+  static Millis Now();
+  // Returns microseconds since the steady epoch, for latency histograms.
+  static int64_t NowMicros();
+
+  // Runs until Stop() is called.
+  void Run();
+  // Makes Run() return soon.
+  void Stop();
+
+  // Returns a timer that isn't set yet.
+  std::unique_ptr<Timer> MakeTimer(std::function<void()> aCallback);
+  // Calls back at each period until the loop is destroyed.
+  void RunEvery(Millis aPeriod, std::function<void()> aCallback);
+  // Calls back once, from the loop, after the present callback has returned.
+  void Defer(std::function<void()> aCallback);
+  // Calls back on each arrival of a signal.
+  void OnSignal(int aSignal, std::function<void()> aCallback);
+
+  event_base* Base() { return m_base; }
+
+private:
+  struct Periodic;
+  struct Signal;
+
+  event_base* m_base;
+  std::vector<std::unique_ptr<Periodic>> m_periodics;
+  std::vector<std::unique_ptr<Signal>> m_signals;
+};
+
+} // namespace briarglade
--- /dev/null
+++ b/briarglade/net/http_client.h
@@ -0,0 +1,107 @@
+// An HTTP client on evhttp with bounded pools of kept connections.
+//
+// Every call ends with exactly one m_onEnd, from the loop. A connection is kept
+// for another exchange only if the answer was whole and nothing followed it.
+//
+// Example:
+//   HttpCallSpec spec;
+//   spec.m_endpoint = endpoint;
+//   spec.m_path = "/v1/chat/completions";
+//   spec.m_onEnd = [](const HttpCallEnd& aEnd) { ... };
+//   std::shared_ptr<HttpCall> call = client.Start(std::move(spec));
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "briarglade/base/endpoint.h"
+#include "briarglade/base/millis.h"
+#include "briarglade/net/http_headers.h"
+#include "briarglade/routing/request_event.h"
+
+namespace briarglade {
+
+class EventLoop;
+class HttpCall;
+class PooledConnection;
+
+// The status line and headers of an answer.
+struct HttpAnswerHead
+{
+  uint16_t m_status = 0;
+  HttpHeaders m_headers;
+};
+
+// How a call ended. m_end is Whole only for an answer with a declared length or
+// in chunks that came to its end.
+struct HttpCallEnd
+{
+  ExchangeEnd m_end = ExchangeEnd::Whole;
+  uint16_t m_status = 0;
+};
+
+// A call to make.
+struct HttpCallSpec
+{
+  Endpoint m_endpoint;
+  std::string m_method = "POST";
+  // Path and query.
+  std::string m_path = "/";
+  HttpHeaders m_headers;
+  std::string m_body;
+  // Bounds the whole call, from Start() to its end.
+  Millis m_timeout = Millis(30'000);
+  // Uses a new connection, so that a kept one that just died can't leave the
+  // outcome in doubt.
+  bool m_freshConnection = false;
+  std::function<void(const HttpAnswerHead&)> m_onHead;
+  std::function<void(std::string_view)> m_onData;
+  std::function<void(const HttpCallEnd&)> m_onEnd;
+};
+
+// Bounds on connections.
+struct HttpClientLimits
+{
+  size_t m_maxIdlePerEndpoint = 64;
+  size_t m_maxConnections = 8192;
+  size_t m_maxHeaderBytes = 32 * 1024;
+};
+
+class HttpClient
+{
+public:
+  HttpClient(EventLoop& aLoop, HttpClientLimits aLimits);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  // Starts a call. At the bound on connections it ends as ConnectRefused.
+  std::shared_ptr<HttpCall> Start(HttpCallSpec aSpec);
+
+  // Returns the number of connections, idle ones included.
+  size_t ConnectionCount() const { return m_connectionCount; }
+
+private:
+  friend class HttpCall;
+  friend class PooledConnection;
+
+  std::unique_ptr<PooledConnection> Take(const HttpCallSpec& aSpec);
+  void Keep(std::unique_ptr<PooledConnection> aConnection);
+  void Discard(std::unique_ptr<PooledConnection> aConnection);
+  void DropIdle(PooledConnection* aConnection);
+
+  EventLoop& m_loop;
+  HttpClientLimits m_limits;
+  std::map<Endpoint, std::vector<std::unique_ptr<PooledConnection>>> m_idle;
+  size_t m_connectionCount = 0;
+  // Outlived by deferred callbacks, which check it.
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace briarglade
--- /dev/null
+++ b/briarglade/net/http_server.h
@@ -0,0 +1,87 @@
+// An HTTP server on libevhtp with streamed answers and limits.
+//
+// Example:
+//   HttpServer server(loop, HttpServerLimits());
+//   server.SetHandler([](std::shared_ptr<HttpExchange> aExchange) {
+//     aExchange->Respond(200, {}, "hello");
+//   });
+//   uint16_t port = server.Listen({ "127.0.0.1", 0 });
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_set>
+
+#include "briarglade/base/endpoint.h"
+#include "briarglade/base/millis.h"
+#include "briarglade/base/result_code.h"
+#include "briarglade/net/http_headers.h"
+
+struct evhtp;
+
+namespace briarglade {
+
+class EventLoop;
+class HttpExchange;
+class HttpConnection;
+
+// Bounds on what a stranger may make the server hold.
+struct HttpServerLimits
+{
+  size_t m_maxHeaderBytes = 16 * 1024;
+  size_t m_maxBodyBytes = 1024 * 1024;
+  size_t m_maxConnections = 8192;
+  // The longest time in which a whole request must have come.
+  Millis m_requestTime = Millis(10'000);
+  // The longest time in which a connection may be silent between requests.
+  Millis m_idleTime = Millis(60'000);
+  // The longest time for which a reader may take nothing of an answer.
+  Millis m_writeStall = Millis(30'000);
+};
+
+// A request that the server refused by itself, before the handler saw it.
+struct HttpRejection
+{
+  ResultCode m_code = ResultCode::MalformedRequest;
+  std::string m_path;
+};
+
+class HttpServer
+{
+public:
+  using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
+  using RejectionObserver = std::function<void(const HttpRejection&)>;
+
+  HttpServer(EventLoop& aLoop, HttpServerLimits aLimits);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  // Sets the function that answers each whole request.
+  void SetHandler(Handler aHandler);
+  // Sets a function that is told of requests refused by the limits.
+  void SetRejectionObserver(RejectionObserver aObserver);
+
+  // Listens; port 0 lets the kernel choose. Returns the port, or 0 on failure.
+  uint16_t Listen(const Endpoint& aEndpoint);
+  // Accepts no further connections; the open ones go on.
+  void StopListening();
+  // Returns the number of open connections.
+  size_t ConnectionCount() const { return m_connections.size(); }
+
+private:
+  friend class HttpConnection;
+
+  EventLoop& m_loop;
+  HttpServerLimits m_limits;
+  Handler m_handler;
+  RejectionObserver m_rejectionObserver;
+  evhtp* m_evhtp = nullptr;
+  std::unordered_set<HttpConnection*> m_connections;
+};
+
+} // namespace briarglade
--- /dev/null
+++ b/briarglade/telemetry/log.cc
@@ -0,0 +1,124 @@
+// The log on log4cplus.
+
+#include "briarglade/telemetry/log.h"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+#include <memory>
+#include <utility>
+
+namespace briarglade {
+
+namespace {
+
+constexpr size_t kRememberedEvents = 4096;
+constexpr char kLinePattern[] = "time=%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p %m%n";
+
+log4cplus::LogLevel ToLibraryLevel(LogLevel aLevel)
+{
+  switch (aLevel) {
+    case LogLevel::Debug:
+      return log4cplus::DEBUG_LOG_LEVEL;
+    case LogLevel::Info:
+      return log4cplus::INFO_LOG_LEVEL;
+    case LogLevel::Warn:
+      return log4cplus::WARN_LOG_LEVEL;
+    case LogLevel::Error:
+      return log4cplus::ERROR_LOG_LEVEL;
+  }
+  return log4cplus::INFO_LOG_LEVEL;
+}
+
+log4cplus::Logger& LibraryLogger()
+{
+  static log4cplus::Initializer initializer;
+  static log4cplus::Logger logger = [] {
+    log4cplus::Logger made = log4cplus::Logger::getRoot();
+    log4cplus::SharedAppenderPtr appender(
+      new log4cplus::ConsoleAppender(true, true));
+    appender->setLayout(
+      std::make_unique<log4cplus::PatternLayout>(kLinePattern));
+    made.removeAllAppenders();
+    made.addAppender(appender);
+    return made;
+  }();
+  return logger;
+}
+
+bool NeedsQuotes(const std::string& aValue)
+{
+  return aValue.empty() ||
+         aValue.find_first_of(" \t\r\n\"=") != std::string::npos;
+}
+
+} // namespace
+
+std::string FormatLogField(const LogField& aField)
+{
+  if (!NeedsQuotes(aField.m_value)) {
+    return aField.m_key + "=" + aField.m_value;
+  }
+  std::string quoted = aField.m_key + "=\"";
+  for (const char letter : aField.m_value) {
+    if (letter == '"' || letter == '\\') {
+      quoted += '\\';
+    }
+    quoted += (letter == '\n' || letter == '\r') ? ' ' : letter;
+  }
+  return quoted + "\"";
+}
+
+LogLevel ParseLogLevel(const std::string& aName)
+{
+  if (aName == "debug") {
+    return LogLevel::Debug;
+  }
+  if (aName == "warn") {
+    return LogLevel::Warn;
+  }
+  if (aName == "error") {
+    return LogLevel::Error;
+  }
+  return LogLevel::Info;
+}
+
+Log::Log(NodeId aNode, LogLevel aLevel)
+  : m_node(std::move(aNode))
+  , m_level(aLevel)
+{
+  LibraryLogger().setLogLevel(ToLibraryLevel(aLevel));
+}
+
+void Log::Write(const LogEvent& aEvent)
+{
+  if (aEvent.m_level < m_level) {
+    return;
+  }
+  std::string line = FormatLogField({ "event", aEvent.m_event });
+  line += " " + FormatLogField({ "node", m_node.Value() });
+  for (const LogField& field : aEvent.m_fields) {
+    line += " " + FormatLogField(field);
+  }
+  LibraryLogger().log(ToLibraryLevel(aEvent.m_level), line);
+  m_recent.push_back(std::move(line));
+  if (m_recent.size() > kRememberedEvents) {
+    m_recent.pop_front();
+  }
+}
+
+std::vector<std::string> Log::Find(const std::string& aValue) const
+{
+  std::vector<std::string> found;
+  for (const std::string& line : m_recent) {
+    const std::string padded = line + " ";
+    if (padded.find("=" + aValue + " ") != std::string::npos) {
+      found.push_back(line);
+    }
+  }
+  return found;
+}
+
+} // namespace briarglade
