--- a/briarglade/net/http_server.cc
+++ b/briarglade/net/http_server.cc
@@ -170,27 +170,37 @@
 uint16_t HttpConnection::OnRequestEnd(evhtp_request*, void* aSelf)
 {
   auto* self = static_cast<HttpConnection*>(aSelf);
-  std::shared_ptr<HttpExchange> exchange = std::move(self->m_exchange);
-  self->ResetRequest();
   self->m_timer->Start(self->m_closing ? Millis(0)
                                        : self->m_server.m_limits.m_idleTime);
+  self->EndExchange();
+  return EVHTP_RES_OK;
+}
+
+void HttpConnection::EndExchange()
+{
+  const std::shared_ptr<HttpExchange> exchange = std::move(m_exchange);
+  ResetRequest();
   if (!exchange) {
-    return EVHTP_RES_OK;
+    return;
   }
   exchange->m_request = nullptr;
   exchange->m_connection = nullptr;
   exchange->m_onDrained = nullptr;
-  std::function<void()> onClosed = std::move(exchange->m_onClosed);
+  const std::function<void()> onClosed = std::move(exchange->m_onClosed);
   exchange->m_onClosed = nullptr;
   if (!exchange->m_finished && onClosed) {
     onClosed();
   }
-  return EVHTP_RES_OK;
 }
 
-uint16_t HttpConnection::OnConnectionEnd(evhtp_connection*, void* aSelf)
+uint16_t HttpConnection::OnConnectionEnd(evhtp_connection* aConnection,
+                                         void* aSelf)
 {
-  delete static_cast<HttpConnection*>(aSelf);
+  // libevhtp ends the connection before its request.
+  evhtp_connection_unset_hook(aConnection, evhtp_hook_on_request_fini);
+  auto* self = static_cast<HttpConnection*>(aSelf);
+  self->EndExchange();
+  delete self;
   return EVHTP_RES_OK;
 }
 
@@ -348,10 +358,15 @@
 HttpServer::~HttpServer()
 {
   StopListening();
+  CloseConnections();
+  evhtp_free(m_evhtp);
+}
+
+void HttpServer::CloseConnections()
+{
   while (!m_connections.empty()) {
     evhtp_connection_free((*m_connections.begin())->Raw());
   }
-  evhtp_free(m_evhtp);
 }
 
 void HttpServer::SetHandler(Handler aHandler)
--- a/briarglade/net/http_server.h
+++ b/briarglade/net/http_server.h
@@ -70,6 +70,8 @@
   uint16_t Listen(const Endpoint& aEndpoint);
   // Accepts no further connections; the open ones go on.
   void StopListening();
+  // Cuts every open connection. Not to be called from an exchange's callbacks.
+  void CloseConnections();
   // Returns the number of open connections.
   size_t ConnectionCount() const { return m_connections.size(); }
 
--- a/briarglade/net/internal/http_connection.h
+++ b/briarglade/net/internal/http_connection.h
@@ -46,6 +46,7 @@
   static uint16_t OnWritten(evhtp_connection*, void*);
   void Reject(evhtp_request* aRequest, ResultCode aCode);
   void OnTimer();
+  void EndExchange();
   void ResetRequest();
 
   HttpServer& m_server;
--- a/briarglade/platform/table.h
+++ b/briarglade/platform/table.h
@@ -32,6 +32,8 @@
   // The operation id of the write that made this version.
   OperationId m_operation;
   std::string m_value;
+  // In listings only: the row was deleted by this version.
+  bool m_deleted = false;
 };
 
 // A write that takes effect only if the row still has the expected version.
--- a/briarglade/platform/table_client.cc
+++ b/briarglade/platform/table_client.cc
@@ -66,6 +66,7 @@
     row.m_version = RowVersion(entry.value("version", uint64_t{ 0 }));
     row.m_operation = OperationId(entry.value("operation", ""));
     row.m_value = entry.value("value", "");
+    row.m_deleted = entry.value("deleted", false);
     aResult.m_rows.push_back(std::move(row));
   }
   return true;
--- /dev/null
+++ b/briarglade/routing/outcome.h
@@ -0,0 +1,42 @@
+// The one place that decides what is known of a request once an exchange with a
+// backend server has ended.
+//
+// Example:
+//   const Verdict verdict = JudgeExchange(facts);
+//   if (verdict.m_mayRetry) { ... }
+
+#pragma once
+
+#include <cstdint>
+
+#include "briarglade/base/result_code.h"
+#include "briarglade/routing/request_event.h"
+
+namespace briarglade {
+
+// What is known of an exchange that has ended.
+struct ExchangeFacts
+{
+  ExchangeEnd m_end = ExchangeEnd::Whole;
+  // HTTP status of the backend server's answer; zero if none came.
+  uint16_t m_status = 0;
+  // Whether the request may be run more than once.
+  bool m_idempotent = true;
+  // Whether the caller has been sent a part of the answer.
+  bool m_answerBegan = false;
+};
+
+// What follows from it.
+struct Verdict
+{
+  Outcome m_outcome = Outcome::Unknown;
+  // The code to answer with, if it isn't tried again.
+  ResultCode m_code = ResultCode::Internal;
+  // Another attempt is safe: nothing ran, or running again does no harm.
+  bool m_mayRetry = false;
+};
+
+// Judges an exchange. "Not run" is said only when it is certain.
+Verdict JudgeExchange(const ExchangeFacts& aFacts);
+
+} // namespace briarglade
--- a/briarglade/routing/request_event.h
+++ b/briarglade/routing/request_event.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <variant>
 
@@ -21,6 +22,15 @@
 
 namespace briarglade {
 
+// A backend server's whole answer, kept where it must outlive the exchange: for
+// non-idempotent calls.
+struct StoredAnswer
+{
+  uint16_t m_status = 0;
+  std::string m_contentType;
+  std::string m_body;
+};
+
 // A caller's request, checked and known to be allowed.
 struct RequestArrived
 {
@@ -82,6 +92,8 @@
   uint32_t m_tokensDelivered = 0;
   // The backend server's own Retry-After; zero if none.
   Millis m_retryAfter;
+  // The answer, for a non-idempotent call whose exchange ended whole.
+  std::shared_ptr<const StoredAnswer> m_answer;
 };
 
 // The caller has closed its connection.
@@ -125,6 +137,8 @@
   AttemptId m_attempt;
   // When to come back, for refusals; zero if it makes no sense.
   Millis m_retryAfter;
+  // The answer to send in place of an attempt's: the stored one of a repeat.
+  std::shared_ptr<const StoredAnswer> m_replay;
 };
 
 using RequestEffect = std::variant<StartAttempt, CancelAttempt, FinishRequest>;
