--- a/briarglade/cli/options.cc
+++ b/briarglade/cli/options.cc
@@ -70,7 +70,7 @@
 std::string Options::GetText(const std::string& aFlag,
                              const std::string& aFallback) const
 {
-  const std::string flag = GetArgument(aFlag);
+  std::string flag = GetArgument(aFlag);
   if (!flag.empty()) {
     return flag;
   }
--- a/briarglade/net/event_loop.cc
+++ b/briarglade/net/event_loop.cc
@@ -72,10 +72,19 @@
   event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
   m_base = event_base_new_with_config(config);
   event_config_free(config);
+  auto run = [](evutil_socket_t, short, void* aSelf) {
+    static_cast<EventLoop*>(aSelf)->RunDeferred();
+  };
+  m_deferEvent = event_new(m_base, -1, 0, run, this);
 }
 
 EventLoop::~EventLoop()
 {
+  // Dropping a callback may defer another one.
+  while (!m_deferred.empty()) {
+    std::vector<std::function<void()>>().swap(m_deferred);
+  }
+  event_free(m_deferEvent);
   m_periodics.clear();
   m_signals.clear();
   event_base_free(m_base);
@@ -122,14 +131,21 @@
 
 void EventLoop::Defer(std::function<void()> aCallback)
 {
-  auto* callback = new std::function<void()>(std::move(aCallback));
-  auto fire = [](evutil_socket_t, short, void* aCallback) {
-    std::unique_ptr<std::function<void()>> owned(
-      static_cast<std::function<void()>*>(aCallback));
-    (*owned)();
-  };
-  const timeval now{};
-  event_base_once(m_base, -1, EV_TIMEOUT, fire, callback, &now);
+  if (m_deferred.empty()) {
+    event_active(m_deferEvent, EV_TIMEOUT, 0);
+  }
+  m_deferred.push_back(std::move(aCallback));
+}
+
+void EventLoop::RunDeferred()
+{
+  std::vector<std::function<void()>> callbacks;
+  callbacks.swap(m_deferred);
+  for (std::function<void()>& callback : callbacks) {
+    callback();
+    // Lets go of what the callback holds before the next one runs.
+    callback = nullptr;
+  }
 }
 
 void EventLoop::OnSignal(int aSignal, std::function<void()> aCallback)
--- a/briarglade/net/event_loop.h
+++ b/briarglade/net/event_loop.h
@@ -62,6 +62,7 @@
   // Calls back at each period until the loop is destroyed.
   void RunEvery(Millis aPeriod, std::function<void()> aCallback);
   // Calls back once, from the loop, after the present callback has returned.
+  // What still waits when the loop is destroyed is dropped.
   void Defer(std::function<void()> aCallback);
   // Calls back on each arrival of a signal.
   void OnSignal(int aSignal, std::function<void()> aCallback);
@@ -71,8 +72,11 @@
 private:
   struct Periodic;
   struct Signal;
+  void RunDeferred();
 
   event_base* m_base;
+  event* m_deferEvent;
+  std::vector<std::function<void()>> m_deferred;
   std::vector<std::unique_ptr<Periodic>> m_periodics;
   std::vector<std::unique_ptr<Signal>> m_signals;
 };
--- a/briarglade/net/http_call.h
+++ b/briarglade/net/http_call.h
@@ -37,6 +37,9 @@
 
   void Begin();
   void End(HttpCallEnd aEnd, bool aKeepConnection);
+  void ReleaseRequest();
+  // Ends the call without a word, since the client is being destroyed.
+  void Abandon();
   void EndSoon(ExchangeEnd aEnd);
   ExchangeEnd FailureKind() const;
   static int OnHead(evhttp_request* aRequest, void* aSelf);
@@ -48,8 +51,6 @@
   std::unique_ptr<PooledConnection> m_connection;
   std::unique_ptr<Timer> m_timer;
   evhttp_request* m_request = nullptr;
-  // Keeps the call alive while evhttp holds a pointer to it.
-  std::shared_ptr<HttpCall> m_self;
   uint16_t m_status = 0;
   bool m_delimited = false;
   bool m_ended = false;
--- a/briarglade/net/http_client.cc
+++ b/briarglade/net/http_client.cc
@@ -126,7 +126,6 @@
 
 void HttpCall::Begin()
 {
-  m_self = shared_from_this();
   m_connection = m_client.Take(m_spec);
   if (!m_connection) {
     EndSoon(ExchangeEnd::ConnectRefused);
@@ -184,12 +183,7 @@
   }
   m_ended = true;
   m_timer.reset();
-  if (m_request != nullptr) {
-    // The callback must not fire when the connection is freed.
-    evhttp_request* request = m_request;
-    m_request = nullptr;
-    evhttp_cancel_request(request);
-  }
+  ReleaseRequest();
   if (m_connection && aKeepConnection) {
     m_client.Keep(std::move(m_connection));
   } else if (m_connection) {
@@ -198,12 +192,32 @@
   std::function<void(const HttpCallEnd&)> onEnd = std::move(m_spec.m_onEnd);
   m_spec.m_onHead = nullptr;
   m_spec.m_onData = nullptr;
-  std::shared_ptr<HttpCall> self = std::move(m_self);
+  const std::shared_ptr<HttpCall> self = shared_from_this();
+  m_client.m_running.erase(self);
   if (onEnd) {
     onEnd(aEnd);
   }
 }
 
+void HttpCall::ReleaseRequest()
+{
+  if (m_request != nullptr) {
+    // The callback must not fire when the connection is freed.
+    evhttp_request* request = m_request;
+    m_request = nullptr;
+    evhttp_cancel_request(request);
+  }
+}
+
+void HttpCall::Abandon()
+{
+  m_ended = true;
+  m_timer.reset();
+  m_spec = HttpCallSpec();
+  ReleaseRequest();
+  m_connection.reset();
+}
+
 ExchangeEnd HttpCall::FailureKind() const
 {
   if (m_status != 0) {
@@ -292,11 +306,15 @@
 HttpClient::~HttpClient()
 {
   m_alive.reset();
+  for (const std::shared_ptr<HttpCall>& call : m_running) {
+    call->Abandon();
+  }
 }
 
 std::shared_ptr<HttpCall> HttpClient::Start(HttpCallSpec aSpec)
 {
   std::shared_ptr<HttpCall> call(new HttpCall(*this, std::move(aSpec)));
+  m_running.insert(call);
   call->Begin();
   return call;
 }
@@ -332,10 +350,21 @@
 void HttpClient::Discard(std::unique_ptr<PooledConnection> aConnection)
 {
   // evhttp may still be working on the connection: free it from the loop.
-  std::shared_ptr<PooledConnection> doomed = std::move(aConnection);
-  std::weak_ptr<bool> alive = m_alive;
-  m_loop.Defer(
-    [doomed = std::move(doomed), alive]() mutable { doomed.reset(); });
+  m_discarded.push_back(std::move(aConnection));
+  if (m_discarded.size() > 1) {
+    return;
+  }
+  m_loop.Defer([this, alive = std::weak_ptr<bool>(m_alive)] {
+    if (!alive.expired()) {
+      FreeDiscarded();
+    }
+  });
+}
+
+void HttpClient::FreeDiscarded()
+{
+  std::vector<std::unique_ptr<PooledConnection>> doomed;
+  doomed.swap(m_discarded);
 }
 
 void HttpClient::DropIdle(PooledConnection* aConnection)
--- a/briarglade/net/http_client.h
+++ b/briarglade/net/http_client.h
@@ -1,6 +1,7 @@
 // An HTTP client on evhttp with bounded pools of kept connections.
 //
-// Every call ends with exactly one m_onEnd, from the loop. A connection is kept
+// Every call ends with exactly one m_onEnd, from the loop, unless the client is
+// destroyed first. A connection is kept
 // for another exchange only if the answer was whole and nothing followed it.
 //
 // Example:
@@ -18,6 +19,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 #include <vector>
 
 #include "briarglade/base/endpoint.h"
@@ -95,10 +97,13 @@
   void Keep(std::unique_ptr<PooledConnection> aConnection);
   void Discard(std::unique_ptr<PooledConnection> aConnection);
   void DropIdle(PooledConnection* aConnection);
+  void FreeDiscarded();
 
   EventLoop& m_loop;
   HttpClientLimits m_limits;
   std::map<Endpoint, std::vector<std::unique_ptr<PooledConnection>>> m_idle;
+  std::vector<std::unique_ptr<PooledConnection>> m_discarded;
+  std::unordered_set<std::shared_ptr<HttpCall>> m_running;
   size_t m_connectionCount = 0;
   // Outlived by deferred callbacks, which check it.
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/briarglade/net/peer.capnp
+++ b/briarglade/net/peer.capnp
@@ -1,24 +1,11 @@
-# The protocol between the nodes of one region.
-#
-# Every call carries an envelope that names cluster and protocol and proves the
-# shared cluster key. A message of another cluster or protocol is refused.
+# The remote procedure call between the nodes of one region. The bytes are sealed
+# envelopes (briarglade/membership/envelope.h); this layer doesn't read them.
 @0xc3a1e4b0d5f2a697;
 
 $import "/capnp/c++.capnp".namespace("briarglade::wire");
 
-struct Envelope {
-  cluster @0 :Text;
-  protocol @1 :UInt32;
-  sender @2 :Text;
-  # The start of the sender's process, so that a restart is noticed.
-  incarnation @3 :UInt64;
-  # HMAC-SHA256 over cluster, protocol, sender, incarnation and payload.
-  proof @4 :Data;
-  # A canonical PeerMessage.
-  payload @5 :Data;
-}
-
 interface Peer {
-  # Delivers a message and returns the receiver's answer to it.
-  exchange @0 (envelope :Envelope) -> (envelope :Envelope);
+  # Delivers a sealed message; the answer is the receiver's sealed answer, or
+  # empty if there is none.
+  deliver @0 (message :Data) -> (answer :Data);
 }
--- a/briarglade/net/peer.capnp.c++
+++ b/briarglade/net/peer.capnp.c++
@@ -5,127 +5,7 @@
 
 namespace capnp {
 namespace schemas {
-static const ::capnp::_::AlignedData<109> b_d021729cb80210f7 = {
-  {   0,   0,   0,   0,   5,   0,   6,   0,
-    247,  16,   2, 184, 156, 114,  33, 208,
-     11,   0,   0,   0,   1,   0,   2,   0,
-    151, 166, 242, 213, 176, 228, 161, 195,
-      4,   0,   7,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 162,   0,   0,   0,
-     29,   0,   0,   0,   7,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,  87,   1,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    112, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  69, 110, 118, 101, 108,
-    111, 112, 101,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   1,   0,   1,   0,
-     24,   0,   0,   0,   3,   0,   4,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   1,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    153,   0,   0,   0,  66,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    148,   0,   0,   0,   3,   0,   1,   0,
-    160,   0,   0,   0,   2,   0,   1,   0,
-      1,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   1,   0,   1,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    157,   0,   0,   0,  74,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    156,   0,   0,   0,   3,   0,   1,   0,
-    168,   0,   0,   0,   2,   0,   1,   0,
-      2,   0,   0,   0,   1,   0,   0,   0,
-      0,   0,   1,   0,   2,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    165,   0,   0,   0,  58,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    160,   0,   0,   0,   3,   0,   1,   0,
-    172,   0,   0,   0,   2,   0,   1,   0,
-      3,   0,   0,   0,   1,   0,   0,   0,
-      0,   0,   1,   0,   3,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    169,   0,   0,   0,  98,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    168,   0,   0,   0,   3,   0,   1,   0,
-    180,   0,   0,   0,   2,   0,   1,   0,
-      4,   0,   0,   0,   2,   0,   0,   0,
-      0,   0,   1,   0,   4,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    177,   0,   0,   0,  50,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    172,   0,   0,   0,   3,   0,   1,   0,
-    184,   0,   0,   0,   2,   0,   1,   0,
-      5,   0,   0,   0,   3,   0,   0,   0,
-      0,   0,   1,   0,   5,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    181,   0,   0,   0,  66,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    176,   0,   0,   0,   3,   0,   1,   0,
-    188,   0,   0,   0,   2,   0,   1,   0,
-     99, 108, 117, 115, 116, 101, 114,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    112, 114, 111, 116, 111,  99, 111, 108,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      8,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      8,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    115, 101, 110, 100, 101, 114,   0,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    105, 110,  99,  97, 114, 110,  97, 116,
-    105, 111, 110,   0,   0,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    112, 114, 111, 111, 102,   0,   0,   0,
-     13,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    112,  97, 121, 108, 111,  97, 100,   0,
-     13,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0, }
-};
-::capnp::word const* const bp_d021729cb80210f7 = b_d021729cb80210f7.words;
-#if !CAPNP_LITE
-static const uint16_t m_d021729cb80210f7[] = {0, 3, 5, 4, 1, 2};
-static const uint16_t i_d021729cb80210f7[] = {0, 1, 2, 3, 4, 5};
-const ::capnp::_::RawSchema s_d021729cb80210f7 = {
-  0xd021729cb80210f7, b_d021729cb80210f7.words, 109, nullptr, m_d021729cb80210f7,
-  0, 6, i_d021729cb80210f7, nullptr, nullptr, { &s_d021729cb80210f7, nullptr, nullptr, 0, 0, nullptr }
-};
-#endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<28> b_fb46b6b5ab750998 = {
+static const ::capnp::_::AlignedData<27> b_fb46b6b5ab750998 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     152,   9, 117, 171, 181, 182,  70, 251,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -136,7 +16,7 @@
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0,  71,   0,   0,   0,
-     65,   0,   0,   0,   7,   0,   0,   0,
+     61,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
@@ -145,13 +25,12 @@
       0,   0,   0,   0,   0,   0,   0,   0,
      37,  14, 241, 226,  89,  29, 165, 146,
      79, 183,   3,  22, 222, 214, 146, 173,
-     17,   0,   0,   0,  74,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
+     17,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      9,   0,   0,   0,   7,   0,   0,   0,
-    101, 120,  99, 104,  97, 110, 103, 101,
       0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   7,   0,   0,   0,
+    100, 101, 108, 105, 118, 101, 114,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
@@ -163,18 +42,18 @@
 };
 static const uint16_t m_fb46b6b5ab750998[] = {0};
 const ::capnp::_::RawSchema s_fb46b6b5ab750998 = {
-  0xfb46b6b5ab750998, b_fb46b6b5ab750998.words, 28, d_fb46b6b5ab750998, m_fb46b6b5ab750998,
+  0xfb46b6b5ab750998, b_fb46b6b5ab750998.words, 27, d_fb46b6b5ab750998, m_fb46b6b5ab750998,
   2, 1, nullptr, nullptr, nullptr, { &s_fb46b6b5ab750998, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<33> b_92a51d59e2f10e25 = {
+static const ::capnp::_::AlignedData<32> b_92a51d59e2f10e25 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      37,  14, 241, 226,  89,  29, 165, 146,
      16,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,   2,   1,   0,   0,
+     21,   0,   0,   0, 250,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      25,   0,   0,   0,  63,   0,   0,   0,
@@ -182,84 +61,75 @@
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,  46,
-    101, 120,  99, 104,  97, 110, 103, 101,
-     36,  80,  97, 114,  97, 109, 115,   0,
+    100, 101, 108, 105, 118, 101, 114,  36,
+     80,  97, 114,  97, 109, 115,   0,   0,
       4,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  74,   0,   0,   0,
+     13,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     12,   0,   0,   0,   3,   0,   1,   0,
-     24,   0,   0,   0,   2,   0,   1,   0,
-    101, 110, 118, 101, 108, 111, 112, 101,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    109, 101, 115, 115,  97, 103, 101,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     16,   0,   0,   0,   0,   0,   0,   0,
-    247,  16,   2, 184, 156, 114,  33, 208,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     16,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_92a51d59e2f10e25 = b_92a51d59e2f10e25.words;
 #if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_92a51d59e2f10e25[] = {
-  &s_d021729cb80210f7,
-};
 static const uint16_t m_92a51d59e2f10e25[] = {0};
 static const uint16_t i_92a51d59e2f10e25[] = {0};
 const ::capnp::_::RawSchema s_92a51d59e2f10e25 = {
-  0x92a51d59e2f10e25, b_92a51d59e2f10e25.words, 33, d_92a51d59e2f10e25, m_92a51d59e2f10e25,
-  1, 1, i_92a51d59e2f10e25, nullptr, nullptr, { &s_92a51d59e2f10e25, nullptr, nullptr, 0, 0, nullptr }
+  0x92a51d59e2f10e25, b_92a51d59e2f10e25.words, 32, nullptr, m_92a51d59e2f10e25,
+  0, 1, i_92a51d59e2f10e25, nullptr, nullptr, { &s_92a51d59e2f10e25, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<34> b_ad92d6de1603b74f = {
+static const ::capnp::_::AlignedData<32> b_ad92d6de1603b74f = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      79, 183,   3,  22, 222, 214, 146, 173,
      16,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  10,   1,   0,   0,
+     21,   0,   0,   0,   2,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,  63,   0,   0,   0,
+     25,   0,   0,   0,  63,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,  46,
-    101, 120,  99, 104,  97, 110, 103, 101,
-     36,  82, 101, 115, 117, 108, 116, 115,
-      0,   0,   0,   0,   0,   0,   0,   0,
+    100, 101, 108, 105, 118, 101, 114,  36,
+     82, 101, 115, 117, 108, 116, 115,   0,
       4,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  74,   0,   0,   0,
+     13,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     12,   0,   0,   0,   3,   0,   1,   0,
-     24,   0,   0,   0,   2,   0,   1,   0,
-    101, 110, 118, 101, 108, 111, 112, 101,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+     97, 110, 115, 119, 101, 114,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     16,   0,   0,   0,   0,   0,   0,   0,
-    247,  16,   2, 184, 156, 114,  33, 208,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     16,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_ad92d6de1603b74f = b_ad92d6de1603b74f.words;
 #if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_ad92d6de1603b74f[] = {
-  &s_d021729cb80210f7,
-};
 static const uint16_t m_ad92d6de1603b74f[] = {0};
 static const uint16_t i_ad92d6de1603b74f[] = {0};
 const ::capnp::_::RawSchema s_ad92d6de1603b74f = {
-  0xad92d6de1603b74f, b_ad92d6de1603b74f.words, 34, d_ad92d6de1603b74f, m_ad92d6de1603b74f,
-  1, 1, i_ad92d6de1603b74f, nullptr, nullptr, { &s_ad92d6de1603b74f, nullptr, nullptr, 0, 0, nullptr }
+  0xad92d6de1603b74f, b_ad92d6de1603b74f.words, 32, nullptr, m_ad92d6de1603b74f,
+  0, 1, i_ad92d6de1603b74f, nullptr, nullptr, { &s_ad92d6de1603b74f, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 }  // namespace schemas
@@ -270,23 +140,15 @@
 namespace briarglade {
 namespace wire {
 
-// Envelope
-constexpr uint16_t Envelope::_capnpPrivate::dataWordSize;
-constexpr uint16_t Envelope::_capnpPrivate::pointerCount;
-#if !CAPNP_LITE
-constexpr ::capnp::Kind Envelope::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Envelope::_capnpPrivate::schema;
-#endif  // !CAPNP_LITE
-
 #if !CAPNP_LITE
-::capnp::Request< ::briarglade::wire::Peer::ExchangeParams,  ::briarglade::wire::Peer::ExchangeResults>
-Peer::Client::exchangeRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
-  return newCall< ::briarglade::wire::Peer::ExchangeParams,  ::briarglade::wire::Peer::ExchangeResults>(
+::capnp::Request< ::briarglade::wire::Peer::DeliverParams,  ::briarglade::wire::Peer::DeliverResults>
+Peer::Client::deliverRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::briarglade::wire::Peer::DeliverParams,  ::briarglade::wire::Peer::DeliverResults>(
       0xfb46b6b5ab750998ull, 0, sizeHint);
 }
-::kj::Promise<void> Peer::Server::exchange(ExchangeContext) {
+::kj::Promise<void> Peer::Server::deliver(DeliverContext) {
   return ::capnp::Capability::Server::internalUnimplemented(
-      "peer.capnp:Peer", "exchange",
+      "peer.capnp:Peer", "deliver",
       0xfb46b6b5ab750998ull, 0);
 }
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
@@ -305,8 +167,8 @@
   switch (methodId) {
     case 0:
       return {
-        exchange(::capnp::Capability::Server::internalGetTypedContext<
-             ::briarglade::wire::Peer::ExchangeParams,  ::briarglade::wire::Peer::ExchangeResults>(context)),
+        deliver(::capnp::Capability::Server::internalGetTypedContext<
+             ::briarglade::wire::Peer::DeliverParams,  ::briarglade::wire::Peer::DeliverResults>(context)),
         false
       };
     default:
@@ -324,20 +186,20 @@
 constexpr ::capnp::_::RawSchema const* Peer::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// Peer::ExchangeParams
-constexpr uint16_t Peer::ExchangeParams::_capnpPrivate::dataWordSize;
-constexpr uint16_t Peer::ExchangeParams::_capnpPrivate::pointerCount;
+// Peer::DeliverParams
+constexpr uint16_t Peer::DeliverParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::DeliverParams::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind Peer::ExchangeParams::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Peer::ExchangeParams::_capnpPrivate::schema;
+constexpr ::capnp::Kind Peer::DeliverParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::DeliverParams::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// Peer::ExchangeResults
-constexpr uint16_t Peer::ExchangeResults::_capnpPrivate::dataWordSize;
-constexpr uint16_t Peer::ExchangeResults::_capnpPrivate::pointerCount;
+// Peer::DeliverResults
+constexpr uint16_t Peer::DeliverResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::DeliverResults::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind Peer::ExchangeResults::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Peer::ExchangeResults::_capnpPrivate::schema;
+constexpr ::capnp::Kind Peer::DeliverResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::DeliverResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
 
--- a/briarglade/net/peer.capnp.h
+++ b/briarglade/net/peer.capnp.h
@@ -19,7 +19,6 @@
 namespace capnp {
 namespace schemas {
 
-CAPNP_DECLARE_SCHEMA(d021729cb80210f7);
 CAPNP_DECLARE_SCHEMA(fb46b6b5ab750998);
 CAPNP_DECLARE_SCHEMA(92a51d59e2f10e25);
 CAPNP_DECLARE_SCHEMA(ad92d6de1603b74f);
@@ -30,26 +29,6 @@
 namespace briarglade {
 namespace wire {
 
-struct Envelope
-{
-  Envelope() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate
-  {
-    CAPNP_DECLARE_STRUCT_HEADER(d021729cb80210f7, 2, 4)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
-  };
-};
-
 struct Peer
 {
   Peer() = delete;
@@ -59,8 +38,8 @@
   class Server;
 #endif // !CAPNP_LITE
 
-  struct ExchangeParams;
-  struct ExchangeResults;
+  struct DeliverParams;
+  struct DeliverResults;
 
 #if !CAPNP_LITE
   struct _capnpPrivate
@@ -74,9 +53,9 @@
 #endif // !CAPNP_LITE
 };
 
-struct Peer::ExchangeParams
+struct Peer::DeliverParams
 {
-  ExchangeParams() = delete;
+  DeliverParams() = delete;
 
   class Reader;
   class Builder;
@@ -94,9 +73,9 @@
   };
 };
 
-struct Peer::ExchangeResults
+struct Peer::DeliverResults
 {
-  ExchangeResults() = delete;
+  DeliverResults() = delete;
 
   class Reader;
   class Builder;
@@ -116,149 +95,6 @@
 
 // =======================================================================================
 
-class Envelope::Reader
-{
-public:
-  typedef Envelope Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
-
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif // !CAPNP_LITE
-
-  inline bool hasCluster() const;
-  inline ::capnp::Text::Reader getCluster() const;
-
-  inline ::uint32_t getProtocol() const;
-
-  inline bool hasSender() const;
-  inline ::capnp::Text::Reader getSender() const;
-
-  inline ::uint64_t getIncarnation() const;
-
-  inline bool hasProof() const;
-  inline ::capnp::Data::Reader getProof() const;
-
-  inline bool hasPayload() const;
-  inline ::capnp::Data::Reader getPayload() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Envelope::Builder
-{
-public:
-  typedef Envelope Builds;
-
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const
-  {
-    return asReader().totalSize();
-  }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
-
-  inline bool hasCluster();
-  inline ::capnp::Text::Builder getCluster();
-  inline void setCluster(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initCluster(unsigned int size);
-  inline void adoptCluster(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownCluster();
-
-  inline ::uint32_t getProtocol();
-  inline void setProtocol(::uint32_t value);
-
-  inline bool hasSender();
-  inline ::capnp::Text::Builder getSender();
-  inline void setSender(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initSender(unsigned int size);
-  inline void adoptSender(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownSender();
-
-  inline ::uint64_t getIncarnation();
-  inline void setIncarnation(::uint64_t value);
-
-  inline bool hasProof();
-  inline ::capnp::Data::Builder getProof();
-  inline void setProof(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initProof(unsigned int size);
-  inline void adoptProof(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownProof();
-
-  inline bool hasPayload();
-  inline ::capnp::Data::Builder getPayload();
-  inline void setPayload(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initPayload(unsigned int size);
-  inline void adoptPayload(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownPayload();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Envelope::Pipeline
-{
-public:
-  typedef Envelope Pipelines;
-
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif // !CAPNP_LITE
-
 #if !CAPNP_LITE
 class Peer::Client : public virtual ::capnp::Capability::Client
 {
@@ -280,9 +116,9 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request<::briarglade::wire::Peer::ExchangeParams,
-                   ::briarglade::wire::Peer::ExchangeResults>
-  exchangeRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request<::briarglade::wire::Peer::DeliverParams,
+                   ::briarglade::wire::Peer::DeliverResults>
+  deliverRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -300,10 +136,10 @@
     override;
 
 protected:
-  typedef ::briarglade::wire::Peer::ExchangeParams ExchangeParams;
-  typedef ::briarglade::wire::Peer::ExchangeResults ExchangeResults;
-  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
-  virtual ::kj::Promise<void> exchange(ExchangeContext context);
+  typedef ::briarglade::wire::Peer::DeliverParams DeliverParams;
+  typedef ::briarglade::wire::Peer::DeliverResults DeliverResults;
+  typedef ::capnp::CallContext<DeliverParams, DeliverResults> DeliverContext;
+  virtual ::kj::Promise<void> deliver(DeliverContext context);
 
   inline ::briarglade::wire::Peer::Client thisCap()
   {
@@ -317,10 +153,10 @@
 };
 #endif // !CAPNP_LITE
 
-class Peer::ExchangeParams::Reader
+class Peer::DeliverParams::Reader
 {
 public:
-  typedef ExchangeParams Reads;
+  typedef DeliverParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base)
@@ -340,8 +176,8 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool hasEnvelope() const;
-  inline ::briarglade::wire::Envelope::Reader getEnvelope() const;
+  inline bool hasMessage() const;
+  inline ::capnp::Data::Reader getMessage() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -355,10 +191,10 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ExchangeParams::Builder
+class Peer::DeliverParams::Builder
 {
 public:
-  typedef ExchangeParams Builds;
+  typedef DeliverParams Builds;
 
   Builder() = delete; // Deleted to discourage incorrect usage.
                       // You can explicitly initialize to nullptr instead.
@@ -381,13 +217,12 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool hasEnvelope();
-  inline ::briarglade::wire::Envelope::Builder getEnvelope();
-  inline void setEnvelope(::briarglade::wire::Envelope::Reader value);
-  inline ::briarglade::wire::Envelope::Builder initEnvelope();
-  inline void adoptEnvelope(
-    ::capnp::Orphan<::briarglade::wire::Envelope>&& value);
-  inline ::capnp::Orphan<::briarglade::wire::Envelope> disownEnvelope();
+  inline bool hasMessage();
+  inline ::capnp::Data::Builder getMessage();
+  inline void setMessage(::capnp::Data::Reader value);
+  inline ::capnp::Data::Builder initMessage(unsigned int size);
+  inline void adoptMessage(::capnp::Orphan<::capnp::Data>&& value);
+  inline ::capnp::Orphan<::capnp::Data> disownMessage();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -399,10 +234,10 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ExchangeParams::Pipeline
+class Peer::DeliverParams::Pipeline
 {
 public:
-  typedef ExchangeParams Pipelines;
+  typedef DeliverParams Pipelines;
 
   inline Pipeline(decltype(nullptr))
     : _typeless(nullptr)
@@ -413,8 +248,6 @@
   {
   }
 
-  inline ::briarglade::wire::Envelope::Pipeline getEnvelope();
-
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -423,10 +256,10 @@
 };
 #endif // !CAPNP_LITE
 
-class Peer::ExchangeResults::Reader
+class Peer::DeliverResults::Reader
 {
 public:
-  typedef ExchangeResults Reads;
+  typedef DeliverResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base)
@@ -446,8 +279,8 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool hasEnvelope() const;
-  inline ::briarglade::wire::Envelope::Reader getEnvelope() const;
+  inline bool hasAnswer() const;
+  inline ::capnp::Data::Reader getAnswer() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -461,10 +294,10 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ExchangeResults::Builder
+class Peer::DeliverResults::Builder
 {
 public:
-  typedef ExchangeResults Builds;
+  typedef DeliverResults Builds;
 
   Builder() = delete; // Deleted to discourage incorrect usage.
                       // You can explicitly initialize to nullptr instead.
@@ -487,13 +320,12 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool hasEnvelope();
-  inline ::briarglade::wire::Envelope::Builder getEnvelope();
-  inline void setEnvelope(::briarglade::wire::Envelope::Reader value);
-  inline ::briarglade::wire::Envelope::Builder initEnvelope();
-  inline void adoptEnvelope(
-    ::capnp::Orphan<::briarglade::wire::Envelope>&& value);
-  inline ::capnp::Orphan<::briarglade::wire::Envelope> disownEnvelope();
+  inline bool hasAnswer();
+  inline ::capnp::Data::Builder getAnswer();
+  inline void setAnswer(::capnp::Data::Reader value);
+  inline ::capnp::Data::Builder initAnswer(unsigned int size);
+  inline void adoptAnswer(::capnp::Orphan<::capnp::Data>&& value);
+  inline ::capnp::Orphan<::capnp::Data> disownAnswer();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -505,10 +337,10 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ExchangeResults::Pipeline
+class Peer::DeliverResults::Pipeline
 {
 public:
-  typedef ExchangeResults Pipelines;
+  typedef DeliverResults Pipelines;
 
   inline Pipeline(decltype(nullptr))
     : _typeless(nullptr)
@@ -519,8 +351,6 @@
   {
   }
 
-  inline ::briarglade::wire::Envelope::Pipeline getEnvelope();
-
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -531,212 +361,6 @@
 
 // =======================================================================================
 
-inline bool Envelope::Reader::hasCluster() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool Envelope::Builder::hasCluster()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::Text::Reader Envelope::Reader::getCluster() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder Envelope::Builder::getCluster()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Envelope::Builder::setCluster(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder Envelope::Builder::initCluster(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Envelope::Builder::adoptCluster(
-  ::capnp::Orphan<::capnp::Text>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> Envelope::Builder::disownCluster()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline ::uint32_t Envelope::Reader::getProtocol() const
-{
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
-}
-
-inline ::uint32_t Envelope::Builder::getProtocol()
-{
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
-}
-inline void Envelope::Builder::setProtocol(::uint32_t value)
-{
-  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
-}
-
-inline bool Envelope::Reader::hasSender() const
-{
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool Envelope::Builder::hasSender()
-{
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::Text::Reader Envelope::Reader::getSender() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder Envelope::Builder::getSender()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Envelope::Builder::setSender(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder Envelope::Builder::initSender(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Envelope::Builder::adoptSender(
-  ::capnp::Orphan<::capnp::Text>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> Envelope::Builder::disownSender()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline ::uint64_t Envelope::Reader::getIncarnation() const
-{
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
-}
-
-inline ::uint64_t Envelope::Builder::getIncarnation()
-{
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
-}
-inline void Envelope::Builder::setIncarnation(::uint64_t value)
-{
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
-}
-
-inline bool Envelope::Reader::hasProof() const
-{
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool Envelope::Builder::hasProof()
-{
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::Data::Reader Envelope::Reader::getProof() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-    _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::Data::Builder Envelope::Builder::getProof()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Envelope::Builder::setProof(::capnp::Data::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Data::Builder Envelope::Builder::initProof(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void Envelope::Builder::adoptProof(
-  ::capnp::Orphan<::capnp::Data>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Data> Envelope::Builder::disownProof()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline bool Envelope::Reader::hasPayload() const
-{
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool Envelope::Builder::hasPayload()
-{
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::Data::Reader Envelope::Reader::getPayload() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-    _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline ::capnp::Data::Builder Envelope::Builder::getPayload()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-    _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void Envelope::Builder::setPayload(::capnp::Data::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-    _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Data::Builder Envelope::Builder::initPayload(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-    _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
-}
-inline void Envelope::Builder::adoptPayload(
-  ::capnp::Orphan<::capnp::Data>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-    _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Data> Envelope::Builder::disownPayload()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-    _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
   : ::capnp::Capability::Client(nullptr)
@@ -772,113 +396,95 @@
 }
 
 #endif // !CAPNP_LITE
-inline bool Peer::ExchangeParams::Reader::hasEnvelope() const
+inline bool Peer::DeliverParams::Reader::hasMessage() const
 {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool Peer::ExchangeParams::Builder::hasEnvelope()
+inline bool Peer::DeliverParams::Builder::hasMessage()
 {
   return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::briarglade::wire::Envelope::Reader
-Peer::ExchangeParams::Reader::getEnvelope() const
+inline ::capnp::Data::Reader Peer::DeliverParams::Reader::getMessage() const
 {
-  return ::capnp::_::PointerHelpers<::briarglade::wire::Envelope>::get(
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
     _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::briarglade::wire::Envelope::Builder
-Peer::ExchangeParams::Builder::getEnvelope()
+inline ::capnp::Data::Builder Peer::DeliverParams::Builder::getMessage()
 {
-  return ::capnp::_::PointerHelpers<::briarglade::wire::Envelope>::get(
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline ::briarglade::wire::Envelope::Pipeline
-Peer::ExchangeParams::Pipeline::getEnvelope()
-{
-  return ::briarglade::wire::Envelope::Pipeline(_typeless.getPointerField(0));
-}
-#endif // !CAPNP_LITE
-inline void Peer::ExchangeParams::Builder::setEnvelope(
-  ::briarglade::wire::Envelope::Reader value)
+inline void Peer::DeliverParams::Builder::setMessage(
+  ::capnp::Data::Reader value)
 {
-  ::capnp::_::PointerHelpers<::briarglade::wire::Envelope>::set(
+  ::capnp::_::PointerHelpers<::capnp::Data>::set(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::briarglade::wire::Envelope::Builder
-Peer::ExchangeParams::Builder::initEnvelope()
+inline ::capnp::Data::Builder Peer::DeliverParams::Builder::initMessage(
+  unsigned int size)
 {
-  return ::capnp::_::PointerHelpers<::briarglade::wire::Envelope>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::ExchangeParams::Builder::adoptEnvelope(
-  ::capnp::Orphan<::briarglade::wire::Envelope>&& value)
+inline void Peer::DeliverParams::Builder::adoptMessage(
+  ::capnp::Orphan<::capnp::Data>&& value)
 {
-  ::capnp::_::PointerHelpers<::briarglade::wire::Envelope>::adopt(
+  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
     kj::mv(value));
 }
-inline ::capnp::Orphan<::briarglade::wire::Envelope>
-Peer::ExchangeParams::Builder::disownEnvelope()
+inline ::capnp::Orphan<::capnp::Data>
+Peer::DeliverParams::Builder::disownMessage()
 {
-  return ::capnp::_::PointerHelpers<::briarglade::wire::Envelope>::disown(
+  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::ExchangeResults::Reader::hasEnvelope() const
+inline bool Peer::DeliverResults::Reader::hasAnswer() const
 {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool Peer::ExchangeResults::Builder::hasEnvelope()
+inline bool Peer::DeliverResults::Builder::hasAnswer()
 {
   return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::briarglade::wire::Envelope::Reader
-Peer::ExchangeResults::Reader::getEnvelope() const
+inline ::capnp::Data::Reader Peer::DeliverResults::Reader::getAnswer() const
 {
-  return ::capnp::_::PointerHelpers<::briarglade::wire::Envelope>::get(
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
     _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::briarglade::wire::Envelope::Builder
-Peer::ExchangeResults::Builder::getEnvelope()
+inline ::capnp::Data::Builder Peer::DeliverResults::Builder::getAnswer()
 {
-  return ::capnp::_::PointerHelpers<::briarglade::wire::Envelope>::get(
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline ::briarglade::wire::Envelope::Pipeline
-Peer::ExchangeResults::Pipeline::getEnvelope()
-{
-  return ::briarglade::wire::Envelope::Pipeline(_typeless.getPointerField(0));
-}
-#endif // !CAPNP_LITE
-inline void Peer::ExchangeResults::Builder::setEnvelope(
-  ::briarglade::wire::Envelope::Reader value)
+inline void Peer::DeliverResults::Builder::setAnswer(
+  ::capnp::Data::Reader value)
 {
-  ::capnp::_::PointerHelpers<::briarglade::wire::Envelope>::set(
+  ::capnp::_::PointerHelpers<::capnp::Data>::set(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::briarglade::wire::Envelope::Builder
-Peer::ExchangeResults::Builder::initEnvelope()
+inline ::capnp::Data::Builder Peer::DeliverResults::Builder::initAnswer(
+  unsigned int size)
 {
-  return ::capnp::_::PointerHelpers<::briarglade::wire::Envelope>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::ExchangeResults::Builder::adoptEnvelope(
-  ::capnp::Orphan<::briarglade::wire::Envelope>&& value)
+inline void Peer::DeliverResults::Builder::adoptAnswer(
+  ::capnp::Orphan<::capnp::Data>&& value)
 {
-  ::capnp::_::PointerHelpers<::briarglade::wire::Envelope>::adopt(
+  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
     kj::mv(value));
 }
-inline ::capnp::Orphan<::briarglade::wire::Envelope>
-Peer::ExchangeResults::Builder::disownEnvelope()
+inline ::capnp::Orphan<::capnp::Data>
+Peer::DeliverResults::Builder::disownAnswer()
 {
-  return ::capnp::_::PointerHelpers<::briarglade::wire::Envelope>::disown(
+  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
--- /dev/null
+++ b/briarglade/net/peer_rpc.cc
@@ -0,0 +1,321 @@
+// The RPC between nodes. Every call has a deadline; a connection on which a
+// call failed is dropped and made anew by the next call.
+
+#include "briarglade/net/peer_rpc.h"
+
+#include <arpa/inet.h>
+#include <capnp/rpc-twoparty.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <map>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <utility>
+#include <vector>
+
+#include "briarglade/net/event_loop.h"
+#include "briarglade/net/internal/bufferevent_stream.h"
+#include "briarglade/net/internal/kj_bridge.h"
+#include "briarglade/net/peer.capnp.h"
+
+namespace briarglade {
+
+namespace {
+
+constexpr Millis kCallTimeout = Millis(1'000);
+// Calls that may wait for one peer.
+constexpr size_t kMaxCallsPerPeer = 16;
+// Connections that peers, or strangers, may hold open here.
+constexpr size_t kMaxAccepted = 1024;
+constexpr size_t kMaxMessageBytes = 4 * 1024 * 1024;
+constexpr int kBacklog = 256;
+
+sockaddr_in ToSocketAddress(const Endpoint& aEndpoint)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aEndpoint.m_port);
+  inet_pton(AF_INET, aEndpoint.m_ip.c_str(), &address.sin_addr);
+  return address;
+}
+
+void SetNoDelay(evutil_socket_t aSocket)
+{
+  const int on = 1;
+  setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+// What both ends count.
+struct Traffic
+{
+  uint64_t m_sent = 0;
+  uint64_t m_received = 0;
+};
+
+class PeerServer final : public wire::Peer::Server
+{
+public:
+  PeerServer(const PeerRpc::Handler& aHandler, Traffic& aTraffic)
+    : m_handler(aHandler)
+    , m_traffic(aTraffic)
+  {
+  }
+
+  kj::Promise<void> deliver(DeliverContext aContext) override
+  {
+    const auto message = aContext.getParams().getMessage();
+    m_traffic.m_received += message.size();
+    if (!m_handler || message.size() > kMaxMessageBytes) {
+      return kj::READY_NOW;
+    }
+    const std::string answer =
+      m_handler(std::string(message.asChars().begin(), message.size()));
+    m_traffic.m_sent += answer.size();
+    aContext.getResults().setAnswer(kj::arrayPtr(
+      reinterpret_cast<const kj::byte*>(answer.data()), answer.size()));
+    return kj::READY_NOW;
+  }
+
+private:
+  const PeerRpc::Handler& m_handler;
+  Traffic& m_traffic;
+};
+
+// An outgoing connection to one peer.
+class PeerConnection
+{
+public:
+  PeerConnection(EventLoop& aLoop, const Endpoint& aPeer)
+    : m_stream(Connect(aLoop, aPeer))
+    , m_client(*m_stream)
+    , m_peer(m_client.bootstrap().castAs<wire::Peer>())
+  {
+  }
+
+  wire::Peer::Client& Peer() { return m_peer; }
+  size_t m_waiting = 0;
+
+private:
+  static kj::Own<BuffereventStream> Connect(EventLoop& aLoop,
+                                            const Endpoint& aPeer)
+  {
+    bufferevent* made =
+      bufferevent_socket_new(aLoop.Base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    auto stream = kj::heap<BuffereventStream>(made);
+    const sockaddr_in address = ToSocketAddress(aPeer);
+    bufferevent_socket_connect(
+      made, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    SetNoDelay(bufferevent_getfd(made));
+    return stream;
+  }
+
+  kj::Own<BuffereventStream> m_stream;
+  capnp::TwoPartyClient m_client;
+  wire::Peer::Client m_peer;
+};
+
+} // namespace
+
+class PeerRpc::Impl : private kj::TaskSet::ErrorHandler
+{
+public:
+  explicit Impl(EventLoop& aLoop)
+    : m_loop(aLoop)
+    , m_bridge(aLoop)
+    , m_accepted(*this)
+    , m_calls(*this)
+  {
+  }
+
+  ~Impl() noexcept
+  {
+    if (m_listener != nullptr) {
+      evconnlistener_free(m_listener);
+    }
+  }
+
+  uint16_t Listen(const Endpoint& aEndpoint)
+  {
+    const sockaddr_in address = ToSocketAddress(aEndpoint);
+    auto accept =
+      [](
+        evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aSelf) {
+        static_cast<Impl*>(aSelf)->Accept(aSocket);
+      };
+    m_listener = evconnlistener_new_bind(
+      m_loop.Base(),
+      accept,
+      this,
+      LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC,
+      kBacklog,
+      reinterpret_cast<const sockaddr*>(&address),
+      sizeof(address));
+    if (m_listener == nullptr) {
+      return 0;
+    }
+    sockaddr_in bound{};
+    socklen_t length = sizeof(bound);
+    getsockname(evconnlistener_get_fd(m_listener),
+                reinterpret_cast<sockaddr*>(&bound),
+                &length);
+    return ntohs(bound.sin_port);
+  }
+
+  void Send(const Endpoint& aPeer,
+            const std::string& aMessage,
+            AnswerHandler aDone)
+  {
+    std::shared_ptr<PeerConnection>& connection = m_connections[aPeer];
+    if (!connection) {
+      connection = std::make_shared<PeerConnection>(m_loop, aPeer);
+    }
+    if (connection->m_waiting >= kMaxCallsPerPeer) {
+      m_loop.Defer([done = std::move(aDone)] { done(false, {}); });
+      return;
+    }
+    auto call = std::make_shared<Call>();
+    call->m_peer = aPeer;
+    call->m_connection = connection;
+    call->m_done = std::move(aDone);
+    call->m_timer = m_loop.MakeTimer([this, weak = std::weak_ptr<Call>(call)] {
+      if (const std::shared_ptr<Call> late = weak.lock()) {
+        Fail(late);
+      }
+    });
+    call->m_timer->Start(kCallTimeout);
+    ++connection->m_waiting;
+    m_traffic.m_sent += aMessage.size();
+    auto request = connection->Peer().deliverRequest();
+    request.setMessage(kj::arrayPtr(
+      reinterpret_cast<const kj::byte*>(aMessage.data()), aMessage.size()));
+    m_calls.add(request.send().then(
+      [this, call](capnp::Response<wire::Peer::DeliverResults>&& aResults) {
+        const auto answer = aResults.getAnswer();
+        m_traffic.m_received += answer.size();
+        Finish(
+          call, true, std::string(answer.asChars().begin(), answer.size()));
+      },
+      [this, call](kj::Exception&&) { Fail(call); }));
+  }
+
+  Handler m_handler;
+  Traffic m_traffic;
+
+private:
+  struct Call
+  {
+    Endpoint m_peer;
+    std::shared_ptr<PeerConnection> m_connection;
+    AnswerHandler m_done;
+    std::unique_ptr<Timer> m_timer;
+  };
+
+  void Accept(evutil_socket_t aSocket)
+  {
+    if (m_acceptedCount >= kMaxAccepted) {
+      evutil_closesocket(aSocket);
+      return;
+    }
+    evutil_make_socket_nonblocking(aSocket);
+    SetNoDelay(aSocket);
+    ++m_acceptedCount;
+    auto stream = kj::heap<BuffereventStream>(
+      bufferevent_socket_new(m_loop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE));
+    auto server = kj::heap<capnp::TwoPartyServer>(
+      kj::heap<PeerServer>(m_handler, m_traffic));
+    kj::Promise<void> served = server->accept(*stream);
+    m_accepted.add(served
+                     .then([this] { --m_acceptedCount; },
+                           [this](kj::Exception&&) { --m_acceptedCount; })
+                     .attach(kj::mv(server), kj::mv(stream)));
+  }
+
+  void Finish(const std::shared_ptr<Call>& aCall,
+              bool aOk,
+              const std::string& aAnswer)
+  {
+    if (!aCall->m_done) {
+      return;
+    }
+    --aCall->m_connection->m_waiting;
+    const AnswerHandler done = std::move(aCall->m_done);
+    aCall->m_done = nullptr;
+    aCall->m_timer->Stop();
+    Retire(std::move(aCall->m_connection));
+    done(aOk, aAnswer);
+  }
+
+  // Lets go of a connection from the loop, since it may be on the stack.
+  void Retire(std::shared_ptr<PeerConnection> aConnection)
+  {
+    m_retired.push_back(std::move(aConnection));
+    m_loop.Defer([this, alive = std::weak_ptr<bool>(m_alive)] {
+      if (!alive.expired()) {
+        m_retired.clear();
+      }
+    });
+  }
+
+  void Fail(const std::shared_ptr<Call>& aCall)
+  {
+    if (!aCall->m_done) {
+      return;
+    }
+    const auto found = m_connections.find(aCall->m_peer);
+    if (found != m_connections.end() && found->second == aCall->m_connection) {
+      m_connections.erase(found);
+    }
+    Finish(aCall, false, {});
+  }
+
+  void taskFailed(kj::Exception&&) override {}
+
+  EventLoop& m_loop;
+  KjBridge m_bridge;
+  evconnlistener* m_listener = nullptr;
+  size_t m_acceptedCount = 0;
+  std::map<Endpoint, std::shared_ptr<PeerConnection>> m_connections;
+  std::vector<std::shared_ptr<PeerConnection>> m_retired;
+  // Outlived by deferred callbacks, which check it.
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+  kj::TaskSet m_accepted;
+  kj::TaskSet m_calls;
+};
+
+PeerRpc::PeerRpc(EventLoop& aLoop)
+  : m_impl(std::make_unique<Impl>(aLoop))
+{
+}
+
+PeerRpc::~PeerRpc() = default;
+
+void PeerRpc::SetHandler(Handler aHandler)
+{
+  m_impl->m_handler = std::move(aHandler);
+}
+
+uint16_t PeerRpc::Listen(const Endpoint& aEndpoint)
+{
+  return m_impl->Listen(aEndpoint);
+}
+
+void PeerRpc::Send(const Endpoint& aPeer,
+                   const std::string& aMessage,
+                   AnswerHandler aDone)
+{
+  m_impl->Send(aPeer, aMessage, std::move(aDone));
+}
+
+uint64_t PeerRpc::BytesSent() const
+{
+  return m_impl->m_traffic.m_sent;
+}
+
+uint64_t PeerRpc::BytesReceived() const
+{
+  return m_impl->m_traffic.m_received;
+}
+
+} // namespace briarglade
--- /dev/null
+++ b/briarglade/net/peer_rpc.h
@@ -0,0 +1,52 @@
+// Messages between nodes: Cap'n Proto RPC on the libevent loop.
+//
+// Example:
+//   PeerRpc rpc(loop);
+//   rpc.SetHandler([](const std::string& aMessage) { return Answer(aMessage);
+//   }); uint16_t port = rpc.Listen({ "127.0.0.1", 0 }); rpc.Send(peer, message,
+//   [](bool aOk, const std::string& aAnswer) { ... });
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "briarglade/base/endpoint.h"
+
+namespace briarglade {
+
+class EventLoop;
+
+// One object a process: Cap'n Proto allows one loop a thread.
+class PeerRpc
+{
+public:
+  // Takes a sealed message, returns the sealed answer, or empty for none.
+  using Handler = std::function<std::string(const std::string& aMessage)>;
+  // Gets the answer, or false if the peer could not be reached in time.
+  using AnswerHandler = std::function<void(bool aOk, const std::string&)>;
+
+  explicit PeerRpc(EventLoop& aLoop);
+  ~PeerRpc();
+  PeerRpc(const PeerRpc&) = delete;
+  PeerRpc& operator=(const PeerRpc&) = delete;
+
+  void SetHandler(Handler aHandler);
+  // Listens; port 0 lets the kernel choose. Returns the port, or 0 on failure.
+  uint16_t Listen(const Endpoint& aEndpoint);
+  // Sends a message. The handler is called once, from the loop.
+  void Send(const Endpoint& aPeer,
+            const std::string& aMessage,
+            AnswerHandler aDone);
+  // Bytes sent and received since the start, without TCP's own.
+  uint64_t BytesSent() const;
+  uint64_t BytesReceived() const;
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace briarglade
--- /dev/null
+++ b/standin/http_server_test.cc
@@ -0,0 +1,144 @@
+// Tests of the HTTP server against bad input and callers that leave, over
+// loopback with ports from the kernel.
+
+#include "briarglade/net/http_server.h"
+
+#include <doctest/doctest.h>
+#include <string>
+#include <vector>
+
+#include "briarglade/net/event_loop.h"
+#include "briarglade/net/http_exchange.h"
+#include "standin/raw_client.h"
+
+namespace briarglade::standin {
+namespace {
+
+HttpServerLimits SmallLimits()
+{
+  HttpServerLimits limits;
+  limits.m_maxHeaderBytes = 1024;
+  limits.m_maxBodyBytes = 1024;
+  limits.m_requestTime = Millis(50);
+  limits.m_idleTime = Millis(50);
+  return limits;
+}
+
+// Sends bytes to an echoing server and returns what came back by the close.
+std::string Exchange(const std::string& aBytes, HttpServerLimits aLimits)
+{
+  EventLoop loop;
+  HttpServer server(loop, aLimits);
+  server.SetHandler([](const std::shared_ptr<HttpExchange>& aExchange) {
+    aExchange->Respond(200, {}, "echo:" + aExchange->Body());
+  });
+  RawClient client(loop, server.Listen({ "127.0.0.1", 0 }));
+  client.OnEnd([&loop] { loop.Stop(); });
+  client.Send(aBytes);
+  loop.Run();
+  return client.Received();
+}
+
+struct BadInput
+{
+  const char* m_name;
+  std::string m_bytes;
+  // What the answer must hold.
+  std::vector<std::string> m_expected;
+};
+
+TEST_CASE("bad input is refused with a numbered code and the connection closed")
+{
+  const std::string longHeader =
+    "GET / HTTP/1.1\r\nX-Long: " + std::string(2000, 'x') + "\r\n\r\n";
+  const std::string longBody =
+    "POST / HTTP/1.1\r\nContent-Length: 4000\r\n\r\n" + std::string(4000, 'x');
+  const std::string slow = "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc";
+  const BadInput inputs[] = {
+    { "oversized header", longHeader, { " 431 ", "Briarglade-Code: 201" } },
+    { "oversized body", longBody, { " 413 ", "Briarglade-Code: 202" } },
+    { "slow sender", slow, { " 408 ", "Briarglade-Code: 209" } },
+  };
+  for (const BadInput& input : inputs) {
+    CAPTURE(input.m_name);
+    const std::string answer = Exchange(input.m_bytes, SmallLimits());
+    CAPTURE(answer);
+    for (const std::string& expected : input.m_expected) {
+      CHECK(answer.find(expected) != std::string::npos);
+    }
+    CHECK(answer.find("Briarglade-Outcome: not-run") != std::string::npos);
+    CHECK(answer.find("echo:") == std::string::npos);
+  }
+}
+
+TEST_CASE("what isn't HTTP is closed without an answer from the handler")
+{
+  const std::string answer =
+    Exchange("\x16\x03\x01 not http at all\r\n\r\n", SmallLimits());
+  CHECK(answer.find("echo:") == std::string::npos);
+}
+
+TEST_CASE("a whole request is answered, and the idle connection closed later")
+{
+  const std::string answer =
+    Exchange("POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", SmallLimits());
+  CHECK(answer.find("echo:abc") != std::string::npos);
+}
+
+TEST_CASE("connections beyond the bound are closed at once")
+{
+  HttpServerLimits limits = SmallLimits();
+  limits.m_maxConnections = 0;
+  CHECK(Exchange("GET / HTTP/1.1\r\n\r\n", limits).empty());
+}
+
+TEST_CASE("a caller that leaves or half-closes in mid-stream is noticed")
+{
+  for (const bool halfClose : { false, true }) {
+    EventLoop loop;
+    HttpServer server(loop, HttpServerLimits());
+    bool closed = false;
+    server.SetHandler([&](const std::shared_ptr<HttpExchange>& aExchange) {
+      aExchange->OnClosed([&] {
+        closed = true;
+        loop.Stop();
+      });
+      aExchange->StartStream(200, {});
+      aExchange->Write("first");
+    });
+    auto client =
+      std::make_unique<RawClient>(loop, server.Listen({ "127.0.0.1", 0 }));
+    client->OnData([&](const std::string& aReceived) {
+      if (aReceived.find("first") == std::string::npos) {
+        return;
+      }
+      if (halfClose) {
+        client->CloseSending();
+      } else {
+        loop.Defer([&client] { client.reset(); });
+      }
+    });
+    client->Send("GET / HTTP/1.1\r\n\r\n");
+    loop.Run();
+    CHECK(closed);
+  }
+}
+
+TEST_CASE("an aborted stream doesn't look whole")
+{
+  EventLoop loop;
+  HttpServer server(loop, HttpServerLimits());
+  server.SetHandler([&](const std::shared_ptr<HttpExchange>& aExchange) {
+    aExchange->StartStream(200, {});
+    aExchange->Write("part");
+    aExchange->Abort();
+  });
+  RawClient client(loop, server.Listen({ "127.0.0.1", 0 }));
+  client.OnEnd([&loop] { loop.Stop(); });
+  client.Send("GET / HTTP/1.1\r\n\r\n");
+  loop.Run();
+  CHECK(client.Received().find("\r\n0\r\n") == std::string::npos);
+}
+
+} // namespace
+} // namespace briarglade::standin
--- a/standin/plain_service.cc
+++ b/standin/plain_service.cc
@@ -50,9 +50,8 @@
   }
   const uint64_t id = ++m_nextTimer;
   auto timer = m_loop.MakeTimer([this, id, aExchange] {
-    std::shared_ptr<HttpExchange> exchange = aExchange;
     m_loop.Defer([this, id] { m_timers.erase(id); });
-    Finish(exchange);
+    Finish(aExchange);
   });
   timer->Start(m_options.m_runTime + m_faults.m_delay);
   m_timers[id] = std::move(timer);
--- /dev/null
+++ b/standin/raw_server.cc
@@ -0,0 +1,110 @@
+// The raw TCP server.
+
+#include "standin/raw_server.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <utility>
+
+#include "briarglade/net/event_loop.h"
+
+namespace briarglade::standin {
+
+RawServer::RawServer(EventLoop& aLoop, std::string aAnswer, bool aCloses)
+  : m_loop(aLoop)
+  , m_answer(std::move(aAnswer))
+  , m_closes(aCloses)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  auto accept =
+    [](evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aSelf) {
+      static_cast<RawServer*>(aSelf)->Accept(aSocket);
+    };
+  m_listener =
+    evconnlistener_new_bind(aLoop.Base(),
+                            accept,
+                            this,
+                            LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE,
+                            -1,
+                            reinterpret_cast<const sockaddr*>(&address),
+                            sizeof(address));
+  socklen_t length = sizeof(address);
+  getsockname(evconnlistener_get_fd(m_listener),
+              reinterpret_cast<sockaddr*>(&address),
+              &length);
+  m_port = ntohs(address.sin_port);
+}
+
+RawServer::~RawServer()
+{
+  evconnlistener_free(m_listener);
+  for (bufferevent* connection : m_connections) {
+    bufferevent_free(connection);
+  }
+}
+
+void RawServer::Accept(int aSocket)
+{
+  ++m_accepted;
+  evutil_make_socket_nonblocking(aSocket);
+  bufferevent* connection =
+    bufferevent_socket_new(m_loop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE);
+  m_connections.push_back(connection);
+  auto onRead = [](bufferevent* aConnection, void* aSelf) {
+    static_cast<RawServer*>(aSelf)->Answer(aConnection);
+  };
+  auto onEvent = [](bufferevent*, short, void* aSelf) {
+    auto* self = static_cast<RawServer*>(aSelf);
+    if (self->m_onClosed) {
+      self->m_onClosed();
+    }
+  };
+  bufferevent_setcb(connection, onRead, nullptr, onEvent, this);
+  bufferevent_enable(connection, EV_READ | EV_WRITE);
+}
+
+void RawServer::Answer(bufferevent* aConnection)
+{
+  evbuffer* input = bufferevent_get_input(aConnection);
+  std::string request(evbuffer_get_length(input), '\0');
+  evbuffer_copyout(input, request.data(), request.size());
+  const bool hasBody = request.find("Content-Length") != std::string::npos;
+  const std::string end = hasBody ? "\r\n\r\nbody" : "\r\n\r\n";
+  const bool isWhole =
+    request.size() >= end.size() &&
+    request.compare(request.size() - end.size(), end.size(), end) == 0;
+  if (!isWhole) {
+    return;
+  }
+  evbuffer_drain(input, request.size());
+  if (m_onRequest) {
+    m_onRequest();
+  }
+  // Sent at once, so that a close can't overtake it.
+  send(bufferevent_getfd(aConnection),
+       m_answer.data(),
+       m_answer.size(),
+       MSG_NOSIGNAL);
+  if (m_closes) {
+    shutdown(bufferevent_getfd(aConnection), SHUT_RDWR);
+  }
+}
+
+void RawServer::OnRequest(std::function<void()> aCallback)
+{
+  m_onRequest = std::move(aCallback);
+}
+
+void RawServer::OnClosed(std::function<void()> aCallback)
+{
+  m_onClosed = std::move(aCallback);
+}
+
+} // namespace briarglade::standin
--- /dev/null
+++ b/standin/raw_server.h
@@ -0,0 +1,53 @@
+// A TCP server that answers each request with bytes as they are, for tests of
+// broken answers.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+struct bufferevent;
+struct evconnlistener;
+
+namespace briarglade {
+class EventLoop;
+}
+
+namespace briarglade::standin {
+
+class RawServer
+{
+public:
+  // Answers each piece of a request that ends in its body "body", or in an
+  // empty line, with the bytes; closes the connection afterwards if told to.
+  RawServer(EventLoop& aLoop, std::string aAnswer, bool aCloses);
+  ~RawServer();
+  RawServer(const RawServer&) = delete;
+  RawServer& operator=(const RawServer&) = delete;
+
+  uint16_t Port() const { return m_port; }
+  int AcceptedCount() const { return m_accepted; }
+  // Calls back for each request.
+  void OnRequest(std::function<void()> aCallback);
+  // Calls back when a client has closed its connection.
+  void OnClosed(std::function<void()> aCallback);
+
+private:
+  void Accept(int aSocket);
+  void Answer(bufferevent* aConnection);
+
+  EventLoop& m_loop;
+  std::string m_answer;
+  bool m_closes;
+  evconnlistener* m_listener = nullptr;
+  uint16_t m_port = 0;
+  int m_accepted = 0;
+  std::vector<bufferevent*> m_connections;
+  std::function<void()> m_onRequest;
+  std::function<void()> m_onClosed;
+};
+
+} // namespace briarglade::standin
