One function judges how an exchange ended

Cause: the shell reports nine ends of an exchange; which of them prove that a request did not run, and which may be tried again, was decided nowhere whole (the thin core mapped ends to codes, and called a refused last attempt not-run even after an earlier attempt that may have run).

Change: JudgeExchange over end, status, idempotent, answer begun and, new, whether an earlier attempt may have run. A refusal under a 2xx or 3xx status contradicts itself and proves nothing. A whole answer is done whatever its status; a 5xx or 429 to an idempotent call may be tried again first. Non-idempotent calls that may have run answer outcome-unknown, whose advice (repeat with the same key) is the right one for them.

Ruled out: 5xx of a non-idempotent call as unknown: the row would stay open for ever and the caller would lose the service's own word on what went wrong.

--- /dev/null
+++ b/briarglade/routing/outcome.cc
@@ -0,0 +1,89 @@
+// The judgement of ended exchanges.
+
+#include "briarglade/routing/outcome.h"
+
+namespace briarglade {
+
+namespace {
+
+constexpr uint16_t kFirstSuccess = 200;
+constexpr uint16_t kFirstClientError = 400;
+constexpr uint16_t kTooManyRequests = 429;
+constexpr uint16_t kFirstServerError = 500;
+
+bool IsTransientFailure(uint16_t aStatus)
+{
+  return aStatus >= kFirstServerError || aStatus == kTooManyRequests;
+}
+
+// A refusal under a success status contradicts itself and proves nothing.
+bool IsCredibleRefusal(uint16_t aStatus)
+{
+  return aStatus < kFirstSuccess || aStatus >= kFirstClientError;
+}
+
+// The request may have run. A non-idempotent call is never sent again; its
+// caller learns the outcome by its key.
+Verdict JudgeUnknown(const ExchangeFacts& aFacts, ResultCode aCode)
+{
+  if (!aFacts.m_idempotent) {
+    return Verdict{ Outcome::Unknown, ResultCode::OutcomeUnknown, false };
+  }
+  const ResultCode code = aFacts.m_answerBegan ? ResultCode::StreamCut : aCode;
+  return Verdict{ Outcome::Unknown, code, true };
+}
+
+// This exchange ran nothing.
+Verdict JudgeNotRun(const ExchangeFacts& aFacts)
+{
+  if (aFacts.m_answerBegan || aFacts.m_mayHaveRunBefore) {
+    return JudgeUnknown(aFacts, ResultCode::BackendFailed);
+  }
+  return Verdict{ Outcome::NotRun, ResultCode::BackendRefused, true };
+}
+
+Verdict JudgeWhole(const ExchangeFacts& aFacts)
+{
+  if (aFacts.m_status < kFirstSuccess) {
+    return JudgeUnknown(aFacts, ResultCode::BackendAnswerInvalid);
+  }
+  const bool mayRetry = aFacts.m_idempotent && !aFacts.m_answerBegan &&
+                        IsTransientFailure(aFacts.m_status);
+  return Verdict{ Outcome::Done, ResultCode::Ok, mayRetry };
+}
+
+Verdict JudgeCancelled(const ExchangeFacts& aFacts)
+{
+  Verdict verdict = JudgeUnknown(aFacts, ResultCode::DeadlineExceeded);
+  verdict.m_mayRetry = false;
+  return verdict;
+}
+
+} // namespace
+
+Verdict JudgeExchange(const ExchangeFacts& aFacts)
+{
+  switch (aFacts.m_end) {
+    case ExchangeEnd::Whole:
+      return JudgeWhole(aFacts);
+    case ExchangeEnd::ConnectRefused:
+    case ExchangeEnd::ResetBeforeSend:
+      return JudgeNotRun(aFacts);
+    case ExchangeEnd::RefusedByServer:
+      return IsCredibleRefusal(aFacts.m_status)
+               ? JudgeNotRun(aFacts)
+               : JudgeUnknown(aFacts, ResultCode::BackendAnswerInvalid);
+    case ExchangeEnd::ResetBeforeAnswer:
+    case ExchangeEnd::Truncated:
+      return JudgeUnknown(aFacts, ResultCode::BackendFailed);
+    case ExchangeEnd::Timeout:
+      return JudgeUnknown(aFacts, ResultCode::DeadlineExceeded);
+    case ExchangeEnd::WrongAnswer:
+      return JudgeUnknown(aFacts, ResultCode::BackendAnswerInvalid);
+    case ExchangeEnd::Cancelled:
+      return JudgeCancelled(aFacts);
+  }
+  return JudgeUnknown(aFacts, ResultCode::Internal);
+}
+
+} // namespace briarglade
--- a/briarglade/routing/outcome.h
+++ b/briarglade/routing/outcome.h
@@ -24,6 +24,8 @@
   bool m_idempotent = true;
   // Whether the caller has been sent a part of the answer.
   bool m_answerBegan = false;
+  // Whether an earlier attempt of the same request may have run.
+  bool m_mayHaveRunBefore = false;
 };
 
 // What follows from it.
@@ -32,11 +34,15 @@
   Outcome m_outcome = Outcome::Unknown;
   // The code to answer with, if it isn't tried again.
   ResultCode m_code = ResultCode::Internal;
-  // Another attempt is safe: nothing ran, or running again does no harm.
+  // Another attempt is safe: nothing ran, or running again does no harm. Once a
+  // part of the answer has been sent, it may only resume behind that part. Can
+  // be true of a whole answer: a backend server's own 5xx to an idempotent call
+  // is passed on unless another attempt does better.
   bool m_mayRetry = false;
 };
 
-// Judges an exchange. "Not run" is said only when it is certain.
+// Judges an exchange. "Not run" is said only when it is certain, for the whole
+// request: neither this exchange nor an earlier one can have run it.
 Verdict JudgeExchange(const ExchangeFacts& aFacts);
 
 } // namespace briarglade
