Cold start: shares of a cold group by rendezvous rank

Cause: a server that has just started falls over under full load, and many nodes send to it without asking each other.

Change: AdmissionLimit() splits the limit of a cold group over the roster by rank on (group, boot id) and lets it grow with uptime or with the time since this node's last bad experience, whichever is less.

First-ranked nodes that are dead but still on the roster: the ramp needs no traffic, so each unused rank costs the group W / (R - C) of its warm-up, no more.

--- /dev/null
+++ b/briarglade/routing/cold_start.cc
@@ -0,0 +1,219 @@
+// Shares of a cold group by rendezvous rank.
+
+#include "briarglade/routing/cold_start.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "briarglade/base/rendezvous.h"
+
+namespace briarglade {
+
+namespace {
+
+// Rosters replaced longer than this before a group turned cold don't count.
+constexpr Millis kRosterWindow = kRosterSettleTime * 2;
+// Rosters remembered; when more were seen, the node counts as newly joined when
+// the oldest one was replaced.
+constexpr size_t kMaxRosters = 16;
+
+bool Contains(const std::vector<NodeId>& aRoster, const NodeId& aNode)
+{
+  return std::find(aRoster.begin(), aRoster.end(), aNode) != aRoster.end();
+}
+
+std::string RankKey(const Route& aRoute)
+{
+  return aRoute.m_group.Value() + "|" + aRoute.m_boot.Value();
+}
+
+RosterPlace PlaceIn(const std::vector<NodeId>& aRoster,
+                    const std::string& aKey,
+                    const NodeId& aSelf)
+{
+  RosterPlace place;
+  place.m_nodes = static_cast<uint32_t>(aRoster.size());
+  if (!Contains(aRoster, aSelf)) {
+    place.m_rank = place.m_nodes;
+    return place;
+  }
+  const uint64_t own = RendezvousWeight(aKey, aSelf.Value());
+  for (const NodeId& node : aRoster) {
+    const uint64_t weight = RendezvousWeight(aKey, node.Value());
+    const bool isAhead = weight != own ? weight > own : node < aSelf;
+    if (isAhead) {
+      ++place.m_rank;
+    }
+  }
+  return place;
+}
+
+// The requests out of aLimit that are dealt to a place, one by one in rank
+// order. It falls with the rank and with the number of nodes.
+uint32_t DealtTo(const RosterPlace& aPlace, uint32_t aLimit)
+{
+  if (aPlace.m_rank >= aPlace.m_nodes || aLimit <= aPlace.m_rank) {
+    return 0;
+  }
+  return (aLimit - aPlace.m_rank - 1) / aPlace.m_nodes + 1;
+}
+
+// Tells whether the first place never gets more than the second.
+bool GetsAtMost(const RosterPlace& aFirst, const RosterPlace& aSecond)
+{
+  const bool isOff = aFirst.m_rank >= aFirst.m_nodes;
+  return isOff ||
+         (aFirst.m_nodes >= aSecond.m_nodes && aFirst.m_rank >= aSecond.m_rank);
+}
+
+void AddPlace(std::vector<RosterPlace>& aPlaces, const RosterPlace& aPlace)
+{
+  for (const RosterPlace& known : aPlaces) {
+    if (GetsAtMost(known, aPlace)) {
+      return;
+    }
+  }
+  aPlaces.erase(std::remove_if(aPlaces.begin(),
+                               aPlaces.end(),
+                               [&](const RosterPlace& aKnown) {
+                                 return GetsAtMost(aPlace, aKnown);
+                               }),
+                aPlaces.end());
+  aPlaces.push_back(aPlace);
+}
+
+// Takes the rosters into account that the period doesn't cover yet.
+void CoverRosters(const ColdStartState& aState,
+                  ColdPeriod& aPeriod,
+                  Millis aColdSince,
+                  const Route& aRoute,
+                  const NodeId& aSelf)
+{
+  const uint64_t last = aState.m_rosters.back().m_number;
+  if (aPeriod.m_nextRoster > last) {
+    return;
+  }
+  const std::string key = RankKey(aRoute);
+  for (const SeenRoster& roster : aState.m_rosters) {
+    const bool isCurrent = roster.m_number == last;
+    const bool isInWindow =
+      isCurrent || roster.m_endedAt + kRosterWindow >= aColdSince;
+    if (roster.m_number >= aPeriod.m_nextRoster && isInWindow) {
+      AddPlace(aPeriod.m_places, PlaceIn(roster.m_nodes, key, aSelf));
+    }
+  }
+  aPeriod.m_nextRoster = last + 1;
+}
+
+uint32_t Share(const ColdPeriod& aPeriod, uint32_t aLimit)
+{
+  uint32_t share = aLimit;
+  for (const RosterPlace& place : aPeriod.m_places) {
+    share = std::min(share, DealtTo(place, aLimit));
+  }
+  return share;
+}
+
+} // namespace
+
+void NoteRoster(ColdStartState& aState,
+                Millis aNow,
+                uint64_t aVersion,
+                const std::vector<NodeId>& aRoster,
+                const NodeId& aSelf)
+{
+  uint64_t number = 0;
+  bool isNext = false;
+  if (!aState.m_rosters.empty()) {
+    SeenRoster& last = aState.m_rosters.back();
+    if (aVersion <= last.m_version) {
+      return;
+    }
+    last.m_endedAt = aNow;
+    number = last.m_number + 1;
+    isNext = aVersion == last.m_version + 1;
+  }
+  const bool isOn = Contains(aRoster, aSelf);
+  if (isOn && (!aState.m_joined || !isNext)) {
+    aState.m_joinedAt = aNow;
+  }
+  aState.m_joined = isOn;
+  aState.m_rosters.push_back(SeenRoster{ aRoster, aVersion, number, aNow });
+  if (aState.m_rosters.size() > kMaxRosters) {
+    aState.m_joinedAt =
+      std::max(aState.m_joinedAt, aState.m_rosters.front().m_endedAt);
+    aState.m_rosters.pop_front();
+  }
+}
+
+uint32_t RampedLimit(const Route& aRoute, Millis aSinceCold)
+{
+  const uint32_t cold = std::min(aRoute.m_coldLimit, aRoute.m_requestLimit);
+  if (aSinceCold >= aRoute.m_warmUp) {
+    return aRoute.m_requestLimit;
+  }
+  const auto range = static_cast<int64_t>(aRoute.m_requestLimit - cold);
+  const int64_t grown =
+    range * std::max<int64_t>(aSinceCold.Count(), 0) / aRoute.m_warmUp.Count();
+  return cold + static_cast<uint32_t>(grown);
+}
+
+uint32_t AdmissionLimit(ColdStartState& aState,
+                        Millis aNow,
+                        const Route& aRoute,
+                        const NodeId& aSelf,
+                        const std::vector<NodeId>& aRoster)
+{
+  if (aState.m_rosters.empty() || aState.m_rosters.back().m_nodes != aRoster) {
+    const uint64_t version =
+      aState.m_rosters.empty() ? 1 : aState.m_rosters.back().m_version + 1;
+    NoteRoster(aState, aNow, version, aRoster, aSelf);
+  }
+  const Millis uptime =
+    aRoute.m_uptime + std::max(Millis(), aNow - aRoute.m_reportedAt);
+  auto found = aState.m_periods.find(aRoute.m_group);
+  if (found != aState.m_periods.end() &&
+      found->second.m_boot != aRoute.m_boot) {
+    if (!found->second.m_boot.IsEmpty()) {
+      found->second = ColdPeriod();
+    }
+    found->second.m_boot = aRoute.m_boot;
+  }
+  const bool hasSignal =
+    found != aState.m_periods.end() && found->second.m_hasSignal;
+  const Millis sinceSignal =
+    hasSignal ? aNow - found->second.m_signalAt : aRoute.m_warmUp;
+  const Millis sinceCold = std::min(uptime, sinceSignal);
+  if (sinceCold >= aRoute.m_warmUp) {
+    if (found != aState.m_periods.end()) {
+      aState.m_periods.erase(found);
+    }
+    return aRoute.m_requestLimit;
+  }
+  const Millis coldSince =
+    aNow - (uptime < aRoute.m_warmUp ? uptime : sinceSignal);
+  if (!aState.m_joined || coldSince < aState.m_joinedAt + kRosterSettleTime) {
+    return 0;
+  }
+  ColdPeriod& period = aState.m_periods[aRoute.m_group];
+  period.m_boot = aRoute.m_boot;
+  CoverRosters(aState, period, coldSince, aRoute, aSelf);
+  return Share(period, RampedLimit(aRoute, sinceCold));
+}
+
+void NoteColdSignal(ColdStartState& aState,
+                    Millis aNow,
+                    const GroupId& aGroup,
+                    ColdSignal aSignal)
+{
+  ColdPeriod& period = aState.m_periods[aGroup];
+  if (aSignal == ColdSignal::NewBoot) {
+    // The report that names the new boot id starts the period anew.
+    period = ColdPeriod();
+  }
+  period.m_hasSignal = true;
+  period.m_signalAt = aNow;
+}
+
+} // namespace briarglade
