--- a/briarglade/net/http_exchange.h
+++ b/briarglade/net/http_exchange.h
@@ -62,6 +62,8 @@
   friend class HttpConnection;
   HttpExchange(HttpConnection* aConnection, evhtp_request* aRequest);
   void AddHeaders(const HttpHeaders& aHeaders);
+  // Hands a chunk to the kernel at once, without a turn of the loop.
+  void WriteChunkNow(std::string_view aData);
 
   HttpConnection* m_connection;
   evhtp_request* m_request;
--- a/briarglade/net/http_server.cc
+++ b/briarglade/net/http_server.cc
@@ -6,8 +6,11 @@
 
 #include "briarglade/net/http_server.h"
 
-#include <cstring>
+#include <algorithm>
+#include <cstdio>
 #include <evhtp.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
 #include <utility>
 
 #include "briarglade/net/event_loop.h"
@@ -286,8 +289,10 @@
   if (!IsOpen() || aData.empty()) {
     return;
   }
-  if (UnsentBytes() == 0) {
-    m_connection->WatchWrites();
+  const bool isChunked = (m_request->flags & EVHTP_REQ_FLAG_CHUNKED) != 0;
+  if (isChunked && UnsentBytes() == 0) {
+    WriteChunkNow(aData);
+    return;
   }
   evbuffer* chunk = evbuffer_new();
   evbuffer_add(chunk, aData.data(), aData.size());
@@ -295,6 +300,40 @@
   evbuffer_free(chunk);
 }
 
+void HttpExchange::WriteChunkNow(std::string_view aData)
+{
+  constexpr size_t kPieces = 3;
+  constexpr std::string_view kChunkEnd = "\r\n";
+  char size[24];
+  const int sizeLength =
+    std::snprintf(size, sizeof(size), "%zx\r\n", aData.size());
+  iovec pieces[kPieces] = { { size, static_cast<size_t>(sizeLength) },
+                            { const_cast<char*>(aData.data()), aData.size() },
+                            { const_cast<char*>(kChunkEnd.data()),
+                              kChunkEnd.size() } };
+  msghdr message{};
+  message.msg_iov = pieces;
+  message.msg_iovlen = kPieces;
+  bufferevent* bev = evhtp_request_get_bev(m_request);
+  const ssize_t result =
+    sendmsg(bufferevent_getfd(bev), &message, MSG_DONTWAIT | MSG_NOSIGNAL);
+  size_t sent = result > 0 ? static_cast<size_t>(result) : 0;
+  // What the kernel didn't take waits in the connection's buffer; a broken
+  // connection is noticed there.
+  for (const iovec& piece : pieces) {
+    const size_t skipped = std::min(sent, piece.iov_len);
+    sent -= skipped;
+    if (skipped < piece.iov_len) {
+      bufferevent_write(bev,
+                        static_cast<const char*>(piece.iov_base) + skipped,
+                        piece.iov_len - skipped);
+    }
+  }
+  if (UnsentBytes() > 0) {
+    m_connection->WatchWrites();
+  }
+}
+
 void HttpExchange::EndStream()
 {
   if (!IsOpen()) {
--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -45,6 +45,17 @@
     def is_running(self):
         return self.popen.poll() is None
 
+    def cpu_seconds(self):
+        """Processor time spent so far, in user and system mode."""
+        with open(f"/proc/{self.popen.pid}/stat", encoding="ascii") as file:
+            fields = file.read().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def resident_megabytes(self):
+        with open(f"/proc/{self.popen.pid}/statm", encoding="ascii") as file:
+            pages = int(file.read().split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
     def wait(self, seconds=DEADLINE_S):
         return self.popen.wait(seconds)
 
@@ -95,7 +106,8 @@
     """A table, a host list, zones of engines and services, and nodes."""
 
     def __init__(self, zones=("sapporo", "asahikawa"), engines_per_zone=4,
-                 members=2, nodes=3, engine_flags=(), node_flags=()):
+                 members=2, nodes=3, engine_flags=(), node_flags=(), request_limit=64):
+        self.request_limit = request_limit
         self.directory = tempfile.mkdtemp(prefix="briarglade-")
         self.processes = []
         self.members = members
@@ -150,7 +162,7 @@
         groups = sum(len(z.engines.ports) // self.members for z in self.zones.values())
         lines += ["models:", "  assistant:", f"    members: {self.members}",
                   "    min_groups: 1", f"    wanted_groups: {groups}",
-                  "    request_limit: 64", "    cold_limit: 4",
+                  f"    request_limit: {self.request_limit}", "    cold_limit: 4",
                   "    warm_up: 5s", "    request_timeout: 60s"]
         lines += ["services:", "  booking-desk:", "    hosts:"]
         lines += [f"      - {host}" for z in self.zones.values() for host in z.services.ports]
@@ -208,6 +220,10 @@
     def start_load(self, kind, *flags, nodes=None):
         """Starts the load tool; finish_load() returns its counts."""
         targets = [f"127.0.0.1:{n.ports['caller']}" for n in nodes or self.nodes.values()]
+        return self.start_load_at(kind, targets, *flags)
+
+    @staticmethod
+    def start_load_at(kind, targets, *flags):
         popen = subprocess.Popen(
             [os.path.join(BUILD, "briarglade-load"), kind, *targets, *flags],
             stdout=subprocess.PIPE, text=True)
