--- a/briarglade/cli/briarglade_main.cc
+++ b/briarglade/cli/briarglade_main.cc
@@ -23,7 +23,7 @@
       [--shutdown-limit-ms=N]
   briarglade check [--base=F] [--overlay=F]...
   briarglade render [--base=F] [--overlay=F]...
-  briarglade diff [--base=F] [--overlay=F]...
+  briarglade diff [--base=F] [--overlay=F]... [--against=F]
   briarglade apply [--base=F] [--overlay=F]... [--node=A]
       [--operator-key-file=F] [--who=NAME] [--why=TEXT]
   briarglade zone (out|in) <zone> [--node=A] [--operator-key-file=F]
@@ -54,6 +54,7 @@
   --shutdown-limit-ms=N     The longest time of a graceful shutdown.
   --base=F                  Fleet file of the whole fleet.
   --overlay=F               Fleet file of a site; may be repeated.
+  --against=F               Rendered fleet to compare with.
   --node=A                  Operator address of any node.
   --who=NAME                Who makes the change.
   --why=TEXT                Why; kept for the board.
--- a/briarglade/cli/fleet_files.cc
+++ b/briarglade/cli/fleet_files.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "briarglade/cli/options.h"
+#include "briarglade/config/fleet_json.h"
 
 namespace briarglade {
 
@@ -33,6 +34,19 @@
   return LoadFleet(base, overlays);
 }
 
+Result<FleetConfig> LoadRenderedFleet(const std::string& aPath)
+{
+  const Result<std::string> content = ReadFile(aPath);
+  if (const Error* error = GetError(content)) {
+    return *error;
+  }
+  Result<FleetConfig> fleet = FleetFromJson(std::get<std::string>(content));
+  if (const Error* error = GetError(fleet)) {
+    return Error{ error->m_code, aPath + ": " + error->m_detail };
+  }
+  return fleet;
+}
+
 bool ReportFleetErrors(const Result<FleetLoad>& aLoad)
 {
   if (const Error* error = GetError(aLoad)) {
--- a/briarglade/cli/fleet_files.h
+++ b/briarglade/cli/fleet_files.h
@@ -2,6 +2,8 @@
 
 #pragma once
 
+#include <string>
+
 #include "briarglade/base/result.h"
 #include "briarglade/config/fleet_yaml.h"
 
@@ -12,6 +14,10 @@
 // Loads --base and each --overlay. Returns an error if a file can't be read.
 Result<FleetLoad> LoadFleetFiles(const Options& aOptions);
 
+// Loads a configuration that `briarglade render` has printed. Returns an error
+// that names the file if it can't be read or isn't one.
+Result<FleetConfig> LoadRenderedFleet(const std::string& aPath);
+
 // Prints every fault on standard error. Returns whether there was none.
 bool ReportFleetErrors(const Result<FleetLoad>& aLoad);
 
