--- a/briarglade/config/fleet_diff_test.cc
+++ b/briarglade/config/fleet_diff_test.cc
@@ -117,7 +117,9 @@
   const json fleet = json::parse(kFleet);
   const json leaves = fleet.flatten();
   REQUIRE(leaves.size() == 32);
-  for (const auto& [pointer, leaf] : leaves.items()) {
+  for (const auto& entry : leaves.items()) {
+    const std::string& pointer = entry.key();
+    const json& leaf = entry.value();
     json changed = fleet;
     json& value = changed[json::json_pointer(pointer)];
     if (leaf.is_boolean()) {
