--- a/briarglade/net/internal/bufferevent_stream.h
+++ b/briarglade/net/internal/bufferevent_stream.h
@@ -9,7 +9,7 @@
 
 namespace briarglade {
 
-class BuffereventStream : public kj::AsyncIoStream
+class BuffereventStream final : public kj::AsyncIoStream
 {
 public:
   // Takes the bufferevent over.
--- a/briarglade/net/peer_rpc.cc
+++ b/briarglade/net/peer_rpc.cc
@@ -118,7 +118,7 @@
 
 } // namespace
 
-class PeerRpc::Impl : private kj::TaskSet::ErrorHandler
+class PeerRpc::Impl final : private kj::TaskSet::ErrorHandler
 {
 public:
   explicit Impl(EventLoop& aLoop)
