--- a/briarglade/membership/operator_command.h
+++ b/briarglade/membership/operator_command.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,9 @@
   ConfigVersion m_base;
   std::string m_who;
   std::string m_why;
+  // Wall-clock time for the audit, in milliseconds since 1970; set by the
+  // shell.
+  uint64_t m_whenUnixMs = 0;
 };
 
 // Take an availability zone out, or bring it back.
@@ -34,6 +38,9 @@
   ZoneState m_state = ZoneState::Out;
   std::string m_who;
   std::string m_why;
+  // Wall-clock time for the audit, in milliseconds since 1970; set by the
+  // shell.
+  uint64_t m_whenUnixMs = 0;
 };
 
 // The answer to a command. Ok: accepted. ChangeRecorded: not confirmed yet.
