--- a/briarglade/membership/fake_region_test.h
+++ b/briarglade/membership/fake_region_test.h
@@ -220,7 +220,7 @@
                   uint64_t aBase,
                   const std::string& aWho = "ann")
   {
-    const CommandId command("c" + std::to_string(++m_commandCount));
+    CommandId command("c" + std::to_string(++m_commandCount));
     FleetConfig fleet;
     fleet.m_cluster = "west";
     fleet.m_region = RegionId("wa-south");
@@ -235,7 +235,7 @@
 
   CommandId Zone(size_t aIndex, const std::string& aZone, ZoneState aState)
   {
-    const CommandId command("c" + std::to_string(++m_commandCount));
+    CommandId command("c" + std::to_string(++m_commandCount));
     Post(aIndex, ZoneCommand{ command, ZoneId(aZone), aState, "bob", "fire" });
     return command;
   }
