Request routing as a sub-reducer: choice, fair queues, retries, harmful requests

Cause: the thin core sent each request to the least loaded group of a map scan, never retried, never queued and knew no shares. Change: ReduceRouting() over its own state. Choice by prefix affinity within a load bound, else the better of two by the reported load corrected with the node's own requests at the report's instant; the node's share of a cold group from cold_start.h; failing groups left out for a while, never more than half. A fair queue for each account and class with early refusal; a retry budget; resumed streams; attempts at lost groups taken over; requests that take two groups down refused and told to the others. Ruled out for now: hedging (the shell carries one attempt of a request at a time).

--- /dev/null
+++ b/briarglade/routing/crash_ledger.cc
@@ -0,0 +1,211 @@
+// Matching broken exchanges with lost groups.
+
+#include "briarglade/routing/crash_ledger.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace briarglade {
+
+namespace {
+
+// A broken exchange and a loss of its group belong together within this time.
+constexpr Millis kMatchTime = Millis(10'000);
+// Losses in one domain within this time of each other are one outage.
+constexpr Millis kOutageTime = Millis(3'000);
+// The part of a domain's groups whose common loss is an outage.
+constexpr size_t kOutagePart = 2;
+constexpr size_t kOutageGroups = 2;
+// How long a strike counts.
+constexpr Millis kStrikeLife = Millis(600'000);
+// How long a convicted request is refused.
+constexpr Millis kRefuseTime = Millis(300'000);
+// Strikes from different groups that convict.
+constexpr size_t kStrikesToConvict = 2;
+// Bounds of the tables.
+constexpr size_t kMaxLosses = 1024;
+constexpr size_t kMaxBroken = 4096;
+constexpr size_t kMaxSuspects = 4096;
+
+template<typename Entry>
+void Bound(std::deque<Entry>& aEntries, size_t aMax)
+{
+  while (aEntries.size() > aMax) {
+    aEntries.pop_front();
+  }
+}
+
+template<typename Entry>
+void DropOlderThan(std::deque<Entry>& aEntries, Millis aInstant)
+{
+  while (!aEntries.empty() && aEntries.front().m_at < aInstant) {
+    aEntries.pop_front();
+  }
+}
+
+} // namespace
+
+void CrashLedger::NoteLoss(Millis aNow,
+                           const CrashSite& aSite,
+                           uint32_t aGroupsInDomain)
+{
+  m_losses.push_back(Loss{ aSite, aGroupsInDomain, aNow });
+  Bound(m_losses, kMaxLosses);
+  const auto isElsewhere = [&](const Broken& aBroken) {
+    return aBroken.m_group != aSite.m_group;
+  };
+  const auto here =
+    std::stable_partition(m_broken.begin(), m_broken.end(), isElsewhere);
+  const std::vector<Broken> matched(here, m_broken.end());
+  m_broken.erase(here, m_broken.end());
+  for (const Broken& broken : matched) {
+    if (aNow - broken.m_at <= kMatchTime) {
+      AddStrike(aNow, broken.m_fingerprint, aSite, aNow);
+    }
+  }
+}
+
+void CrashLedger::NoteBroken(Millis aNow,
+                             Fingerprint aFingerprint,
+                             const GroupId& aGroup)
+{
+  const auto loss =
+    std::find_if(m_losses.rbegin(), m_losses.rend(), [&](const Loss& aLoss) {
+      return aLoss.m_site.m_group == aGroup && aNow - aLoss.m_at <= kMatchTime;
+    });
+  if (loss != m_losses.rend()) {
+    AddStrike(aNow, aFingerprint, loss->m_site, loss->m_at);
+    return;
+  }
+  m_broken.push_back(Broken{ aFingerprint, aGroup, aNow });
+  Bound(m_broken, kMaxBroken);
+}
+
+void CrashLedger::AddStrike(Millis aNow,
+                            Fingerprint aFingerprint,
+                            const CrashSite& aSite,
+                            Millis aLostAt)
+{
+  if (m_suspects.size() >= kMaxSuspects && !IsSuspect(aFingerprint)) {
+    return;
+  }
+  m_suspects[aFingerprint].push_back(
+    Strike{ aSite.m_group, aSite.m_domain, aLostAt });
+  if (!IsOutage(aSite.m_domain, aLostAt)) {
+    CrashNotice notice;
+    notice.m_fingerprint = aFingerprint;
+    notice.m_group = aSite.m_group;
+    notice.m_boot = aSite.m_boot;
+    m_notices.push_back(std::move(notice));
+  }
+  Judge(aNow, aFingerprint, aSite);
+}
+
+void CrashLedger::Judge(Millis aNow,
+                        Fingerprint aFingerprint,
+                        const CrashSite& aSite)
+{
+  if (CountGroups(m_suspects[aFingerprint]) < kStrikesToConvict) {
+    return;
+  }
+  m_suspects.erase(aFingerprint);
+  m_refusedUntil[aFingerprint] = aNow + kRefuseTime;
+  CrashNotice notice;
+  notice.m_fingerprint = aFingerprint;
+  notice.m_group = aSite.m_group;
+  notice.m_boot = aSite.m_boot;
+  notice.m_refuseFor = kRefuseTime;
+  m_notices.push_back(std::move(notice));
+}
+
+bool CrashLedger::IsOutage(const DomainId& aDomain, Millis aAt) const
+{
+  if (aDomain.IsEmpty()) {
+    return false;
+  }
+  std::set<GroupId> groups;
+  uint32_t inDomain = 0;
+  for (const Loss& loss : m_losses) {
+    const Millis apart = loss.m_at > aAt ? loss.m_at - aAt : aAt - loss.m_at;
+    if (loss.m_site.m_domain == aDomain && apart <= kOutageTime) {
+      groups.insert(loss.m_site.m_group);
+      inDomain = std::max(inDomain, loss.m_groupsInDomain);
+    }
+  }
+  return groups.size() >= kOutageGroups &&
+         groups.size() * kOutagePart >= inDomain;
+}
+
+size_t CrashLedger::CountGroups(const std::vector<Strike>& aStrikes) const
+{
+  std::set<GroupId> groups;
+  for (const Strike& strike : aStrikes) {
+    if (!IsOutage(strike.m_domain, strike.m_at)) {
+      groups.insert(strike.m_group);
+    }
+  }
+  return groups.size();
+}
+
+void CrashLedger::NoteSuccess(Fingerprint aFingerprint)
+{
+  m_suspects.erase(aFingerprint);
+}
+
+void CrashLedger::NoteNotice(Millis aNow,
+                             const CrashNotice& aNotice,
+                             const DomainId& aDomain)
+{
+  if (aNotice.m_refuseFor > Millis()) {
+    Millis& until = m_refusedUntil[aNotice.m_fingerprint];
+    until = std::max(until, aNow + std::min(aNotice.m_refuseFor, kRefuseTime));
+    m_suspects.erase(aNotice.m_fingerprint);
+    return;
+  }
+  if (m_suspects.size() >= kMaxSuspects && !IsSuspect(aNotice.m_fingerprint)) {
+    return;
+  }
+  m_suspects[aNotice.m_fingerprint].push_back(
+    Strike{ aNotice.m_group, aDomain, aNow });
+  const CrashSite site{ aNotice.m_group, aNotice.m_boot, aDomain };
+  Judge(aNow, aNotice.m_fingerprint, site);
+}
+
+void CrashLedger::Expire(Millis aNow)
+{
+  DropOlderThan(m_losses, aNow - kStrikeLife);
+  DropOlderThan(m_broken, aNow - kMatchTime);
+  for (auto it = m_suspects.begin(); it != m_suspects.end();) {
+    const bool isOver = aNow - it->second.back().m_at > kStrikeLife;
+    it = isOver ? m_suspects.erase(it) : std::next(it);
+  }
+  for (auto it = m_refusedUntil.begin(); it != m_refusedUntil.end();) {
+    it = it->second <= aNow ? m_refusedUntil.erase(it) : std::next(it);
+  }
+}
+
+Millis CrashLedger::RefusedFor(Millis aNow, Fingerprint aFingerprint) const
+{
+  if (m_refusedUntil.empty()) {
+    return Millis();
+  }
+  const auto found = m_refusedUntil.find(aFingerprint);
+  return found == m_refusedUntil.end() || found->second <= aNow
+           ? Millis()
+           : found->second - aNow;
+}
+
+bool CrashLedger::IsSuspect(Fingerprint aFingerprint) const
+{
+  return m_suspects.count(aFingerprint) > 0;
+}
+
+std::vector<CrashNotice> CrashLedger::TakeNotices()
+{
+  std::vector<CrashNotice> notices;
+  notices.swap(m_notices);
+  return notices;
+}
+
+} // namespace briarglade
--- /dev/null
+++ b/briarglade/routing/internal/attempt_end.cc
@@ -0,0 +1,315 @@
+// Ends of attempts, retries and passive failure signals.
+
+#include "briarglade/routing/internal/attempt_end.h"
+
+#include <algorithm>
+#include <string>
+
+#include "briarglade/routing/internal/dispatch.h"
+#include "briarglade/routing/outcome.h"
+#include "briarglade/routing/routing_state.h"
+
+namespace briarglade::internal {
+
+namespace {
+
+constexpr uint32_t kMaxAttempts = 5;
+// Wait before a group that has failed the request is tried again; doubles.
+constexpr Millis kRetryDelay = Millis(100);
+constexpr Millis kMinRetryAfter = Millis(1'000);
+// A group that fails is left out of the choice for this long; doubles with each
+// failure in a row.
+constexpr Millis kEjectTime = Millis(500);
+constexpr uint32_t kMaxEjectDoublings = 5;
+// The longest time for which a refusal leaves a group out.
+constexpr Millis kMaxRefusalEject = Millis(2'000);
+// An attempt at a lost group is given up after this time, before and after its
+// answer has begun.
+constexpr Millis kTakeOverTime = Millis(500);
+constexpr Millis kTakeOverBegunTime = Millis(2'000);
+// A first byte that takes this many times the usual, and this long, is slow; so
+// many in a row are a latency jump.
+constexpr double kSlowFactor = 8;
+constexpr double kSlowMillis = 2'000;
+constexpr uint32_t kSlowAnswers = 3;
+constexpr double kFirstByteWeight = 1.0 / 32;
+
+bool IsBreak(ExchangeEnd aEnd)
+{
+  return aEnd == ExchangeEnd::ResetBeforeAnswer ||
+         aEnd == ExchangeEnd::Truncated;
+}
+
+void LogSlot(const RouteSlot& aSlot,
+             const char* aEvent,
+             const char* aReason,
+             RoutingEffects& aEffects)
+{
+  aEffects.emplace_back(LogEvent{
+    LogLevel::Info,
+    aEvent,
+    { { "group", aSlot.m_route.m_group.Value() }, { "reason", aReason } } });
+}
+
+// Learns from the end of an attempt whether its group is healthy.
+void NoteHealth(RoutingState& aState,
+                Millis aNow,
+                uint32_t aSlot,
+                const AttemptEnded& aEnded,
+                ExchangeEnd aEnd,
+                bool aIsServed,
+                RoutingEffects& aEffects)
+{
+  RouteSlot& slot = aState.m_book.Slot(aSlot);
+  if (!slot.m_known || aEnd == ExchangeEnd::Cancelled) {
+    return;
+  }
+  if (aIsServed) {
+    slot.m_failures = 0;
+    return;
+  }
+  Millis time = kEjectTime * (int64_t{ 1 } << slot.m_failures);
+  slot.m_failures = std::min(slot.m_failures + 1, kMaxEjectDoublings);
+  if (aEnd == ExchangeEnd::RefusedByServer) {
+    time = std::clamp(aEnded.m_retryAfter, kEjectTime, kMaxRefusalEject);
+  }
+  if (aEnd == ExchangeEnd::ConnectRefused) {
+    aState.m_book.NoteCold(aNow, aSlot, ColdSignal::Refused);
+  }
+  const bool wasOut = slot.m_ejectedUntil > aNow;
+  if (aState.m_book.Eject(aNow, aSlot, time) && !wasOut) {
+    LogSlot(slot, "group-ejected", "attempt-failed", aEffects);
+  }
+}
+
+// Keeps what the next attempt and the final answer must know of this one.
+void RememberEnd(RequestRecord& aRecord,
+                 const RouteSlot& aSlot,
+                 const AttemptEnded& aEnded,
+                 const Verdict& aVerdict)
+{
+  aRecord.m_tokensDelivered =
+    std::max(aRecord.m_tokensDelivered, aEnded.m_tokensDelivered);
+  aRecord.m_tried.push_back(aRecord.m_slot);
+  aRecord.m_failedZone = aSlot.m_route.m_zone;
+  if (aVerdict.m_outcome != Outcome::NotRun) {
+    aRecord.m_mayHaveRun = true;
+  }
+  if (aVerdict.m_outcome == Outcome::Unknown) {
+    aRecord.m_unknownCode = aVerdict.m_code;
+  }
+}
+
+bool IsRetryAllowed(const RoutingState& aState,
+                    Millis aNow,
+                    const RequestRecord& aRecord,
+                    const Verdict& aVerdict)
+{
+  const bool isSafe =
+    aRecord.m_request.m_idempotent || aVerdict.m_outcome == Outcome::NotRun;
+  const Millis refusedFor =
+    aState.m_ledger.RefusedFor(aNow, aRecord.m_request.m_fingerprint);
+  return aVerdict.m_mayRetry && isSafe && aState.m_confirmed &&
+         aRecord.m_attempts < kMaxAttempts && refusedFor == Millis() &&
+         aNow < aRecord.m_request.m_deadline &&
+         !aState.m_book.Target(aRecord.m_target).m_open.empty();
+}
+
+void Delay(RoutingState& aState, Millis aNow, RequestRecord& aRecord)
+{
+  const int64_t doubled = int64_t{ 1 } << (aRecord.m_attempts - 1);
+  aRecord.m_phase = RequestPhase::Delayed;
+  aRecord.m_notBefore = aNow + kRetryDelay * doubled;
+  ++aState.m_delayed;
+}
+
+// Finishes a request whose attempt ended without another to follow.
+void FinishEnded(RoutingState& aState,
+                 uint32_t aHandle,
+                 const AttemptEnded& aEnded,
+                 ResultCode aCode,
+                 RoutingEffects& aEffects)
+{
+  const bool isDone = DescribeResultCode(aCode).m_outcome == Outcome::Done;
+  const Millis retryAfter =
+    isDone ? Millis() : std::max(kMinRetryAfter, aEnded.m_retryAfter);
+  FinishWith(aState, aHandle, aCode, retryAfter, aEffects);
+}
+
+// Tries a request again, or finishes it.
+void RetryOrFinish(RoutingState& aState,
+                   Millis aNow,
+                   uint32_t aHandle,
+                   const AttemptEnded& aEnded,
+                   const Verdict& aVerdict,
+                   RoutingEffects& aEffects)
+{
+  RequestRecord& record = aState.m_requests.Get(aHandle);
+  if (!IsRetryAllowed(aState, aNow, record, aVerdict)) {
+    FinishEnded(aState, aHandle, aEnded, aVerdict.m_code, aEffects);
+    return;
+  }
+  if (!aState.m_retryBudget.Take()) {
+    ++aState.m_counts.m_budgetSpent;
+    const ResultCode code = aVerdict.m_outcome == Outcome::NotRun
+                              ? ResultCode::RetryBudgetSpent
+                              : aVerdict.m_code;
+    FinishEnded(aState, aHandle, aEnded, code, aEffects);
+    return;
+  }
+  if (!StartElsewhere(aState, aNow, aHandle, aEffects)) {
+    Delay(aState, aNow, record);
+  }
+}
+
+// Returns how the exchange ended for the judgement: an attempt that was given
+// up for another group counts as broken.
+ExchangeEnd EndFor(const RequestRecord& aRecord, const AttemptEnded& aEnded)
+{
+  const bool isTakenOver =
+    aEnded.m_end == ExchangeEnd::Cancelled && aRecord.m_takenOver;
+  return isTakenOver ? ExchangeEnd::ResetBeforeAnswer : aEnded.m_end;
+}
+
+Verdict Judge(const RequestRecord& aRecord,
+              const AttemptEnded& aEnded,
+              ExchangeEnd aEnd)
+{
+  ExchangeFacts facts;
+  facts.m_end = aEnd;
+  facts.m_status = aEnded.m_status;
+  facts.m_idempotent = aRecord.m_request.m_idempotent;
+  facts.m_answerBegan =
+    aRecord.m_tokensDelivered > 0 || aEnded.m_tokensDelivered > 0;
+  facts.m_mayHaveRunBefore = aRecord.m_mayHaveRun;
+  return JudgeExchange(facts);
+}
+
+} // namespace
+
+void SendNotices(RoutingState& aState, RoutingEffects& aEffects)
+{
+  for (CrashNotice& notice : aState.m_ledger.TakeNotices()) {
+    notice.m_node = aState.m_self;
+    if (notice.m_refuseFor > Millis()) {
+      aEffects.emplace_back(LogEvent{
+        LogLevel::Warn,
+        "harmful-request-found",
+        { { "fingerprint", std::to_string(notice.m_fingerprint.Value()) },
+          { "group", notice.m_group.Value() } } });
+    }
+    aEffects.emplace_back(SendCrashNotice{ notice });
+  }
+}
+
+void OnAnswerBegan(RoutingState& aState,
+                   Millis aNow,
+                   const AttemptAnswerBegan& aBegan,
+                   RoutingEffects& aEffects)
+{
+  const auto handle = aState.m_requests.FindAttempt(aBegan.m_attempt);
+  if (!handle) {
+    ++aState.m_counts.m_unmatched;
+    return;
+  }
+  RequestRecord& record = aState.m_requests.Get(*handle);
+  record.m_answerBegan = true;
+  RouteSlot& slot = aState.m_book.Slot(record.m_slot);
+  const auto sample = static_cast<double>((aNow - record.m_startedAt).Count());
+  const bool isSlow = slot.m_firstByte > 0 && sample > kSlowMillis &&
+                      sample > slot.m_firstByte * kSlowFactor &&
+                      slot.Load() * 2 < slot.m_route.m_requestLimit;
+  if (!isSlow) {
+    slot.m_slowAnswers = 0;
+    slot.m_firstByte += slot.m_firstByte == 0
+                          ? sample
+                          : (sample - slot.m_firstByte) * kFirstByteWeight;
+    return;
+  }
+  if (++slot.m_slowAnswers == kSlowAnswers && slot.m_known) {
+    slot.m_slowAnswers = 0;
+    aState.m_book.NoteCold(aNow, record.m_slot, ColdSignal::LatencyJump);
+    LogSlot(slot, "group-cold", "latency-jump", aEffects);
+  }
+}
+
+void OnAttemptEnded(RoutingState& aState,
+                    Millis aNow,
+                    const AttemptEnded& aEnded,
+                    RoutingEffects& aEffects)
+{
+  const auto found = aState.m_requests.FindAttempt(aEnded.m_attempt);
+  if (!found) {
+    ++aState.m_counts.m_unmatched;
+    return;
+  }
+  const uint32_t handle = *found;
+  RequestRecord& record = aState.m_requests.Get(handle);
+  const uint32_t target = record.m_target;
+  const ExchangeEnd end = EndFor(record, aEnded);
+  const Verdict verdict = Judge(record, aEnded, end);
+  const RouteSlot& slot = aState.m_book.Slot(record.m_slot);
+  const Fingerprint fingerprint = record.m_request.m_fingerprint;
+  if (IsBreak(end)) {
+    aState.m_ledger.NoteBroken(aNow, fingerprint, slot.m_route.m_group);
+    SendNotices(aState, aEffects);
+  }
+  const bool isServed =
+    verdict.m_outcome == Outcome::Done && !verdict.m_mayRetry;
+  NoteHealth(aState, aNow, record.m_slot, aEnded, end, isServed, aEffects);
+  RememberEnd(record, slot, aEnded, verdict);
+  aState.m_requests.UnbindAttempt(handle);
+  aState.m_uses[target].NoteEnded(record.m_place.m_account);
+  aState.m_book.NoteEnded(aNow, record.m_slot);
+
+  if (record.m_callerGone) {
+    FinishWith(aState, handle, ResultCode::CallerGone, Millis(), aEffects);
+  } else if (isServed) {
+    aState.m_queues[target].NoteService(record.m_place.m_account,
+                                        aNow - record.m_startedAt);
+    aState.m_retryBudget.NoteSuccess();
+    aState.m_ledger.NoteSuccess(fingerprint);
+    FinishEnded(aState, handle, aEnded, verdict.m_code, aEffects);
+  } else {
+    RetryOrFinish(aState, aNow, handle, aEnded, verdict, aEffects);
+  }
+  Dispatch(aState, aNow, target, aEffects);
+}
+
+void TakeOverLost(RoutingState& aState, Millis aNow, RoutingEffects& aEffects)
+{
+  if (!aState.m_book.HasLostInFlight()) {
+    return;
+  }
+  for (const uint32_t handle :
+       aState.m_requests.InPhase(RequestPhase::Running)) {
+    RequestRecord& record = aState.m_requests.Get(handle);
+    const RouteSlot& slot = aState.m_book.Slot(record.m_slot);
+    const Millis patience =
+      record.m_answerBegan ? kTakeOverBegunTime : kTakeOverTime;
+    const bool isDue = slot.m_lost && record.m_startedAt <= slot.m_lostAt &&
+                       aNow - slot.m_lostAt >= patience;
+    const bool hasOther = !aState.m_book.Target(record.m_target).m_open.empty();
+    if (!isDue || !hasOther || !record.m_request.m_idempotent ||
+        record.m_takenOver || record.m_callerGone) {
+      continue;
+    }
+    record.m_takenOver = true;
+    aEffects.emplace_back(CancelAttempt{ record.m_attempt });
+  }
+}
+
+void QueueDueRetries(RoutingState& aState, Millis aNow)
+{
+  if (aState.m_delayed == 0) {
+    return;
+  }
+  for (const uint32_t handle :
+       aState.m_requests.InPhase(RequestPhase::Delayed)) {
+    if (aState.m_requests.Get(handle).m_notBefore <= aNow) {
+      EnqueueRetry(aState, handle);
+    }
+  }
+}
+
+} // namespace briarglade::internal
--- /dev/null
+++ b/briarglade/routing/internal/dispatch.cc
@@ -0,0 +1,423 @@
+// Admission, fair queues and the start of attempts.
+
+#include "briarglade/routing/internal/dispatch.h"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "briarglade/routing/routing_state.h"
+
+namespace briarglade::internal {
+
+namespace {
+
+// Waiting requests of one account and class, and of all, on this node.
+constexpr size_t kMaxClassQueue = 256;
+constexpr size_t kMaxQueued = 8192;
+// Bounds of the time after which a refused caller should come back.
+constexpr Millis kMinRetryAfter = Millis(1'000);
+constexpr Millis kMaxRetryAfter = Millis(60'000);
+constexpr Millis kNoCapacityRetryAfter = Millis(2'000);
+// One slot in this many is left to the accounts within their share.
+constexpr uint64_t kReservedPart = 16;
+
+// Makes room for what routing keeps for each target.
+uint32_t PrepareTarget(RoutingState& aState, const RouteTarget& aTarget)
+{
+  const uint32_t target = aState.m_book.TargetIndex(aTarget);
+  while (aState.m_queues.size() <= target) {
+    aState.m_queues.emplace_back();
+    aState.m_uses.emplace_back();
+  }
+  return target;
+}
+
+// The slots that this node can count on at a target.
+uint64_t OwnSlots(const RoutingState& aState, uint32_t aTarget)
+{
+  return std::max(aState.m_book.Target(aTarget).m_share,
+                  aState.m_uses[aTarget].InFlight());
+}
+
+bool IsOverShare(const RoutingState& aState,
+                 uint32_t aTarget,
+                 uint32_t aAccount)
+{
+  return aState.m_uses[aTarget].IsOverShare(aAccount,
+                                            OwnSlots(aState, aTarget));
+}
+
+// Whether a target is so full that its last slots are kept back from accounts
+// beyond their share.
+bool IsReserveReached(const RoutingState& aState, uint32_t aTarget)
+{
+  const TargetRoutes& target = aState.m_book.Target(aTarget);
+  const uint64_t reserve = (target.m_limit + kReservedPart - 1) / kReservedPart;
+  return target.m_load + reserve >= target.m_limit;
+}
+
+RouteQuestion QuestionFor(const RoutingState& aState,
+                          const RequestRecord& aRecord)
+{
+  RouteQuestion question;
+  question.m_target = aRecord.m_target;
+  question.m_prefixHash = aRecord.m_request.m_prefixHash;
+  question.m_zone = aState.m_zone;
+  question.m_tried = &aRecord.m_tried;
+  question.m_avoidZone = aRecord.m_failedZone;
+  question.m_mayUseShare =
+    !IsOverShare(aState, aRecord.m_target, aRecord.m_place.m_account);
+  return question;
+}
+
+void StartOn(RoutingState& aState,
+             Millis aNow,
+             uint32_t aHandle,
+             uint32_t aSlot,
+             RoutingEffects& aEffects)
+{
+  RequestRecord& record = aState.m_requests.Get(aHandle);
+  const Route& route = aState.m_book.Slot(aSlot).m_route;
+  ++record.m_attempts;
+  aState.m_requests.BindAttempt(aHandle,
+                                AttemptId(record.m_request.m_request.Value() +
+                                          "/" +
+                                          std::to_string(record.m_attempts)));
+  record.m_phase = RequestPhase::Running;
+  record.m_slot = aSlot;
+  record.m_startedAt = aNow;
+  record.m_answerBegan = false;
+  record.m_takenOver = false;
+  aState.m_book.NoteStarted(aNow, aSlot);
+  aState.m_uses[record.m_target].NoteStarted(record.m_place.m_account);
+  ++aState.m_counts.m_started;
+  aState.m_counts.m_retried += record.m_attempts > 1 ? 1 : 0;
+  aState.m_counts.m_resumed += record.m_tokensDelivered > 0 ? 1 : 0;
+
+  StartAttempt start;
+  start.m_request = record.m_request.m_request;
+  start.m_attempt = record.m_attempt;
+  start.m_group = route.m_group;
+  start.m_leader = route.m_leader;
+  start.m_priority = record.m_request.m_priority;
+  start.m_resumeAfterTokens = record.m_tokensDelivered;
+  start.m_deadline = record.m_request.m_deadline;
+  aEffects.emplace_back(std::move(start));
+}
+
+// Starts a request that needn't wait. Returns false if it must.
+bool StartNow(RoutingState& aState,
+              Millis aNow,
+              uint32_t aHandle,
+              RoutingEffects& aEffects)
+{
+  const RequestRecord& record = aState.m_requests.Get(aHandle);
+  const RouteQuestion question = QuestionFor(aState, record);
+  if (!question.m_mayUseShare && IsReserveReached(aState, record.m_target)) {
+    return false;
+  }
+  const std::optional<uint32_t> slot =
+    ChooseRoute(aState.m_book, aNow, question, aState.m_random);
+  if (slot) {
+    StartOn(aState, aNow, aHandle, *slot, aEffects);
+  }
+  return slot.has_value();
+}
+
+// Returns why a request can't join its queue, or Ok.
+ResultCode JudgeQueue(const RoutingState& aState,
+                      Millis aNow,
+                      const RequestRecord& aRecord)
+{
+  const FairQueue& queue = aState.m_queues[aRecord.m_target];
+  const uint32_t account = aRecord.m_place.m_account;
+  if (queue.ClassSize(aRecord.m_place) >= kMaxClassQueue ||
+      queue.Size() >= kMaxQueued) {
+    return ResultCode::QueueFull;
+  }
+  const Millis wait = queue.EstimateWait(
+    account, queue.AccountSize(account), OwnSlots(aState, aRecord.m_target));
+  const Millis service = queue.MeanService(account);
+  return aNow + wait + service > aRecord.m_request.m_deadline
+           ? ResultCode::QueueDeadline
+           : ResultCode::Ok;
+}
+
+void Refuse(const RequestArrived& aRequest,
+            ResultCode aCode,
+            Millis aRetryAfter,
+            RoutingState& aState,
+            RoutingEffects& aEffects)
+{
+  FinishRequest finish;
+  finish.m_request = aRequest.m_request;
+  finish.m_code = aCode;
+  finish.m_retryAfter = aRetryAfter;
+  ++aState.m_counts.m_refused;
+  aEffects.emplace_back(std::move(finish));
+}
+
+// What Dispatch() may start now.
+struct Room
+{
+  const RoutingState& m_state;
+  uint32_t m_target;
+  // A group has room for any account, or for one within its share only.
+  bool m_forAny;
+  bool m_forShare;
+
+  bool Allows(uint32_t aAccount) const
+  {
+    return IsOverShare(m_state, m_target, aAccount) ? m_forAny : m_forShare;
+  }
+};
+
+Room FindRoom(RoutingState& aState, Millis aNow, uint32_t aTarget)
+{
+  RouteQuestion question;
+  question.m_target = aTarget;
+  question.m_mayUseShare = false;
+  const bool hasGeneral =
+    ChooseRoute(aState.m_book, aNow, question, aState.m_random).has_value();
+  question.m_mayUseShare = true;
+  const bool hasShare =
+    hasGeneral ||
+    ChooseRoute(aState.m_book, aNow, question, aState.m_random).has_value();
+  const bool forAny = hasGeneral && !IsReserveReached(aState, aTarget);
+  return Room{ aState, aTarget, forAny, hasShare };
+}
+
+void RefuseQueue(RoutingState& aState,
+                 uint32_t aTarget,
+                 ResultCode aCode,
+                 RoutingEffects& aEffects)
+{
+  for (const QueuedRequest& entry : aState.m_queues[aTarget].TakeAll()) {
+    FinishWith(aState, entry.m_request, aCode, kNoCapacityRetryAfter, aEffects);
+  }
+}
+
+} // namespace
+
+uint32_t AccountNumber(RoutingState& aState, const AccountId& aAccount)
+{
+  const auto [entry, isNew] = aState.m_accountNumbers.try_emplace(
+    aAccount, static_cast<uint32_t>(aState.m_accounts.size()));
+  if (isNew) {
+    aState.m_accounts.emplace_back();
+  }
+  return entry->second;
+}
+
+uint32_t ClassNumber(RoutedAccount& aAccount, const ClassId& aClass)
+{
+  std::vector<ClassId>& classes = aAccount.m_classes;
+  const auto found = std::find(classes.begin(), classes.end(), aClass);
+  const auto number = static_cast<uint32_t>(found - classes.begin());
+  if (found == classes.end()) {
+    classes.push_back(aClass);
+    aAccount.m_classWeights.push_back(1);
+  }
+  return number;
+}
+
+void AdmitRequest(RoutingState& aState,
+                  Millis aNow,
+                  const RequestArrived& aRequest,
+                  RoutingEffects& aEffects)
+{
+  if (!aState.m_confirmed) {
+    Refuse(aRequest, ResultCode::Unconfirmed, kMinRetryAfter, aState, aEffects);
+    return;
+  }
+  const Millis refusedFor =
+    aState.m_ledger.RefusedFor(aNow, aRequest.m_fingerprint);
+  if (refusedFor > Millis()) {
+    Refuse(aRequest, ResultCode::HarmfulRequest, refusedFor, aState, aEffects);
+    return;
+  }
+  const uint32_t target = PrepareTarget(aState, aRequest.m_target);
+  if (aState.m_book.Target(target).m_open.empty()) {
+    Refuse(aRequest,
+           ResultCode::NoCapacity,
+           kNoCapacityRetryAfter,
+           aState,
+           aEffects);
+    return;
+  }
+  if (aRequest.m_deadline <= aNow) {
+    Refuse(
+      aRequest, ResultCode::QueueDeadline, kMinRetryAfter, aState, aEffects);
+    return;
+  }
+  const uint32_t number = AccountNumber(aState, aRequest.m_account);
+  RoutedAccount& account = aState.m_accounts[number];
+  const uint32_t handle = aState.m_requests.Add(aRequest);
+  RequestRecord& record = aState.m_requests.Get(handle);
+  record.m_target = target;
+  record.m_place = QueuePlace{ number, ClassNumber(account, aRequest.m_class) };
+  aState.m_uses[target].NoteArrived(aNow, number, account.m_share);
+  FairQueue& queue = aState.m_queues[target];
+  if (queue.Size() == 0 && StartNow(aState, aNow, handle, aEffects)) {
+    return;
+  }
+  queue.SetAccount(number, account.m_share, account.m_classWeights);
+  const ResultCode code = JudgeQueue(aState, aNow, record);
+  if (code != ResultCode::Ok) {
+    FinishWith(
+      aState, handle, code, ComeBackAfter(aState, target, number), aEffects);
+    return;
+  }
+  queue.PushBack(record.m_place, QueuedRequest{ handle, aRequest.m_deadline });
+  Dispatch(aState, aNow, target, aEffects);
+}
+
+void Dispatch(RoutingState& aState,
+              Millis aNow,
+              uint32_t aTarget,
+              RoutingEffects& aEffects)
+{
+  if (aTarget >= aState.m_queues.size()) {
+    return;
+  }
+  FairQueue& queue = aState.m_queues[aTarget];
+  if (queue.Size() > 0 && aState.m_book.Target(aTarget).m_open.empty()) {
+    RefuseQueue(aState, aTarget, ResultCode::NoCapacity, aEffects);
+    return;
+  }
+  while (queue.Size() > 0) {
+    const Room room = FindRoom(aState, aNow, aTarget);
+    const auto isAllowed = [&room](uint32_t aAccount) {
+      return room.Allows(aAccount);
+    };
+    const auto next = room.m_forShare ? queue.Pop(isAllowed) : std::nullopt;
+    if (!next) {
+      return;
+    }
+    const RequestRecord& record = aState.m_requests.Get(next->m_request);
+    const Millis refusedFor =
+      aState.m_ledger.RefusedFor(aNow, record.m_request.m_fingerprint);
+    if (refusedFor > Millis()) {
+      FinishWith(aState,
+                 next->m_request,
+                 ResultCode::HarmfulRequest,
+                 refusedFor,
+                 aEffects);
+      continue;
+    }
+    const auto slot = ChooseRoute(
+      aState.m_book, aNow, QuestionFor(aState, record), aState.m_random);
+    if (!slot) {
+      queue.PushFront(record.m_place, *next);
+      return;
+    }
+    StartOn(aState, aNow, next->m_request, *slot, aEffects);
+  }
+}
+
+void RefuseWaiting(RoutingState& aState,
+                   ResultCode aCode,
+                   RoutingEffects& aEffects)
+{
+  for (uint32_t target = 0; target < aState.m_queues.size(); ++target) {
+    RefuseQueue(aState, target, aCode, aEffects);
+  }
+  for (const uint32_t handle :
+       aState.m_requests.InPhase(RequestPhase::Delayed)) {
+    StopWaiting(aState, handle);
+    FinishWith(aState, handle, aCode, kMinRetryAfter, aEffects);
+  }
+}
+
+void RefuseHopeless(RoutingState& aState, Millis aNow, RoutingEffects& aEffects)
+{
+  for (uint32_t target = 0; target < aState.m_queues.size(); ++target) {
+    FairQueue& queue = aState.m_queues[target];
+    if (queue.Size() == 0) {
+      continue;
+    }
+    const uint64_t slots = OwnSlots(aState, target);
+    for (const QueuedRequest& entry : queue.TakeHopeless(aNow, slots)) {
+      const uint32_t account =
+        aState.m_requests.Get(entry.m_request).m_place.m_account;
+      FinishWith(aState,
+                 entry.m_request,
+                 ResultCode::QueueDeadline,
+                 ComeBackAfter(aState, target, account),
+                 aEffects);
+    }
+  }
+}
+
+bool StartElsewhere(RoutingState& aState,
+                    Millis aNow,
+                    uint32_t aHandle,
+                    RoutingEffects& aEffects)
+{
+  const RequestRecord& record = aState.m_requests.Get(aHandle);
+  const auto slot = ChooseRoute(
+    aState.m_book, aNow, QuestionFor(aState, record), aState.m_random);
+  const auto& tried = record.m_tried;
+  if (!slot || std::find(tried.begin(), tried.end(), *slot) != tried.end()) {
+    return false;
+  }
+  StartOn(aState, aNow, aHandle, *slot, aEffects);
+  return true;
+}
+
+void EnqueueRetry(RoutingState& aState, uint32_t aHandle)
+{
+  RequestRecord& record = aState.m_requests.Get(aHandle);
+  const RoutedAccount& account = aState.m_accounts[record.m_place.m_account];
+  FairQueue& queue = aState.m_queues[record.m_target];
+  --aState.m_delayed;
+  record.m_phase = RequestPhase::Queued;
+  queue.SetAccount(
+    record.m_place.m_account, account.m_share, account.m_classWeights);
+  queue.PushFront(record.m_place,
+                  QueuedRequest{ aHandle, record.m_request.m_deadline });
+}
+
+void StopWaiting(RoutingState& aState, uint32_t aHandle)
+{
+  const RequestRecord& record = aState.m_requests.Get(aHandle);
+  if (record.m_phase == RequestPhase::Delayed) {
+    --aState.m_delayed;
+  } else if (record.m_phase == RequestPhase::Queued) {
+    aState.m_queues[record.m_target].Remove(record.m_place, aHandle);
+  }
+}
+
+void FinishWith(RoutingState& aState,
+                uint32_t aHandle,
+                ResultCode aCode,
+                Millis aRetryAfter,
+                RoutingEffects& aEffects)
+{
+  const RequestRecord& record = aState.m_requests.Get(aHandle);
+  const Outcome outcome = DescribeResultCode(aCode).m_outcome;
+  FinishRequest finish;
+  finish.m_request = record.m_request.m_request;
+  finish.m_attempt = record.m_attempt;
+  finish.m_retryAfter = aRetryAfter;
+  const bool isTrue = outcome != Outcome::NotRun || !record.m_mayHaveRun;
+  finish.m_code = isTrue ? aCode : record.m_unknownCode;
+  aState.m_counts.m_refused += outcome == Outcome::NotRun ? 1 : 0;
+  aState.m_requests.Erase(aHandle);
+  aEffects.emplace_back(std::move(finish));
+}
+
+Millis ComeBackAfter(const RoutingState& aState,
+                     uint32_t aTarget,
+                     uint32_t aAccount)
+{
+  const FairQueue& queue = aState.m_queues[aTarget];
+  const Millis wait = queue.EstimateWait(
+    aAccount, queue.AccountSize(aAccount), OwnSlots(aState, aTarget));
+  return std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
+}
+
+} // namespace briarglade::internal
--- /dev/null
+++ b/briarglade/routing/reduce_routing.cc
@@ -0,0 +1,179 @@
+// The events of request routing, each handed to its part.
+
+#include "briarglade/routing/reduce_routing.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+#include "briarglade/base/overloaded.h"
+#include "briarglade/routing/internal/attempt_end.h"
+#include "briarglade/routing/internal/dispatch.h"
+
+namespace briarglade {
+
+namespace {
+
+constexpr Millis kHousekeepingPeriod = Millis(1'000);
+
+void DispatchAll(RoutingState& aState, Millis aNow, RoutingEffects& aEffects)
+{
+  for (uint32_t target = 0; target < aState.m_queues.size(); ++target) {
+    internal::Dispatch(aState, aNow, target, aEffects);
+  }
+}
+
+void OnTick(RoutingState& aState, Millis aNow, RoutingEffects& aEffects)
+{
+  aState.m_book.Refresh(aNow);
+  if (aNow - aState.m_housekeptAt >= kHousekeepingPeriod) {
+    aState.m_housekeptAt = aNow;
+    aState.m_ledger.Expire(aNow);
+    for (AccountUse& use : aState.m_uses) {
+      use.Expire(aNow);
+    }
+  }
+  internal::TakeOverLost(aState, aNow, aEffects);
+  internal::QueueDueRetries(aState, aNow);
+  internal::RefuseHopeless(aState, aNow, aEffects);
+  DispatchAll(aState, aNow, aEffects);
+}
+
+void NoteLoss(RoutingState& aState, Millis aNow, const RouteSlot& aSlot)
+{
+  const DomainId& domain = aSlot.m_route.m_domain;
+  aState.m_ledger.NoteLoss(
+    aNow,
+    CrashSite{ aSlot.m_route.m_group, aSlot.m_lostBoot, domain },
+    aState.m_book.GroupsInDomain(domain));
+}
+
+void OnRoutes(RoutingState& aState,
+              Millis aNow,
+              const RoutesChanged& aChange,
+              RoutingEffects& aEffects)
+{
+  RouteBook& book = aState.m_book;
+  for (const Route& route : aChange.m_changed) {
+    if (book.Upsert(aNow, route) == RouteBook::Change::Lost) {
+      NoteLoss(aState, aNow, *book.FindSlot(route.m_group));
+    }
+  }
+  for (const GroupId& group : aChange.m_removed) {
+    book.Remove(aNow, group);
+  }
+  book.Settle();
+  internal::SendNotices(aState, aEffects);
+  DispatchAll(aState, aNow, aEffects);
+}
+
+void OnAccounts(RoutingState& aState, const RoutingAccounts& aAccounts)
+{
+  for (const auto& [id, account] : aAccounts.m_accounts) {
+    const uint32_t number = internal::AccountNumber(aState, id);
+    RoutedAccount& known = aState.m_accounts[number];
+    known.m_share = std::max(1U, account.m_share);
+    // Classes keep their numbers; requests wait under them.
+    for (const ClassConfig& config : account.m_classes) {
+      const uint32_t entry = internal::ClassNumber(known, config.m_id);
+      known.m_classWeights[entry] = std::max(1U, config.m_weight);
+    }
+  }
+}
+
+void OnCallerGone(RoutingState& aState,
+                  const CallerGone& aGone,
+                  RoutingEffects& aEffects)
+{
+  const auto handle = aState.m_requests.Find(aGone.m_request);
+  if (!handle) {
+    return;
+  }
+  RequestRecord& record = aState.m_requests.Get(*handle);
+  if (record.m_phase != RequestPhase::Running) {
+    internal::StopWaiting(aState, *handle);
+    internal::FinishWith(
+      aState, *handle, ResultCode::CallerGone, Millis(), aEffects);
+    return;
+  }
+  // The answer of a non-idempotent call is wanted by whoever repeats its key.
+  if (record.m_request.m_idempotent && !record.m_callerGone) {
+    record.m_callerGone = true;
+    aEffects.emplace_back(CancelAttempt{ record.m_attempt });
+  }
+}
+
+void OnCrashNotice(RoutingState& aState,
+                   Millis aNow,
+                   const CrashNotice& aNotice,
+                   RoutingEffects& aEffects)
+{
+  const RouteSlot* slot = aState.m_book.FindSlot(aNotice.m_group);
+  aState.m_ledger.NoteNotice(
+    aNow, aNotice, slot == nullptr ? DomainId() : slot->m_route.m_domain);
+  internal::SendNotices(aState, aEffects);
+}
+
+void OnConfirmation(RoutingState& aState,
+                    Millis aNow,
+                    const RoutingConfirmation& aChange,
+                    RoutingEffects& aEffects)
+{
+  aState.m_confirmed = aChange.m_confirmed;
+  if (!aState.m_confirmed) {
+    internal::RefuseWaiting(aState, ResultCode::Unconfirmed, aEffects);
+  }
+  DispatchAll(aState, aNow, aEffects);
+}
+
+} // namespace
+
+RoutingState::RoutingState(const NodeId& aSelf, const ZoneId& aZone)
+  : m_self(aSelf)
+  , m_zone(aZone)
+  , m_random(static_cast<RandomEngine::result_type>(
+      XXH3_64bits(aSelf.Value().data(), aSelf.Value().size())))
+{
+}
+
+RoutingEffects ReduceRouting(RoutingState& aState,
+                             Millis aNow,
+                             const RoutingEvent& aEvent)
+{
+  RoutingEffects effects;
+  std::visit(
+    Overloaded{
+      [&](const RoutingTick&) { OnTick(aState, aNow, effects); },
+      [&](const RoutesChanged& aChange) {
+        OnRoutes(aState, aNow, aChange, effects);
+      },
+      [&](const RoutingAccounts& aAccounts) { OnAccounts(aState, aAccounts); },
+      [&](const RoutingZones& aZones) {
+        aState.m_book.SetZones(aNow, aZones.m_zones);
+        DispatchAll(aState, aNow, effects);
+      },
+      [&](const RoutingRoster& aRoster) {
+        aState.m_book.SetRoster(
+          aNow, aRoster.m_version, aRoster.m_nodes, aState.m_self);
+        DispatchAll(aState, aNow, effects);
+      },
+      [&](const RoutingConfirmation& aChange) {
+        OnConfirmation(aState, aNow, aChange, effects);
+      },
+      [&](const CrashNotice& aNotice) {
+        OnCrashNotice(aState, aNow, aNotice, effects);
+      },
+      [&](const RequestArrived& aRequest) {
+        internal::AdmitRequest(aState, aNow, aRequest, effects);
+      },
+      [&](const AttemptAnswerBegan& aBegan) {
+        internal::OnAnswerBegan(aState, aNow, aBegan, effects);
+      },
+      [&](const AttemptEnded& aEnded) {
+        internal::OnAttemptEnded(aState, aNow, aEnded, effects);
+      },
+      [&](const CallerGone& aGone) { OnCallerGone(aState, aGone, effects); } },
+    aEvent);
+  return effects;
+}
+
+} // namespace briarglade
--- /dev/null
+++ b/briarglade/routing/route_book.h
@@ -0,0 +1,163 @@
+// The routes of this node, indexed by target, with what the node itself knows
+// of each: its own requests in flight, the estimated load, recent failures and
+// the number of requests it may have in flight there.
+//
+// Example:
+//   book.Upsert(now, route);
+//   const TargetRoutes* target = book.Find(request.m_target);
+//   book.NoteStarted(now, slotIndex);
+
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+#include "briarglade/base/ids.h"
+#include "briarglade/base/millis.h"
+#include "briarglade/config/fleet_config.h"
+#include "briarglade/routing/cold_start.h"
+#include "briarglade/routing/route_table.h"
+
+namespace briarglade {
+
+// This node's requests in flight at a group from an instant on.
+struct InFlightSample
+{
+  Millis m_at;
+  uint32_t m_inFlight = 0;
+};
+
+// One route and what this node knows of it.
+struct RouteSlot
+{
+  Route m_route;
+  uint32_t m_target = 0;
+  // Rendezvous key of the group.
+  uint64_t m_hash = 0;
+  // False once the group was removed; the slot stays while requests run there.
+  bool m_known = false;
+  // Complete, not draining, and its availability zone is in.
+  bool m_open = false;
+  // The group lost a member or its boot changed while requests ran there.
+  bool m_lost = false;
+  Millis m_lostAt;
+  // The leader's boot when the group was lost last.
+  BootId m_lostBoot;
+
+  // This node's requests in flight.
+  uint32_t m_inFlight = 0;
+  // The reported load without this node's part of it.
+  uint32_t m_othersLoad = 0;
+  std::vector<InFlightSample> m_history;
+  // Requests in flight that this node may have here, cold start included.
+  uint32_t m_admission = 0;
+  // This node's guaranteed part of the request limit.
+  uint32_t m_share = 0;
+
+  Millis m_ejectedUntil;
+  uint32_t m_failures = 0;
+  // Mean time to the first byte, in milliseconds; zero: unknown.
+  double m_firstByte = 0;
+  uint32_t m_slowAnswers = 0;
+
+  // Returns the requests that are estimated to be at the group now.
+  uint32_t Load() const { return m_othersLoad + m_inFlight; }
+};
+
+// The routes of one model or plain service.
+struct TargetRoutes
+{
+  RouteTarget m_target;
+  // Slots of known groups, and those of them that may take new work.
+  std::vector<uint32_t> m_slots;
+  std::vector<uint32_t> m_open;
+  // Sums over the open slots.
+  uint64_t m_load = 0;
+  uint64_t m_limit = 0;
+  uint64_t m_share = 0;
+  // The sums are out of date.
+  bool m_dirty = false;
+};
+
+class RouteBook
+{
+public:
+  // What a change of a route means for requests in flight there.
+  enum class Change
+  {
+    None,
+    // The group lost a member, or its leader restarted.
+    Lost
+  };
+
+  // Adds a route or takes its new state. Call Settle() after the last change.
+  Change Upsert(Millis aNow, const Route& aRoute);
+  // Forgets a group. Call Settle() after the last change.
+  Change Remove(Millis aNow, const GroupId& aGroup);
+  // Sums the changed targets up again.
+  void Settle();
+  void SetZones(Millis aNow, const std::map<ZoneId, ZoneState>& aZones);
+  void SetRoster(Millis aNow,
+                 uint64_t aVersion,
+                 const std::vector<NodeId>& aNodes,
+                 const NodeId& aSelf);
+  // Sums the targets up again and lets the limits of cold groups grow.
+  void Refresh(Millis aNow);
+
+  // Returns the index of a target, which stays the same for ever.
+  uint32_t TargetIndex(const RouteTarget& aTarget);
+  const TargetRoutes& Target(uint32_t aIndex) const
+  {
+    return m_targets[aIndex];
+  }
+  uint32_t TargetCount() const
+  {
+    return static_cast<uint32_t>(m_targets.size());
+  }
+  RouteSlot& Slot(uint32_t aIndex) { return m_slots[aIndex]; }
+  const RouteSlot& Slot(uint32_t aIndex) const { return m_slots[aIndex]; }
+  // Returns the slot of a known group, or nullptr.
+  const RouteSlot* FindSlot(const GroupId& aGroup) const;
+  // Returns the number of known groups in a fabric domain.
+  uint32_t GroupsInDomain(const DomainId& aDomain) const;
+
+  void NoteStarted(Millis aNow, uint32_t aSlot);
+  void NoteEnded(Millis aNow, uint32_t aSlot);
+  // Takes a group out of the choice for a while, unless too many are out.
+  // Returns whether it did.
+  bool Eject(Millis aNow, uint32_t aSlot, Millis aTime);
+  // Makes a group count as cold from now on.
+  void NoteCold(Millis aNow, uint32_t aSlot, ColdSignal aSignal);
+
+  // Tells whether requests are in flight at a group that was lost.
+  bool HasLostInFlight() const;
+  // Returns this node's requests in flight at a group, for its draining.
+  uint32_t InFlightAt(const GroupId& aGroup) const;
+
+private:
+  uint32_t TakeSlot(const GroupId& aGroup);
+  void ReleaseIfUnused(uint32_t aSlot);
+  void Detach(uint32_t aSlot);
+  void UpdateOpen(RouteSlot& aSlot);
+  void UpdateShare(RouteSlot& aSlot);
+  void UpdateAdmission(Millis aNow, RouteSlot& aSlot);
+  void UpdateOthersLoad(RouteSlot& aSlot);
+  void RecordInFlight(Millis aNow, RouteSlot& aSlot);
+  void Rebuild(uint32_t aTarget);
+
+  NodeId m_self;
+  std::vector<NodeId> m_roster;
+  std::map<ZoneId, ZoneState> m_zones;
+  ColdStartState m_cold;
+  std::deque<RouteSlot> m_slots;
+  std::vector<uint32_t> m_freeSlots;
+  std::unordered_map<GroupId, uint32_t> m_byGroup;
+  std::deque<TargetRoutes> m_targets;
+  std::map<RouteTarget, uint32_t> m_byTarget;
+  std::unordered_map<DomainId, uint32_t> m_groupsInDomain;
+};
+
+} // namespace briarglade
--- /dev/null
+++ b/briarglade/routing/routing_state.h
@@ -0,0 +1,70 @@
+// The whole state of request routing on one node.
+
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <unordered_map>
+#include <vector>
+
+#include "briarglade/base/ids.h"
+#include "briarglade/base/millis.h"
+#include "briarglade/routing/account_use.h"
+#include "briarglade/routing/crash_ledger.h"
+#include "briarglade/routing/fair_queue.h"
+#include "briarglade/routing/request_table.h"
+#include "briarglade/routing/retry_budget.h"
+#include "briarglade/routing/route_book.h"
+#include "briarglade/routing/route_choice.h"
+
+namespace briarglade {
+
+// A client account as routing sees it; its number never changes.
+struct RoutedAccount
+{
+  uint32_t m_share = 1;
+  std::vector<ClassId> m_classes;
+  std::vector<uint32_t> m_classWeights;
+};
+
+// Counters for metrics; they only grow.
+struct RoutingCounts
+{
+  uint64_t m_started = 0;
+  uint64_t m_retried = 0;
+  uint64_t m_resumed = 0;
+  uint64_t m_refused = 0;
+  uint64_t m_budgetSpent = 0;
+  // Events that name an attempt which isn't in flight: late or crossed answers.
+  uint64_t m_unmatched = 0;
+};
+
+struct RoutingState
+{
+  RoutingState() = default;
+  // Each node draws its own random numbers.
+  RoutingState(const NodeId& aSelf, const ZoneId& aZone);
+
+  NodeId m_self;
+  ZoneId m_zone;
+  bool m_confirmed = false;
+  RandomEngine m_random;
+
+  RouteBook m_book;
+  RequestTable m_requests;
+  // By target.
+  std::deque<FairQueue> m_queues;
+  std::deque<AccountUse> m_uses;
+
+  std::unordered_map<AccountId, uint32_t> m_accountNumbers;
+  std::vector<RoutedAccount> m_accounts;
+
+  RetryBudget m_retryBudget;
+  CrashLedger m_ledger;
+  RoutingCounts m_counts;
+  Millis m_housekeptAt;
+  // Requests in RequestPhase::Delayed.
+  uint32_t m_delayed = 0;
+};
+
+} // namespace briarglade
