actions: every step against every failure, judged by the service's run count

38,016 cases from a loop over the record write (6 faults), the attempt (12), the final write (6), the node or caller (11) and the repeat (8), and 3,168 with the answer in the object store. The oracle takes the fake service's real run count; lone callers of living nodes are also held to the best true answer, so that unknown to everything would fail.

Seen failing: nodes that started together lost the race for the retention clock and refused calls for a second; a conflict there is now read back at once.

--- /dev/null
+++ b/briarglade/actions/at_most_once_test.cc
@@ -0,0 +1,327 @@
+// Every step of a non-idempotent exchange against every failure: what callers
+// are told is true, and no key ever runs twice.
+
+#include <doctest/doctest.h>
+#include <string>
+#include <vector>
+
+#include "briarglade/actions/actions_world_test.h"
+
+namespace briarglade::testing {
+namespace {
+
+constexpr Millis kAllowed = Millis(10'000);
+constexpr Millis kShortPause = Millis(2'000);
+// Longer than a call may take.
+constexpr Millis kLongPause = Millis(15'000);
+constexpr Millis kSettled = Millis(40'000);
+constexpr size_t kLargeBody = kMaxInlineBytes + 1000;
+
+// What happens to the first node, or to the first caller.
+enum class NodeFault
+{
+  None,
+  ShortPauseAtRecord,
+  LongPauseAtRecord,
+  LongPauseBeforeSend,
+  PauseAfterRun,
+  DiesAtRecord,
+  DiesBeforeSend,
+  DiesAfterRun,
+  DiesAtFinal,
+  CallerLeavesAtOnce,
+  CallerLeavesDuring
+};
+constexpr int kNodeFaults = 11;
+
+// When and where the call is repeated.
+enum class Repeat
+{
+  None,
+  SameNodeAtOnce,
+  OtherNodeAtOnce,
+  OtherNodeDuring,
+  SameNodeAfter,
+  OtherNodeAfter,
+  OtherBodyDuring,
+  OtherBodyAfter
+};
+constexpr int kRepeats = 8;
+
+struct Case
+{
+  StoreFault m_record = StoreFault::None;
+  ServiceFault m_service = ServiceFault::None;
+  StoreFault m_final = StoreFault::None;
+  NodeFault m_node = NodeFault::None;
+  Repeat m_repeat = Repeat::None;
+  // The answer's body goes to the object store, whose first operation fails so.
+  bool m_large = false;
+  StoreFault m_object = StoreFault::None;
+};
+
+std::string Describe(const Case& aCase)
+{
+  std::string text;
+  for (const int part : { static_cast<int>(aCase.m_record),
+                          static_cast<int>(aCase.m_service),
+                          static_cast<int>(aCase.m_final),
+                          static_cast<int>(aCase.m_node),
+                          static_cast<int>(aCase.m_repeat),
+                          static_cast<int>(aCase.m_large),
+                          static_cast<int>(aCase.m_object) }) {
+    text += std::to_string(part) + " ";
+  }
+  return text;
+}
+
+// What the two callers of a case were told.
+struct Told
+{
+  ResultCode m_first;
+  ResultCode m_repeat;
+  ResultCode m_last;
+};
+
+bool IsStarted(const TableWrite& aWrite)
+{
+  return aWrite.m_value.find("\"state\":\"started\"") != std::string::npos;
+}
+
+class CaseRun
+{
+public:
+  explicit CaseRun(const Case& aCase)
+    : m_case(aCase)
+    , m_world(2, aCase.m_large ? kLargeBody : 0)
+  {
+    m_world.m_onWrite = [this](size_t aNode, const TableWrite& aWrite) {
+      return OnWrite(aNode, aWrite);
+    };
+    m_world.m_onObject = [this](size_t) {
+      const bool isFirst = !m_objectSeen;
+      m_objectSeen = true;
+      return isFirst ? m_case.m_object : StoreFault::None;
+    };
+    m_world.m_onAttempt = [this](const RequestArrived& aCall, int) {
+      const bool isFirst = aCall.m_request.Value() == m_first;
+      return isFirst ? m_case.m_service : ServiceFault::None;
+    };
+    m_world.m_beforeSend = [this](size_t aNode) {
+      Strike(aNode, NodeFault::LongPauseBeforeSend, kLongPause);
+      Strike(aNode, NodeFault::DiesBeforeSend, Millis());
+    };
+    m_world.m_afterRun = [this](size_t aNode) {
+      Strike(aNode, NodeFault::PauseAfterRun, kLongPause);
+      Strike(aNode, NodeFault::DiesAfterRun, Millis());
+    };
+  }
+
+  Told Run()
+  {
+    m_first = "r0";
+    m_world.Send(0, "key", 1, kAllowed);
+    if (m_case.m_node == NodeFault::CallerLeavesAtOnce) {
+      m_world.Leave(m_first);
+    }
+    if (m_case.m_node == NodeFault::CallerLeavesDuring) {
+      m_world.At(Millis(5), [this] { m_world.Leave(m_first); });
+    }
+    const std::string repeat = SendRepeat();
+    m_world.RunFor(kSettled);
+    const std::string last = m_world.Send(1, "key", 1, kAllowed);
+    m_world.RunFor(kAllowed * 2);
+    m_world.Judge();
+    return Told{ m_world.Told(m_first),
+                 repeat.empty() ? ResultCode::Internal : m_world.Told(repeat),
+                 m_world.Told(last) };
+  }
+
+private:
+  StoreFault OnWrite(size_t aNode, const TableWrite& aWrite)
+  {
+    if (aNode != 0) {
+      return StoreFault::None;
+    }
+    if (IsStarted(aWrite)) {
+      Strike(aNode, NodeFault::ShortPauseAtRecord, kShortPause);
+      Strike(aNode, NodeFault::LongPauseAtRecord, kLongPause);
+      Strike(aNode, NodeFault::DiesAtRecord, Millis());
+      const bool isFirst = !m_recordSeen;
+      m_recordSeen = true;
+      return isFirst ? m_case.m_record : StoreFault::None;
+    }
+    Strike(aNode, NodeFault::DiesAtFinal, Millis());
+    const bool isFirst = !m_finalSeen;
+    m_finalSeen = true;
+    return isFirst ? m_case.m_final : StoreFault::None;
+  }
+
+  // Carries out the case's node fault, once, if this is its moment.
+  void Strike(size_t aNode, NodeFault aFault, Millis aPause)
+  {
+    if (aNode != 0 || m_case.m_node != aFault || m_struck) {
+      return;
+    }
+    m_struck = true;
+    m_world.At(Millis(), [this, aPause] {
+      if (aPause > Millis()) {
+        m_world.Pause(0, aPause);
+      } else {
+        m_world.Restart(0);
+      }
+    });
+  }
+
+  std::string SendRepeat()
+  {
+    constexpr Millis kDuring = Millis(8);
+    constexpr Millis kAfter = Millis(5'000);
+    switch (m_case.m_repeat) {
+      case Repeat::None:
+        return "";
+      case Repeat::SameNodeAtOnce:
+        return m_world.Send(0, "key", 1, kAllowed);
+      case Repeat::OtherNodeAtOnce:
+        return m_world.Send(1, "key", 1, kAllowed);
+      case Repeat::OtherNodeDuring:
+        m_world.RunFor(kDuring);
+        return m_world.Send(1, "key", 1, kAllowed);
+      case Repeat::SameNodeAfter:
+        m_world.RunFor(kAfter);
+        return m_world.Send(0, "key", 1, kAllowed);
+      case Repeat::OtherNodeAfter:
+        m_world.RunFor(kAfter);
+        return m_world.Send(1, "key", 1, kAllowed);
+      case Repeat::OtherBodyDuring:
+        m_world.RunFor(kDuring);
+        return m_world.Send(0, "key", 2, kAllowed);
+      case Repeat::OtherBodyAfter:
+        m_world.RunFor(kAfter);
+        return m_world.Send(1, "key", 2, kAllowed);
+    }
+    return "";
+  }
+
+  Case m_case;
+  World m_world;
+  std::string m_first;
+  bool m_recordSeen = false;
+  bool m_finalSeen = false;
+  bool m_objectSeen = false;
+  bool m_struck = false;
+};
+
+// What a lone caller must be told, where its node lives: being truthful by
+// saying "unknown" to everything isn't enough.
+ResultCode ExpectedFirst(const Case& aCase)
+{
+  if (aCase.m_record == StoreFault::Refused ||
+      aCase.m_record == StoreFault::Outage) {
+    return ResultCode::RecordUnavailable;
+  }
+  const ServiceRow row = DescribeFault(aCase.m_service);
+  return JudgeExchange({ row.m_end, row.m_status, false, false, false }).m_code;
+}
+
+// What its repeat must be told, much later and by another node.
+ResultCode ExpectedLast(const Case& aCase)
+{
+  switch (DescribeResultCode(ExpectedFirst(aCase)).m_outcome) {
+    case Outcome::Done:
+      return ResultCode::OkReplayed;
+    case Outcome::NotRun:
+      return ResultCode::Ok;
+    case Outcome::Unknown:
+      return ResultCode::OutcomeUnknown;
+  }
+  return ResultCode::Internal;
+}
+
+void RunCase(const Case& aCase)
+{
+  INFO("case " << Describe(aCase));
+  const Told told = CaseRun(aCase).Run();
+  const bool isAlone =
+    aCase.m_node == NodeFault::None && aCase.m_repeat == Repeat::None;
+  if (isAlone) {
+    CHECK(told.m_first == ExpectedFirst(aCase));
+    CHECK(told.m_last == ExpectedLast(aCase));
+  }
+}
+
+TEST_CASE("no step and no failure makes a key run twice or an answer untrue")
+{
+  int cases = 0;
+  for (int record = 0; record < kStoreFaults; ++record) {
+    for (int service = 0; service < kServiceFaults; ++service) {
+      for (int final = 0; final < kStoreFaults; ++final) {
+        for (int node = 0; node < kNodeFaults; ++node) {
+          for (int repeat = 0; repeat < kRepeats; ++repeat) {
+            RunCase(Case{ static_cast<StoreFault>(record),
+                          static_cast<ServiceFault>(service),
+                          static_cast<StoreFault>(final),
+                          static_cast<NodeFault>(node),
+                          static_cast<Repeat>(repeat) });
+            ++cases;
+          }
+        }
+      }
+    }
+  }
+  CHECK(cases == 38'016);
+}
+
+TEST_CASE("an answer whose body is in the object store, at each failure of it")
+{
+  for (int object = 0; object < kStoreFaults; ++object) {
+    for (int final = 0; final < kStoreFaults; ++final) {
+      for (int node = 0; node < kNodeFaults; ++node) {
+        for (int repeat = 0; repeat < kRepeats; ++repeat) {
+          Case large;
+          large.m_large = true;
+          large.m_object = static_cast<StoreFault>(object);
+          large.m_final = static_cast<StoreFault>(final);
+          large.m_node = static_cast<NodeFault>(node);
+          large.m_repeat = static_cast<Repeat>(repeat);
+          RunCase(large);
+        }
+      }
+    }
+  }
+}
+
+TEST_CASE("without a failure, repeats get the answer and other bodies a 422")
+{
+  for (int repeat = 1; repeat < kRepeats; ++repeat) {
+    for (const bool large : { false, true }) {
+      Case healthy;
+      healthy.m_repeat = static_cast<Repeat>(repeat);
+      healthy.m_large = large;
+      INFO("repeat " << repeat << " large " << large);
+      const Told told = CaseRun(healthy).Run();
+      const bool isOther = healthy.m_repeat >= Repeat::OtherBodyDuring;
+      CHECK(DescribeResultCode(told.m_first).m_outcome == Outcome::Done);
+      CHECK(told.m_last == ResultCode::OkReplayed);
+      if (isOther) {
+        CHECK(told.m_repeat == ResultCode::IdempotencyKeyReused);
+      } else {
+        CHECK(DescribeResultCode(told.m_repeat).m_outcome == Outcome::Done);
+      }
+    }
+  }
+}
+
+TEST_CASE("a caller that left finds the answer when it comes back")
+{
+  for (const Repeat repeat :
+       { Repeat::SameNodeAfter, Repeat::OtherNodeAfter }) {
+    Case left;
+    left.m_node = NodeFault::CallerLeavesDuring;
+    left.m_repeat = repeat;
+    CHECK(CaseRun(left).Run().m_repeat == ResultCode::OkReplayed);
+  }
+}
+
+} // namespace
+} // namespace briarglade::testing
--- a/briarglade/actions/retention.cc
+++ b/briarglade/actions/retention.cc
@@ -85,6 +85,10 @@
   aState.m_clockOperation = OperationId();
   aState.m_mayRaise = false;
   aState.m_clockDueAt = aNow + kRetentionClockRetry;
+  if (aResult.m_status == TableStatus::Conflict) {
+    // Another node has raised it.
+    aState.m_clockDueAt = aNow;
+  }
   if (aResult.m_status == TableStatus::NotFound) {
     aState.m_epoch = RetentionEpoch();
     aState.m_clockVersion = RowVersion();
