--- a/briarglade/cli/briarglade_main.cc
+++ b/briarglade/cli/briarglade_main.cc
@@ -20,7 +20,7 @@
       [--caller-address=A] [--operator-address=A] [--peer-address=A]
       [--table=A] [--host-list=A] [--cluster-key-file=F]
       [--operator-key-file=F] [--log-level=L] [--address-lifetime-ms=N]
-      [--shutdown-limit-ms=N]
+      [--shutdown-limit-ms=N] [--seed=A]...
   briarglade check [--base=F] [--overlay=F]...
   briarglade render [--base=F] [--overlay=F]...
   briarglade diff [--base=F] [--overlay=F]... [--against=F]
@@ -52,6 +52,7 @@
   --log-level=L             debug, info, warn or error.
   --address-lifetime-ms=N   How long callers may keep the address answer.
   --shutdown-limit-ms=N     The longest time of a graceful shutdown.
+  --seed=A                  Peer address of another node; may be repeated.
   --base=F                  Fleet file of the whole fleet.
   --overlay=F               Fleet file of a site; may be repeated.
   --against=F               Rendered fleet to compare with.
--- a/briarglade/cli/node_command.cc
+++ b/briarglade/cli/node_command.cc
@@ -23,6 +23,14 @@
   {
   }
 
+  std::vector<Endpoint> Addresses(const std::string& aFlag)
+  {
+    std::vector<Endpoint> addresses;
+    for (const std::string& text : m_options.GetList(aFlag)) {
+      addresses.push_back(Keep(ParseEndpoint(text)));
+    }
+    return addresses;
+  }
   std::string Required(const std::string& aFlag)
   {
     return Keep(m_options.GetRequired(aFlag));
@@ -67,6 +75,7 @@
   settings.m_operatorAddress =
     aReader.Address("--operator-address", "127.0.0.1:0");
   settings.m_peerAddress = aReader.Address("--peer-address", "127.0.0.1:0");
+  settings.m_seeds = aReader.Addresses("--seed");
   settings.m_table = aReader.Address("--table", "");
   settings.m_hostList = aReader.Address("--host-list", "");
   settings.m_clusterKey =
--- a/briarglade/core/event.h
+++ b/briarglade/core/event.h
@@ -5,9 +5,11 @@
 
 #include <variant>
 
-#include "briarglade/base/ids.h"
-#include "briarglade/membership/operator_command.h"
-#include "briarglade/placement/server_report.h"
+#include "briarglade/actions/actions_event.h"
+#include "briarglade/base/millis.h"
+#include "briarglade/membership/membership_event.h"
+#include "briarglade/placement/placement_event.h"
+#include "briarglade/platform/object_store.h"
 #include "briarglade/platform/table.h"
 #include "briarglade/routing/request_event.h"
 
@@ -17,30 +19,26 @@
 struct Tick
 {};
 
-// A backend server didn't answer a probe.
-struct ServerSilent
-{
-  HostId m_host;
-};
-
-// The platform's host list was read, or could not be.
-struct HostListRead
-{
-  bool m_ok = false;
-  HostList m_list;
-};
+// This node stops being given to callers: a graceful shutdown has begun.
+struct LeavingBegan
+{};
 
 using EventBody = std::variant<Tick,
                                TableResult,
+                               ObjectResult,
                                ServerReport,
-                               ServerSilent,
-                               HostListRead,
+                               ProbeFailed,
+                               HostsListed,
+                               PeerMessageReceived,
+                               PeerUnreachable,
                                ApplyCommand,
                                ZoneCommand,
                                RequestArrived,
                                AttemptAnswerBegan,
                                AttemptEnded,
-                               CallerGone>;
+                               CallerGone,
+                               LeavingBegan,
+                               ShutdownRequested>;
 
 // An event and when it happened, on the node's clock.
 struct Event
--- a/briarglade/core/node_state.h
+++ b/briarglade/core/node_state.h
@@ -1,55 +1,51 @@
-// The whole decision state of a node. Nothing here outlives the process.
+// The whole decision state of a node: that of each component, and what one
+// tells another. Nothing here outlives the process.
 
 #pragma once
 
 #include <map>
-#include <string>
+#include <memory>
+#include <set>
+#include <unordered_set>
+#include <vector>
 
+#include "briarglade/actions/actions_state.h"
 #include "briarglade/base/ids.h"
-#include "briarglade/base/millis.h"
-#include "briarglade/base/unique_ids.h"
 #include "briarglade/config/fleet_config.h"
-#include "briarglade/core/event.h"
+#include "briarglade/membership/membership_state.h"
+#include "briarglade/placement/placement_state.h"
 #include "briarglade/routing/route_table.h"
+#include "briarglade/routing/routing_state.h"
 
 namespace briarglade {
 
 struct NodeState
 {
   NodeId m_self;
-  RegionId m_region;
-  UniqueIds m_ids;
+  MembershipState m_membership;
+  PlacementState m_placement;
+  RoutingState m_routing;
+  ActionsState m_actions;
 
-  // Configuration and zones, as the table last said.
-  ConfigVersion m_configVersion;
-  RowVersion m_configRow;
+  // What is in force on this node.
+  ConfigVersion m_fleetVersion;
   FleetConfig m_fleet;
   std::map<ZoneId, ZoneState> m_zones;
-  std::map<ZoneId, RowVersion> m_zoneRows;
-  uint64_t m_tableChange = 0;
-  Millis m_tableReadAt = Millis(-1'000'000);
-  Millis m_tableAskedAt = Millis(-1'000'000);
-  // Commands that wait for their write, by the write's operation id.
-  std::map<OperationId, CommandId> m_commands;
-
-  // Servers.
-  std::map<HostId, ServerReport> m_reports;
-  std::map<HostId, Millis> m_probedAt;
-  std::map<HostId, ServerOrder> m_wanted;
-  std::map<HostId, Millis> m_orderedAt;
-
-  // Routes and requests.
+  std::vector<RosterNode> m_roster;
+  uint64_t m_rosterVersion = 0;
+  bool m_confirmed = false;
+  // The routes that routing was last told.
   std::map<GroupId, Route> m_routes;
-  std::map<GroupId, uint32_t> m_inFlight;
-  struct Running
-  {
-    RequestArrived m_request;
-    AttemptId m_attempt;
-    GroupId m_group;
-    bool m_began = false;
-  };
-  std::map<RequestId, Running> m_running;
-  std::map<AttemptId, RequestId> m_attempts;
+  // What placement was last told of this node's requests at draining groups.
+  std::map<GroupId, uint32_t> m_drainTold;
+
+  // Non-idempotent requests that routing runs at the moment.
+  std::unordered_set<RequestId> m_runningActions;
+  // Nodes that callers should no longer be sent to, this one included.
+  std::set<NodeId> m_leavingNodes;
 };
 
+// Returns the state of a node that has just started.
+NodeState MakeNodeState(const MembershipSettings& aSettings);
+
 } // namespace briarglade
--- a/briarglade/core/reduce.cc
+++ b/briarglade/core/reduce.cc
@@ -1,423 +1,359 @@
-// The first, thin decision core: configuration by polling the table, fixed
-// groups of neighbouring hosts, the least loaded complete group for each
-// request.
+// The top reducer: hands each event to the components that it concerns and
+// tells them what the others have decided.
+//
+//   membership -- fleet, zones, roster, confirmation --> placement, routing
+//   placement  -- routes                             --> routing
+//   actions    -- a recorded call, to be run once    --> routing
+//   routing    -- what came of it                    --> actions
 
 #include "briarglade/core/reduce.h"
 
-#include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
+#include "briarglade/actions/reduce_actions.h"
 #include "briarglade/base/overloaded.h"
-#include "briarglade/config/fleet_json.h"
 #include "briarglade/core/node_state.h"
+#include "briarglade/membership/membership.h"
+#include "briarglade/placement/placement.h"
+#include "briarglade/routing/reduce_routing.h"
 
 namespace briarglade {
 
 namespace {
 
-using nlohmann::json;
+// When a caller refused by an unconfirmed node should come back to it.
+constexpr Millis kUnconfirmedRetryAfter = Millis(1'000);
 
-constexpr Millis kTablePollPeriod = Millis(500);
-constexpr Millis kProbePeriod = Millis(500);
-constexpr Millis kReportLife = Millis(2'000);
-constexpr Millis kOrderPeriod = Millis(1'000);
-constexpr Millis kConfirmationLife = Millis(3'000);
-constexpr Millis kRetryAfter = Millis(1'000);
-
-RowKey ConfigRow(const NodeState& aState)
-{
-  return RowKey("fact/" + aState.m_region.Value() + "/config");
-}
-
-std::string ZonePrefix(const NodeState& aState)
-{
-  return "fact/" + aState.m_region.Value() + "/zone/";
-}
-
-void ReadConfigRow(NodeState& aState, const TableRow& aRow)
+// The reduction of one event.
+class Reduction
 {
-  const json row = json::parse(aRow.m_value, nullptr, false);
-  if (!row.is_object()) {
-    return;
+public:
+  Reduction(NodeState& aState, Millis aNow)
+    : m_state(aState)
+    , m_now(aNow)
+  {
   }
-  const Result<FleetConfig> fleet = FleetFromJson(row.value("fleet", ""));
-  if (GetError(fleet) != nullptr) {
-    return;
+
+  void Run(const EventBody& aBody)
+  {
+    NoteConfirmation(IsConfirmed(m_state.m_membership, m_now));
+    std::visit([this](const auto& aEvent) { On(aEvent); }, aBody);
   }
-  aState.m_fleet = std::get<FleetConfig>(fleet);
-  aState.m_configRow = aRow.m_version;
-  aState.m_configVersion = ConfigVersion(row.value("version", uint64_t{ 0 }));
-}
 
-void ReadZoneRow(NodeState& aState, const TableRow& aRow)
-{
-  const ZoneId zone(aRow.m_key.Value().substr(ZonePrefix(aState).size()));
-  const json row = json::parse(aRow.m_value, nullptr, false);
-  const bool isOut = row.is_object() && row.value("state", "") == "out";
-  aState.m_zones[zone] = isOut ? ZoneState::Out : ZoneState::In;
-  aState.m_zoneRows[zone] = aRow.m_version;
-}
+  Effects TakeEffects() { return std::move(m_effects); }
 
-void ReadRow(NodeState& aState, const TableRow& aRow)
-{
-  if (aRow.m_key == ConfigRow(aState)) {
-    ReadConfigRow(aState, aRow);
-  } else if (aRow.m_key.Value().rfind(ZonePrefix(aState), 0) == 0) {
-    ReadZoneRow(aState, aRow);
+private:
+  // Hands an event to one component and takes its effects.
+
+  void ToMembership(const MembershipEvent& aEvent)
+  {
+    for (MembershipEffect& effect :
+         ReduceMembership(m_state.m_membership, m_now, aEvent)) {
+      std::visit([this](auto& aEffect) { Take(std::move(aEffect)); }, effect);
+    }
   }
-}
 
-void OnTableResult(NodeState& aState,
-                   Millis aNow,
-                   const TableResult& aResult,
-                   Effects& aEffects)
-{
-  if (aResult.m_status == TableStatus::Ok) {
-    for (const TableRow& row : aResult.m_rows) {
-      ReadRow(aState, row);
+  void ToPlacement(const PlacementEvent& aEvent)
+  {
+    for (PlacementEffect& effect :
+         ReducePlacement(m_state.m_placement, m_now, aEvent)) {
+      std::visit([this](auto& aEffect) { Take(std::move(aEffect)); }, effect);
     }
   }
-  const auto command = aState.m_commands.find(aResult.m_operation);
-  if (command == aState.m_commands.end()) {
-    if (aResult.m_status == TableStatus::Ok) {
-      aState.m_tableChange = aResult.m_change;
-      aState.m_tableReadAt = aNow;
+
+  void ToRouting(const RoutingEvent& aEvent)
+  {
+    for (RoutingEffect& effect :
+         ReduceRouting(m_state.m_routing, m_now, aEvent)) {
+      if (auto* finish = std::get_if<FinishRequest>(&effect)) {
+        TakeFromRouting(std::move(*finish));
+        continue;
+      }
+      std::visit([this](auto& aEffect) { Take(std::move(aEffect)); }, effect);
     }
-    return;
   }
-  CommandAnswer answer;
-  answer.m_command = command->second;
-  answer.m_version = aState.m_configVersion;
-  if (aResult.m_status == TableStatus::Conflict) {
-    answer.m_code = ResultCode::ChangeRaced;
-  } else if (aResult.m_status != TableStatus::Ok) {
-    answer.m_code = ResultCode::TableUnavailable;
+
+  void ToActions(const ActionsEvent& aEvent)
+  {
+    for (ActionsEffect& effect :
+         ReduceActions(m_state.m_actions, m_now, aEvent)) {
+      std::visit([this](auto& aEffect) { Take(std::move(aEffect)); }, effect);
+    }
   }
-  aState.m_commands.erase(command);
-  aEffects.emplace_back(std::move(answer));
-}
 
-void OnApply(NodeState& aState, const ApplyCommand& aCommand, Effects& aEffects)
-{
-  TableWrite write;
-  write.m_operation = OperationId(aState.m_ids.Next());
-  write.m_key = ConfigRow(aState);
-  write.m_expected = aState.m_configRow;
-  write.m_value = json{
-    { "version", aState.m_configVersion.Next().Value() },
-    { "fleet", aCommand.m_fleetJson },
-    { "who", aCommand.m_who },
-    { "why", aCommand.m_why }
-  }.dump();
-  aState.m_commands[write.m_operation] = aCommand.m_command;
-  aEffects.emplace_back(std::move(write));
-}
+  // Events.
 
-void OnZone(NodeState& aState, const ZoneCommand& aCommand, Effects& aEffects)
-{
-  TableWrite write;
-  write.m_operation = OperationId(aState.m_ids.Next());
-  write.m_key = RowKey(ZonePrefix(aState) + aCommand.m_zone.Value());
-  write.m_expected = aState.m_zoneRows[aCommand.m_zone];
-  write.m_value = json{
-    { "state", aCommand.m_state == ZoneState::Out ? "out" : "in" },
-    { "who", aCommand.m_who },
-    { "why", aCommand.m_why }
-  }.dump();
-  aState.m_commands[write.m_operation] = aCommand.m_command;
-  aEffects.emplace_back(std::move(write));
-}
+  void On(const Tick&)
+  {
+    ToMembership(MembershipTick{});
+    NoteConfirmation(IsConfirmed(m_state.m_membership, m_now));
+    ToPlacement(PlacementTick{});
+    ToRouting(RoutingTick{});
+    ToActions(ActionsTick{});
+    TellDraining();
+  }
 
-bool IsServiceHost(const FleetConfig& aFleet, const HostId& aHost)
-{
-  for (const auto& entry : aFleet.m_services) {
-    const auto& hosts = entry.second.m_hosts;
-    if (std::find(hosts.begin(), hosts.end(), aHost) != hosts.end()) {
-      return true;
+  void On(const TableResult& aResult)
+  {
+    // Each component knows its own operations.
+    ToMembership(aResult);
+    ToPlacement(aResult);
+    ToActions(aResult);
+  }
+
+  void On(const ObjectResult& aResult) { ToActions(aResult); }
+  void On(const ServerReport& aReport) { ToPlacement(aReport); }
+  void On(const ProbeFailed& aFailed) { ToPlacement(aFailed); }
+
+  void On(const HostsListed& aListed)
+  {
+    EntryHostsRead entryHosts;
+    for (const ListedHost& host : aListed.m_list.m_hosts) {
+      entryHosts.m_shown.emplace_back(host.m_host.Value());
     }
+    ToMembership(entryHosts);
+    ToPlacement(aListed);
   }
-  return false;
-}
 
-// Groups neighbouring hosts of each domain, model by model.
-void PlanGroups(NodeState& aState)
-{
-  std::map<DomainId, std::vector<const HostConfig*>> domains;
-  for (const auto& entry : aState.m_fleet.m_hosts) {
-    if (!IsServiceHost(aState.m_fleet, entry.first)) {
-      domains[entry.second.m_domain].push_back(&entry.second);
+  void On(const PeerMessageReceived& aReceived)
+  {
+    if (const auto* presence =
+          std::get_if<PresenceNews>(&aReceived.m_message)) {
+      ToPlacement(*presence);
+    } else if (const auto* inFlight =
+                 std::get_if<InFlightNews>(&aReceived.m_message)) {
+      ToPlacement(*inFlight);
+    } else if (const auto* crash =
+                 std::get_if<CrashNotice>(&aReceived.m_message)) {
+      ToRouting(*crash);
+    } else if (const auto* news = std::get_if<NodeNews>(&aReceived.m_message)) {
+      NoteNodeNews(*news);
+    } else {
+      ToMembership(aReceived);
     }
   }
-  aState.m_wanted.clear();
-  aState.m_routes.clear();
-  for (const auto& [modelId, model] : aState.m_fleet.m_models) {
-    for (auto& [domainId, hosts] : domains) {
-      uint32_t number = 0;
-      while (hosts.size() >= model.m_members) {
-        Route route;
-        route.m_group = GroupId(domainId.Value() + "/" + modelId.Value() + "/" +
-                                std::to_string(++number));
-        route.m_target.m_model = modelId;
-        route.m_domain = domainId;
-        route.m_zone = hosts.front()->m_zone;
-        route.m_leader = hosts.front()->m_endpoint;
-        route.m_generation = Generation(1);
-        route.m_requestLimit = model.m_requestLimit;
-        route.m_coldLimit = model.m_coldLimit;
-        for (uint32_t rank = 0; rank < model.m_members; ++rank) {
-          ServerOrder order;
-          order.m_host = hosts[rank]->m_id;
-          order.m_group = route.m_group;
-          order.m_generation = route.m_generation;
-          order.m_model = modelId;
-          order.m_rank = rank;
-          order.m_members = model.m_members;
-          order.m_fencing = FencingToken(1);
-          aState.m_wanted[order.m_host] = order;
-        }
-        hosts.erase(hosts.begin(), hosts.begin() + model.m_members);
-        aState.m_routes[route.m_group] = route;
-      }
+
+  void On(const PeerUnreachable& aUnreachable) { ToMembership(aUnreachable); }
+  void On(const ApplyCommand& aCommand) { ToMembership(aCommand); }
+  void On(const ZoneCommand& aCommand) { ToMembership(aCommand); }
+  void On(const ShutdownRequested& aRequested) { ToMembership(aRequested); }
+
+  void On(const RequestArrived& aRequest)
+  {
+    if (!m_state.m_confirmed) {
+      FinishRequest refusal;
+      refusal.m_request = aRequest.m_request;
+      refusal.m_code = ResultCode::Unconfirmed;
+      refusal.m_retryAfter = kUnconfirmedRetryAfter;
+      m_effects.emplace_back(std::move(refusal));
+    } else if (aRequest.m_idempotent) {
+      ToRouting(aRequest);
+    } else {
+      ToActions(aRequest);
     }
   }
-}
 
-void AddServiceRoutes(NodeState& aState)
-{
-  for (const auto& [serviceId, service] : aState.m_fleet.m_services) {
-    for (const HostId& hostId : service.m_hosts) {
-      const auto host = aState.m_fleet.m_hosts.find(hostId);
-      if (host == aState.m_fleet.m_hosts.end()) {
-        continue;
-      }
-      Route route;
-      route.m_group = GroupId(hostId.Value());
-      route.m_target.m_service = serviceId;
-      route.m_zone = host->second.m_zone;
-      route.m_leader = host->second.m_endpoint;
-      route.m_requestLimit = service.m_requestLimit;
-      aState.m_routes[route.m_group] = route;
+  void On(const AttemptAnswerBegan& aBegan) { ToRouting(aBegan); }
+
+  void On(const AttemptEnded& aEnded)
+  {
+    m_answer = aEnded.m_answer;
+    ToRouting(aEnded);
+    m_answer = nullptr;
+  }
+
+  void On(const CallerGone& aGone)
+  {
+    // A recorded call goes on, so that a repeat learns what came of it.
+    ToActions(aGone);
+    if (m_state.m_runningActions.count(aGone.m_request) == 0) {
+      ToRouting(aGone);
     }
   }
-}
 
-bool IsFresh(const NodeState& aState, Millis aNow, const HostId& aHost)
-{
-  const auto report = aState.m_reports.find(aHost);
-  return report != aState.m_reports.end() &&
-         aNow - report->second.m_receivedAt < kReportLife;
-}
+  void On(const LeavingBegan&)
+  {
+    m_state.m_leavingNodes.insert(m_state.m_self);
+    SendToAll(NodeNews{ m_state.m_self, true });
+  }
 
-bool IsObeyed(const ServerReport& aReport, const ServerOrder& aOrder)
-{
-  return aReport.m_group == aOrder.m_group &&
-         aReport.m_generation == aOrder.m_generation &&
-         aReport.m_phase == MemberPhase::Ready;
-}
+  // Effects that other components take in.
 
-void UpdateCompleteness(NodeState& aState, Millis aNow)
-{
-  for (auto& [group, route] : aState.m_routes) {
-    route.m_complete = route.m_target.m_model.IsEmpty()
-                         ? IsFresh(aState, aNow, HostId(group.Value()))
-                         : true;
+  void Take(FleetAdopted aAdopted)
+  {
+    m_state.m_fleetVersion = aAdopted.m_version;
+    m_state.m_fleet = std::move(aAdopted.m_fleet);
+    ToPlacement(PlacementFleet{ m_state.m_fleet });
+    ToRouting(RoutingAccounts{ m_state.m_fleet.m_accounts });
   }
-  for (const auto& [host, order] : aState.m_wanted) {
-    Route& route = aState.m_routes[order.m_group];
-    if (!IsFresh(aState, aNow, host) ||
-        !IsObeyed(aState.m_reports[host], order)) {
-      route.m_complete = false;
-    } else if (order.m_rank == 0) {
-      route.m_load = aState.m_reports[host].m_load;
-    }
+
+  void Take(ZonesAdopted aAdopted)
+  {
+    m_state.m_zones = std::move(aAdopted.m_zones);
+    ToPlacement(PlacementZones{ m_state.m_zones });
+    ToRouting(RoutingZones{ m_state.m_zones });
   }
-}
 
-void SendOrders(NodeState& aState, Millis aNow, Effects& aEffects)
-{
-  for (const auto& [host, order] : aState.m_wanted) {
-    const auto config = aState.m_fleet.m_hosts.find(host);
-    if (config == aState.m_fleet.m_hosts.end() ||
-        !IsFresh(aState, aNow, host) ||
-        aState.m_reports[host].m_group == order.m_group ||
-        aNow - aState.m_orderedAt[host] < kOrderPeriod) {
-      continue;
+  void Take(RosterAdopted aAdopted)
+  {
+    m_state.m_roster = std::move(aAdopted.m_nodes);
+    ++m_state.m_rosterVersion;
+    std::vector<NodeId> ids;
+    std::set<NodeId> leaving;
+    for (const RosterNode& node : m_state.m_roster) {
+      ids.push_back(node.m_id);
+      if (m_state.m_leavingNodes.count(node.m_id) > 0) {
+        leaving.insert(node.m_id);
+      }
     }
-    aState.m_orderedAt[host] = aNow;
-    aEffects.emplace_back(SendOrder{ order, config->second.m_endpoint });
+    m_state.m_leavingNodes = std::move(leaving);
+    ToPlacement(PlacementRoster{ ids });
+    ToRouting(RoutingRoster{ m_state.m_rosterVersion, ids });
   }
-}
 
-void OnTick(NodeState& aState, Millis aNow, Effects& aEffects)
-{
-  if (aNow - aState.m_tableAskedAt >= kTablePollPeriod) {
-    aState.m_tableAskedAt = aNow;
-    TableRead read;
-    read.m_operation = OperationId(aState.m_ids.Next());
-    read.m_key = RowKey("fact/" + aState.m_region.Value() + "/");
-    read.m_isPrefix = true;
-    read.m_sinceChange = aState.m_tableChange;
-    aEffects.emplace_back(std::move(read));
+  void Take(ConfirmationChanged aChanged)
+  {
+    NoteConfirmation(aChanged.m_confirmed);
   }
-  for (const auto& [id, host] : aState.m_fleet.m_hosts) {
-    const auto probed = aState.m_probedAt.find(id);
-    if (probed == aState.m_probedAt.end() ||
-        aNow - probed->second >= kProbePeriod) {
-      aState.m_probedAt[id] = aNow;
-      aEffects.emplace_back(ProbeServer{ id, host.m_endpoint });
+
+  void Take(RoutesFound aFound)
+  {
+    RoutesChanged change;
+    std::map<GroupId, Route> routes;
+    for (Route& route : aFound.m_routes) {
+      const auto before = m_state.m_routes.find(route.m_group);
+      if (before == m_state.m_routes.end() || !(before->second == route)) {
+        change.m_changed.push_back(route);
+      }
+      routes.emplace(route.m_group, std::move(route));
     }
+    for (const auto& [group, route] : m_state.m_routes) {
+      if (routes.count(group) == 0) {
+        change.m_removed.push_back(group);
+      }
+    }
+    m_state.m_routes = std::move(routes);
+    ToRouting(change);
   }
-  PlanGroups(aState);
-  AddServiceRoutes(aState);
-  UpdateCompleteness(aState, aNow);
-  SendOrders(aState, aNow, aEffects);
-}
 
-const Route* ChooseRoute(const NodeState& aState, const RouteTarget& aTarget)
-{
-  const Route* best = nullptr;
-  uint32_t bestLoad = 0;
-  for (const auto& [group, route] : aState.m_routes) {
-    const auto zone = aState.m_zones.find(route.m_zone);
-    const bool isOut =
-      zone != aState.m_zones.end() && zone->second == ZoneState::Out;
-    if (!(route.m_target == aTarget) || !route.m_complete || isOut) {
-      continue;
-    }
-    const auto own = aState.m_inFlight.find(group);
-    const uint32_t load =
-      route.m_load + (own == aState.m_inFlight.end() ? 0 : own->second);
-    if (best == nullptr || load < bestLoad) {
-      best = &route;
-      bestLoad = load;
+  void Take(SendNews aSend)
+  {
+    for (const RosterNode& node : m_state.m_roster) {
+      if (node.m_id == aSend.m_node) {
+        std::visit(
+          [&](const auto& aNews) {
+            m_effects.emplace_back(
+              SendPeer{ node.m_id, node.m_endpoint, aNews });
+          },
+          aSend.m_news);
+        return;
+      }
     }
   }
-  return best;
-}
 
-void OnArrived(NodeState& aState,
-               Millis aNow,
-               const RequestArrived& aRequest,
-               Effects& aEffects)
-{
-  FinishRequest refusal;
-  refusal.m_request = aRequest.m_request;
-  refusal.m_retryAfter = kRetryAfter;
-  if (aNow - aState.m_tableReadAt > kConfirmationLife) {
-    refusal.m_code = ResultCode::Unconfirmed;
-    aEffects.emplace_back(refusal);
-    return;
+  void Take(SendCrashNotice aSend) { SendToAll(aSend.m_notice); }
+
+  void Take(RunAction aRun)
+  {
+    m_state.m_runningActions.insert(aRun.m_request.m_request);
+    ToRouting(aRun.m_request);
+  }
+
+  void TakeFromRouting(FinishRequest aFinish)
+  {
+    if (m_state.m_runningActions.erase(aFinish.m_request) == 0) {
+      m_effects.emplace_back(std::move(aFinish));
+      return;
+    }
+    ToActions(ActionFinished{ std::move(aFinish), m_answer });
   }
-  const Route* route = ChooseRoute(aState, aRequest.m_target);
-  if (route == nullptr) {
-    refusal.m_code = ResultCode::NoCapacity;
-    aEffects.emplace_back(refusal);
-    return;
+
+  // Effects for the shell.
+  template<typename ShellEffect>
+  void Take(ShellEffect aEffect)
+  {
+    m_effects.emplace_back(std::move(aEffect));
   }
-  StartAttempt start;
-  start.m_request = aRequest.m_request;
-  start.m_attempt = AttemptId(aState.m_ids.Next());
-  start.m_group = route->m_group;
-  start.m_leader = route->m_leader;
-  start.m_priority = aRequest.m_priority;
-  start.m_deadline = aRequest.m_deadline;
-  ++aState.m_inFlight[route->m_group];
-  aState.m_running[aRequest.m_request] =
-    NodeState::Running{ aRequest, start.m_attempt, route->m_group, false };
-  aState.m_attempts[start.m_attempt] = aRequest.m_request;
-  aEffects.emplace_back(std::move(start));
-}
 
-ResultCode CodeOfEnd(ExchangeEnd aEnd, bool aBegan)
-{
-  switch (aEnd) {
-    case ExchangeEnd::Whole:
-      return ResultCode::Ok;
-    case ExchangeEnd::ConnectRefused:
-    case ExchangeEnd::ResetBeforeSend:
-    case ExchangeEnd::RefusedByServer:
-      return aBegan ? ResultCode::StreamCut : ResultCode::BackendRefused;
-    case ExchangeEnd::Timeout:
-      return ResultCode::DeadlineExceeded;
-    case ExchangeEnd::WrongAnswer:
-      return ResultCode::BackendAnswerInvalid;
-    case ExchangeEnd::Truncated:
-      return ResultCode::StreamCut;
-    case ExchangeEnd::ResetBeforeAnswer:
-    case ExchangeEnd::Cancelled:
-      return ResultCode::BackendFailed;
+  // Tells routing at once when the confirmation has lapsed or come back, also
+  // after a pause of the process.
+  void NoteConfirmation(bool aConfirmed)
+  {
+    if (aConfirmed == m_state.m_confirmed) {
+      return;
+    }
+    m_state.m_confirmed = aConfirmed;
+    ToRouting(RoutingConfirmation{ aConfirmed });
+    if (aConfirmed && m_state.m_leavingNodes.count(m_state.m_self) == 0) {
+      // An earlier run under this name may have been leaving.
+      SendToAll(NodeNews{ m_state.m_self, false });
+    }
   }
-  return ResultCode::Internal;
-}
 
-void OnAttemptEnded(NodeState& aState,
-                    const AttemptEnded& aEnded,
-                    Effects& aEffects)
-{
-  const auto attempt = aState.m_attempts.find(aEnded.m_attempt);
-  if (attempt == aState.m_attempts.end()) {
-    return;
+  // Tells placement of this node's requests at groups that are draining.
+  void TellDraining()
+  {
+    std::map<GroupId, uint32_t> told;
+    for (const auto& [group, route] : m_state.m_routes) {
+      if (!route.m_draining) {
+        continue;
+      }
+      const uint32_t count = m_state.m_routing.m_book.InFlightAt(group);
+      const auto before = m_state.m_drainTold.find(group);
+      if (before == m_state.m_drainTold.end() || before->second != count) {
+        ToPlacement(InFlightChanged{ group, count });
+      }
+      told[group] = count;
+    }
+    m_state.m_drainTold = std::move(told);
   }
-  const RequestId request = attempt->second;
-  aState.m_attempts.erase(attempt);
-  const auto running = aState.m_running.find(request);
-  if (running == aState.m_running.end()) {
-    return;
+
+  void NoteNodeNews(const NodeNews& aNews)
+  {
+    if (aNews.m_leaving) {
+      m_state.m_leavingNodes.insert(aNews.m_node);
+    } else {
+      m_state.m_leavingNodes.erase(aNews.m_node);
+    }
   }
-  --aState.m_inFlight[running->second.m_group];
-  FinishRequest finish;
-  finish.m_request = request;
-  finish.m_attempt = aEnded.m_attempt;
-  finish.m_code = CodeOfEnd(aEnded.m_end, running->second.m_began);
-  aState.m_running.erase(running);
-  aEffects.emplace_back(finish);
-}
 
-void OnCallerGone(NodeState& aState, const CallerGone& aGone, Effects& aEffects)
-{
-  const auto running = aState.m_running.find(aGone.m_request);
-  if (running != aState.m_running.end()) {
-    aEffects.emplace_back(CancelAttempt{ running->second.m_attempt });
+  void SendToAll(const PeerMessage& aMessage)
+  {
+    for (const RosterNode& node : m_state.m_roster) {
+      if (node.m_id != m_state.m_self) {
+        m_effects.emplace_back(
+          SendPeer{ node.m_id, node.m_endpoint, aMessage });
+      }
+    }
   }
-}
+
+  NodeState& m_state;
+  Millis m_now;
+  Effects m_effects;
+  // The answer of the attempt that ends with this event.
+  std::shared_ptr<const StoredAnswer> m_answer;
+};
 
 } // namespace
 
+NodeState MakeNodeState(const MembershipSettings& aSettings)
+{
+  NodeState state;
+  state.m_self = aSettings.m_self;
+  state.m_membership = MakeMembershipState(aSettings);
+  state.m_placement.m_self = aSettings.m_self;
+  state.m_placement.m_ids = UniqueIds(
+    NodeId(aSettings.m_self.Value() + ".placement"), aSettings.m_incarnation);
+  state.m_routing = RoutingState(aSettings.m_self, aSettings.m_zone);
+  state.m_actions = MakeActionsState(aSettings.m_self, aSettings.m_incarnation);
+  return state;
+}
+
 Effects Reduce(NodeState& aState, const Event& aEvent)
 {
-  Effects effects;
-  const Millis now = aEvent.m_at;
-  std::visit(
-    Overloaded{
-      [&](const Tick&) { OnTick(aState, now, effects); },
-      [&](const TableResult& aResult) {
-        OnTableResult(aState, now, aResult, effects);
-      },
-      [&](const ServerReport& aReport) {
-        aState.m_reports[aReport.m_host] = aReport;
-      },
-      [&](const ServerSilent& aSilent) {
-        aState.m_reports.erase(aSilent.m_host);
-      },
-      [&](const HostListRead&) {},
-      [&](const ApplyCommand& aCommand) { OnApply(aState, aCommand, effects); },
-      [&](const ZoneCommand& aCommand) { OnZone(aState, aCommand, effects); },
-      [&](const RequestArrived& aRequest) {
-        OnArrived(aState, now, aRequest, effects);
-      },
-      [&](const AttemptAnswerBegan& aBegan) {
-        const auto attempt = aState.m_attempts.find(aBegan.m_attempt);
-        if (attempt != aState.m_attempts.end()) {
-          aState.m_running[attempt->second].m_began = true;
-        }
-      },
-      [&](const AttemptEnded& aEnded) {
-        OnAttemptEnded(aState, aEnded, effects);
-      },
-      [&](const CallerGone& aGone) { OnCallerGone(aState, aGone, effects); } },
-    aEvent.m_body);
-  return effects;
+  Reduction reduction(aState, aEvent.m_at);
+  reduction.Run(aEvent.m_body);
+  return reduction.TakeEffects();
 }
 
 } // namespace briarglade
--- a/briarglade/core/reduce.h
+++ b/briarglade/core/reduce.h
@@ -1,4 +1,8 @@
 // The decision core: one function over all events, with effects as data.
+//
+// Example:
+//   NodeState state = MakeNodeState(settings);
+//   for (Effect& effect : Reduce(state, Event{ now, Tick{} })) { ... }
 
 #pragma once
 
@@ -9,7 +13,7 @@
 
 struct NodeState;
 
-// Applies one event to the state and returns what the shell must do.
+// Applies one event to the state and returns what the shell must do, in order.
 Effects Reduce(NodeState& aState, const Event& aEvent);
 
 } // namespace briarglade
--- a/briarglade/membership/fact_row.cc
+++ b/briarglade/membership/fact_row.cc
@@ -61,7 +61,9 @@
   return json{ { "id", aNode.m_id.Value() },
                { "ip", aNode.m_endpoint.m_ip },
                { "port", aNode.m_endpoint.m_port },
-               { "zone", aNode.m_zone.Value() } };
+               { "zone", aNode.m_zone.Value() },
+               { "caller_ip", aNode.m_callerEndpoint.m_ip },
+               { "caller_port", aNode.m_callerEndpoint.m_port } };
 }
 
 RosterNode NodeFromJson(const json& aValue)
@@ -71,6 +73,9 @@
   node.m_endpoint =
     Endpoint{ aValue.value("ip", ""), aValue.value("port", uint16_t{ 0 }) };
   node.m_zone = ZoneId(aValue.value("zone", ""));
+  node.m_callerEndpoint =
+    Endpoint{ aValue.value("caller_ip", ""),
+              aValue.value("caller_port", uint16_t{ 0 }) };
   return node;
 }
 
--- a/briarglade/membership/fact_row.h
+++ b/briarglade/membership/fact_row.h
@@ -43,13 +43,17 @@
 struct RosterNode
 {
   NodeId m_id;
+  // Where the other nodes reach it.
   Endpoint m_endpoint;
   ZoneId m_zone;
+  // Where callers reach the node.
+  Endpoint m_callerEndpoint;
 
   bool operator==(const RosterNode& aOther) const
   {
     return m_id == aOther.m_id && m_endpoint == aOther.m_endpoint &&
-           m_zone == aOther.m_zone;
+           m_zone == aOther.m_zone &&
+           m_callerEndpoint == aOther.m_callerEndpoint;
   }
 };
 
--- a/briarglade/membership/internal/roster.cc
+++ b/briarglade/membership/internal/roster.cc
@@ -34,7 +34,8 @@
 {
   return RosterNode{ aState.m_settings.m_self,
                      aState.m_settings.m_endpoint,
-                     aState.m_settings.m_zone };
+                     aState.m_settings.m_zone,
+                     aState.m_settings.m_callerEndpoint };
 }
 
 const Member* FindListed(const MembershipState& aState, const NodeId& aNode)
--- a/briarglade/membership/membership_state.h
+++ b/briarglade/membership/membership_state.h
@@ -30,6 +30,8 @@
   ZoneId m_zone;
   // Where other nodes reach this one.
   Endpoint m_endpoint;
+  // Where callers reach this one.
+  Endpoint m_callerEndpoint;
   // The start of the process; higher than that of any earlier run.
   uint64_t m_incarnation = 0;
   // Other nodes' addresses, asked when neither table nor roster is known.
--- a/briarglade/membership/peer_codec.cc
+++ b/briarglade/membership/peer_codec.cc
@@ -337,6 +337,18 @@
   aTo.m_refuseFor = Millis(aFrom.getRefuseFor());
 }
 
+void Write(wire::NodeNews::Builder aTo, const NodeNews& aFrom)
+{
+  aTo.setNode(aFrom.m_node.Value().c_str());
+  aTo.setLeaving(aFrom.m_leaving);
+}
+
+void Read(wire::NodeNews::Reader aFrom, NodeNews& aTo)
+{
+  aTo.m_node = ReadId<NodeId>(aFrom.getNode());
+  aTo.m_leaving = aFrom.getLeaving();
+}
+
 template<typename Message, typename Reader>
 PeerMessage ReadAs(Reader aFrom)
 {
@@ -362,6 +374,8 @@
       return ReadAs<InFlightNews>(aFrom.getInFlightNews());
     case wire::PeerMessage::CRASH_NOTICE:
       return ReadAs<CrashNotice>(aFrom.getCrashNotice());
+    case wire::PeerMessage::NODE_NEWS:
+      return ReadAs<NodeNews>(aFrom.getNodeNews());
   }
   throw InvalidValue();
 }
@@ -380,7 +394,8 @@
       [&](const InFlightNews& aNews) { Write(aTo.initInFlightNews(), aNews); },
       [&](const CrashNotice& aNotice) {
         Write(aTo.initCrashNotice(), aNotice);
-      } },
+      },
+      [&](const NodeNews& aNews) { Write(aTo.initNodeNews(), aNews); } },
     aFrom);
 }
 
--- a/briarglade/membership/peer_codec_test.cc
+++ b/briarglade/membership/peer_codec_test.cc
@@ -50,6 +50,7 @@
     InFlightNews{ NodeId("n"), GroupId("g"), Generation(6), 7 },
     CrashNotice{
       NodeId("n"), Fingerprint(8), GroupId("g"), BootId("b"), Millis(-9) },
+    NodeNews{ NodeId("n"), true },
   };
 }
 
@@ -81,6 +82,7 @@
   CHECK(news.m_reports[0].m_phase == MemberPhase::Draining);
   CHECK(news.m_reports[0].m_receivedAt == Millis(15));
   CHECK(std::get<CrashNotice>(read(6)).m_refuseFor == Millis(-9));
+  CHECK(std::get<NodeNews>(read(7)).m_leaving);
 }
 
 TEST_CASE("cut and extended messages are refused")
--- a/briarglade/membership/peer_message.capnp
+++ b/briarglade/membership/peer_message.capnp
@@ -109,6 +109,11 @@
   refuseFor @4 :Int64;
 }
 
+struct NodeNews {
+  node @0 :Text;
+  leaving @1 :Bool;
+}
+
 struct PeerMessage {
   union {
     factsAsk @0 :FactsAsk;
@@ -118,5 +123,6 @@
     presenceNews @4 :PresenceNews;
     inFlightNews @5 :InFlightNews;
     crashNotice @6 :CrashNotice;
+    nodeNews @7 :NodeNews;
   }
 }
--- a/briarglade/membership/peer_message.capnp.h
+++ b/briarglade/membership/peer_message.capnp.h
@@ -28,6 +28,7 @@
 CAPNP_DECLARE_SCHEMA(b5aa42e3e7c6d6c4);
 CAPNP_DECLARE_SCHEMA(99fed3c2da3c7906);
 CAPNP_DECLARE_SCHEMA(821b6cf625d8f061);
+CAPNP_DECLARE_SCHEMA(c888fff62f471dab);
 CAPNP_DECLARE_SCHEMA(f18b324c2cd33f93);
 
 } // namespace schemas
@@ -276,6 +277,26 @@
   };
 };
 
+struct NodeNews
+{
+  NodeNews() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate
+  {
+    CAPNP_DECLARE_STRUCT_HEADER(c888fff62f471dab, 1, 1)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand()
+    {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
+  };
+};
+
 struct PeerMessage
 {
   PeerMessage() = delete;
@@ -292,6 +313,7 @@
     PRESENCE_NEWS,
     IN_FLIGHT_NEWS,
     CRASH_NOTICE,
+    NODE_NEWS,
   };
 
   struct _capnpPrivate
@@ -2035,6 +2057,114 @@
 };
 #endif // !CAPNP_LITE
 
+class NodeNews::Reader
+{
+public:
+  typedef NodeNews Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base)
+    : _reader(base)
+  {
+  }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasNode() const;
+  inline ::capnp::Text::Reader getNode() const;
+
+  inline bool getLeaving() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class NodeNews::Builder
+{
+public:
+  typedef NodeNews Builds;
+
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base)
+    : _builder(base)
+  {
+  }
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return asReader().totalSize();
+  }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return asReader().toString();
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasNode();
+  inline ::capnp::Text::Builder getNode();
+  inline void setNode(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initNode(unsigned int size);
+  inline void adoptNode(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownNode();
+
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class NodeNews::Pipeline
+{
+public:
+  typedef NodeNews Pipelines;
+
+  inline Pipeline(decltype(nullptr))
+    : _typeless(nullptr)
+  {
+  }
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+    : _typeless(kj::mv(typeless))
+  {
+  }
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
 class PeerMessage::Reader
 {
 public:
@@ -2087,6 +2217,10 @@
   inline bool hasCrashNotice() const;
   inline ::briarglade::wire::CrashNotice::Reader getCrashNotice() const;
 
+  inline bool isNodeNews() const;
+  inline bool hasNodeNews() const;
+  inline ::briarglade::wire::NodeNews::Reader getNodeNews() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -2189,6 +2323,15 @@
     ::capnp::Orphan<::briarglade::wire::CrashNotice>&& value);
   inline ::capnp::Orphan<::briarglade::wire::CrashNotice> disownCrashNotice();
 
+  inline bool isNodeNews();
+  inline bool hasNodeNews();
+  inline ::briarglade::wire::NodeNews::Builder getNodeNews();
+  inline void setNodeNews(::briarglade::wire::NodeNews::Reader value);
+  inline ::briarglade::wire::NodeNews::Builder initNodeNews();
+  inline void adoptNodeNews(
+    ::capnp::Orphan<::briarglade::wire::NodeNews>&& value);
+  inline ::capnp::Orphan<::briarglade::wire::NodeNews> disownNodeNews();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -4493,6 +4636,62 @@
                                    value);
 }
 
+inline bool NodeNews::Reader::hasNode() const
+{
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool NodeNews::Builder::hasNode()
+{
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Text::Reader NodeNews::Reader::getNode() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder NodeNews::Builder::getNode()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NodeNews::Builder::setNode(::capnp::Text::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder NodeNews::Builder::initNode(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NodeNews::Builder::adoptNode(::capnp::Orphan<::capnp::Text>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> NodeNews::Builder::disownNode()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool NodeNews::Reader::getLeaving() const
+{
+  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeNews::Builder::getLeaving()
+{
+  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NodeNews::Builder::setLeaving(bool value)
+{
+  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline ::briarglade::wire::PeerMessage::Which PeerMessage::Reader::which() const
 {
   return _reader.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5005,6 +5204,77 @@
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PeerMessage::Reader::isNodeNews() const
+{
+  return which() == PeerMessage::NODE_NEWS;
+}
+inline bool PeerMessage::Builder::isNodeNews()
+{
+  return which() == PeerMessage::NODE_NEWS;
+}
+inline bool PeerMessage::Reader::hasNodeNews() const
+{
+  if (which() != PeerMessage::NODE_NEWS)
+    return false;
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool PeerMessage::Builder::hasNodeNews()
+{
+  if (which() != PeerMessage::NODE_NEWS)
+    return false;
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::briarglade::wire::NodeNews::Reader PeerMessage::Reader::getNodeNews()
+  const
+{
+  KJ_IREQUIRE((which() == PeerMessage::NODE_NEWS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::briarglade::wire::NodeNews>::get(
+    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::briarglade::wire::NodeNews::Builder PeerMessage::Builder::getNodeNews()
+{
+  KJ_IREQUIRE((which() == PeerMessage::NODE_NEWS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::briarglade::wire::NodeNews>::get(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setNodeNews(
+  ::briarglade::wire::NodeNews::Reader value)
+{
+  _builder.setDataField<PeerMessage::Which>(
+    ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::NODE_NEWS);
+  ::capnp::_::PointerHelpers<::briarglade::wire::NodeNews>::set(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::briarglade::wire::NodeNews::Builder
+PeerMessage::Builder::initNodeNews()
+{
+  _builder.setDataField<PeerMessage::Which>(
+    ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::NODE_NEWS);
+  return ::capnp::_::PointerHelpers<::briarglade::wire::NodeNews>::init(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptNodeNews(
+  ::capnp::Orphan<::briarglade::wire::NodeNews>&& value)
+{
+  _builder.setDataField<PeerMessage::Which>(
+    ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::NODE_NEWS);
+  ::capnp::_::PointerHelpers<::briarglade::wire::NodeNews>::adopt(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::briarglade::wire::NodeNews>
+PeerMessage::Builder::disownNodeNews()
+{
+  KJ_IREQUIRE((which() == PeerMessage::NODE_NEWS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::briarglade::wire::NodeNews>::disown(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 } // namespace
 } // namespace
 
--- a/briarglade/membership/peer_message.h
+++ b/briarglade/membership/peer_message.h
@@ -85,12 +85,21 @@
   std::vector<OperationId> m_holds;
 };
 
+// Whether callers should still be sent to a node. Told to every node when it
+// changes.
+struct NodeNews
+{
+  NodeId m_node;
+  bool m_leaving = false;
+};
+
 using PeerMessage = std::variant<FactsAsk,
                                  FactsAnswer,
                                  FactsPush,
                                  FactsAck,
                                  PresenceNews,
                                  InFlightNews,
-                                 CrashNotice>;
+                                 CrashNotice,
+                                 NodeNews>;
 
 } // namespace briarglade
--- a/briarglade/net/peer.capnp.h
+++ b/briarglade/net/peer.capnp.h
@@ -19,6 +19,7 @@
 namespace capnp {
 namespace schemas {
 
+CAPNP_DECLARE_SCHEMA(d9cc29fe30925c0f);
 CAPNP_DECLARE_SCHEMA(fb46b6b5ab750998);
 CAPNP_DECLARE_SCHEMA(92a51d59e2f10e25);
 CAPNP_DECLARE_SCHEMA(ad92d6de1603b74f);
@@ -29,6 +30,26 @@
 namespace briarglade {
 namespace wire {
 
+struct PeerEnvelope
+{
+  PeerEnvelope() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate
+  {
+    CAPNP_DECLARE_STRUCT_HEADER(d9cc29fe30925c0f, 3, 5)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand()
+    {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
+  };
+};
+
 struct Peer
 {
   Peer() = delete;
@@ -83,7 +104,7 @@
 
   struct _capnpPrivate
   {
-    CAPNP_DECLARE_STRUCT_HEADER(ad92d6de1603b74f, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ad92d6de1603b74f, 0, 0)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand()
     {
@@ -95,6 +116,164 @@
 
 // =======================================================================================
 
+class PeerEnvelope::Reader
+{
+public:
+  typedef PeerEnvelope Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base)
+    : _reader(base)
+  {
+  }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasCluster() const;
+  inline ::capnp::Text::Reader getCluster() const;
+
+  inline ::uint32_t getProtocol() const;
+
+  inline bool hasSender() const;
+  inline ::capnp::Text::Reader getSender() const;
+
+  inline ::uint64_t getIncarnation() const;
+
+  inline bool hasReceiver() const;
+  inline ::capnp::Text::Reader getReceiver() const;
+
+  inline ::uint64_t getSequence() const;
+
+  inline bool hasProof() const;
+  inline ::capnp::Data::Reader getProof() const;
+
+  inline bool hasPayload() const;
+  inline ::capnp::Data::Reader getPayload() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PeerEnvelope::Builder
+{
+public:
+  typedef PeerEnvelope Builds;
+
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base)
+    : _builder(base)
+  {
+  }
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return asReader().totalSize();
+  }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return asReader().toString();
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasCluster();
+  inline ::capnp::Text::Builder getCluster();
+  inline void setCluster(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initCluster(unsigned int size);
+  inline void adoptCluster(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownCluster();
+
+  inline ::uint32_t getProtocol();
+  inline void setProtocol(::uint32_t value);
+
+  inline bool hasSender();
+  inline ::capnp::Text::Builder getSender();
+  inline void setSender(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initSender(unsigned int size);
+  inline void adoptSender(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownSender();
+
+  inline ::uint64_t getIncarnation();
+  inline void setIncarnation(::uint64_t value);
+
+  inline bool hasReceiver();
+  inline ::capnp::Text::Builder getReceiver();
+  inline void setReceiver(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initReceiver(unsigned int size);
+  inline void adoptReceiver(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownReceiver();
+
+  inline ::uint64_t getSequence();
+  inline void setSequence(::uint64_t value);
+
+  inline bool hasProof();
+  inline ::capnp::Data::Builder getProof();
+  inline void setProof(::capnp::Data::Reader value);
+  inline ::capnp::Data::Builder initProof(unsigned int size);
+  inline void adoptProof(::capnp::Orphan<::capnp::Data>&& value);
+  inline ::capnp::Orphan<::capnp::Data> disownProof();
+
+  inline bool hasPayload();
+  inline ::capnp::Data::Builder getPayload();
+  inline void setPayload(::capnp::Data::Reader value);
+  inline ::capnp::Data::Builder initPayload(unsigned int size);
+  inline void adoptPayload(::capnp::Orphan<::capnp::Data>&& value);
+  inline ::capnp::Orphan<::capnp::Data> disownPayload();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PeerEnvelope::Pipeline
+{
+public:
+  typedef PeerEnvelope Pipelines;
+
+  inline Pipeline(decltype(nullptr))
+    : _typeless(nullptr)
+  {
+  }
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+    : _typeless(kj::mv(typeless))
+  {
+  }
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Peer::Client : public virtual ::capnp::Capability::Client
 {
@@ -176,8 +355,8 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool hasMessage() const;
-  inline ::capnp::Data::Reader getMessage() const;
+  inline bool hasEnvelope() const;
+  inline ::briarglade::wire::PeerEnvelope::Reader getEnvelope() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -217,12 +396,13 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool hasMessage();
-  inline ::capnp::Data::Builder getMessage();
-  inline void setMessage(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initMessage(unsigned int size);
-  inline void adoptMessage(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownMessage();
+  inline bool hasEnvelope();
+  inline ::briarglade::wire::PeerEnvelope::Builder getEnvelope();
+  inline void setEnvelope(::briarglade::wire::PeerEnvelope::Reader value);
+  inline ::briarglade::wire::PeerEnvelope::Builder initEnvelope();
+  inline void adoptEnvelope(
+    ::capnp::Orphan<::briarglade::wire::PeerEnvelope>&& value);
+  inline ::capnp::Orphan<::briarglade::wire::PeerEnvelope> disownEnvelope();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -248,6 +428,8 @@
   {
   }
 
+  inline ::briarglade::wire::PeerEnvelope::Pipeline getEnvelope();
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -279,9 +461,6 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool hasAnswer() const;
-  inline ::capnp::Data::Reader getAnswer() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -320,13 +499,6 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool hasAnswer();
-  inline ::capnp::Data::Builder getAnswer();
-  inline void setAnswer(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initAnswer(unsigned int size);
-  inline void adoptAnswer(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownAnswer();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -361,130 +533,365 @@
 
 // =======================================================================================
 
-#if !CAPNP_LITE
-inline Peer::Client::Client(decltype(nullptr))
-  : ::capnp::Capability::Client(nullptr)
+inline bool PeerEnvelope::Reader::hasCluster() const
 {
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
 }
-inline Peer::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
-  : ::capnp::Capability::Client(::kj::mv(hook))
+inline bool PeerEnvelope::Builder::hasCluster()
 {
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
 }
-template<typename _t, typename>
-inline Peer::Client::Client(::kj::Own<_t>&& server)
-  : ::capnp::Capability::Client(::kj::mv(server))
+inline ::capnp::Text::Reader PeerEnvelope::Reader::getCluster() const
 {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-template<typename _t, typename>
-inline Peer::Client::Client(::kj::Promise<_t>&& promise)
-  : ::capnp::Capability::Client(::kj::mv(promise))
+inline ::capnp::Text::Builder PeerEnvelope::Builder::getCluster()
 {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline Peer::Client::Client(::kj::Exception&& exception)
-  : ::capnp::Capability::Client(::kj::mv(exception))
+inline void PeerEnvelope::Builder::setCluster(::capnp::Text::Reader value)
 {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::briarglade::wire::Peer::Client& Peer::Client::operator=(Client& other)
+inline ::capnp::Text::Builder PeerEnvelope::Builder::initCluster(
+  unsigned int size)
 {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline ::briarglade::wire::Peer::Client& Peer::Client::operator=(Client&& other)
+inline void PeerEnvelope::Builder::adoptCluster(
+  ::capnp::Orphan<::capnp::Text>&& value)
 {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> PeerEnvelope::Builder::disownCluster()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-#endif // !CAPNP_LITE
-inline bool Peer::DeliverParams::Reader::hasMessage() const
+inline ::uint32_t PeerEnvelope::Reader::getProtocol() const
 {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t PeerEnvelope::Builder::getProtocol()
+{
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void PeerEnvelope::Builder::setProtocol(::uint32_t value)
+{
+  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline bool PeerEnvelope::Reader::hasSender() const
+{
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool Peer::DeliverParams::Builder::hasMessage()
+inline bool PeerEnvelope::Builder::hasSender()
 {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Text::Reader PeerEnvelope::Reader::getSender() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder PeerEnvelope::Builder::getSender()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PeerEnvelope::Builder::setSender(::capnp::Text::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder PeerEnvelope::Builder::initSender(
+  unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PeerEnvelope::Builder::adoptSender(
+  ::capnp::Orphan<::capnp::Text>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> PeerEnvelope::Builder::disownSender()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline ::uint64_t PeerEnvelope::Reader::getIncarnation() const
+{
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t PeerEnvelope::Builder::getIncarnation()
+{
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void PeerEnvelope::Builder::setIncarnation(::uint64_t value)
+{
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline bool PeerEnvelope::Reader::hasReceiver() const
+{
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::capnp::Data::Reader Peer::DeliverParams::Reader::getMessage() const
+inline bool PeerEnvelope::Builder::hasReceiver()
+{
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Text::Reader PeerEnvelope::Reader::getReceiver() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder PeerEnvelope::Builder::getReceiver()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void PeerEnvelope::Builder::setReceiver(::capnp::Text::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder PeerEnvelope::Builder::initReceiver(
+  unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void PeerEnvelope::Builder::adoptReceiver(
+  ::capnp::Orphan<::capnp::Text>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> PeerEnvelope::Builder::disownReceiver()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline ::uint64_t PeerEnvelope::Reader::getSequence() const
+{
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t PeerEnvelope::Builder::getSequence()
+{
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void PeerEnvelope::Builder::setSequence(::uint64_t value)
+{
+  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline bool PeerEnvelope::Reader::hasProof() const
+{
+  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool PeerEnvelope::Builder::hasProof()
+{
+  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Data::Reader PeerEnvelope::Reader::getProof() const
 {
   return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Peer::DeliverParams::Builder::getMessage()
+inline ::capnp::Data::Builder PeerEnvelope::Builder::getProof()
 {
   return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Peer::DeliverParams::Builder::setMessage(
-  ::capnp::Data::Reader value)
+inline void PeerEnvelope::Builder::setProof(::capnp::Data::Reader value)
 {
   ::capnp::_::PointerHelpers<::capnp::Data>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+    _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder Peer::DeliverParams::Builder::initMessage(
+inline ::capnp::Data::Builder PeerEnvelope::Builder::initProof(
   unsigned int size)
 {
   return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+    _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Peer::DeliverParams::Builder::adoptMessage(
+inline void PeerEnvelope::Builder::adoptProof(
   ::capnp::Orphan<::capnp::Data>&& value)
 {
   ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
     kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data>
-Peer::DeliverParams::Builder::disownMessage()
+inline ::capnp::Orphan<::capnp::Data> PeerEnvelope::Builder::disownProof()
 {
   return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::DeliverResults::Reader::hasAnswer() const
+inline bool PeerEnvelope::Reader::hasPayload() const
 {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool Peer::DeliverResults::Builder::hasAnswer()
+inline bool PeerEnvelope::Builder::hasPayload()
 {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::capnp::Data::Reader Peer::DeliverResults::Reader::getAnswer() const
+inline ::capnp::Data::Reader PeerEnvelope::Reader::getPayload() const
 {
   return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Peer::DeliverResults::Builder::getAnswer()
+inline ::capnp::Data::Builder PeerEnvelope::Builder::getPayload()
 {
   return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Peer::DeliverResults::Builder::setAnswer(
-  ::capnp::Data::Reader value)
+inline void PeerEnvelope::Builder::setPayload(::capnp::Data::Reader value)
 {
   ::capnp::_::PointerHelpers<::capnp::Data>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+    _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder Peer::DeliverResults::Builder::initAnswer(
+inline ::capnp::Data::Builder PeerEnvelope::Builder::initPayload(
   unsigned int size)
 {
   return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+    _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void Peer::DeliverResults::Builder::adoptAnswer(
+inline void PeerEnvelope::Builder::adoptPayload(
   ::capnp::Orphan<::capnp::Data>&& value)
 {
   ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
     kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data>
-Peer::DeliverResults::Builder::disownAnswer()
+inline ::capnp::Orphan<::capnp::Data> PeerEnvelope::Builder::disownPayload()
 {
   return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+    _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+#if !CAPNP_LITE
+inline Peer::Client::Client(decltype(nullptr))
+  : ::capnp::Capability::Client(nullptr)
+{
+}
+inline Peer::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
+  : ::capnp::Capability::Client(::kj::mv(hook))
+{
+}
+template<typename _t, typename>
+inline Peer::Client::Client(::kj::Own<_t>&& server)
+  : ::capnp::Capability::Client(::kj::mv(server))
+{
+}
+template<typename _t, typename>
+inline Peer::Client::Client(::kj::Promise<_t>&& promise)
+  : ::capnp::Capability::Client(::kj::mv(promise))
+{
+}
+inline Peer::Client::Client(::kj::Exception&& exception)
+  : ::capnp::Capability::Client(::kj::mv(exception))
+{
+}
+inline ::briarglade::wire::Peer::Client& Peer::Client::operator=(Client& other)
+{
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline ::briarglade::wire::Peer::Client& Peer::Client::operator=(Client&& other)
+{
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
+}
+
+#endif // !CAPNP_LITE
+inline bool Peer::DeliverParams::Reader::hasEnvelope() const
+{
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool Peer::DeliverParams::Builder::hasEnvelope()
+{
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::briarglade::wire::PeerEnvelope::Reader
+Peer::DeliverParams::Reader::getEnvelope() const
+{
+  return ::capnp::_::PointerHelpers<::briarglade::wire::PeerEnvelope>::get(
+    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::briarglade::wire::PeerEnvelope::Builder
+Peer::DeliverParams::Builder::getEnvelope()
+{
+  return ::capnp::_::PointerHelpers<::briarglade::wire::PeerEnvelope>::get(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline ::briarglade::wire::PeerEnvelope::Pipeline
+Peer::DeliverParams::Pipeline::getEnvelope()
+{
+  return ::briarglade::wire::PeerEnvelope::Pipeline(
+    _typeless.getPointerField(0));
+}
+#endif // !CAPNP_LITE
+inline void Peer::DeliverParams::Builder::setEnvelope(
+  ::briarglade::wire::PeerEnvelope::Reader value)
+{
+  ::capnp::_::PointerHelpers<::briarglade::wire::PeerEnvelope>::set(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::briarglade::wire::PeerEnvelope::Builder
+Peer::DeliverParams::Builder::initEnvelope()
+{
+  return ::capnp::_::PointerHelpers<::briarglade::wire::PeerEnvelope>::init(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::DeliverParams::Builder::adoptEnvelope(
+  ::capnp::Orphan<::briarglade::wire::PeerEnvelope>&& value)
+{
+  ::capnp::_::PointerHelpers<::briarglade::wire::PeerEnvelope>::adopt(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::briarglade::wire::PeerEnvelope>
+Peer::DeliverParams::Builder::disownEnvelope()
+{
+  return ::capnp::_::PointerHelpers<::briarglade::wire::PeerEnvelope>::disown(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
--- a/briarglade/net/peer_rpc.cc
+++ b/briarglade/net/peer_rpc.cc
@@ -15,6 +15,7 @@
 #include <utility>
 #include <vector>
 
+#include "briarglade/membership/envelope.h"
 #include "briarglade/net/event_loop.h"
 #include "briarglade/net/internal/bufferevent_stream.h"
 #include "briarglade/net/internal/kj_bridge.h"
@@ -47,6 +48,48 @@
   setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
+std::string ToString(capnp::Text::Reader aText)
+{
+  return std::string(aText.begin(), aText.size());
+}
+
+std::string ToString(capnp::Data::Reader aData)
+{
+  return std::string(aData.asChars().begin(), aData.size());
+}
+
+capnp::Data::Reader ToData(const std::string& aBytes)
+{
+  return kj::arrayPtr(reinterpret_cast<const kj::byte*>(aBytes.data()),
+                      aBytes.size());
+}
+
+Envelope ReadEnvelope(wire::PeerEnvelope::Reader aFrom)
+{
+  Envelope envelope;
+  envelope.m_cluster = ToString(aFrom.getCluster());
+  envelope.m_protocol = aFrom.getProtocol();
+  envelope.m_sender = NodeId(ToString(aFrom.getSender()));
+  envelope.m_incarnation = aFrom.getIncarnation();
+  envelope.m_receiver = NodeId(ToString(aFrom.getReceiver()));
+  envelope.m_sequence = aFrom.getSequence();
+  envelope.m_proof = ToString(aFrom.getProof());
+  envelope.m_payload = ToString(aFrom.getPayload());
+  return envelope;
+}
+
+void WriteEnvelope(wire::PeerEnvelope::Builder aTo, const Envelope& aFrom)
+{
+  aTo.setCluster(aFrom.m_cluster.c_str());
+  aTo.setProtocol(aFrom.m_protocol);
+  aTo.setSender(aFrom.m_sender.Value().c_str());
+  aTo.setIncarnation(aFrom.m_incarnation);
+  aTo.setReceiver(aFrom.m_receiver.Value().c_str());
+  aTo.setSequence(aFrom.m_sequence);
+  aTo.setProof(ToData(aFrom.m_proof));
+  aTo.setPayload(ToData(aFrom.m_payload));
+}
+
 // What both ends count.
 struct Traffic
 {
@@ -65,16 +108,11 @@
 
   kj::Promise<void> deliver(DeliverContext aContext) override
   {
-    const auto message = aContext.getParams().getMessage();
-    m_traffic.m_received += message.size();
-    if (!m_handler || message.size() > kMaxMessageBytes) {
-      return kj::READY_NOW;
+    const auto envelope = aContext.getParams().getEnvelope();
+    m_traffic.m_received += envelope.getPayload().size();
+    if (m_handler && envelope.getPayload().size() <= kMaxMessageBytes) {
+      m_handler(ReadEnvelope(envelope));
     }
-    const std::string answer =
-      m_handler(std::string(message.asChars().begin(), message.size()));
-    m_traffic.m_sent += answer.size();
-    aContext.getResults().setAnswer(kj::arrayPtr(
-      reinterpret_cast<const kj::byte*>(answer.data()), answer.size()));
     return kj::READY_NOW;
   }
 
@@ -163,16 +201,14 @@
     return ntohs(bound.sin_port);
   }
 
-  void Send(const Endpoint& aPeer,
-            const std::string& aMessage,
-            AnswerHandler aDone)
+  void Send(const Endpoint& aPeer, const Envelope& aEnvelope, DoneHandler aDone)
   {
     std::shared_ptr<PeerConnection>& connection = m_connections[aPeer];
     if (!connection) {
       connection = std::make_shared<PeerConnection>(m_loop, aPeer);
     }
     if (connection->m_waiting >= kMaxCallsPerPeer) {
-      m_loop.Defer([done = std::move(aDone)] { done(false, {}); });
+      m_loop.Defer([done = std::move(aDone)] { done(false); });
       return;
     }
     auto call = std::make_shared<Call>();
@@ -186,16 +222,12 @@
     });
     call->m_timer->Start(kCallTimeout);
     ++connection->m_waiting;
-    m_traffic.m_sent += aMessage.size();
+    m_traffic.m_sent += aEnvelope.m_payload.size();
     auto request = connection->Peer().deliverRequest();
-    request.setMessage(kj::arrayPtr(
-      reinterpret_cast<const kj::byte*>(aMessage.data()), aMessage.size()));
+    WriteEnvelope(request.initEnvelope(), aEnvelope);
     m_calls.add(request.send().then(
-      [this, call](capnp::Response<wire::Peer::DeliverResults>&& aResults) {
-        const auto answer = aResults.getAnswer();
-        m_traffic.m_received += answer.size();
-        Finish(
-          call, true, std::string(answer.asChars().begin(), answer.size()));
+      [this, call](capnp::Response<wire::Peer::DeliverResults>&&) {
+        Finish(call, true);
       },
       [this, call](kj::Exception&&) { Fail(call); }));
   }
@@ -208,7 +240,7 @@
   {
     Endpoint m_peer;
     std::shared_ptr<PeerConnection> m_connection;
-    AnswerHandler m_done;
+    DoneHandler m_done;
     std::unique_ptr<Timer> m_timer;
   };
 
@@ -232,19 +264,17 @@
                      .attach(kj::mv(server), kj::mv(stream)));
   }
 
-  void Finish(const std::shared_ptr<Call>& aCall,
-              bool aOk,
-              const std::string& aAnswer)
+  void Finish(const std::shared_ptr<Call>& aCall, bool aDelivered)
   {
     if (!aCall->m_done) {
       return;
     }
     --aCall->m_connection->m_waiting;
-    const AnswerHandler done = std::move(aCall->m_done);
+    const DoneHandler done = std::move(aCall->m_done);
     aCall->m_done = nullptr;
     aCall->m_timer->Stop();
     Retire(std::move(aCall->m_connection));
-    done(aOk, aAnswer);
+    done(aDelivered);
   }
 
   // Lets go of a connection from the loop, since it may be on the stack.
@@ -267,7 +297,7 @@
     if (found != m_connections.end() && found->second == aCall->m_connection) {
       m_connections.erase(found);
     }
-    Finish(aCall, false, {});
+    Finish(aCall, false);
   }
 
   void taskFailed(kj::Exception&&) override {}
@@ -302,10 +332,10 @@
 }
 
 void PeerRpc::Send(const Endpoint& aPeer,
-                   const std::string& aMessage,
-                   AnswerHandler aDone)
+                   const Envelope& aEnvelope,
+                   DoneHandler aDone)
 {
-  m_impl->Send(aPeer, aMessage, std::move(aDone));
+  m_impl->Send(aPeer, aEnvelope, std::move(aDone));
 }
 
 uint64_t PeerRpc::BytesSent() const
--- a/briarglade/net/peer_rpc.h
+++ b/briarglade/net/peer_rpc.h
@@ -18,15 +18,16 @@
 namespace briarglade {
 
 class EventLoop;
+struct Envelope;
 
 // One object a process: Cap'n Proto allows one loop a thread.
 class PeerRpc
 {
 public:
-  // Takes a sealed message, returns the sealed answer, or empty for none.
-  using Handler = std::function<std::string(const std::string& aMessage)>;
-  // Gets the answer, or false if the peer could not be reached in time.
-  using AnswerHandler = std::function<void(bool aOk, const std::string&)>;
+  // Takes a message that a peer, or a stranger, has sent.
+  using Handler = std::function<void(const Envelope& aEnvelope)>;
+  // Gets false if the message could not be delivered in time.
+  using DoneHandler = std::function<void(bool aDelivered)>;
 
   explicit PeerRpc(EventLoop& aLoop);
   ~PeerRpc();
@@ -38,9 +39,9 @@
   uint16_t Listen(const Endpoint& aEndpoint);
   // Sends a message. The handler is called once, from the loop.
   void Send(const Endpoint& aPeer,
-            const std::string& aMessage,
-            AnswerHandler aDone);
-  // Bytes sent and received since the start, without TCP's own.
+            const Envelope& aEnvelope,
+            DoneHandler aDone);
+  // Bytes of payload sent and received since the start.
   uint64_t BytesSent() const;
   uint64_t BytesReceived() const;
 
--- a/briarglade/net/peer_rpc_test.cc
+++ b/briarglade/net/peer_rpc_test.cc
@@ -4,93 +4,100 @@
 
 #include <doctest/doctest.h>
 #include <string>
+#include <vector>
 
+#include "briarglade/membership/envelope.h"
 #include "briarglade/net/event_loop.h"
 
 namespace briarglade {
 namespace {
 
-struct SentResult
+Envelope MakeEnvelope(const std::string& aPayload)
 {
-  int m_ok = 0;
-  int m_failed = 0;
-  std::string m_lastAnswer;
-};
+  Envelope envelope;
+  envelope.m_cluster = "westsign";
+  envelope.m_sender = NodeId("node-1");
+  envelope.m_incarnation = 7;
+  envelope.m_receiver = NodeId("node-2");
+  envelope.m_sequence = 9;
+  envelope.m_proof = std::string("\0proof", 6);
+  envelope.m_payload = aPayload;
+  return envelope;
+}
 
-TEST_CASE("messages are answered, and each answer is its message's own")
+TEST_CASE("envelopes arrive whole, each once and in order")
 {
   EventLoop loop;
   PeerRpc rpc(loop);
-  rpc.SetHandler([](const std::string& aMessage) { return aMessage + "!"; });
+  std::vector<std::string> received;
+  rpc.SetHandler([&](const Envelope& aEnvelope) {
+    CHECK(aEnvelope.m_cluster == "westsign");
+    CHECK(aEnvelope.m_sender == NodeId("node-1"));
+    CHECK(aEnvelope.m_incarnation == 7);
+    CHECK(aEnvelope.m_receiver == NodeId("node-2"));
+    CHECK(aEnvelope.m_sequence == 9);
+    CHECK(aEnvelope.m_proof == std::string("\0proof", 6));
+    received.push_back(aEnvelope.m_payload);
+  });
   const Endpoint self{ "127.0.0.1", rpc.Listen({ "127.0.0.1", 0 }) };
   REQUIRE(self.m_port != 0);
 
   constexpr int kCalls = 200;
-  SentResult result;
-  int mismatched = 0;
-  std::function<void(int)> next = [&](int aNumber) {
-    const std::string message = "message " + std::to_string(aNumber);
-    rpc.Send(
-      self, message, [&, message, aNumber](bool aOk, const auto& aAnswer) {
-        aOk ? ++result.m_ok : ++result.m_failed;
-        mismatched += aAnswer == message + "!" ? 0 : 1;
-        if (aNumber + 1 < kCalls) {
-          next(aNumber + 1);
-        } else {
-          loop.Stop();
-        }
-      });
+  std::vector<std::string> sent;
+  std::function<void()> sendNext = [&] {
+    sent.push_back("payload " + std::to_string(sent.size()));
+    rpc.Send(self, MakeEnvelope(sent.back()), [&](bool aDelivered) {
+      CHECK(aDelivered);
+      sent.size() < kCalls ? sendNext() : loop.Stop();
+    });
   };
-  next(0);
+  sendNext();
   loop.Run();
-  CHECK(result.m_ok == kCalls);
-  CHECK(result.m_failed == 0);
-  CHECK(mismatched == 0);
+  CHECK(received == sent);
 }
 
 TEST_CASE(
-  "a peer that isn't there fails the call, and the next call goes through")
+  "a peer that isn't there fails the call, and the next one goes through")
 {
   EventLoop loop;
   PeerRpc rpc(loop);
+  int received = 0;
+  rpc.SetHandler([&](const Envelope&) { ++received; });
   const Endpoint self{ "127.0.0.1", rpc.Listen({ "127.0.0.1", 0 }) };
   // Port 1 is reserved; nothing listens there.
   const Endpoint closed{ "127.0.0.1", 1 };
-  SentResult result;
-  rpc.Send(closed, "hello", [&](bool aOk, const auto&) {
-    aOk ? ++result.m_ok : ++result.m_failed;
-    rpc.SetHandler([](const std::string&) { return std::string("back"); });
-    rpc.Send(self, "hello", [&](bool aOkAgain, const auto& aAnswer) {
-      aOkAgain ? ++result.m_ok : ++result.m_failed;
-      result.m_lastAnswer = aAnswer;
+  rpc.Send(closed, MakeEnvelope("lost"), [&](bool aDelivered) {
+    CHECK_FALSE(aDelivered);
+    rpc.Send(self, MakeEnvelope("kept"), [&](bool aDeliveredAgain) {
+      CHECK(aDeliveredAgain);
       loop.Stop();
     });
   });
   loop.Run();
-  CHECK(result.m_failed == 1);
-  CHECK(result.m_ok == 1);
-  CHECK(result.m_lastAnswer == "back");
+  CHECK(received == 1);
 }
 
 TEST_CASE("calls beyond the bound for one peer fail at once")
 {
   EventLoop loop;
   PeerRpc rpc(loop);
-  rpc.SetHandler([](const std::string& aMessage) { return aMessage; });
+  rpc.SetHandler([](const Envelope&) {});
   const Endpoint self{ "127.0.0.1", rpc.Listen({ "127.0.0.1", 0 }) };
   constexpr int kCalls = 40;
-  SentResult result;
+  constexpr int kBound = 16;
+  int delivered = 0;
+  int failed = 0;
   for (int i = 0; i < kCalls; ++i) {
-    rpc.Send(self, "x", [&](bool aOk, const auto&) {
-      aOk ? ++result.m_ok : ++result.m_failed;
-      if (result.m_ok + result.m_failed == kCalls) {
+    rpc.Send(self, MakeEnvelope("x"), [&](bool aDelivered) {
+      aDelivered ? ++delivered : ++failed;
+      if (delivered + failed == kCalls) {
         loop.Stop();
       }
     });
   }
   loop.Run();
-  CHECK(result.m_ok == 16);
-  CHECK(result.m_failed == kCalls - 16);
+  CHECK(delivered == kBound);
+  CHECK(failed == kCalls - kBound);
 }
 
 } // namespace
--- a/briarglade/node/node.h
+++ b/briarglade/node/node.h
@@ -8,19 +8,21 @@
 
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <string>
-#include <unordered_map>
 
 #include "briarglade/base/result.h"
 #include "briarglade/core/effect.h"
 #include "briarglade/core/node_state.h"
 #include "briarglade/net/http_client.h"
 #include "briarglade/net/http_server.h"
-#include "briarglade/node/caller_api.h"
+#include "briarglade/node/caller_front.h"
 #include "briarglade/node/node_settings.h"
 #include "briarglade/node/operator_api.h"
+#include "briarglade/node/peer_gateway.h"
 #include "briarglade/node/server_client.h"
+#include "briarglade/platform/object_store.h"
 #include "briarglade/platform/table.h"
 #include "briarglade/telemetry/log.h"
 #include "briarglade/telemetry/metrics.h"
@@ -28,7 +30,6 @@
 namespace briarglade {
 
 class EventLoop;
-class Relay;
 
 // The ports that a node listens on.
 struct NodePorts
@@ -48,42 +49,55 @@
 
   // Opens the listeners and starts work. Returns Internal if a listener fails.
   Result<NodePorts> Start();
-  // Begins a graceful shutdown; a second call stops at once.
+  // Begins a graceful shutdown: other nodes stop giving out this one's address,
+  // requests are served for as long as that answer may be kept, then those in
+  // flight are finished and the roster is left. A second call, or the limit on
+  // its time, stops at once.
   void BeginShutdown();
 
 private:
+  enum class Phase
+  {
+    Serving,
+    // Callers are no longer sent here, but still served.
+    Leaving,
+    // New requests are refused; those in flight are finished.
+    Closing,
+    // The roster is being left.
+    LeavingRoster
+  };
+
   void Dispatch(EventBody aBody);
-  void CarryOut(Effect& aEffect);
-  void Carry(const StartAttempt& aStart);
-  void Carry(const FinishRequest& aFinish);
+  void CarryOut(const Effect& aEffect);
   void HandleCaller(const std::shared_ptr<HttpExchange>& aExchange);
-  void ServeRequest(const std::shared_ptr<HttpExchange>& aExchange);
-  void RefuseRequest(HttpExchange& aExchange,
-                     const RequestId& aRequest,
-                     const Error& aError);
-  void RespondAddresses(HttpExchange& aExchange);
-  std::string RenderStatus() const;
+  std::string RenderMetrics();
   std::string RenderExplanation(const std::string& aSubject) const;
+  OperatorHooks MakeOperatorHooks();
+  void ReadHostList();
   void OnTick();
   void ContinueShutdown();
+  void Stop(bool aIsGraceful);
 
   EventLoop& m_loop;
   NodeSettings m_settings;
+  uint64_t m_incarnation;
   NodePorts m_ports;
   Log m_log;
   Metrics m_metrics;
-  NodeState m_state;
   HttpClient m_client;
   TableService m_table;
+  ObjectStoreService m_objects;
   HostListService m_hostList;
   ServerClient m_servers;
+  PeerGateway m_peers;
   HttpServer m_callerServer;
   HttpServer m_operatorServer;
-  CallerApi m_callerApi;
+  CallerFront m_front;
   OperatorApi m_operatorApi;
-  ConfigVersion m_callerApiVersion;
-  std::unordered_map<RequestId, std::unique_ptr<Relay>> m_relays;
-  bool m_shuttingDown = false;
+  UniqueIds m_commandIds;
+  NodeState m_state;
+  ConfigVersion m_frontVersion;
+  Phase m_phase = Phase::Serving;
   Millis m_shutdownBegan;
 };
 
--- a/briarglade/node/node_settings.h
+++ b/briarglade/node/node_settings.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "briarglade/base/endpoint.h"
 #include "briarglade/base/ids.h"
@@ -22,6 +23,8 @@
   Endpoint m_callerAddress;
   Endpoint m_operatorAddress;
   Endpoint m_peerAddress;
+  // Peer addresses of other nodes, asked while table and roster are unknown.
+  std::vector<Endpoint> m_seeds;
   // Platform addresses.
   Endpoint m_table;
   Endpoint m_hostList;
--- a/briarglade/node/operator_api.cc
+++ b/briarglade/node/operator_api.cc
@@ -87,6 +87,7 @@
   const json body = ParseBody(*aExchange);
   ApplyCommand command;
   command.m_command = m_hooks.m_nextCommand();
+  command.m_whenUnixMs = m_hooks.m_unixMillis();
   command.m_fleetJson = TextField(body, "fleet");
   command.m_who = TextField(body, "who");
   command.m_why = TextField(body, "why");
@@ -110,6 +111,7 @@
   const json body = ParseBody(*aExchange);
   ZoneCommand command;
   command.m_command = m_hooks.m_nextCommand();
+  command.m_whenUnixMs = m_hooks.m_unixMillis();
   command.m_zone = ZoneId(TextField(body, "zone"));
   command.m_who = TextField(body, "who");
   command.m_why = TextField(body, "why");
--- a/briarglade/node/operator_api.h
+++ b/briarglade/node/operator_api.h
@@ -28,6 +28,8 @@
   std::function<std::string()> m_renderStatus;
   std::function<std::string(const std::string& aSubject)> m_renderExplanation;
   std::function<CommandId()> m_nextCommand;
+  // Milliseconds since 1970, for the record of changes.
+  std::function<uint64_t()> m_unixMillis;
 };
 
 class OperatorApi
--- a/briarglade/node/relay.cc
+++ b/briarglade/node/relay.cc
@@ -62,13 +62,13 @@
 
 void Relay::Start(HttpClient& aClient, const StartAttempt& aStart, Millis aNow)
 {
+  NoteQueueWait();
   m_attempt = aStart.m_attempt;
   m_parser = SseParser();
   m_head = HttpAnswerHead();
   m_rightAttempt = false;
   m_streamEnded = false;
   m_streamBroken = false;
-  m_bodyTooLarge = false;
   m_answerBody.clear();
 
   HttpCallSpec spec;
@@ -98,6 +98,17 @@
   m_call = aClient.Start(std::move(spec));
 }
 
+void Relay::NoteQueueWait()
+{
+  if (m_wasStarted) {
+    return;
+  }
+  m_wasStarted = true;
+  m_histograms.m_queueWait->Add(
+    static_cast<double>(EventLoop::NowMicros() - m_arrivedAtMicros) /
+    kMicrosPerMilli);
+}
+
 void Relay::Cancel(const AttemptId& aAttempt)
 {
   if (m_call && aAttempt == m_attempt) {
@@ -126,7 +137,6 @@
     return;
   }
   if (m_answerBody.size() + aData.size() > kMaxAnswerBytes) {
-    m_bodyTooLarge = true;
     m_call->Cancel(ExchangeEnd::WrongAnswer);
     return;
   }
@@ -211,6 +221,10 @@
   ended.m_status = m_answerStatus;
   ended.m_tokensDelivered = m_tokensDelivered;
   ended.m_retryAfter = RetryAfterOf(m_head);
+  if (aEnd == ExchangeEnd::Whole && !m_request.m_idempotent) {
+    ended.m_answer = std::make_shared<const StoredAnswer>(
+      StoredAnswer{ m_answerStatus, m_answerType, m_answerBody });
+  }
   const auto onEnded = m_hooks.m_onEnded;
   if (onEnded) {
     // May destroy this relay.
@@ -242,6 +256,12 @@
     return;
   }
   HttpHeaders headers = OwnHeaders(aFinish.m_code);
+  if (aFinish.m_replay) {
+    headers.push_back({ "Content-Type", aFinish.m_replay->m_contentType });
+    m_caller->Respond(
+      aFinish.m_replay->m_status, headers, aFinish.m_replay->m_body);
+    return;
+  }
   headers.push_back({ "Content-Type", m_answerType });
   m_caller->Respond(m_answerStatus, headers, m_answerBody);
 }
--- a/briarglade/node/relay.h
+++ b/briarglade/node/relay.h
@@ -32,6 +32,7 @@
 {
   LatencyHistogram* m_firstToken = nullptr;
   LatencyHistogram* m_betweenTokens = nullptr;
+  LatencyHistogram* m_queueWait = nullptr;
   LatencyHistogram* m_total = nullptr;
 };
 
@@ -55,10 +56,6 @@
   // Tells the caller the final word. The relay is done afterwards.
   void Finish(const FinishRequest& aFinish);
 
-  // The whole answer of the last attempt, where it wasn't streamed.
-  const std::string& AnswerBody() const { return m_answerBody; }
-  uint16_t AnswerStatus() const { return m_answerStatus; }
-
 private:
   void OnHead(const HttpAnswerHead& aHead);
   void OnData(std::string_view aData);
@@ -67,6 +64,7 @@
   void ReportEnd(ExchangeEnd aEnd);
   ExchangeEnd JudgeEnd(const HttpCallEnd& aEnd) const;
   void NoteTokens(uint32_t aTokens);
+  void NoteQueueWait();
   void Refuse(const FinishRequest& aFinish);
   HttpHeaders OwnHeaders(ResultCode aCode) const;
 
@@ -86,7 +84,6 @@
   bool m_rightAttempt = false;
   bool m_streamEnded = false;
   bool m_streamBroken = false;
-  bool m_bodyTooLarge = false;
 
   // The answer to the caller.
   bool m_streamStarted = false;
@@ -95,6 +92,7 @@
   std::string m_answerBody;
   std::string m_answerType;
   int64_t m_arrivedAtMicros;
+  bool m_wasStarted = false;
   int64_t m_lastTokenAtMicros = 0;
 };
 
--- a/briarglade/node/server_client.cc
+++ b/briarglade/node/server_client.cc
@@ -62,9 +62,9 @@
       return report;
     }
   } catch (const json::exception&) {
-    return ServerSilent{ aHost };
+    return ProbeFailed{ aHost };
   }
-  return ServerSilent{ aHost };
+  return ProbeFailed{ aHost };
 }
 
 const char* KindName(ServerOrder::Kind aKind)
@@ -105,7 +105,7 @@
   spec.m_onEnd = [body, host = aHost, done = std::move(aDone)](
                    const HttpCallEnd& aEnd) {
     const bool whole = aEnd.m_end == ExchangeEnd::Whole && aEnd.m_status == 200;
-    done(whole ? Interpret(host, *body) : EventBody(ServerSilent{ host }));
+    done(whole ? Interpret(host, *body) : EventBody(ProbeFailed{ host }));
   };
   m_client.Start(std::move(spec));
 }
--- a/briarglade/node/server_client.h
+++ b/briarglade/node/server_client.h
@@ -17,7 +17,7 @@
 public:
   explicit ServerClient(HttpClient& aClient);
 
-  // Asks a server for its state. The handler gets its report, or ServerSilent.
+  // Asks a server for its state. The handler gets its report, or ProbeFailed.
   void Probe(const HostId& aHost,
              const Endpoint& aEndpoint,
              std::function<void(EventBody)> aDone);
--- a/briarglade/routing/route_table.h
+++ b/briarglade/routing/route_table.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "briarglade/base/endpoint.h"
@@ -57,6 +58,29 @@
   uint32_t m_requestLimit = 1;
   uint32_t m_coldLimit = 1;
   Millis m_warmUp;
+
+  bool operator==(const Route& aOther) const
+  {
+    const auto fields = [](const Route& aRoute) {
+      return std::tie(aRoute.m_group,
+                      aRoute.m_target,
+                      aRoute.m_zone,
+                      aRoute.m_domain,
+                      aRoute.m_leader,
+                      aRoute.m_boot,
+                      aRoute.m_generation,
+                      aRoute.m_complete,
+                      aRoute.m_draining,
+                      aRoute.m_uptime,
+                      aRoute.m_load,
+                      aRoute.m_loadAge,
+                      aRoute.m_reportedAt,
+                      aRoute.m_requestLimit,
+                      aRoute.m_coldLimit,
+                      aRoute.m_warmUp);
+    };
+    return fields(*this) == fields(aOther);
+  }
 };
 
 } // namespace briarglade
--- a/standin/table_service.cc
+++ b/standin/table_service.cc
@@ -197,6 +197,10 @@
     m_objects[aName] = aExchange.Body();
     return Answer{};
   }
+  if (aExchange.Method() == "DELETE") {
+    m_objects.erase(aName);
+    return Answer{};
+  }
   const auto object = m_objects.find(aName);
   if (object == m_objects.end()) {
     return Answer{ 404, {}, {}, false };
