--- /dev/null
+++ b/briarglade/placement/placement_test.cc
@@ -0,0 +1,634 @@
+// Several nodes, a table and backend servers in virtual time, with faults from
+// a seed. What must always hold is checked at every step.
+
+#include "briarglade/placement/placement.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "briarglade/base/overloaded.h"
+#include "briarglade/placement/placement_state.h"
+
+namespace briarglade {
+
+namespace {
+
+constexpr Millis kStep = Millis(50);
+
+// A backend server.
+struct FakeServer
+{
+  HostId m_id;
+  bool m_checksFencing = false;
+  bool m_isDown = false;
+  bool m_isPaused = false;
+  Millis m_startedAt;
+  uint64_t m_boot = 1;
+  GroupId m_group;
+  Generation m_generation;
+  ModelId m_model;
+  MemberPhase m_phase = MemberPhase::Idle;
+  Millis m_loadedAt;
+  FencingToken m_fencing;
+  Millis m_stepTime = Millis(10);
+  // When it was last ready in a group's generation.
+  std::map<std::string, Millis> m_readyAt;
+
+  bool Answers() const { return !m_isDown && !m_isPaused; }
+
+  void Restart(Millis aNow)
+  {
+    m_isDown = false;
+    m_startedAt = aNow;
+    ++m_boot;
+    m_group = GroupId();
+    m_model = ModelId();
+    m_phase = MemberPhase::Idle;
+  }
+
+  void Obey(Millis aNow, const ServerOrder& aOrder)
+  {
+    if (m_checksFencing && aOrder.m_fencing < m_fencing) {
+      return;
+    }
+    m_fencing = m_checksFencing ? aOrder.m_fencing : m_fencing;
+    if (aOrder.m_kind == ServerOrder::Kind::Release) {
+      m_group = GroupId();
+      m_model = ModelId();
+      m_phase = MemberPhase::Idle;
+    } else if (aOrder.m_kind == ServerOrder::Kind::Drain) {
+      m_phase = MemberPhase::Draining;
+    } else {
+      const bool reloads =
+        m_model != aOrder.m_model || m_phase == MemberPhase::Idle;
+      m_group = aOrder.m_group;
+      m_generation = aOrder.m_generation;
+      m_model = aOrder.m_model;
+      m_phase = reloads ? MemberPhase::Loading : MemberPhase::Ready;
+      m_loadedAt = aNow + Millis(2'000);
+    }
+  }
+
+  void Step(Millis aNow)
+  {
+    if (m_phase == MemberPhase::Loading && aNow >= m_loadedAt) {
+      m_phase = MemberPhase::Ready;
+    }
+    if (Answers() && m_phase == MemberPhase::Ready) {
+      m_readyAt[Key(m_group, m_generation)] = aNow;
+    }
+  }
+
+  static std::string Key(const GroupId& aGroup, Generation aGeneration)
+  {
+    return aGroup.Value() + "#" + std::to_string(aGeneration.Value());
+  }
+};
+
+struct FakeNode
+{
+  NodeId m_id;
+  PlacementState m_state;
+  Millis m_pausedUntil;
+  std::vector<Route> m_routes;
+  std::vector<std::function<void()>> m_backlog;
+};
+
+struct Size
+{
+  uint32_t m_nodes = 4;
+  uint32_t m_domains = 3;
+  uint32_t m_hostsPerDomain = 9;
+  uint32_t m_members = 4;
+  uint32_t m_groups = 6;
+};
+
+class World
+{
+public:
+  explicit World(uint32_t aSeed, Size aSize = Size())
+    : m_random(aSeed)
+    , m_size(aSize)
+  {
+    MakeFleet();
+    for (uint32_t number = 0; number < m_size.m_nodes; ++number) {
+      auto node = std::make_unique<FakeNode>();
+      node->m_id = NodeId("node-" + std::to_string(number));
+      m_nodes.push_back(std::move(node));
+    }
+    for (auto& node : m_nodes) {
+      Start(*node);
+    }
+  }
+
+  // Lets time pass; with faults, breaks things at random. Returns the first
+  // thing that didn't hold, or an empty text.
+  std::string Run(Millis aTime, bool aWithFaults)
+  {
+    const Millis end = m_now + aTime;
+    while (m_now < end) {
+      m_now += kStep;
+      if (aWithFaults) {
+        Break();
+      }
+      Deliver();
+      for (auto& entry : m_servers) {
+        entry.second.Step(m_now);
+      }
+      for (auto& node : m_nodes) {
+        Tick(*node);
+      }
+      const std::string wrong = Check();
+      if (!wrong.empty()) {
+        return wrong + " at " + std::to_string(m_now.Count());
+      }
+    }
+    return {};
+  }
+
+  // Ends all faults.
+  void Heal()
+  {
+    m_tableDown = false;
+    m_lossPercent = 0;
+    m_lateOrders = false;
+    for (auto& entry : m_servers) {
+      entry.second.m_isPaused = false;
+      entry.second.m_stepTime = Millis(10);
+      if (entry.second.m_isDown && Pick(2) == 0) {
+        entry.second.Restart(m_now);
+      }
+    }
+    for (auto& node : m_nodes) {
+      node->m_pausedUntil = m_now;
+    }
+  }
+
+  void SetZone(const ZoneId& aZone, ZoneState aZoneState)
+  {
+    m_zones[aZone] = aZoneState;
+    for (auto& node : m_nodes) {
+      Send(*node, ZonesAdopted{ m_zones });
+    }
+  }
+
+  // Groups that a domain could have, and has on a node's routes.
+  uint32_t Possible(uint32_t aDomain) const
+  {
+    uint32_t usable = 0;
+    for (const auto& [id, server] : m_servers) {
+      const bool isHere =
+        m_fleet.m_hosts.at(id).m_domain == DomainName(aDomain);
+      usable += isHere && server.Answers() && m_leaving.count(id) == 0 ? 1 : 0;
+    }
+    return usable / m_size.m_members;
+  }
+
+  uint32_t Complete(const DomainId& aDomain) const
+  {
+    uint32_t count = 0;
+    for (const Route& route : m_nodes.front()->m_routes) {
+      count += route.m_complete && !route.m_draining &&
+                   (aDomain.IsEmpty() || route.m_domain == aDomain)
+                 ? 1
+                 : 0;
+    }
+    return count;
+  }
+
+  static DomainId DomainName(uint32_t aDomain)
+  {
+    return DomainId("domain-" + std::to_string(aDomain));
+  }
+  static ZoneId ZoneName(uint32_t aDomain)
+  {
+    return ZoneId("zone-" + std::to_string(aDomain % 3));
+  }
+
+  uint32_t Pick(uint32_t aBelow) { return m_random() % aBelow; }
+
+  FleetConfig m_fleet;
+  std::map<HostId, FakeServer> m_servers;
+  std::vector<std::unique_ptr<FakeNode>> m_nodes;
+  std::set<HostId> m_leaving;
+  bool m_tableDown = false;
+  uint32_t m_lossPercent = 0;
+  bool m_lateOrders = false;
+  Millis m_now;
+  uint64_t m_rowWrites = 0;
+
+private:
+  struct Row
+  {
+    RowVersion m_version;
+    OperationId m_operation;
+    std::string m_value;
+    uint64_t m_change = 0;
+  };
+
+  void MakeFleet()
+  {
+    m_fleet.m_weightStoreRate = 100;
+    ModelConfig model;
+    model.m_id = ModelId("m");
+    model.m_members = m_size.m_members;
+    model.m_wantedGroups = m_size.m_groups;
+    model.m_warmUp = Millis(5'000);
+    model.m_requestTimeout = Millis(10'000);
+    m_fleet.m_models[model.m_id] = model;
+    for (uint32_t domain = 0; domain < m_size.m_domains; ++domain) {
+      for (uint32_t host = 0; host < m_size.m_hostsPerDomain; ++host) {
+        HostConfig config;
+        config.m_id =
+          HostId("host-" + std::to_string(domain) + "-" + std::to_string(host));
+        config.m_zone = ZoneName(domain);
+        config.m_domain = DomainName(domain);
+        config.m_checksFencing = host % 2 == 0;
+        m_fleet.m_hosts[config.m_id] = config;
+        m_servers[config.m_id].m_id = config.m_id;
+        m_servers[config.m_id].m_checksFencing = config.m_checksFencing;
+      }
+    }
+  }
+
+  void Start(FakeNode& aNode)
+  {
+    aNode.m_state = PlacementState();
+    aNode.m_state.m_self = aNode.m_id;
+    aNode.m_state.m_ids = UniqueIds(aNode.m_id, ++m_incarnation);
+    aNode.m_routes.clear();
+    aNode.m_backlog.clear();
+    std::vector<NodeId> roster;
+    for (const auto& node : m_nodes) {
+      roster.push_back(node->m_id);
+    }
+    Send(aNode, FleetAdopted{ m_fleet });
+    Send(aNode, ZonesAdopted{ m_zones });
+    Send(aNode, RosterAdopted{ roster });
+  }
+
+  FakeServer& AnyServer()
+  {
+    auto server = m_servers.begin();
+    std::advance(server, Pick(m_servers.size()));
+    return server->second;
+  }
+
+  void Break()
+  {
+    if (Pick(400) == 0) {
+      BreakServer(AnyServer());
+    }
+    if (Pick(1'500) == 0) {
+      const DomainId dark = DomainName(Pick(m_size.m_domains));
+      const bool isDark = Pick(2) == 0;
+      for (auto& [id, server] : m_servers) {
+        if (m_fleet.m_hosts[id].m_domain == dark) {
+          server.m_isPaused = isDark;
+        }
+      }
+    }
+    if (Pick(800) == 0) {
+      FakeNode& node = *m_nodes[Pick(m_nodes.size())];
+      node.m_pausedUntil = m_now + Millis(Pick(25'000));
+    }
+    if (Pick(2'000) == 0) {
+      Start(*m_nodes[Pick(m_nodes.size())]);
+    }
+    if (Pick(1'200) == 0) {
+      m_tableDown = !m_tableDown;
+    }
+    if (Pick(600) == 0) {
+      m_lossPercent = Pick(30);
+      m_lateOrders = Pick(2) == 0;
+    }
+    if (Pick(2'500) == 0) {
+      const ZoneId zone = ZoneName(Pick(m_size.m_domains));
+      SetZone(zone, Pick(3) == 0 ? ZoneState::Out : ZoneState::In);
+    }
+  }
+
+  void BreakServer(FakeServer& aServer)
+  {
+    switch (Pick(5)) {
+      case 0:
+        aServer.m_isDown = true;
+        break;
+      case 1:
+        aServer.Restart(m_now);
+        break;
+      case 2:
+        aServer.m_isPaused = true;
+        break;
+      case 3:
+        aServer.m_isPaused = false;
+        break;
+      default:
+        aServer.m_stepTime = Millis(Pick(2) == 0 ? 10 : 300);
+    }
+  }
+
+  void After(Millis aDelay, std::function<void()> aWork)
+  {
+    m_queue.emplace(m_now + aDelay, std::move(aWork));
+  }
+
+  void Deliver()
+  {
+    while (!m_queue.empty() && m_queue.begin()->first <= m_now) {
+      const auto work = std::move(m_queue.begin()->second);
+      m_queue.erase(m_queue.begin());
+      work();
+    }
+  }
+
+  // Hands an event to a node; a paused node gets it when it goes on.
+  void Send(FakeNode& aNode, const PlacementEvent& aEvent)
+  {
+    if (m_now < aNode.m_pausedUntil) {
+      aNode.m_backlog.emplace_back(
+        [this, &aNode, aEvent] { Send(aNode, aEvent); });
+      return;
+    }
+    Carry(aNode, ReducePlacement(aNode.m_state, m_now, aEvent));
+  }
+
+  void Tick(FakeNode& aNode)
+  {
+    if (m_now < aNode.m_pausedUntil) {
+      return;
+    }
+    std::vector<std::function<void()>> backlog;
+    backlog.swap(aNode.m_backlog);
+    for (const auto& work : backlog) {
+      work();
+    }
+    Send(aNode, PlacementTick{});
+  }
+
+  void Carry(FakeNode& aNode, PlacementEffects aEffects)
+  {
+    for (PlacementEffect& effect : aEffects) {
+      std::visit(
+        Overloaded{ [&](TableRead& aRead) { Read(aNode, aRead); },
+                    [&](TableWrite& aWrite) { Write(aNode, aWrite); },
+                    [&](SendOrder& aOrder) { SendOrderOf(aOrder.m_order); },
+                    [&](ProbeServer& aProbe) { Probe(aNode, aProbe.m_host); },
+                    [&](SendNews& aNews) { CarryNews(aNews); },
+                    [&](RoutesChanged& aRoutes) {
+                      aNode.m_routes = std::move(aRoutes.m_routes);
+                      for (const Route& route : aNode.m_routes) {
+                        if (route.m_draining) {
+                          Send(aNode, InFlightChanged{ route.m_group, 0 });
+                        }
+                      }
+                    },
+                    [](LogEvent&) {} },
+        effect);
+    }
+  }
+
+  void CarryNews(const SendNews& aNews)
+  {
+    for (auto& node : m_nodes) {
+      if (node->m_id != aNews.m_node || Pick(100) < m_lossPercent / 10) {
+        continue;
+      }
+      FakeNode& receiver = *node;
+      After(Millis(50), [this, &receiver, news = aNews.m_news] {
+        std::visit([&](const auto& aBody) { Send(receiver, aBody); }, news);
+      });
+    }
+  }
+
+  void SendOrderOf(const ServerOrder& aOrder)
+  {
+    // A paused sender, or the network, may deliver an order much later.
+    const bool isLate = m_lateOrders && Pick(5) == 0;
+    const Millis delay(isLate ? Pick(30'000) : 50);
+    After(delay, [this, aOrder] {
+      FakeServer& server = m_servers[aOrder.m_host];
+      if (server.Answers()) {
+        server.Obey(m_now, aOrder);
+      }
+    });
+  }
+
+  void Probe(FakeNode& aNode, const HostId& aHost)
+  {
+    FakeServer& server = m_servers[aHost];
+    if (server.m_isPaused) {
+      After(Millis(1'000),
+            [this, &aNode, aHost] { Send(aNode, ProbeFailed{ aHost }); });
+      return;
+    }
+    if (server.m_isDown) {
+      After(Millis(50),
+            [this, &aNode, aHost] { Send(aNode, ProbeFailed{ aHost }); });
+      return;
+    }
+    ServerReport report;
+    report.m_host = aHost;
+    report.m_boot = BootId(aHost.Value() + "#" + std::to_string(server.m_boot));
+    report.m_group = server.m_group;
+    report.m_generation = server.m_generation;
+    report.m_model = server.m_model;
+    report.m_phase = server.m_phase;
+    report.m_uptime = m_now - server.m_startedAt;
+    report.m_stepTime = server.m_stepTime;
+    After(Millis(50), [this, &aNode, report] { Send(aNode, report); });
+  }
+
+  TableRow RowOf(const std::string& aKey) const
+  {
+    const Row& row = m_table.at(aKey);
+    TableRow result;
+    result.m_key = RowKey(aKey);
+    result.m_version = row.m_version;
+    result.m_operation = row.m_operation;
+    result.m_value = row.m_value;
+    return result;
+  }
+
+  void Answer(FakeNode& aNode, TableResult aResult, Millis aDelay)
+  {
+    After(aDelay,
+          [this, &aNode, result = std::move(aResult)] { Send(aNode, result); });
+  }
+
+  void Read(FakeNode& aNode, const TableRead& aRead)
+  {
+    TableResult result;
+    result.m_operation = aRead.m_operation;
+    result.m_key = aRead.m_key;
+    const bool isLost = Pick(100) < m_lossPercent;
+    if (!m_tableDown && !isLost) {
+      result.m_status = TableStatus::Ok;
+      result.m_change = m_change;
+      for (const auto& [key, row] : m_table) {
+        const bool isMatch = aRead.m_isPrefix
+                               ? key.rfind(aRead.m_key.Value(), 0) == 0 &&
+                                   row.m_change > aRead.m_sinceChange
+                               : key == aRead.m_key.Value();
+        if (isMatch) {
+          result.m_rows.push_back(RowOf(key));
+        }
+      }
+      if (!aRead.m_isPrefix && result.m_rows.empty()) {
+        result.m_status = TableStatus::NotFound;
+      }
+    }
+    Answer(aNode, std::move(result), Millis(50));
+  }
+
+  // Applies the write now or late, and answers it or loses the answer.
+  void Write(FakeNode& aNode, const TableWrite& aWrite)
+  {
+    TableResult result;
+    result.m_operation = aWrite.m_operation;
+    result.m_key = aWrite.m_key;
+    if (m_tableDown) {
+      Answer(aNode, std::move(result), Millis(50));
+      return;
+    }
+    const bool isLost = Pick(100) < m_lossPercent;
+    if (!isLost) {
+      result.m_status = Apply(aWrite);
+      if (result.m_status == TableStatus::Ok) {
+        result.m_rows.push_back(RowOf(aWrite.m_key.Value()));
+      }
+      Answer(aNode, std::move(result), Millis(50));
+      return;
+    }
+    result.m_status = TableStatus::Unknown;
+    After(Millis(Pick(4'000)), [this, aWrite] { Apply(aWrite); });
+    Answer(aNode, std::move(result), Millis(1'000));
+  }
+
+  TableStatus Apply(const TableWrite& aWrite)
+  {
+    const std::string& key = aWrite.m_key.Value();
+    const auto found = m_table.find(key);
+    const RowVersion version =
+      found == m_table.end() ? RowVersion() : found->second.m_version;
+    if (version != aWrite.m_expected) {
+      return TableStatus::Conflict;
+    }
+    m_table[key] =
+      Row{ version.Next(), aWrite.m_operation, aWrite.m_value, ++m_change };
+    if (key.rfind("domain/", 0) == 0) {
+      ++m_rowWrites;
+      RememberMembers(key);
+    }
+    return TableStatus::Ok;
+  }
+
+  void RememberMembers(const std::string& aKey)
+  {
+    LeasedValue value;
+    DomainRow row;
+    if (ParseLeasedValue(m_table[aKey].m_value, value) &&
+        DomainRowFromJson(value.m_body, row)) {
+      m_rows[aKey] = row;
+      for (const Group& group : row.m_groups) {
+        m_members[FakeServer::Key(group.m_id, group.m_generation)] =
+          group.m_members;
+      }
+    }
+  }
+
+  std::string Check() const
+  {
+    std::set<HostId> seen;
+    for (const auto& entry : m_rows) {
+      for (const Group& group : entry.second.m_groups) {
+        for (const HostId& host : group.m_members) {
+          if (!seen.insert(host).second) {
+            return host.Value() + " is in two groups";
+          }
+        }
+      }
+    }
+    for (const auto& node : m_nodes) {
+      if (m_now < node->m_pausedUntil) {
+        continue;
+      }
+      for (const Route& route : node->m_routes) {
+        const std::string wrong = CheckRoute(route);
+        if (!wrong.empty()) {
+          return node->m_id.Value() + ": " + wrong;
+        }
+      }
+    }
+    return {};
+  }
+
+  // A complete group: each member was ready in it within the presence bound.
+  std::string CheckRoute(const Route& aRoute) const
+  {
+    if (!aRoute.m_complete) {
+      return {};
+    }
+    const std::string key =
+      FakeServer::Key(aRoute.m_group, aRoute.m_generation);
+    const auto members = m_members.find(key);
+    if (members == m_members.end()) {
+      return key + " is complete but was never written";
+    }
+    for (const HostId& host : members->second) {
+      const auto& readyAt = m_servers.at(host).m_readyAt;
+      const auto ready = readyAt.find(key);
+      if (ready == readyAt.end() || m_now - ready->second > kPresenceBound) {
+        return key + " is complete without " + host.Value();
+      }
+    }
+    return {};
+  }
+
+  std::mt19937 m_random;
+  Size m_size;
+  std::map<ZoneId, ZoneState> m_zones;
+  std::multimap<Millis, std::function<void()>> m_queue;
+  std::map<std::string, Row> m_table;
+  uint64_t m_change = 0;
+  uint64_t m_incarnation = 0;
+  std::map<std::string, DomainRow> m_rows;
+  std::map<std::string, std::vector<HostId>> m_members;
+};
+
+} // namespace
+
+TEST_CASE("groups form, and serve when every member reports them")
+{
+  World world(1);
+  REQUIRE(world.Run(Millis(30'000), false).empty());
+  CHECK(world.Complete(DomainId()) == 6);
+}
+
+TEST_CASE("long histories of faults")
+{
+  for (uint32_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    World world(seed);
+    REQUIRE(world.Run(Millis(240'000), true) == "");
+    world.Heal();
+    for (uint32_t zone = 0; zone < 3; ++zone) {
+      world.SetZone(World::ZoneName(zone), ZoneState::In);
+    }
+    REQUIRE(world.Run(Millis(200'000), false) == "");
+    uint32_t possible = 0;
+    for (uint32_t domain = 0; domain < 3; ++domain) {
+      possible += world.Possible(domain);
+    }
+    CHECK(world.Complete(DomainId()) == std::min(possible, 6U));
+  }
+}
+
+} // namespace briarglade
--- a/briarglade/placement/presence_news.h
+++ b/briarglade/placement/presence_news.h
@@ -14,7 +14,9 @@
 struct PresenceNews
 {
   NodeId m_watcher;
-  // Counts the watcher's news; a gap means that news was lost.
+  // Counts the watcher's news to one receiver; a gap means that news was lost.
+  // 1 carries everything the watcher knows and voids what it said before. 0
+  // asks the receiver to start again with 1, and carries nothing.
   uint64_t m_sequence = 0;
   // The report's m_receivedAt is replaced by its age at sending.
   std::vector<ServerReport> m_reports;
