A request with an unknown method is refused; it crashed the node

Cause: libevhtp hands on a request whose method it doesn't know, and has no name for it; a std::string was made of that null pointer. Any stranger could end a node with "PWST / HTTP/1.1".

Change: such a request is refused as malformed (code 200, HTTP 400, not run).

Seen failing first: the new row of http_server_test.cc ended the test program (std::logic_error) before the change.

--- a/briarglade/net/http_server.cc
+++ b/briarglade/net/http_server.cc
@@ -20,14 +20,15 @@
 
 constexpr int kBacklog = 1024;
 
-std::string MethodName(htp_method aMethod)
+std::string OrEmpty(const char* aText)
 {
-  return htparser_get_methodstr_m(aMethod);
+  return aText == nullptr ? std::string() : std::string(aText);
 }
 
-std::string OrEmpty(const char* aText)
+// Returns an empty name for a method that libevhtp doesn't know.
+std::string MethodName(htp_method aMethod)
 {
-  return aText == nullptr ? std::string() : std::string(aText);
+  return OrEmpty(htparser_get_methodstr_m(aMethod));
 }
 
 } // namespace
@@ -223,9 +224,14 @@
   if (m_rejected) {
     return;
   }
+  std::string method = MethodName(evhtp_request_get_method(aRequest));
+  if (method.empty()) {
+    Reject(aRequest, ResultCode::MalformedRequest);
+    return;
+  }
   m_timer->Stop();
   m_exchange.reset(new HttpExchange(this, aRequest));
-  m_exchange->m_method = MethodName(evhtp_request_get_method(aRequest));
+  m_exchange->m_method = std::move(method);
   if (aRequest->uri != nullptr && aRequest->uri->path != nullptr) {
     m_exchange->m_path = OrEmpty(aRequest->uri->path->full);
     m_exchange->m_query =
--- a/standin/http_server_test.cc
+++ b/standin/http_server_test.cc
@@ -58,6 +58,9 @@
     { "oversized header", longHeader, { " 431 ", "Briarglade-Code: 201" } },
     { "oversized body", longBody, { " 413 ", "Briarglade-Code: 202" } },
     { "slow sender", slow, { " 408 ", "Briarglade-Code: 209" } },
+    { "unknown method",
+      "PWST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+      { " 400 ", "Briarglade-Code: 200" } },
   };
   for (const BadInput& input : inputs) {
     CAPTURE(input.m_name);
