An engine's extra newline no longer hangs the node

Cause: the stream parser took everything up to the last blank line for whole events, then looked for each event's end from the front. Three newlines in a row left one byte without an end: the search started again at the front, for ever.

Change: one pass from the front decides what is whole, so that the pieces in which a stream arrives can't matter; blank lines before an event are skipped.

--- a/briarglade/routing/sse_parser.cc
+++ b/briarglade/routing/sse_parser.cc
@@ -2,6 +2,7 @@
 
 #include "briarglade/routing/sse_parser.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace briarglade {
@@ -41,12 +42,9 @@
     m_joined.append(aBytes);
     bytes = m_joined;
   }
-  const size_t lastEnd = bytes.rfind(kEventEnd);
-  const size_t whole =
-    lastEnd == std::string_view::npos ? 0 : lastEnd + kEventEnd.size();
+  const size_t whole = Scan(bytes, span);
   m_partial.assign(bytes.substr(whole));
   span.m_events = bytes.substr(0, whole);
-  Scan(span.m_events, span);
   if (m_partial.size() > kMaxEventBytes || (m_ended && !m_partial.empty())) {
     m_broken = true;
   }
@@ -55,25 +53,33 @@
   return span;
 }
 
-void SseParser::Scan(std::string_view aEvents, SseSpan& aSpan)
+size_t SseParser::Scan(std::string_view aBytes, SseSpan& aSpan)
 {
   size_t position = 0;
-  while (position < aEvents.size()) {
-    if (m_ended) {
-      m_broken = true;
-      return;
-    }
-    const size_t end = aEvents.find(kEventEnd, position);
-    const std::string_view event = aEvents.substr(position, end - position);
+  size_t end = aBytes.find(kEventEnd);
+  while (end != std::string_view::npos && !m_broken) {
+    ScanEvent(aBytes.substr(position, end - position), aSpan);
     position = end + kEventEnd.size();
-    if (event.substr(0, kDataField.size()) != kDataField) {
-      continue;
-    }
-    if (DataOf(event) == kEndMarker) {
-      m_ended = true;
-    } else {
-      ++aSpan.m_tokens;
-    }
+    end = aBytes.find(kEventEnd, position);
+  }
+  return position;
+}
+
+void SseParser::ScanEvent(std::string_view aEvent, SseSpan& aSpan)
+{
+  if (m_ended) {
+    m_broken = true;
+    return;
+  }
+  // More than one blank line may stand between events.
+  aEvent.remove_prefix(std::min(aEvent.find_first_not_of('\n'), aEvent.size()));
+  if (aEvent.substr(0, kDataField.size()) != kDataField) {
+    return;
+  }
+  if (DataOf(aEvent) == kEndMarker) {
+    m_ended = true;
+  } else {
+    ++aSpan.m_tokens;
   }
 }
 
--- a/briarglade/routing/sse_parser.h
+++ b/briarglade/routing/sse_parser.h
@@ -35,7 +35,9 @@
   SseSpan Feed(std::string_view aBytes);
 
 private:
-  void Scan(std::string_view aEvents, SseSpan& aSpan);
+  // Takes in the whole events and returns the number of their bytes.
+  size_t Scan(std::string_view aBytes, SseSpan& aSpan);
+  void ScanEvent(std::string_view aEvent, SseSpan& aSpan);
 
   // The beginning of an event that isn't whole yet.
   std::string m_partial;
--- a/briarglade/routing/sse_parser_test.cc
+++ b/briarglade/routing/sse_parser_test.cc
@@ -48,6 +48,20 @@
   CHECK(second.Feed("data: x\n\n").m_broken);
 }
 
+TEST_CASE("extra blank lines between events do no harm")
+{
+  const std::string stream = "\n\n\ndata: x\n\n\n\n\ndata: y\n\n\n";
+  for (size_t piece = 1; piece <= stream.size(); ++piece) {
+    SseParser parser;
+    uint32_t tokens = 0;
+    for (size_t at = 0; at < stream.size(); at += piece) {
+      tokens +=
+        parser.Feed(std::string_view(stream).substr(at, piece)).m_tokens;
+    }
+    CHECK(tokens == 2);
+  }
+}
+
 TEST_CASE("an event without end is bounded")
 {
   SseParser parser;
