--- a/briarglade/config/internal/value_type.cc
+++ b/briarglade/config/internal/value_type.cc
@@ -12,7 +12,7 @@
 
 constexpr uint64_t kHighestCount = 1'000'000'000;
 constexpr uint64_t kHighestPort = 65'535;
-constexpr uint64_t kMaxRange = 10'000;
+constexpr uint64_t kMaxRange = 1'000;
 constexpr size_t kMaxNameBytes = 100;
 constexpr size_t kHashDigits = 64;
 constexpr uint64_t kLongestMillis = 24 * 3'600'000;
