A node cut off from all but one confirmed partner serves on

Taking out the confirmation by a partner at its age (internal/confirmation.cc) failed no test: majority rounds covered the other case. This one has too few vouches for a round within the life of a confirmation.

--- a/briarglade/membership/membership_test.cc
+++ b/briarglade/membership/membership_test.cc
@@ -143,6 +143,18 @@
   CHECK(CountServing(region, 2) == 9);
 }
 
+TEST_CASE(
+  "one partner that is confirmed is enough for a node cut off otherwise")
+{
+  FakeRegion region = MakeRegion(9);
+  region.Isolate(3);
+  region.m_cuts.erase({ 3, 4 });
+  size_t lost = 0;
+  region.m_onTick = [&] { lost += region.Confirmed(3) ? 0 : 1; };
+  region.Run(Millis(30'000));
+  CHECK(lost == 0);
+}
+
 TEST_CASE("the table is down for an hour: all nodes serve without a gap")
 {
   FakeRegion region = MakeRegion(9);
