Routing: a node takes no more than its part of the room that a report shows

Cause: every node saw the same late report and filled the same group, so loads swung between 14 and 55 of 24 while requests queued with room elsewhere. Change: until the next report a node may have at a group what it had at the reported instant and its part of what was free then.

--- a/briarglade/routing/route_book.cc
+++ b/briarglade/routing/route_book.cc
@@ -265,6 +265,12 @@
                  !aSlot.m_route.m_draining && !isOut;
 }
 
+uint32_t RouteBook::PartOf(uint32_t aTotal, uint32_t aRank) const
+{
+  const auto nodes = static_cast<uint32_t>(m_roster.size());
+  return nodes == 0 ? 0 : aTotal / nodes + (aRank < aTotal % nodes ? 1 : 0);
+}
+
 void RouteBook::UpdateShare(RouteSlot& aSlot)
 {
   const std::string& group = aSlot.m_route.m_group.Value();
@@ -294,6 +300,10 @@
   const uint32_t own = InFlightThen(aSlot.m_history, at);
   const uint32_t load = aSlot.m_route.m_load;
   aSlot.m_othersLoad = load > own ? load - own : 0;
+  const uint32_t limit = aSlot.m_route.m_requestLimit;
+  const uint32_t excess = load > limit ? PartOf(load - limit, aSlot.m_rank) : 0;
+  const uint32_t free = load < limit ? PartOf(limit - load, aSlot.m_rank) : 0;
+  aSlot.m_allowance = own + free - std::min(own, excess);
   DropSamplesBefore(aSlot.m_history, at);
 }
 
--- a/briarglade/routing/route_book.h
+++ b/briarglade/routing/route_book.h
@@ -56,6 +56,11 @@
   uint32_t m_admission = 0;
   // This node's guaranteed part of the request limit.
   uint32_t m_share = 0;
+  // This node's rank for the group among the nodes, for uneven divisions.
+  uint32_t m_rank = 0;
+  // Requests in flight that this node may have here until the next report: what
+  // it had at the reported instant and its part of what was free then.
+  uint32_t m_allowance = 0;
 
   Millis m_ejectedUntil;
   uint32_t m_failures = 0;
@@ -142,6 +147,8 @@
   void ReleaseIfUnused(uint32_t aSlot);
   void Detach(uint32_t aSlot);
   void UpdateOpen(RouteSlot& aSlot);
+  // Returns this node's part of something that the roster divides.
+  uint32_t PartOf(uint32_t aTotal, uint32_t aRank) const;
   void UpdateShare(RouteSlot& aSlot);
   void UpdateAdmission(Millis aNow, RouteSlot& aSlot);
   void UpdateOthersLoad(RouteSlot& aSlot);
--- a/briarglade/routing/route_choice.cc
+++ b/briarglade/routing/route_choice.cc
@@ -73,7 +73,8 @@
   if (aSlot.m_ejectedUntil > aNow || aSlot.m_inFlight >= aSlot.m_admission) {
     return false;
   }
-  return aSlot.Load() < aSlot.m_route.m_requestLimit ||
+  return (aSlot.m_inFlight < aSlot.m_allowance &&
+          aSlot.Load() < aSlot.m_route.m_requestLimit) ||
          (aMayUseShare && aSlot.m_inFlight < aSlot.m_share);
 }
 
