Routing: the room that a report shows is divided without remainder

Cause: the node's rank for a group was never set, so each division was rounded up for every node and up to one request a node and group too many was let in. Change: the rank is set; the remainder goes to the first-ranked nodes.

--- a/briarglade/routing/route_book.cc
+++ b/briarglade/routing/route_book.cc
@@ -283,9 +283,8 @@
       ++rank;
     }
   }
-  const uint32_t limit = aSlot.m_route.m_requestLimit;
-  const auto nodes = static_cast<uint32_t>(m_roster.size());
-  aSlot.m_share = isMember ? limit / nodes + (rank < limit % nodes ? 1 : 0) : 0;
+  aSlot.m_rank = rank;
+  aSlot.m_share = isMember ? PartOf(aSlot.m_route.m_requestLimit, rank) : 0;
 }
 
 void RouteBook::UpdateAdmission(Millis aNow, RouteSlot& aSlot)
