Routing: a request joins its queue only if it can expect a short wait

Cause: queues held what could just meet its deadline, so at 85 % load with a zone out the first token took 10 s at the median, and the long answers among them came late. Change: refuse at once, with the time to come back, what would wait for more than 2 s; a request that waits leaves when it would wait for 4 s.

--- a/briarglade/routing/fair_queue.cc
+++ b/briarglade/routing/fair_queue.cc
@@ -210,12 +210,11 @@
                              std::vector<QueuedRequest>& aTaken)
 {
   const size_t before = aTaken.size();
-  const Millis service = MeanService(aAccount);
   size_t ahead = 0;
   for (ClassQueue& entry : m_accounts[aAccount].m_classes) {
     for (auto it = entry.m_waiting.begin(); it != entry.m_waiting.end();) {
       const Millis wait = EstimateWait(aAccount, ahead, aSlots);
-      if (aNow + wait + service <= it->m_deadline) {
+      if (aNow + wait <= it->m_startBy) {
         ++it;
         ++ahead;
         continue;
--- a/briarglade/routing/fair_queue.h
+++ b/briarglade/routing/fair_queue.h
@@ -27,8 +27,8 @@
 {
   // The caller's handle for it.
   uint32_t m_request = 0;
-  // The instant by which the whole answer is due.
-  Millis m_deadline;
+  // The instant by which its attempt must start to be of use.
+  Millis m_startBy;
 };
 
 // Where a request waits: the numbers of its account and of its class there.
@@ -72,8 +72,7 @@
   // before it, if this node holds so many slots. Zero if nothing is known.
   Millis EstimateWait(uint32_t aAccount, size_t aAhead, uint64_t aSlots) const;
 
-  // Removes every request that can't be served before its deadline, and returns
-  // them.
+  // Removes every request that can't be started in time, and returns them.
   std::vector<QueuedRequest> TakeHopeless(Millis aNow, uint64_t aSlots);
   // Removes and returns everything.
   std::vector<QueuedRequest> TakeAll();
--- a/briarglade/routing/internal/attempt_end.cc
+++ b/briarglade/routing/internal/attempt_end.cc
@@ -307,7 +307,7 @@
   for (const uint32_t handle :
        aState.m_requests.InPhase(RequestPhase::Delayed)) {
     if (aState.m_requests.Get(handle).m_notBefore <= aNow) {
-      EnqueueRetry(aState, handle);
+      EnqueueRetry(aState, aNow, handle);
     }
   }
 }
--- a/briarglade/routing/internal/dispatch.cc
+++ b/briarglade/routing/internal/dispatch.cc
@@ -17,6 +17,10 @@
 // Waiting requests of one account and class, and of all, on this node.
 constexpr size_t kMaxClassQueue = 256;
 constexpr size_t kMaxQueued = 8192;
+// A request joins its queue only if it can expect to wait no longer than this,
+// and leaves it again when it would wait longer than twice that.
+constexpr Millis kMaxExpectedWait = Millis(2'000);
+constexpr Millis kMaxWait = Millis(4'000);
 // Bounds of the time after which a refused caller should come back.
 constexpr Millis kMinRetryAfter = Millis(1'000);
 constexpr Millis kMaxRetryAfter = Millis(60'000);
@@ -127,6 +131,28 @@
   return slot.has_value();
 }
 
+// Returns the instant from which a request can't be expected to meet its
+// deadline.
+Millis LatestStart(const RoutingState& aState, const RequestRecord& aRecord)
+{
+  const FairQueue& queue = aState.m_queues[aRecord.m_target];
+  return aRecord.m_request.m_deadline -
+         queue.MeanService(aRecord.m_place.m_account);
+}
+
+// Returns the queue's entry for a request that joins it now. One that has run
+// already waits as long as its deadline allows.
+QueuedRequest QueueEntry(const RoutingState& aState,
+                         Millis aNow,
+                         uint32_t aHandle,
+                         const RequestRecord& aRecord)
+{
+  const Millis latest = LatestStart(aState, aRecord);
+  const bool isRetry = aRecord.m_attempts > 0;
+  return QueuedRequest{ aHandle,
+                        isRetry ? latest : std::min(latest, aNow + kMaxWait) };
+}
+
 // Returns why a request can't join its queue, or Ok.
 ResultCode JudgeQueue(const RoutingState& aState,
                       Millis aNow,
@@ -140,10 +166,11 @@
   }
   const Millis wait = queue.EstimateWait(
     account, queue.AccountSize(account), OwnSlots(aState, aRecord.m_target));
-  const Millis service = queue.MeanService(account);
-  return aNow + wait + service > aRecord.m_request.m_deadline
-           ? ResultCode::QueueDeadline
-           : ResultCode::Ok;
+  if (wait > kMaxExpectedWait) {
+    return ResultCode::QueueFull;
+  }
+  return aNow + wait > LatestStart(aState, aRecord) ? ResultCode::QueueDeadline
+                                                    : ResultCode::Ok;
 }
 
 void Refuse(const RequestArrived& aRequest,
@@ -271,7 +298,7 @@
       aState, handle, code, ComeBackAfter(aState, target, number), aEffects);
     return;
   }
-  queue.PushBack(record.m_place, QueuedRequest{ handle, aRequest.m_deadline });
+  queue.PushBack(record.m_place, QueueEntry(aState, aNow, handle, record));
   Dispatch(aState, aNow, target, aEffects);
 }
 
@@ -368,7 +395,7 @@
   return true;
 }
 
-void EnqueueRetry(RoutingState& aState, uint32_t aHandle)
+void EnqueueRetry(RoutingState& aState, Millis aNow, uint32_t aHandle)
 {
   RequestRecord& record = aState.m_requests.Get(aHandle);
   const RoutedAccount& account = aState.m_accounts[record.m_place.m_account];
@@ -377,8 +404,7 @@
   record.m_phase = RequestPhase::Queued;
   queue.SetAccount(
     record.m_place.m_account, account.m_share, account.m_classWeights);
-  queue.PushFront(record.m_place,
-                  QueuedRequest{ aHandle, record.m_request.m_deadline });
+  queue.PushFront(record.m_place, QueueEntry(aState, aNow, aHandle, record));
 }
 
 void StopWaiting(RoutingState& aState, uint32_t aHandle)
--- a/briarglade/routing/internal/dispatch.h
+++ b/briarglade/routing/internal/dispatch.h
@@ -50,7 +50,7 @@
                     RoutingEffects& aEffects);
 
 // Puts a request that has waited for its retry back in front of its queue.
-void EnqueueRetry(RoutingState& aState, uint32_t aHandle);
+void EnqueueRetry(RoutingState& aState, Millis aNow, uint32_t aHandle);
 
 // Takes a waiting request out of its queue, or out of the delayed ones.
 void StopWaiting(RoutingState& aState, uint32_t aHandle);
