Routing: the guaranteed share of a group is for nodes below their share in all

A node filled its guaranteed share of each group while others held more than theirs, and rounding let every account count as over its share with slots unused. Change: a group's guaranteed share may be used only while the node has less in flight at the target than is guaranteed to it; an account's share isn't rounded.

--- a/briarglade/routing/account_use.cc
+++ b/briarglade/routing/account_use.cc
@@ -70,9 +70,7 @@
   if (m_active.size() <= 1) {
     return false;
   }
-  const uint64_t part =
-    aSlots * use.m_share / std::max<uint64_t>(1, m_activeShares);
-  return use.m_inFlight >= std::max<uint64_t>(1, part);
+  return use.m_inFlight * m_activeShares >= aSlots * use.m_share;
 }
 
 } // namespace briarglade
--- a/briarglade/routing/internal/dispatch.cc
+++ b/briarglade/routing/internal/dispatch.cc
@@ -54,6 +54,13 @@
                                             OwnSlots(aState, aTarget));
 }
 
+// Whether the node has less in flight at a target than is guaranteed to it.
+bool IsNodeBelowShare(const RoutingState& aState, uint32_t aTarget)
+{
+  return aState.m_uses[aTarget].InFlight() <
+         aState.m_book.Target(aTarget).m_share;
+}
+
 // Whether a target is so full that its last slots are kept back from accounts
 // beyond their share.
 bool IsReserveReached(const RoutingState& aState, uint32_t aTarget)
@@ -73,6 +80,7 @@
   question.m_tried = &aRecord.m_tried;
   question.m_avoidZone = aRecord.m_failedZone;
   question.m_mayUseShare =
+    IsNodeBelowShare(aState, aRecord.m_target) &&
     !IsOverShare(aState, aRecord.m_target, aRecord.m_place.m_account);
   return question;
 }
@@ -120,7 +128,9 @@
 {
   const RequestRecord& record = aState.m_requests.Get(aHandle);
   const RouteQuestion question = QuestionFor(aState, record);
-  if (!question.m_mayUseShare && IsReserveReached(aState, record.m_target)) {
+  const bool isOverShare =
+    IsOverShare(aState, record.m_target, record.m_place.m_account);
+  if (isOverShare && IsReserveReached(aState, record.m_target)) {
     return false;
   }
   const std::optional<uint32_t> slot =
@@ -209,7 +219,7 @@
   question.m_mayUseShare = false;
   const bool hasGeneral =
     ChooseRoute(aState.m_book, aNow, question, aState.m_random).has_value();
-  question.m_mayUseShare = true;
+  question.m_mayUseShare = IsNodeBelowShare(aState, aTarget);
   const bool hasShare =
     hasGeneral ||
     ChooseRoute(aState.m_book, aNow, question, aState.m_random).has_value();
