Routing: the capacity of a cold group counts as all nodes may use it

Cause: for the slots kept back from accounts beyond their share, a cold group counted only with what this node may send there, so nodes refused while a returning zone had room. Change: it counts with the ramped limit. Most of what is left falls into the second in which the nodes learn that the zone is back in.

--- a/briarglade/routing/route_book.cc
+++ b/briarglade/routing/route_book.cc
@@ -250,8 +250,7 @@
     if (slot.m_open) {
       target.m_open.push_back(index);
       target.m_load += slot.Load();
-      target.m_limit += std::min(slot.m_route.m_requestLimit,
-                                 slot.m_othersLoad + slot.m_admission);
+      target.m_limit += slot.m_capacity;
       target.m_share += std::min(slot.m_share, slot.m_admission);
     }
   }
@@ -291,6 +290,11 @@
 {
   aSlot.m_admission =
     AdmissionLimit(m_cold, aNow, aSlot.m_route, m_self, m_roster);
+  const Route& route = aSlot.m_route;
+  const Millis uptime = route.m_uptime + (aNow - route.m_reportedAt);
+  aSlot.m_capacity = aSlot.m_admission < route.m_requestLimit
+                       ? RampedLimit(route, uptime)
+                       : route.m_requestLimit;
 }
 
 void RouteBook::UpdateOthersLoad(RouteSlot& aSlot)
--- a/briarglade/routing/route_book.h
+++ b/briarglade/routing/route_book.h
@@ -54,6 +54,8 @@
   std::vector<InFlightSample> m_history;
   // Requests in flight that this node may have here, cold start included.
   uint32_t m_admission = 0;
+  // Requests in flight that all nodes together may have here.
+  uint32_t m_capacity = 0;
   // This node's guaranteed part of the request limit.
   uint32_t m_share = 0;
   // This node's rank for the group among the nodes, for uneven divisions.
