Routing: a late load report counts for less the older it is

Cause: with reports 1 and 5 s late the spread was worse than round robin's, because every node steered by loads that had long changed. Change: the load of the other nodes at a group is expected to drift from the reported one to the mean of all groups, as fast as requests end.

--- a/briarglade/routing/internal/attempt_end.cc
+++ b/briarglade/routing/internal/attempt_end.cc
@@ -265,6 +265,7 @@
   if (record.m_callerGone) {
     FinishWith(aState, handle, ResultCode::CallerGone, Millis(), aEffects);
   } else if (isServed) {
+    aState.m_book.NoteHold(record.m_slot, aNow - record.m_startedAt);
     aState.m_queues[target].NoteService(record.m_place.m_account,
                                         aNow - record.m_startedAt);
     aState.m_retryBudget.NoteSuccess();
--- a/briarglade/routing/reduce_routing.cc
+++ b/briarglade/routing/reduce_routing.cc
@@ -61,7 +61,7 @@
   for (const GroupId& group : aChange.m_removed) {
     book.Remove(aNow, group);
   }
-  book.Settle();
+  book.Settle(aNow);
   internal::SendNotices(aState, aEffects);
   DispatchAll(aState, aNow, aEffects);
 }
--- a/briarglade/routing/route_book.cc
+++ b/briarglade/routing/route_book.cc
@@ -3,6 +3,7 @@
 #include "briarglade/routing/route_book.h"
 
 #include <algorithm>
+#include <cmath>
 #include <xxhash.h>
 
 #include "briarglade/base/rendezvous.h"
@@ -15,6 +16,8 @@
 constexpr Millis kSamplePeriod = Millis(100);
 // Samples kept for each group; they cover a report that is six seconds late.
 constexpr size_t kMaxSamples = 64;
+// Weight of the newest sample in a mean hold time.
+constexpr double kHoldWeight = 1.0 / 64;
 // At least one in this many open groups of a target stays in the choice.
 constexpr size_t kEjectedPart = 2;
 
@@ -183,11 +186,11 @@
   m_targets[slot.m_target].m_dirty = true;
 }
 
-void RouteBook::Settle()
+void RouteBook::Settle(Millis aNow)
 {
   for (uint32_t target = 0; target < m_targets.size(); ++target) {
     if (m_targets[target].m_dirty) {
-      Rebuild(target);
+      Rebuild(aNow, target);
     }
   }
 }
@@ -233,11 +236,11 @@
         UpdateAdmission(aNow, slot);
       }
     }
-    Rebuild(target);
+    Rebuild(aNow, target);
   }
 }
 
-void RouteBook::Rebuild(uint32_t aTarget)
+void RouteBook::Rebuild(Millis aNow, uint32_t aTarget)
 {
   TargetRoutes& target = m_targets[aTarget];
   target.m_dirty = false;
@@ -254,6 +257,35 @@
       target.m_share += std::min(slot.m_share, slot.m_admission);
     }
   }
+  ExpectLoads(aNow, target);
+}
+
+void RouteBook::ExpectLoads(Millis aNow, const TargetRoutes& aTarget)
+{
+  double others = 0;
+  for (const uint32_t index : aTarget.m_open) {
+    others += m_slots[index].m_othersLoad;
+  }
+  const double mean =
+    others / static_cast<double>(std::max<uint64_t>(1, aTarget.m_limit));
+  for (const uint32_t index : aTarget.m_open) {
+    RouteSlot& slot = m_slots[index];
+    const Millis age =
+      aNow - slot.m_route.m_reportedAt + slot.m_route.m_loadAge;
+    const double known =
+      aTarget.m_holdTime > 0
+        ? std::exp(-static_cast<double>(age.Count()) / aTarget.m_holdTime)
+        : 1.0;
+    slot.m_expectedOthers =
+      known * slot.m_othersLoad + (1 - known) * mean * slot.m_capacity;
+  }
+}
+
+void RouteBook::NoteHold(uint32_t aSlot, Millis aTime)
+{
+  double& mean = m_targets[m_slots[aSlot].m_target].m_holdTime;
+  const auto sample = static_cast<double>(aTime.Count());
+  mean += mean == 0 ? sample : (sample - mean) * kHoldWeight;
 }
 
 void RouteBook::UpdateOpen(RouteSlot& aSlot)
--- a/briarglade/routing/route_book.h
+++ b/briarglade/routing/route_book.h
@@ -51,6 +51,9 @@
   uint32_t m_inFlight = 0;
   // The reported load without this node's part of it.
   uint32_t m_othersLoad = 0;
+  // What it is expected to be now: the older the report, the nearer to the mean
+  // of all groups.
+  double m_expectedOthers = 0;
   std::vector<InFlightSample> m_history;
   // Requests in flight that this node may have here, cold start included.
   uint32_t m_admission = 0;
@@ -72,6 +75,7 @@
 
   // Returns the requests that are estimated to be at the group now.
   uint32_t Load() const { return m_othersLoad + m_inFlight; }
+  double ExpectedLoad() const { return m_expectedOthers + m_inFlight; }
 };
 
 // The routes of one model or plain service.
@@ -85,6 +89,9 @@
   uint64_t m_load = 0;
   uint64_t m_limit = 0;
   uint64_t m_share = 0;
+  // Mean time for which a request holds its slot, in milliseconds; zero:
+  // unknown.
+  double m_holdTime = 0;
   // The sums are out of date.
   bool m_dirty = false;
 };
@@ -105,7 +112,7 @@
   // Forgets a group. Call Settle() after the last change.
   Change Remove(Millis aNow, const GroupId& aGroup);
   // Sums the changed targets up again.
-  void Settle();
+  void Settle(Millis aNow);
   void SetZones(Millis aNow, const std::map<ZoneId, ZoneState>& aZones);
   void SetRoster(Millis aNow,
                  uint64_t aVersion,
@@ -133,6 +140,8 @@
 
   void NoteStarted(Millis aNow, uint32_t aSlot);
   void NoteEnded(Millis aNow, uint32_t aSlot);
+  // Records how long a request held its slot.
+  void NoteHold(uint32_t aSlot, Millis aTime);
   // Takes a group out of the choice for a while, unless too many are out.
   // Returns whether it did.
   bool Eject(Millis aNow, uint32_t aSlot, Millis aTime);
@@ -155,7 +164,8 @@
   void UpdateAdmission(Millis aNow, RouteSlot& aSlot);
   void UpdateOthersLoad(RouteSlot& aSlot);
   void RecordInFlight(Millis aNow, RouteSlot& aSlot);
-  void Rebuild(uint32_t aTarget);
+  void Rebuild(Millis aNow, uint32_t aTarget);
+  void ExpectLoads(Millis aNow, const TargetRoutes& aTarget);
 
   NodeId m_self;
   std::vector<NodeId> m_roster;
--- a/briarglade/routing/route_choice.cc
+++ b/briarglade/routing/route_choice.cc
@@ -82,7 +82,8 @@
 // own small limit counts.
 double Fullness(const RouteSlot& aSlot)
 {
-  const double whole = (aSlot.Load() + 1.0) / aSlot.m_route.m_requestLimit;
+  const double whole =
+    (aSlot.ExpectedLoad() + 1.0) / aSlot.m_route.m_requestLimit;
   const double own = (aSlot.m_inFlight + 1.0) / aSlot.m_admission;
   return std::max(whole, own);
 }
