--- a/briarglade/routing/route_choice.cc
+++ b/briarglade/routing/route_choice.cc
@@ -73,7 +73,8 @@
   if (aSlot.m_ejectedUntil > aNow || aSlot.m_inFlight >= aSlot.m_admission) {
     return false;
   }
-  return aSlot.Load() < aSlot.m_route.m_requestLimit ||
+  return (aSlot.m_inFlight < aSlot.m_allowance &&
+          aSlot.Load() < aSlot.m_route.m_requestLimit) ||
          (aMayUseShare && aSlot.m_inFlight < aSlot.m_share);
 }
 
@@ -81,7 +82,8 @@
 // own small limit counts.
 double Fullness(const RouteSlot& aSlot)
 {
-  const double whole = (aSlot.Load() + 1.0) / aSlot.m_route.m_requestLimit;
+  const double whole =
+    (aSlot.ExpectedLoad() + 1.0) / aSlot.m_route.m_requestLimit;
   const double own = (aSlot.m_inFlight + 1.0) / aSlot.m_admission;
   return std::max(whole, own);
 }
