--- a/bench/membership_cost.cc
+++ b/bench/membership_cost.cc
@@ -75,8 +75,10 @@
   RosterFact roster;
   for (size_t i = 0; i < aRegion.m_nodes.size(); ++i) {
     const MembershipSettings& settings = aRegion.m_nodes[i].m_state.m_settings;
-    roster.m_nodes.push_back(
-      RosterNode{ settings.m_self, settings.m_endpoint, settings.m_zone });
+    roster.m_nodes.push_back(RosterNode{ settings.m_self,
+                                         settings.m_endpoint,
+                                         settings.m_zone,
+                                         settings.m_callerEndpoint });
   }
   roster.m_step = RosterStep::Move;
   roster.m_changed = roster.m_nodes.front();
