Tests for rules whose removal no test had noticed; restarted nodes ask back

Taking rules out one at a time showed four that no test needed: a restarted node counting itself in a round, its entry in the told-on vouches, a confirmation of facts that the node lacks, and the age of an answer counted from its receipt. Each has a test now. On the way: a node restarted in an outage that knows no seed had no one to ask; it now asks back whoever asks it.

--- a/briarglade/membership/internal/partners.cc
+++ b/briarglade/membership/internal/partners.cc
@@ -51,17 +51,31 @@
   return aMember.m_askSequence != 0 && aNow - aMember.m_askedAt < kAskTimeout;
 }
 
-// Asks one seed after another while no roster is known.
-void AskSeed(MembershipState& aState, Millis aNow, MembershipEffects& aEffects)
+// Asks a node that isn't known to be on the roster.
+void AskStranger(MembershipState& aState,
+                 Millis aNow,
+                 const NodeId& aNode,
+                 const Endpoint& aEndpoint,
+                 MembershipEffects& aEffects)
 {
-  const std::vector<Endpoint>& seeds = aState.m_settings.m_seeds;
-  if (seeds.empty()) {
+  const bool isPending = aState.m_seedAsk.m_sequence != 0 &&
+                         aNow - aState.m_seedAsk.m_askedAt < kRoundAskPeriod;
+  if (isPending || aEndpoint == Endpoint()) {
     return;
   }
-  const Endpoint& seed = seeds[aState.m_askTurn++ % seeds.size()];
   FactsAsk ask = MakeAsk(aState);
   aState.m_seedAsk = SeedAsk{ ask.m_sequence, aNow };
-  aEffects.emplace_back(SendPeer{ NodeId(), seed, std::move(ask) });
+  aEffects.emplace_back(SendPeer{ aNode, aEndpoint, std::move(ask) });
+}
+
+// Asks one seed after another while no roster is known.
+void AskSeed(MembershipState& aState, Millis aNow, MembershipEffects& aEffects)
+{
+  const std::vector<Endpoint>& seeds = aState.m_settings.m_seeds;
+  if (!seeds.empty()) {
+    const Endpoint& seed = seeds[aState.m_askTurn++ % seeds.size()];
+    AskStranger(aState, aNow, NodeId(), seed, aEffects);
+  }
 }
 
 // Returns the first partners that haven't failed of late; if all have, the
@@ -165,7 +179,9 @@
   if (!IsTableUnhelpful(aState)) {
     return;
   }
-  if (member != nullptr && !IsAskPending(*member, aNow)) {
+  if (member == nullptr) {
+    AskStranger(aState, aNow, aSender.m_node, aSender.m_endpoint, aEffects);
+  } else if (!IsAskPending(*member, aNow)) {
     AskMember(aState, aNow, *member, aEffects);
   }
 }
--- a/briarglade/membership/membership_test.cc
+++ b/briarglade/membership/membership_test.cc
@@ -245,6 +245,37 @@
   CHECK(CountServing(region, 1) == 0);
 }
 
+TEST_CASE("a restarted node doesn't confirm its own lack of memory")
+{
+  // The change is known to nodes 0 and 2; then 2 restarts and 0 is lost.
+  FakeRegion region = MakeRegion(3);
+  region.Cut(0, 1);
+  region.Cut(2, 1);
+  region.m_nodes[1].m_isCutFromTable = true;
+  const CommandId command = region.Apply(0, 1);
+  region.Run(Millis(100));
+  REQUIRE(region.CodeOf(command) == ResultCode::Ok);
+  region.m_table.m_isDown = true;
+  region.Run(kInForceWithin);
+  region.m_cuts.clear();
+  region.m_nodes[0].m_isUp = false;
+  region.Start(2);
+  region.Run(Millis(20'000));
+  CHECK(region.m_nodes[2].m_adoptedVersion == 1);
+  CHECK(CountServing(region, 1) == 0);
+}
+
+TEST_CASE("a restarted node without seeds learns from whoever asks it")
+{
+  FakeRegion region = MakeRegion(5);
+  region.m_table.m_isDown = true;
+  region.Run(Millis(2'000));
+  region.Start(4);
+  region.m_nodes[4].m_state.m_settings.m_seeds.clear();
+  region.Run(Millis(5'000));
+  CHECK(CountServing(region, 1) == 5);
+}
+
 TEST_CASE("of two racing operators one is told of the other")
 {
   FakeRegion region = MakeRegion(5);
@@ -394,19 +425,49 @@
   CHECK(CountServing(region, 1) == 3);
 }
 
+// Runs until a node waits for a partner's answer, and returns an answer that
+// confirms as strongly as one can.
+PeerMessageReceived AwaitAsk(FakeRegion& aRegion, size_t aNode)
+{
+  while (true) {
+    for (const Member& member : aRegion.m_nodes[aNode].m_state.m_members) {
+      if (member.m_askSequence != 0) {
+        FactsAnswer answer;
+        answer.m_sequence = member.m_askSequence;
+        answer.m_version = aRegion.m_nodes[aNode].m_state.m_held;
+        answer.m_vouches = true;
+        answer.m_vouchAges.assign(aRegion.m_nodes.size(), 0);
+        answer.m_confirmedAge = Millis();
+        return PeerMessageReceived{ member.m_node.m_id, 0, answer };
+      }
+    }
+    aRegion.Run(Millis(1));
+  }
+}
+
 TEST_CASE("a paused node doesn't take old answers for fresh ones")
 {
   FakeRegion region = MakeRegion(5);
   region.m_table.m_isDown = true;
   region.Run(Millis(3'000));
+  const PeerMessageReceived answer = AwaitAsk(region, 2);
   region.m_nodes[2].m_isPaused = true;
   region.Run(Millis(5'000));
   region.m_nodes[2].m_isPaused = false;
+  region.Post(2, answer);
   CHECK_FALSE(region.Confirmed(2));
-  for (size_t i = 0; i < 5; ++i) {
-    region.Cut(2, i);
-  }
-  region.Run(Millis(200));
+}
+
+TEST_CASE("a confirmation of facts that this node lacks doesn't confirm it")
+{
+  FakeRegion region = MakeRegion(5);
+  region.Isolate(2);
+  region.Run(Millis(2'500));
+  REQUIRE(region.Confirmed(2));
+  PeerMessageReceived answer = AwaitAsk(region, 2);
+  ++std::get<FactsAnswer>(answer.m_message).m_version.m_config;
+  region.Post(2, answer);
+  region.Run(Millis(1'000));
   CHECK_FALSE(region.Confirmed(2));
 }
 
