--- a/briarglade/routing/route_choice.cc
+++ b/briarglade/routing/route_choice.cc
@@ -10,6 +10,8 @@
 
 namespace {
 
+// Groups drawn at random, of which the least loaded is taken.
+constexpr uint32_t kSamples = 3;
 // A group named by prefix affinity may carry this much more than the mean load,
 // in parts of the mean, and a few requests on top.
 constexpr double kAffinityFactor = 1.25;
@@ -185,12 +187,17 @@
       return affine;
     }
   }
-  const uint32_t first = open[aRandom() % open.size()];
-  const uint32_t second = open[aRandom() % open.size()];
-  if (isUsable(first) && isUsable(second)) {
-    const bool isSecond =
-      IsBetter(aBook.Slot(second), aBook.Slot(first), aQuestion.m_zone);
-    return isSecond ? second : first;
+  std::optional<uint32_t> best;
+  for (uint32_t sample = 0; sample < kSamples; ++sample) {
+    const uint32_t index = open[aRandom() % open.size()];
+    if (isUsable(index) &&
+        (!best ||
+         IsBetter(aBook.Slot(index), aBook.Slot(*best), aQuestion.m_zone))) {
+      best = index;
+    }
+  }
+  if (best) {
+    return best;
   }
   for (const Allow allow : kFallbacks) {
     const auto best = IsUseful(aQuestion, allow)
--- a/briarglade/routing/route_choice.h
+++ b/briarglade/routing/route_choice.h
@@ -1,6 +1,6 @@
 // The choice of a group for one request: the group that rendezvous hashing
-// names for the prompt's prefix while its load is within a bound, else the
-// better of two by estimated load, else the least loaded that has room.
+// names for the prompt's prefix while its load is within a bound, else the best
+// of three random ones by expected load, else the least loaded that has room.
 //
 // Example:
 //   std::optional<uint32_t> slot = ChooseRoute(book, now, question, random);
