--- a/briarglade/actions/internal/record.cc
+++ b/briarglade/actions/internal/record.cc
@@ -268,9 +268,11 @@
   ActionRecord& record = *FindRecord(aStep, aRow);
   record.m_owner = RequestId();
   record.m_giveUpAt = aStep.m_now + kSettleTime;
-  const std::vector<RequestId> calls = LiveCalls(aStep, record);
-  if (!calls.empty()) {
-    SetOwner(aStep, record, calls.front());
+  record.m_waiters = LiveCalls(aStep, record);
+  if (!record.m_waiters.empty()) {
+    const RequestId next = record.m_waiters.front();
+    record.m_waiters.erase(record.m_waiters.begin());
+    SetOwner(aStep, record, next);
   }
 }
 
