--- a/briarglade/net/http_server.cc
+++ b/briarglade/net/http_server.cc
@@ -6,8 +6,11 @@
 
 #include "briarglade/net/http_server.h"
 
-#include <cstring>
+#include <algorithm>
+#include <cstdio>
 #include <evhtp.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
 #include <utility>
 
 #include "briarglade/net/event_loop.h"
@@ -20,14 +23,15 @@
 
 constexpr int kBacklog = 1024;
 
-std::string MethodName(htp_method aMethod)
+std::string OrEmpty(const char* aText)
 {
-  return htparser_get_methodstr_m(aMethod);
+  return aText == nullptr ? std::string() : std::string(aText);
 }
 
-std::string OrEmpty(const char* aText)
+// Returns an empty name for a method that libevhtp doesn't know.
+std::string MethodName(htp_method aMethod)
 {
-  return aText == nullptr ? std::string() : std::string(aText);
+  return OrEmpty(htparser_get_methodstr_m(aMethod));
 }
 
 } // namespace
@@ -223,9 +227,14 @@
   if (m_rejected) {
     return;
   }
+  std::string method = MethodName(evhtp_request_get_method(aRequest));
+  if (method.empty()) {
+    Reject(aRequest, ResultCode::MalformedRequest);
+    return;
+  }
   m_timer->Stop();
   m_exchange.reset(new HttpExchange(this, aRequest));
-  m_exchange->m_method = MethodName(evhtp_request_get_method(aRequest));
+  m_exchange->m_method = std::move(method);
   if (aRequest->uri != nullptr && aRequest->uri->path != nullptr) {
     m_exchange->m_path = OrEmpty(aRequest->uri->path->full);
     m_exchange->m_query =
@@ -286,8 +295,10 @@
   if (!IsOpen() || aData.empty()) {
     return;
   }
-  if (UnsentBytes() == 0) {
-    m_connection->WatchWrites();
+  const bool isChunked = (m_request->flags & EVHTP_REQ_FLAG_CHUNKED) != 0;
+  if (isChunked && UnsentBytes() == 0) {
+    WriteChunkNow(aData);
+    return;
   }
   evbuffer* chunk = evbuffer_new();
   evbuffer_add(chunk, aData.data(), aData.size());
@@ -295,6 +306,40 @@
   evbuffer_free(chunk);
 }
 
+void HttpExchange::WriteChunkNow(std::string_view aData)
+{
+  constexpr size_t kPieces = 3;
+  constexpr std::string_view kChunkEnd = "\r\n";
+  char size[24];
+  const int sizeLength =
+    std::snprintf(size, sizeof(size), "%zx\r\n", aData.size());
+  iovec pieces[kPieces] = { { size, static_cast<size_t>(sizeLength) },
+                            { const_cast<char*>(aData.data()), aData.size() },
+                            { const_cast<char*>(kChunkEnd.data()),
+                              kChunkEnd.size() } };
+  msghdr message{};
+  message.msg_iov = pieces;
+  message.msg_iovlen = kPieces;
+  bufferevent* bev = evhtp_request_get_bev(m_request);
+  const ssize_t result =
+    sendmsg(bufferevent_getfd(bev), &message, MSG_DONTWAIT | MSG_NOSIGNAL);
+  size_t sent = result > 0 ? static_cast<size_t>(result) : 0;
+  // What the kernel didn't take waits in the connection's buffer; a broken
+  // connection is noticed there.
+  for (const iovec& piece : pieces) {
+    const size_t skipped = std::min(sent, piece.iov_len);
+    sent -= skipped;
+    if (skipped < piece.iov_len) {
+      bufferevent_write(bev,
+                        static_cast<const char*>(piece.iov_base) + skipped,
+                        piece.iov_len - skipped);
+    }
+  }
+  if (UnsentBytes() > 0) {
+    m_connection->WatchWrites();
+  }
+}
+
 void HttpExchange::EndStream()
 {
   if (!IsOpen()) {
--- a/briarglade/net/peer.capnp.h
+++ b/briarglade/net/peer.capnp.h
@@ -19,7 +19,7 @@
 namespace capnp {
 namespace schemas {
 
-CAPNP_DECLARE_SCHEMA(d021729cb80210f7);
+CAPNP_DECLARE_SCHEMA(d9cc29fe30925c0f);
 CAPNP_DECLARE_SCHEMA(fb46b6b5ab750998);
 CAPNP_DECLARE_SCHEMA(92a51d59e2f10e25);
 CAPNP_DECLARE_SCHEMA(ad92d6de1603b74f);
@@ -30,9 +30,9 @@
 namespace briarglade {
 namespace wire {
 
-struct Envelope
+struct PeerEnvelope
 {
-  Envelope() = delete;
+  PeerEnvelope() = delete;
 
   class Reader;
   class Builder;
@@ -40,7 +40,7 @@
 
   struct _capnpPrivate
   {
-    CAPNP_DECLARE_STRUCT_HEADER(d021729cb80210f7, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(d9cc29fe30925c0f, 3, 5)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand()
     {
@@ -59,8 +59,8 @@
   class Server;
 #endif // !CAPNP_LITE
 
-  struct ExchangeParams;
-  struct ExchangeResults;
+  struct DeliverParams;
+  struct DeliverResults;
 
 #if !CAPNP_LITE
   struct _capnpPrivate
@@ -74,9 +74,9 @@
 #endif // !CAPNP_LITE
 };
 
-struct Peer::ExchangeParams
+struct Peer::DeliverParams
 {
-  ExchangeParams() = delete;
+  DeliverParams() = delete;
 
   class Reader;
   class Builder;
@@ -94,9 +94,9 @@
   };
 };
 
-struct Peer::ExchangeResults
+struct Peer::DeliverResults
 {
-  ExchangeResults() = delete;
+  DeliverResults() = delete;
 
   class Reader;
   class Builder;
@@ -104,7 +104,7 @@
 
   struct _capnpPrivate
   {
-    CAPNP_DECLARE_STRUCT_HEADER(ad92d6de1603b74f, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ad92d6de1603b74f, 0, 0)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand()
     {
@@ -116,10 +116,10 @@
 
 // =======================================================================================
 
-class Envelope::Reader
+class PeerEnvelope::Reader
 {
 public:
-  typedef Envelope Reads;
+  typedef PeerEnvelope Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base)
@@ -149,6 +149,11 @@
 
   inline ::uint64_t getIncarnation() const;
 
+  inline bool hasReceiver() const;
+  inline ::capnp::Text::Reader getReceiver() const;
+
+  inline ::uint64_t getSequence() const;
+
   inline bool hasProof() const;
   inline ::capnp::Data::Reader getProof() const;
 
@@ -167,10 +172,10 @@
   friend class ::capnp::Orphanage;
 };
 
-class Envelope::Builder
+class PeerEnvelope::Builder
 {
 public:
-  typedef Envelope Builds;
+  typedef PeerEnvelope Builds;
 
   Builder() = delete; // Deleted to discourage incorrect usage.
                       // You can explicitly initialize to nullptr instead.
@@ -213,6 +218,16 @@
   inline ::uint64_t getIncarnation();
   inline void setIncarnation(::uint64_t value);
 
+  inline bool hasReceiver();
+  inline ::capnp::Text::Builder getReceiver();
+  inline void setReceiver(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initReceiver(unsigned int size);
+  inline void adoptReceiver(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownReceiver();
+
+  inline ::uint64_t getSequence();
+  inline void setSequence(::uint64_t value);
+
   inline bool hasProof();
   inline ::capnp::Data::Builder getProof();
   inline void setProof(::capnp::Data::Reader value);
@@ -237,10 +252,10 @@
 };
 
 #if !CAPNP_LITE
-class Envelope::Pipeline
+class PeerEnvelope::Pipeline
 {
 public:
-  typedef Envelope Pipelines;
+  typedef PeerEnvelope Pipelines;
 
   inline Pipeline(decltype(nullptr))
     : _typeless(nullptr)
@@ -280,9 +295,9 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request<::briarglade::wire::Peer::ExchangeParams,
-                   ::briarglade::wire::Peer::ExchangeResults>
-  exchangeRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request<::briarglade::wire::Peer::DeliverParams,
+                   ::briarglade::wire::Peer::DeliverResults>
+  deliverRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -300,10 +315,10 @@
     override;
 
 protected:
-  typedef ::briarglade::wire::Peer::ExchangeParams ExchangeParams;
-  typedef ::briarglade::wire::Peer::ExchangeResults ExchangeResults;
-  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
-  virtual ::kj::Promise<void> exchange(ExchangeContext context);
+  typedef ::briarglade::wire::Peer::DeliverParams DeliverParams;
+  typedef ::briarglade::wire::Peer::DeliverResults DeliverResults;
+  typedef ::capnp::CallContext<DeliverParams, DeliverResults> DeliverContext;
+  virtual ::kj::Promise<void> deliver(DeliverContext context);
 
   inline ::briarglade::wire::Peer::Client thisCap()
   {
@@ -317,10 +332,10 @@
 };
 #endif // !CAPNP_LITE
 
-class Peer::ExchangeParams::Reader
+class Peer::DeliverParams::Reader
 {
 public:
-  typedef ExchangeParams Reads;
+  typedef DeliverParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base)
@@ -341,7 +356,7 @@
 #endif // !CAPNP_LITE
 
   inline bool hasEnvelope() const;
-  inline ::briarglade::wire::Envelope::Reader getEnvelope() const;
+  inline ::briarglade::wire::PeerEnvelope::Reader getEnvelope() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -355,10 +370,10 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ExchangeParams::Builder
+class Peer::DeliverParams::Builder
 {
 public:
-  typedef ExchangeParams Builds;
+  typedef DeliverParams Builds;
 
   Builder() = delete; // Deleted to discourage incorrect usage.
                       // You can explicitly initialize to nullptr instead.
@@ -382,12 +397,12 @@
 #endif // !CAPNP_LITE
 
   inline bool hasEnvelope();
-  inline ::briarglade::wire::Envelope::Builder getEnvelope();
-  inline void setEnvelope(::briarglade::wire::Envelope::Reader value);
-  inline ::briarglade::wire::Envelope::Builder initEnvelope();
+  inline ::briarglade::wire::PeerEnvelope::Builder getEnvelope();
+  inline void setEnvelope(::briarglade::wire::PeerEnvelope::Reader value);
+  inline ::briarglade::wire::PeerEnvelope::Builder initEnvelope();
   inline void adoptEnvelope(
-    ::capnp::Orphan<::briarglade::wire::Envelope>&& value);
-  inline ::capnp::Orphan<::briarglade::wire::Envelope> disownEnvelope();
+    ::capnp::Orphan<::briarglade::wire::PeerEnvelope>&& value);
+  inline ::capnp::Orphan<::briarglade::wire::PeerEnvelope> disownEnvelope();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -399,10 +414,10 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ExchangeParams::Pipeline
+class Peer::DeliverParams::Pipeline
 {
 public:
-  typedef ExchangeParams Pipelines;
+  typedef DeliverParams Pipelines;
 
   inline Pipeline(decltype(nullptr))
     : _typeless(nullptr)
@@ -413,7 +428,7 @@
   {
   }
 
-  inline ::briarglade::wire::Envelope::Pipeline getEnvelope();
+  inline ::briarglade::wire::PeerEnvelope::Pipeline getEnvelope();
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
@@ -423,10 +438,10 @@
 };
 #endif // !CAPNP_LITE
 
-class Peer::ExchangeResults::Reader
+class Peer::DeliverResults::Reader
 {
 public:
-  typedef ExchangeResults Reads;
+  typedef DeliverResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base)
@@ -446,9 +461,6 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool hasEnvelope() const;
-  inline ::briarglade::wire::Envelope::Reader getEnvelope() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -461,10 +473,10 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ExchangeResults::Builder
+class Peer::DeliverResults::Builder
 {
 public:
-  typedef ExchangeResults Builds;
+  typedef DeliverResults Builds;
 
   Builder() = delete; // Deleted to discourage incorrect usage.
                       // You can explicitly initialize to nullptr instead.
@@ -487,14 +499,6 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool hasEnvelope();
-  inline ::briarglade::wire::Envelope::Builder getEnvelope();
-  inline void setEnvelope(::briarglade::wire::Envelope::Reader value);
-  inline ::briarglade::wire::Envelope::Builder initEnvelope();
-  inline void adoptEnvelope(
-    ::capnp::Orphan<::briarglade::wire::Envelope>&& value);
-  inline ::capnp::Orphan<::briarglade::wire::Envelope> disownEnvelope();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -505,10 +509,10 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ExchangeResults::Pipeline
+class Peer::DeliverResults::Pipeline
 {
 public:
-  typedef ExchangeResults Pipelines;
+  typedef DeliverResults Pipelines;
 
   inline Pipeline(decltype(nullptr))
     : _typeless(nullptr)
@@ -519,8 +523,6 @@
   {
   }
 
-  inline ::briarglade::wire::Envelope::Pipeline getEnvelope();
-
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -531,212 +533,277 @@
 
 // =======================================================================================
 
-inline bool Envelope::Reader::hasCluster() const
+inline bool PeerEnvelope::Reader::hasCluster() const
 {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool Envelope::Builder::hasCluster()
+inline bool PeerEnvelope::Builder::hasCluster()
 {
   return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::capnp::Text::Reader Envelope::Reader::getCluster() const
+inline ::capnp::Text::Reader PeerEnvelope::Reader::getCluster() const
 {
   return ::capnp::_::PointerHelpers<::capnp::Text>::get(
     _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Envelope::Builder::getCluster()
+inline ::capnp::Text::Builder PeerEnvelope::Builder::getCluster()
 {
   return ::capnp::_::PointerHelpers<::capnp::Text>::get(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Envelope::Builder::setCluster(::capnp::Text::Reader value)
+inline void PeerEnvelope::Builder::setCluster(::capnp::Text::Reader value)
 {
   ::capnp::_::PointerHelpers<::capnp::Text>::set(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Envelope::Builder::initCluster(unsigned int size)
+inline ::capnp::Text::Builder PeerEnvelope::Builder::initCluster(
+  unsigned int size)
 {
   return ::capnp::_::PointerHelpers<::capnp::Text>::init(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Envelope::Builder::adoptCluster(
+inline void PeerEnvelope::Builder::adoptCluster(
   ::capnp::Orphan<::capnp::Text>&& value)
 {
   ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
     kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Envelope::Builder::disownCluster()
+inline ::capnp::Orphan<::capnp::Text> PeerEnvelope::Builder::disownCluster()
 {
   return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t Envelope::Reader::getProtocol() const
+inline ::uint32_t PeerEnvelope::Reader::getProtocol() const
 {
   return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() *
                                           ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Envelope::Builder::getProtocol()
+inline ::uint32_t PeerEnvelope::Builder::getProtocol()
 {
   return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() *
                                            ::capnp::ELEMENTS);
 }
-inline void Envelope::Builder::setProtocol(::uint32_t value)
+inline void PeerEnvelope::Builder::setProtocol(::uint32_t value)
 {
   _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
                                     value);
 }
 
-inline bool Envelope::Reader::hasSender() const
+inline bool PeerEnvelope::Reader::hasSender() const
 {
   return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool Envelope::Builder::hasSender()
+inline bool PeerEnvelope::Builder::hasSender()
 {
   return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::capnp::Text::Reader Envelope::Reader::getSender() const
+inline ::capnp::Text::Reader PeerEnvelope::Reader::getSender() const
 {
   return ::capnp::_::PointerHelpers<::capnp::Text>::get(
     _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Envelope::Builder::getSender()
+inline ::capnp::Text::Builder PeerEnvelope::Builder::getSender()
 {
   return ::capnp::_::PointerHelpers<::capnp::Text>::get(
     _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Envelope::Builder::setSender(::capnp::Text::Reader value)
+inline void PeerEnvelope::Builder::setSender(::capnp::Text::Reader value)
 {
   ::capnp::_::PointerHelpers<::capnp::Text>::set(
     _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Envelope::Builder::initSender(unsigned int size)
+inline ::capnp::Text::Builder PeerEnvelope::Builder::initSender(
+  unsigned int size)
 {
   return ::capnp::_::PointerHelpers<::capnp::Text>::init(
     _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Envelope::Builder::adoptSender(
+inline void PeerEnvelope::Builder::adoptSender(
   ::capnp::Orphan<::capnp::Text>&& value)
 {
   ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
     _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
     kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Envelope::Builder::disownSender()
+inline ::capnp::Orphan<::capnp::Text> PeerEnvelope::Builder::disownSender()
 {
   return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
     _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Envelope::Reader::getIncarnation() const
+inline ::uint64_t PeerEnvelope::Reader::getIncarnation() const
 {
   return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
                                           ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Envelope::Builder::getIncarnation()
+inline ::uint64_t PeerEnvelope::Builder::getIncarnation()
 {
   return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
                                            ::capnp::ELEMENTS);
 }
-inline void Envelope::Builder::setIncarnation(::uint64_t value)
+inline void PeerEnvelope::Builder::setIncarnation(::uint64_t value)
 {
   _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
                                     value);
 }
 
-inline bool Envelope::Reader::hasProof() const
+inline bool PeerEnvelope::Reader::hasReceiver() const
 {
   return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool Envelope::Builder::hasProof()
+inline bool PeerEnvelope::Builder::hasReceiver()
 {
   return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::capnp::Data::Reader Envelope::Reader::getProof() const
+inline ::capnp::Text::Reader PeerEnvelope::Reader::getReceiver() const
 {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
     _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Envelope::Builder::getProof()
+inline ::capnp::Text::Builder PeerEnvelope::Builder::getReceiver()
 {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
     _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Envelope::Builder::setProof(::capnp::Data::Reader value)
+inline void PeerEnvelope::Builder::setReceiver(::capnp::Text::Reader value)
 {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
     _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder Envelope::Builder::initProof(unsigned int size)
+inline ::capnp::Text::Builder PeerEnvelope::Builder::initReceiver(
+  unsigned int size)
 {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
     _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Envelope::Builder::adoptProof(
-  ::capnp::Orphan<::capnp::Data>&& value)
+inline void PeerEnvelope::Builder::adoptReceiver(
+  ::capnp::Orphan<::capnp::Text>&& value)
 {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
     _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
     kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> Envelope::Builder::disownProof()
+inline ::capnp::Orphan<::capnp::Text> PeerEnvelope::Builder::disownReceiver()
 {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
     _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Envelope::Reader::hasPayload() const
+inline ::uint64_t PeerEnvelope::Reader::getSequence() const
+{
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t PeerEnvelope::Builder::getSequence()
+{
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void PeerEnvelope::Builder::setSequence(::uint64_t value)
+{
+  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline bool PeerEnvelope::Reader::hasProof() const
 {
   return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool Envelope::Builder::hasPayload()
+inline bool PeerEnvelope::Builder::hasProof()
 {
   return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::capnp::Data::Reader Envelope::Reader::getPayload() const
+inline ::capnp::Data::Reader PeerEnvelope::Reader::getProof() const
 {
   return ::capnp::_::PointerHelpers<::capnp::Data>::get(
     _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Envelope::Builder::getPayload()
+inline ::capnp::Data::Builder PeerEnvelope::Builder::getProof()
 {
   return ::capnp::_::PointerHelpers<::capnp::Data>::get(
     _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Envelope::Builder::setPayload(::capnp::Data::Reader value)
+inline void PeerEnvelope::Builder::setProof(::capnp::Data::Reader value)
 {
   ::capnp::_::PointerHelpers<::capnp::Data>::set(
     _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder Envelope::Builder::initPayload(unsigned int size)
+inline ::capnp::Data::Builder PeerEnvelope::Builder::initProof(
+  unsigned int size)
 {
   return ::capnp::_::PointerHelpers<::capnp::Data>::init(
     _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Envelope::Builder::adoptPayload(
+inline void PeerEnvelope::Builder::adoptProof(
   ::capnp::Orphan<::capnp::Data>&& value)
 {
   ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
     _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
     kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> Envelope::Builder::disownPayload()
+inline ::capnp::Orphan<::capnp::Data> PeerEnvelope::Builder::disownProof()
 {
   return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
     _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool PeerEnvelope::Reader::hasPayload() const
+{
+  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool PeerEnvelope::Builder::hasPayload()
+{
+  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Data::Reader PeerEnvelope::Reader::getPayload() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+    _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline ::capnp::Data::Builder PeerEnvelope::Builder::getPayload()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+    _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void PeerEnvelope::Builder::setPayload(::capnp::Data::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Data>::set(
+    _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Data::Builder PeerEnvelope::Builder::initPayload(
+  unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+    _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void PeerEnvelope::Builder::adoptPayload(
+  ::capnp::Orphan<::capnp::Data>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+    _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Data> PeerEnvelope::Builder::disownPayload()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+    _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
   : ::capnp::Capability::Client(nullptr)
@@ -772,113 +839,59 @@
 }
 
 #endif // !CAPNP_LITE
-inline bool Peer::ExchangeParams::Reader::hasEnvelope() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool Peer::ExchangeParams::Builder::hasEnvelope()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::briarglade::wire::Envelope::Reader
-Peer::ExchangeParams::Reader::getEnvelope() const
-{
-  return ::capnp::_::PointerHelpers<::briarglade::wire::Envelope>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::briarglade::wire::Envelope::Builder
-Peer::ExchangeParams::Builder::getEnvelope()
-{
-  return ::capnp::_::PointerHelpers<::briarglade::wire::Envelope>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline ::briarglade::wire::Envelope::Pipeline
-Peer::ExchangeParams::Pipeline::getEnvelope()
-{
-  return ::briarglade::wire::Envelope::Pipeline(_typeless.getPointerField(0));
-}
-#endif // !CAPNP_LITE
-inline void Peer::ExchangeParams::Builder::setEnvelope(
-  ::briarglade::wire::Envelope::Reader value)
-{
-  ::capnp::_::PointerHelpers<::briarglade::wire::Envelope>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::briarglade::wire::Envelope::Builder
-Peer::ExchangeParams::Builder::initEnvelope()
-{
-  return ::capnp::_::PointerHelpers<::briarglade::wire::Envelope>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::ExchangeParams::Builder::adoptEnvelope(
-  ::capnp::Orphan<::briarglade::wire::Envelope>&& value)
-{
-  ::capnp::_::PointerHelpers<::briarglade::wire::Envelope>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::briarglade::wire::Envelope>
-Peer::ExchangeParams::Builder::disownEnvelope()
-{
-  return ::capnp::_::PointerHelpers<::briarglade::wire::Envelope>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::ExchangeResults::Reader::hasEnvelope() const
+inline bool Peer::DeliverParams::Reader::hasEnvelope() const
 {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool Peer::ExchangeResults::Builder::hasEnvelope()
+inline bool Peer::DeliverParams::Builder::hasEnvelope()
 {
   return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::briarglade::wire::Envelope::Reader
-Peer::ExchangeResults::Reader::getEnvelope() const
+inline ::briarglade::wire::PeerEnvelope::Reader
+Peer::DeliverParams::Reader::getEnvelope() const
 {
-  return ::capnp::_::PointerHelpers<::briarglade::wire::Envelope>::get(
+  return ::capnp::_::PointerHelpers<::briarglade::wire::PeerEnvelope>::get(
     _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::briarglade::wire::Envelope::Builder
-Peer::ExchangeResults::Builder::getEnvelope()
+inline ::briarglade::wire::PeerEnvelope::Builder
+Peer::DeliverParams::Builder::getEnvelope()
 {
-  return ::capnp::_::PointerHelpers<::briarglade::wire::Envelope>::get(
+  return ::capnp::_::PointerHelpers<::briarglade::wire::PeerEnvelope>::get(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::briarglade::wire::Envelope::Pipeline
-Peer::ExchangeResults::Pipeline::getEnvelope()
+inline ::briarglade::wire::PeerEnvelope::Pipeline
+Peer::DeliverParams::Pipeline::getEnvelope()
 {
-  return ::briarglade::wire::Envelope::Pipeline(_typeless.getPointerField(0));
+  return ::briarglade::wire::PeerEnvelope::Pipeline(
+    _typeless.getPointerField(0));
 }
 #endif // !CAPNP_LITE
-inline void Peer::ExchangeResults::Builder::setEnvelope(
-  ::briarglade::wire::Envelope::Reader value)
+inline void Peer::DeliverParams::Builder::setEnvelope(
+  ::briarglade::wire::PeerEnvelope::Reader value)
 {
-  ::capnp::_::PointerHelpers<::briarglade::wire::Envelope>::set(
+  ::capnp::_::PointerHelpers<::briarglade::wire::PeerEnvelope>::set(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::briarglade::wire::Envelope::Builder
-Peer::ExchangeResults::Builder::initEnvelope()
+inline ::briarglade::wire::PeerEnvelope::Builder
+Peer::DeliverParams::Builder::initEnvelope()
 {
-  return ::capnp::_::PointerHelpers<::briarglade::wire::Envelope>::init(
+  return ::capnp::_::PointerHelpers<::briarglade::wire::PeerEnvelope>::init(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::ExchangeResults::Builder::adoptEnvelope(
-  ::capnp::Orphan<::briarglade::wire::Envelope>&& value)
+inline void Peer::DeliverParams::Builder::adoptEnvelope(
+  ::capnp::Orphan<::briarglade::wire::PeerEnvelope>&& value)
 {
-  ::capnp::_::PointerHelpers<::briarglade::wire::Envelope>::adopt(
+  ::capnp::_::PointerHelpers<::briarglade::wire::PeerEnvelope>::adopt(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
     kj::mv(value));
 }
-inline ::capnp::Orphan<::briarglade::wire::Envelope>
-Peer::ExchangeResults::Builder::disownEnvelope()
+inline ::capnp::Orphan<::briarglade::wire::PeerEnvelope>
+Peer::DeliverParams::Builder::disownEnvelope()
 {
-  return ::capnp::_::PointerHelpers<::briarglade::wire::Envelope>::disown(
+  return ::capnp::_::PointerHelpers<::briarglade::wire::PeerEnvelope>::disown(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
