--- a/briarglade/actions/actions_world_test.h
+++ b/briarglade/actions/actions_world_test.h
@@ -112,7 +112,6 @@
 class World
 {
 public:
-  static constexpr Millis kTick = Millis(250);
   static constexpr Millis kStoreTime = Millis(1);
   static constexpr Millis kStoreTimeout = Millis(1'000);
   static constexpr Millis kLateBy = Millis(3'000);
@@ -123,27 +122,38 @@
   std::function<StoreFault(size_t aNode, const TableWrite&)> m_onWrite;
   std::function<StoreFault(size_t aNode)> m_onRead;
   std::function<StoreFault(size_t aNode)> m_onObject;
+  // For writes of the retention clock.
+  std::function<StoreFault(size_t aNode)> m_onClock;
   std::function<ServiceFault(const RequestArrived&, int aTry)> m_onAttempt;
   // Called when the service has run a call, before the node knows.
   std::function<void(size_t aNode)> m_afterRun;
   // Called when a node has been asked to run a call, before it sends it.
   std::function<void(size_t aNode)> m_beforeSend;
 
-  explicit World(size_t aNodes, size_t aBodyBytes = 0)
+  explicit World(size_t aNodes,
+                 size_t aBodyBytes = 0,
+                 Millis aTick = Millis(250))
     : m_bodyBytes(aBodyBytes)
+    , m_tick(aTick)
   {
     for (size_t i = 0; i < aNodes; ++i) {
       m_nodes.emplace_back();
       Restart(i);
     }
-    RunFor(kTick * 4);
+    RunFor(m_tick * 4);
   }
 
   Millis Now() const { return m_now; }
   void Outage() { m_outageUntil = m_now + kOutageTime; }
   const ActionsState& State(size_t aNode) { return m_nodes[aNode].m_state; }
   const std::map<std::string, Sending>& Sendings() const { return m_sendings; }
-  size_t RowCount() const { return m_rows.size(); }
+  size_t RowCount() const
+  {
+    return static_cast<size_t>(
+      std::count_if(m_rows.begin(), m_rows.end(), [](const auto& aEntry) {
+        return aEntry.second.m_exists;
+      }));
+  }
   size_t ObjectCount() const { return m_objects.size(); }
 
   // Loses the node's memory, its timers and all that is on the way to it.
@@ -321,7 +331,7 @@
     if (!m_nodes[aNode].m_paused) {
       Deliver(aNode, aRun, ActionsTick{});
     }
-    At(kTick, [this, aNode, aRun] { Tick(aNode, aRun); });
+    At(m_tick, [this, aNode, aRun] { Tick(aNode, aRun); });
   }
 
   void CarryOut(size_t aNode, const ActionsEffects& aEffects)
@@ -396,8 +406,12 @@
   void Carry(size_t aNode, uint64_t aRun, const TableWrite& aWrite)
   {
     const bool isAction = aWrite.m_key.Value().rfind(kActionPrefix, 0) == 0;
-    const StoreFault fault =
-      isAction && m_onWrite ? m_onWrite(aNode, aWrite) : StoreFault::None;
+    StoreFault fault = StoreFault::None;
+    if (isAction && m_onWrite) {
+      fault = m_onWrite(aNode, aWrite);
+    } else if (!isAction && m_onClock) {
+      fault = m_onClock(aNode);
+    }
     TableResult failed;
     failed.m_operation = aWrite.m_operation;
     CarryStore<TableResult>(
@@ -582,6 +596,7 @@
   }
 
   size_t m_bodyBytes;
+  Millis m_tick;
   Millis m_now;
   Millis m_outageUntil;
   std::multimap<Millis, std::function<void()>> m_timeline;
--- a/briarglade/actions/at_most_once_test.cc
+++ b/briarglade/actions/at_most_once_test.cc
@@ -337,6 +337,49 @@
   }
 }
 
+TEST_CASE("kept answers are bounded, and written once the store is back")
+{
+  constexpr size_t kBody = size_t{ 1 } << 20;
+  constexpr size_t kFitting = kMaxKeptBytes / (kBody + 100);
+  bool isDown = true;
+  World world(1, kBody);
+  world.m_onObject = [&isDown](size_t) {
+    return isDown ? StoreFault::Refused : StoreFault::None;
+  };
+  std::vector<std::string> sent;
+  for (size_t call = 0; call < kFitting + 2; ++call) {
+    sent.push_back(world.Send(0, std::to_string(call), 1, kAllowed));
+  }
+  world.RunFor(kAllowed);
+  CHECK(world.State(0).m_keptBytes <= kMaxKeptBytes);
+  isDown = false;
+  world.RunFor(kAllowed);
+  CHECK(world.State(0).m_keptBytes == 0);
+  for (size_t call = 0; call < sent.size(); ++call) {
+    CHECK(world.Told(sent[call]) == ResultCode::Ok);
+    const std::string repeat = world.Send(0, std::to_string(call), 1, kAllowed);
+    world.RunFor(kAllowed);
+    CHECK(world.Told(repeat) == (call < kFitting ? ResultCode::OkReplayed
+                                                 : ResultCode::OutcomeUnknown));
+  }
+  world.Judge();
+}
+
+TEST_CASE("open calls are bounded; one more is refused, and did not run")
+{
+  World world(1);
+  world.m_onAttempt = [](const RequestArrived&, int) {
+    return ServiceFault::TimeoutRan;
+  };
+  for (size_t call = 0; call < kMaxActionCalls; ++call) {
+    world.Send(0, std::to_string(call), 1, kAllowed);
+  }
+  const std::string refused = world.Send(0, "one more", 1, kAllowed);
+  CHECK(world.Told(refused) == ResultCode::RecordUnavailable);
+  world.RunFor(kAllowed * 2);
+  world.Judge();
+}
+
 // Seed 20261204 of the random run: the repeat that took the place of a caller
 // who left stood in the record twice.
 TEST_CASE("a repeat takes the place of a caller who left, once")
