Placement: focused failure tests; late own writes; quicker take-over of watching

Cause and change: - A holder whose write was lost read the row back, saw the old version and went on; its own write could still land under it. Groups of a paused watcher's hosts went incomplete for half a second; now they stay complete (the watcher test). - Histories: the fake handed a paused node's events over out of order; mended.

--- a/briarglade/placement/leased_row.cc
+++ b/briarglade/placement/leased_row.cc
@@ -194,18 +194,29 @@
   }
 }
 
+// The write may have taken effect, or may still do so. The row is read back; if
+// the write isn't there, another write makes it fail should it come later.
+void LoseWrite(LeasedRow& aRow, const OperationId& aOperation)
+{
+  aRow.m_isRead = false;
+  aRow.m_lostWrite = aOperation;
+}
+
 bool OnRowResult(LeasedRow& aRow, const TableResult& aResult)
 {
   aRow.m_rowOperation = OperationId();
   if (aRow.m_rowIsWrite && aResult.m_status != TableStatus::Ok) {
-    // Nothing is certain until the row has been read back.
-    aRow.m_isRead = aResult.m_status == TableStatus::Unreachable;
+    const bool isCertain = aResult.m_status == TableStatus::Unreachable;
+    if (!isCertain) {
+      LoseWrite(aRow, aResult.m_operation);
+    }
     return false;
   }
   if (aResult.m_status == TableStatus::NotFound) {
     aRow.m_version = RowVersion();
     aRow.m_value = LeasedValue();
     aRow.m_isRead = true;
+    aRow.m_isFenced = false;
     return true;
   }
   if (aResult.m_status != TableStatus::Ok || aResult.m_rows.empty()) {
@@ -219,8 +230,12 @@
   aRow.m_version = row.m_version;
   aRow.m_value = std::move(value);
   aRow.m_isRead = true;
+  if (aRow.m_rowIsWrite || row.m_operation == aRow.m_lostWrite) {
+    aRow.m_lostWrite = OperationId();
+  }
   aRow.m_isFenced = aRow.m_value.m_fencing == aRow.m_token &&
-                    aRow.m_value.m_holder == aRow.m_self;
+                    aRow.m_value.m_holder == aRow.m_self &&
+                    aRow.m_lostWrite.IsEmpty();
   return true;
 }
 
@@ -263,6 +278,9 @@
     if (aNow - aRow.m_rowSentAt < kOperationTimeout) {
       return;
     }
+    if (aRow.m_rowIsWrite) {
+      LoseWrite(aRow, aRow.m_rowOperation);
+    }
     aRow.m_rowOperation = OperationId();
     aRow.m_isRead = false;
   }
--- a/briarglade/placement/leased_row.h
+++ b/briarglade/placement/leased_row.h
@@ -84,6 +84,8 @@
   Millis m_lastLeaseWriteAt = Millis(-1'000'000);
   OperationId m_rowOperation;
   bool m_rowIsWrite = false;
+  // A write to the row whose fate is unknown.
+  OperationId m_lostWrite;
   Millis m_rowSentAt = Millis(-1'000'000);
 };
 
--- a/briarglade/placement/placement_test.cc
+++ b/briarglade/placement/placement_test.cc
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "briarglade/base/overloaded.h"
+#include "briarglade/placement/fake_table_test.h"
 #include "briarglade/placement/placement_state.h"
 
 namespace briarglade {
@@ -179,6 +180,36 @@
     }
   }
 
+  void SetWanted(uint32_t aGroups)
+  {
+    m_fleet.m_models[ModelId("m")].m_wantedGroups = aGroups;
+    for (auto& node : m_nodes) {
+      Send(*node, FleetAdopted{ m_fleet });
+    }
+  }
+
+  void SetLeaving(const HostId& aHost)
+  {
+    m_leaving.insert(aHost);
+    HostsListed listed;
+    listed.m_list.m_hosts.push_back(ListedHost{ aHost, {}, {}, true });
+    for (auto& node : m_nodes) {
+      Send(*node, listed);
+    }
+  }
+
+  // The route that a host is a member of, on the first node.
+  const Route* RouteOf(const HostId& aHost) const
+  {
+    const auto& group = m_servers.at(aHost).m_group;
+    for (const Route& route : m_nodes.front()->m_routes) {
+      if (route.m_group == group) {
+        return &route;
+      }
+    }
+    return nullptr;
+  }
+
   // Groups that a domain could have, and has on a node's routes.
   uint32_t Possible(uint32_t aDomain) const
   {
@@ -222,17 +253,14 @@
   uint32_t m_lossPercent = 0;
   bool m_lateOrders = false;
   Millis m_now;
-  uint64_t m_rowWrites = 0;
+  // Orders sent, and those among them that end work.
+  uint32_t m_orders = 0;
+  uint32_t m_releases = 0;
+  // What every node says of its requests in flight at a draining group.
+  uint32_t m_inFlight = 0;
+  bool m_saysInFlight = true;
 
 private:
-  struct Row
-  {
-    RowVersion m_version;
-    OperationId m_operation;
-    std::string m_value;
-    uint64_t m_change = 0;
-  };
-
   void MakeFleet()
   {
     m_fleet.m_weightStoreRate = 100;
@@ -352,7 +380,7 @@
   // Hands an event to a node; a paused node gets it when it goes on.
   void Send(FakeNode& aNode, const PlacementEvent& aEvent)
   {
-    if (m_now < aNode.m_pausedUntil) {
+    if (m_now < aNode.m_pausedUntil || !aNode.m_backlog.empty()) {
       aNode.m_backlog.emplace_back(
         [this, &aNode, aEvent] { Send(aNode, aEvent); });
       return;
@@ -377,20 +405,21 @@
   {
     for (PlacementEffect& effect : aEffects) {
       std::visit(
-        Overloaded{ [&](TableRead& aRead) { Read(aNode, aRead); },
-                    [&](TableWrite& aWrite) { Write(aNode, aWrite); },
-                    [&](SendOrder& aOrder) { SendOrderOf(aOrder.m_order); },
-                    [&](ProbeServer& aProbe) { Probe(aNode, aProbe.m_host); },
-                    [&](SendNews& aNews) { CarryNews(aNews); },
-                    [&](RoutesChanged& aRoutes) {
-                      aNode.m_routes = std::move(aRoutes.m_routes);
-                      for (const Route& route : aNode.m_routes) {
-                        if (route.m_draining) {
-                          Send(aNode, InFlightChanged{ route.m_group, 0 });
-                        }
-                      }
-                    },
-                    [](LogEvent&) {} },
+        Overloaded{
+          [&](TableRead& aRead) { Read(aNode, aRead); },
+          [&](TableWrite& aWrite) { Write(aNode, aWrite); },
+          [&](SendOrder& aOrder) { SendOrderOf(aOrder.m_order); },
+          [&](ProbeServer& aProbe) { Probe(aNode, aProbe.m_host); },
+          [&](SendNews& aNews) { CarryNews(aNews); },
+          [&](RoutesChanged& aRoutes) {
+            aNode.m_routes = std::move(aRoutes.m_routes);
+            for (const Route& route : aNode.m_routes) {
+              if (route.m_draining && m_saysInFlight) {
+                Send(aNode, InFlightChanged{ route.m_group, m_inFlight });
+              }
+            }
+          },
+          [](LogEvent&) {} },
         effect);
     }
   }
@@ -410,6 +439,8 @@
 
   void SendOrderOf(const ServerOrder& aOrder)
   {
+    ++m_orders;
+    m_releases += aOrder.m_kind == ServerOrder::Kind::Release ? 1 : 0;
     // A paused sender, or the network, may deliver an order much later.
     const bool isLate = m_lateOrders && Pick(5) == 0;
     const Millis delay(isLate ? Pick(30'000) : 50);
@@ -446,17 +477,6 @@
     After(Millis(50), [this, &aNode, report] { Send(aNode, report); });
   }
 
-  TableRow RowOf(const std::string& aKey) const
-  {
-    const Row& row = m_table.at(aKey);
-    TableRow result;
-    result.m_key = RowKey(aKey);
-    result.m_version = row.m_version;
-    result.m_operation = row.m_operation;
-    result.m_value = row.m_value;
-    return result;
-  }
-
   void Answer(FakeNode& aNode, TableResult aResult, Millis aDelay)
   {
     After(aDelay,
@@ -465,76 +485,45 @@
 
   void Read(FakeNode& aNode, const TableRead& aRead)
   {
-    TableResult result;
-    result.m_operation = aRead.m_operation;
-    result.m_key = aRead.m_key;
-    const bool isLost = Pick(100) < m_lossPercent;
-    if (!m_tableDown && !isLost) {
-      result.m_status = TableStatus::Ok;
-      result.m_change = m_change;
-      for (const auto& [key, row] : m_table) {
-        const bool isMatch = aRead.m_isPrefix
-                               ? key.rfind(aRead.m_key.Value(), 0) == 0 &&
-                                   row.m_change > aRead.m_sinceChange
-                               : key == aRead.m_key.Value();
-        if (isMatch) {
-          result.m_rows.push_back(RowOf(key));
-        }
-      }
-      if (!aRead.m_isPrefix && result.m_rows.empty()) {
-        result.m_status = TableStatus::NotFound;
-      }
-    }
-    Answer(aNode, std::move(result), Millis(50));
+    const bool isLost = m_tableDown || Pick(100) < m_lossPercent;
+    Answer(aNode,
+           isLost ? FakeTable::ResultOf(aRead.m_operation, aRead.m_key)
+                  : m_table.Read(aRead),
+           Millis(50));
   }
 
   // Applies the write now or late, and answers it or loses the answer.
   void Write(FakeNode& aNode, const TableWrite& aWrite)
   {
-    TableResult result;
-    result.m_operation = aWrite.m_operation;
-    result.m_key = aWrite.m_key;
+    TableResult none = FakeTable::ResultOf(aWrite.m_operation, aWrite.m_key);
     if (m_tableDown) {
-      Answer(aNode, std::move(result), Millis(50));
+      Answer(aNode, std::move(none), Millis(50));
       return;
     }
-    const bool isLost = Pick(100) < m_lossPercent;
-    if (!isLost) {
-      result.m_status = Apply(aWrite);
-      if (result.m_status == TableStatus::Ok) {
-        result.m_rows.push_back(RowOf(aWrite.m_key.Value()));
-      }
-      Answer(aNode, std::move(result), Millis(50));
+    if (Pick(100) >= m_lossPercent) {
+      Answer(aNode, Apply(aWrite), Millis(50));
       return;
     }
-    result.m_status = TableStatus::Unknown;
+    none.m_status = TableStatus::Unknown;
     After(Millis(Pick(4'000)), [this, aWrite] { Apply(aWrite); });
-    Answer(aNode, std::move(result), Millis(1'000));
+    Answer(aNode, std::move(none), Millis(1'000));
   }
 
-  TableStatus Apply(const TableWrite& aWrite)
+  TableResult Apply(const TableWrite& aWrite)
   {
+    TableResult result = m_table.Write(aWrite);
     const std::string& key = aWrite.m_key.Value();
-    const auto found = m_table.find(key);
-    const RowVersion version =
-      found == m_table.end() ? RowVersion() : found->second.m_version;
-    if (version != aWrite.m_expected) {
-      return TableStatus::Conflict;
-    }
-    m_table[key] =
-      Row{ version.Next(), aWrite.m_operation, aWrite.m_value, ++m_change };
-    if (key.rfind("domain/", 0) == 0) {
-      ++m_rowWrites;
+    if (result.m_status == TableStatus::Ok && key.rfind("domain/", 0) == 0) {
       RememberMembers(key);
     }
-    return TableStatus::Ok;
+    return result;
   }
 
   void RememberMembers(const std::string& aKey)
   {
     LeasedValue value;
     DomainRow row;
-    if (ParseLeasedValue(m_table[aKey].m_value, value) &&
+    if (ParseLeasedValue(m_table.Rows().at(aKey).m_value, value) &&
         DomainRowFromJson(value.m_body, row)) {
       m_rows[aKey] = row;
       for (const Group& group : row.m_groups) {
@@ -596,8 +585,7 @@
   Size m_size;
   std::map<ZoneId, ZoneState> m_zones;
   std::multimap<Millis, std::function<void()>> m_queue;
-  std::map<std::string, Row> m_table;
-  uint64_t m_change = 0;
+  FakeTable m_table;
   uint64_t m_incarnation = 0;
   std::map<std::string, DomainRow> m_rows;
   std::map<std::string, std::vector<HostId>> m_members;
@@ -612,9 +600,127 @@
   CHECK(world.Complete(DomainId()) == 6);
 }
 
+TEST_CASE("a group that is given up drains before it is released")
+{
+  struct Case
+  {
+    bool m_saysInFlight;
+    uint32_t m_inFlight;
+    // Whether the group is gone after 7 s, and after 13 s; the longest request
+    // takes 10 s.
+    bool m_goneEarly;
+    bool m_goneLate;
+  };
+  const std::vector<Case> cases = {
+    { true, 0, true, true },
+    { true, 3, false, true },
+    { false, 0, false, true },
+  };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.m_inFlight);
+    World world(1);
+    REQUIRE(world.Run(Millis(30'000), false) == "");
+    world.m_releases = 0;
+    world.m_saysInFlight = entry.m_saysInFlight;
+    world.m_inFlight = entry.m_inFlight;
+    world.SetWanted(5);
+    REQUIRE(world.Run(Millis(7'000), false) == "");
+    CHECK(world.Complete(DomainId()) == 5);
+    CHECK((world.m_releases > 0) == entry.m_goneEarly);
+    REQUIRE(world.Run(Millis(10'000), false) == "");
+    CHECK((world.m_releases > 0) == entry.m_goneLate);
+  }
+}
+
+TEST_CASE("a leaving host gets no new work, and its group a replacement")
+{
+  World world(2);
+  REQUIRE(world.Run(Millis(30'000), false) == "");
+  const HostId host("host-1-2");
+  const GroupId group = world.RouteOf(host)->m_group;
+  world.SetLeaving(host);
+  REQUIRE(world.Run(Millis(1'000), false) == "");
+  CHECK(world.RouteOf(host)->m_draining);
+  REQUIRE(world.Run(Millis(20'000), false) == "");
+  CHECK(world.m_servers[host].m_group.IsEmpty());
+  CHECK(world.Complete(DomainId()) == 6);
+}
+
+TEST_CASE("with the table down groups serve on and nothing is ordered")
+{
+  World world(3);
+  REQUIRE(world.Run(Millis(30'000), false) == "");
+  world.m_tableDown = true;
+  REQUIRE(world.Run(kLeaseTime, false) == "");
+  world.m_orders = 0;
+  world.m_servers[HostId("host-0-0")].Restart(world.m_now);
+  REQUIRE(world.Run(Millis(60'000), false) == "");
+  CHECK(world.m_orders == 0);
+  CHECK(world.Complete(DomainId()) == 5);
+  world.m_tableDown = false;
+  REQUIRE(world.Run(Millis(30'000), false) == "");
+  CHECK(world.Complete(DomainId()) == 6);
+}
+
+TEST_CASE("a slow member is replaced, and a short hiccup is not")
+{
+  World world(4);
+  REQUIRE(world.Run(Millis(30'000), false) == "");
+  FakeServer& slow = world.m_servers[HostId("host-2-1")];
+  const GroupId group = slow.m_group;
+  REQUIRE(!group.IsEmpty());
+  slow.m_stepTime = Millis(300);
+  REQUIRE(world.Run(Millis(8'000), false) == "");
+  slow.m_stepTime = Millis(10);
+  REQUIRE(world.Run(Millis(8'000), false) == "");
+  CHECK(slow.m_group == group);
+  slow.m_stepTime = Millis(300);
+  REQUIRE(world.Run(Millis(25'000), false) == "");
+  CHECK(slow.m_group.IsEmpty());
+  CHECK(world.Complete(DomainId()) == 6);
+}
+
+TEST_CASE("others carry the groups of a zone that is out, and hand them back "
+          "one by one")
+{
+  Size size;
+  size.m_groups = 4;
+  World world(5, size);
+  REQUIRE(world.Run(Millis(30'000), false) == "");
+  const ZoneId zone = World::ZoneName(0);
+  world.SetZone(zone, ZoneState::Out);
+  REQUIRE(world.Run(Millis(30'000), false) == "");
+  CHECK(world.Complete(World::DomainName(0)) == 0);
+  CHECK(world.Complete(DomainId()) == 4);
+  world.SetZone(zone, ZoneState::In);
+  for (uint32_t second = 0; second < 60; ++second) {
+    REQUIRE(world.Run(Millis(1'000), false) == "");
+    // Never less than before, never more than one group extra.
+    CHECK(world.Complete(DomainId()) >= 4);
+    CHECK(world.Complete(DomainId()) <= 5);
+  }
+  CHECK(world.Complete(World::DomainName(0)) >= 1);
+  CHECK(world.Complete(DomainId()) == 4);
+}
+
+TEST_CASE("a watcher's death hides no group for longer than news lives")
+{
+  World world(6);
+  REQUIRE(world.Run(Millis(30'000), false) == "");
+  // Every other node is paused in turn; the rest take over in time.
+  for (size_t paused = 1; paused < world.m_nodes.size(); ++paused) {
+    world.m_nodes[paused]->m_pausedUntil = world.m_now + Millis(9'000);
+    for (uint32_t step = 0; step < 36; ++step) {
+      REQUIRE(world.Run(Millis(250), false) == "");
+      CHECK(world.Complete(DomainId()) == 6);
+    }
+    REQUIRE(world.Run(Millis(5'000), false) == "");
+  }
+}
+
 TEST_CASE("long histories of faults")
 {
-  for (uint32_t seed = 1; seed <= 20; ++seed) {
+  for (uint32_t seed = 1; seed <= 24; ++seed) {
     CAPTURE(seed);
     World world(seed);
     REQUIRE(world.Run(Millis(240'000), true) == "");
--- a/briarglade/placement/presence.cc
+++ b/briarglade/placement/presence.cc
@@ -155,28 +155,34 @@
   }
 }
 
-bool IsCovered(const PresenceState& aState,
-               Millis aNow,
-               const HostPresence& aHost)
+// Returns when a better-ranked watcher last spoke for the host.
+Millis CoveredAt(const PresenceState& aState, const HostPresence& aHost)
+{
+  Millis latest = aHost.m_coveredAt;
+  for (const Sighting& sighting : aHost.m_sightings) {
+    const auto view = aState.m_watchers.find(sighting.m_watcher);
+    if (sighting.m_rank < aHost.m_rank && view != aState.m_watchers.end() &&
+        view->second.m_inSync) {
+      latest = std::max(latest, view->second.m_heardAt);
+    }
+  }
+  return latest;
+}
+
+// How long a host may go without a better-ranked watcher.
+Millis TakeoverTime(uint32_t aRank)
 {
-  return std::any_of(aHost.m_sightings.begin(),
-                     aHost.m_sightings.end(),
-                     [&](const Sighting& aSighting) {
-                       return aSighting.m_rank < aHost.m_rank &&
-                              IsLive(aState, aNow, aSighting, kTakeoverTime);
-                     });
+  return aRank == 0 ? Millis()
+                    : kTakeoverTime + kTakeoverStep * int64_t{ aRank - 1 };
 }
 
 // Decides whether this node probes the host. Returns true when it has stopped.
 bool UpdateWatching(PresenceState& aState, Millis aNow, HostPresence& aHost)
 {
-  if (IsCovered(aState, aNow, aHost)) {
-    aHost.m_coveredAt = aNow;
-  }
-  const Millis patience = kTakeoverTime * int64_t{ aHost.m_rank };
-  const bool shallWatch = aHost.m_rank < kWatcherRanks &&
-                          aNow - aHost.m_coveredAt >= patience &&
-                          !aHost.m_receivers.empty();
+  aHost.m_coveredAt = CoveredAt(aState, aHost);
+  const bool shallWatch =
+    aHost.m_rank < kWatcherRanks &&
+    aNow - aHost.m_coveredAt >= TakeoverTime(aHost.m_rank);
   const bool hasStopped = aHost.m_isWatching && !shallWatch;
   if (shallWatch && !aHost.m_isWatching) {
     aHost.m_isProbing = false;
--- a/briarglade/placement/presence.h
+++ b/briarglade/placement/presence.h
@@ -3,9 +3,9 @@
 // Every host belongs to a watch unit: its group, or itself while it is in none.
 // The roster is ranked by rendezvous on the unit's key. The first node is the
 // watcher: it probes the hosts and tells the nodes that need to know, changes
-// only, with a heartbeat. The others in rank are its successors: the node of
-// rank r starts to probe when no better-ranked watcher has covered a host for r
-// times kTakeoverTime, and stops when one does again.
+// only, with a heartbeat. The next ones in rank are its successors: each starts
+// to probe when no better-ranked watcher has spoken for a host for a time that
+// grows with its rank, and stops when one does again.
 //
 // A node that was paused forgets everything, as a watcher and as a receiver.
 //
@@ -38,8 +38,10 @@
 constexpr Millis kNewsLife = Millis(3'000);
 // How long a watcher's own report counts.
 constexpr Millis kReportLife = Millis(5'000);
-// How long each rank waits before it takes over from the ones before it.
+// How long the first successor waits for a watcher before it takes over, and
+// how much longer each further one waits.
 constexpr Millis kTakeoverTime = Millis(1'500);
+constexpr Millis kTakeoverStep = Millis(500);
 // The time within which every node notices that a host is gone.
 constexpr Millis kPresenceBound = Millis(8'000);
 // Nodes that learn of a group and route to it.
