--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -93,6 +93,25 @@
     raise RuntimeError(f"waited {seconds} s in vain for: {what}")
 
 
+class EngineSet:
+    """The stand-in engines of a zone, in one process or in one process each."""
+
+    def __init__(self, processes):
+        self.processes = processes
+        self.ports = {host: port for p in processes for host, port in p.ports.items()}
+
+    def process_of(self, host):
+        return next(p for p in self.processes if host in p.ports)
+
+    def administer(self, path, **call):
+        """Calls every process, or the one that runs call["host"]; joins the answers."""
+        answer = {}
+        for process in self.processes:
+            if process.is_running() and call.get("host", "") in ("", *process.ports):
+                answer.update(process.administer(path, **call))
+        return answer
+
+
 class Zone:
     """The stand-ins of one availability zone."""
 
@@ -106,8 +125,10 @@
     """A table, a host list, zones of engines and services, and nodes."""
 
     def __init__(self, zones=("sapporo", "asahikawa"), engines_per_zone=4,
-                 members=2, nodes=3, engine_flags=(), node_flags=(), request_limit=64):
+                 members=2, nodes=3, engine_flags=(), node_flags=(), request_limit=64,
+                 separate=False):
         self.request_limit = request_limit
+        self.engine_flags = list(engine_flags)
         self.directory = tempfile.mkdtemp(prefix="briarglade-")
         self.processes = []
         self.members = members
@@ -117,7 +138,10 @@
         self.zones = {}
         for zone in zones:
             names = [f"{zone}-e{i}" for i in range(engines_per_zone)]
-            engines = self._standin(f"{zone}-engines", "engines", *names, *engine_flags)
+            parts = [[name] for name in names] if separate else [names]
+            engines = EngineSet([
+                self._standin(f"{part[0]}-engines", "engines", *part, *engine_flags)
+                for part in parts])
             services = self._standin(f"{zone}-services", "services", f"{zone}-desk")
             self.zones[zone] = Zone(zone, engines, services)
         self.write_fleet()
@@ -132,6 +156,15 @@
         self.processes.append(process)
         return process
 
+    def restart_engine(self, zone, host):
+        """Starts an engine that was killed again, on its old port."""
+        engines = self.zones[zone].engines
+        old = engines.process_of(host)
+        old.end()
+        new = self._standin(f"{host}-engines", "engines", f"{host}:{engines.ports[host]}",
+                            *self.engine_flags)
+        engines.processes[engines.processes.index(old)] = new
+
     def start_node(self, name, zone):
         process = Process(
             name,
--- a/standin/load_main.cc
+++ b/standin/load_main.cc
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -62,6 +63,9 @@
   uint64_t m_crossed = 0;
   uint64_t m_tokens = 0;
   std::map<std::string, uint64_t> m_codes;
+  // Idempotency-Keys of which every answer so far was "not run".
+  std::set<std::string> m_notRunKeys;
+  std::set<std::string> m_otherKeys;
   std::vector<double> m_firstTokenMs;
   std::vector<double> m_betweenTokensMs;
 };
@@ -296,6 +300,7 @@
       return;
     }
     ++m_tally.m_codes[FindHeader(aRequest->m_head.m_headers, kCodeHeader)];
+    NoteKey(aRequest->m_idempotencyKey, notRun);
     if (notRun) {
       ++m_tally.m_notRun;
     } else if (aRequest->m_errorEvent || outcome == "unknown") {
@@ -307,6 +312,19 @@
     StartNext();
   }
 
+  void NoteKey(const std::string& aKey, bool aNotRun)
+  {
+    if (aKey.empty()) {
+      return;
+    }
+    if (!aNotRun) {
+      m_tally.m_otherKeys.insert(aKey);
+      m_tally.m_notRunKeys.erase(aKey);
+    } else if (m_tally.m_otherKeys.count(aKey) == 0) {
+      m_tally.m_notRunKeys.insert(aKey);
+    }
+  }
+
   void Check(const LoadRequest& aRequest, const HttpCallEnd& aEnd)
   {
     const bool whole = aEnd.m_end == ExchangeEnd::Whole &&
--- a/standin/standin_main.cc
+++ b/standin/standin_main.cc
@@ -54,6 +54,7 @@
 
 Administration, on the port printed as "admin":
   POST /admin/fault  {"host": NAME, ...faults of the stand-in...}
+  POST /admin/save, /admin/restore  the table's rows, as from a backup
   GET  /admin/stats  counters
 )";
 
@@ -109,6 +110,10 @@
       faults.m_delay = Millis(aCall.value("delay_ms", int64_t{ 0 }));
       faults.m_loseWriteAnswers = aCall.value("lose_write_answers", 0U);
       table->SetFaults(faults);
+    } else if (aPath == "/admin/save") {
+      table->Save();
+    } else if (aPath == "/admin/restore") {
+      table->Restore();
     }
     return json{ { "reads", table->ReadCount() },
                  { "writes", table->WriteCount() } };
--- a/standin/table_service.h
+++ b/standin/table_service.h
@@ -44,6 +44,9 @@
 
   uint16_t Port() const { return m_port; }
   void SetFaults(const TableServiceFaults& aFaults);
+  // Remembers every row, or goes back to what was remembered last.
+  void Save() { m_saved = m_rows; }
+  void Restore() { m_rows = m_saved; }
   uint64_t ReadCount() const { return m_reads; }
   uint64_t WriteCount() const { return m_writes; }
 
@@ -70,6 +73,7 @@
   uint16_t m_port = 0;
   TableServiceFaults m_faults;
   std::map<std::string, Row> m_rows;
+  std::map<std::string, Row> m_saved;
   std::map<std::string, std::string> m_objects;
   uint64_t m_change = 0;
   uint64_t m_reads = 0;
