Cold start: the limit stays at the cold limit until the group is warm

A stand-in engine that bears 4 requests for its first 4 s fell over once more after a crash under load: the limit ramped from 4 to 64 with uptime, 16 after 1 s of the 5 s that the fleet file calls cold. Nobody has said that a cold server bears more than its cold limit. Ruled out: shares (the sum over nodes was within the ramped limit).

--- a/briarglade/routing/cold_start.cc
+++ b/briarglade/routing/cold_start.cc
@@ -147,16 +147,11 @@
   }
 }
 
-uint32_t RampedLimit(const Route& aRoute, Millis aSinceCold)
+uint32_t BearableLimit(const Route& aRoute, Millis aSinceCold)
 {
-  const uint32_t cold = std::min(aRoute.m_coldLimit, aRoute.m_requestLimit);
-  if (aSinceCold >= aRoute.m_warmUp) {
-    return aRoute.m_requestLimit;
-  }
-  const auto range = static_cast<int64_t>(aRoute.m_requestLimit - cold);
-  const int64_t grown =
-    range * std::max<int64_t>(aSinceCold.Count(), 0) / aRoute.m_warmUp.Count();
-  return cold + static_cast<uint32_t>(grown);
+  return aSinceCold >= aRoute.m_warmUp
+           ? aRoute.m_requestLimit
+           : std::min(aRoute.m_coldLimit, aRoute.m_requestLimit);
 }
 
 uint32_t AdmissionLimit(ColdStartState& aState,
@@ -199,7 +194,7 @@
   ColdPeriod& period = aState.m_periods[aRoute.m_group];
   period.m_boot = aRoute.m_boot;
   CoverRosters(aState, period, coldSince, aRoute, aSelf);
-  return Share(period, RampedLimit(aRoute, sinceCold));
+  return Share(period, BearableLimit(aRoute, sinceCold));
 }
 
 void NoteColdSignal(ColdStartState& aState,
--- a/briarglade/routing/cold_start.h
+++ b/briarglade/routing/cold_start.h
@@ -13,11 +13,12 @@
 // They rest on one promise of membership: a node that has not adopted an
 // accepted roster within kRosterSettleTime starts no request until it has.
 //
-// The limit grows with the time since the group turned cold, by the server's
-// own uptime or by this node's last bad experience, whichever gives less. It
-// needs no traffic to grow. So the share of a node that is dead but still on
-// the roster stays unused only until the limit has grown past its rank: with
-// limit C of R requests and warm-up time W, each rank waits W / (R - C).
+// A group is cold until its warm-up time has passed since it turned cold, by
+// the server's own uptime or by this node's last bad experience, whichever is
+// later. Until then nobody has said that it bears more than its cold limit, so
+// the limit doesn't grow; docs/design/groups.md has the measurement. The share
+// of a node that is dead but still on the roster stays unused until the group
+// is warm, or a new boot finds the node off the roster.
 //
 // Example:
 //   NoteRoster(cold, now, version, roster, self);
@@ -118,7 +119,8 @@
                     ColdSignal aSignal);
 
 // Returns how many requests all nodes together may have in flight at a group
-// that turned cold this long ago: from the cold limit to the request limit.
-uint32_t RampedLimit(const Route& aRoute, Millis aSinceCold);
+// that turned cold this long ago: the cold limit, and the request limit once it
+// is warm.
+uint32_t BearableLimit(const Route& aRoute, Millis aSinceCold);
 
 } // namespace briarglade
--- a/briarglade/routing/route_book.cc
+++ b/briarglade/routing/route_book.cc
@@ -325,7 +325,7 @@
   const Route& route = aSlot.m_route;
   const Millis uptime = route.m_uptime + (aNow - route.m_reportedAt);
   aSlot.m_capacity = aSlot.m_admission < route.m_requestLimit
-                       ? RampedLimit(route, uptime)
+                       ? BearableLimit(route, uptime)
                        : route.m_requestLimit;
 }
 
