--- a/briarglade/membership/internal/fact_store.cc
+++ b/briarglade/membership/internal/fact_store.cc
@@ -117,6 +117,13 @@
   return kTablePollPeriod * (1 + (self - nodes.begin()));
 }
 
+RowVersion ExpectedRowVersion(const MembershipState& aState,
+                              const FactName& aName)
+{
+  const auto row = aState.m_tableRows.find(aName);
+  return row == aState.m_tableRows.end() ? RowVersion() : row->second;
+}
+
 } // namespace
 
 bool AdoptRow(MembershipState& aState,
@@ -208,11 +215,17 @@
   return row == aState.m_rows.end() ? std::string() : row->second.m_value;
 }
 
-RowVersion ExpectedRowVersion(const MembershipState& aState,
-                              const FactName& aName)
+TableWrite MakeFactWrite(const MembershipState& aState,
+                         const FactName& aName,
+                         const OperationId& aOperation,
+                         std::string aValue)
 {
-  const auto row = aState.m_tableRows.find(aName);
-  return row == aState.m_tableRows.end() ? RowVersion() : row->second;
+  TableWrite write;
+  write.m_operation = aOperation;
+  write.m_key = FactKey(aState.m_settings.m_region, aName);
+  write.m_expected = ExpectedRowVersion(aState, aName);
+  write.m_value = std::move(aValue);
+  return write;
 }
 
 } // namespace briarglade
--- a/briarglade/membership/internal/fact_store.h
+++ b/briarglade/membership/internal/fact_store.h
@@ -37,8 +37,11 @@
 // Returns the value of a held row; empty if there is none.
 std::string HeldValue(const MembershipState& aState, const FactName& aName);
 
-// Returns the version that the next conditional write of a row expects.
-RowVersion ExpectedRowVersion(const MembershipState& aState,
-                              const FactName& aName);
+// Returns the write that puts a value in the place of what the table is known
+// to hold.
+TableWrite MakeFactWrite(const MembershipState& aState,
+                         const FactName& aName,
+                         const OperationId& aOperation,
+                         std::string aValue);
 
 } // namespace briarglade
--- a/briarglade/membership/internal/roster.cc
+++ b/briarglade/membership/internal/roster.cc
@@ -175,20 +175,17 @@
                const WantedStep& aWanted,
                MembershipEffects& aEffects)
 {
-  TableWrite write;
-  write.m_operation = OperationId(aState.m_ids.Next());
-  write.m_key = FactKey(aState.m_settings.m_region, kRosterName);
-  write.m_expected = ExpectedRowVersion(aState, kRosterName);
   ChangeRecord change;
   change.m_version = aState.m_held.m_roster + 1;
   change.m_who = aState.m_settings.m_self.Value();
   change.m_why = aWanted.m_why;
-  change.m_operation = write.m_operation;
+  change.m_operation = OperationId(aState.m_ids.Next());
   change.m_what = StepName(aWanted.m_step) + aWanted.m_node.m_id.Value();
-  write.m_value = WriteRosterFact(
+  std::string value = WriteRosterFact(
     MakeRoster(aState, aWanted), change, HeldValue(aState, kRosterName));
-  aState.m_rosterWrite = write.m_operation;
-  aEffects.emplace_back(std::move(write));
+  aState.m_rosterWrite = change.m_operation;
+  aEffects.emplace_back(
+    MakeFactWrite(aState, kRosterName, change.m_operation, std::move(value)));
 }
 
 void EndLeaving(MembershipState& aState, MembershipEffects& aEffects)
--- a/briarglade/membership/membership.cc
+++ b/briarglade/membership/membership.cc
@@ -7,10 +7,12 @@
 #include "briarglade/base/overloaded.h"
 #include "briarglade/base/rendezvous.h"
 #include "briarglade/membership/internal/changes.h"
+#include "briarglade/membership/internal/commands.h"
 #include "briarglade/membership/internal/confirmation.h"
 #include "briarglade/membership/internal/partners.h"
 #include "briarglade/membership/internal/roster.h"
 #include "briarglade/membership/internal/table_polling.h"
+#include "briarglade/membership/internal/zone_holds.h"
 #include "briarglade/membership/timing.h"
 
 namespace briarglade {
