--- a/briarglade/routing/internal/dispatch.cc
+++ b/briarglade/routing/internal/dispatch.cc
@@ -17,6 +17,10 @@
 // Waiting requests of one account and class, and of all, on this node.
 constexpr size_t kMaxClassQueue = 256;
 constexpr size_t kMaxQueued = 8192;
+// A request joins its queue only if it can expect to wait no longer than this,
+// and leaves it again when it would wait longer than twice that.
+constexpr Millis kMaxExpectedWait = Millis(2'000);
+constexpr Millis kMaxWait = Millis(4'000);
 // Bounds of the time after which a refused caller should come back.
 constexpr Millis kMinRetryAfter = Millis(1'000);
 constexpr Millis kMaxRetryAfter = Millis(60'000);
@@ -50,6 +54,13 @@
                                             OwnSlots(aState, aTarget));
 }
 
+// Whether the node has less in flight at a target than is guaranteed to it.
+bool IsNodeBelowShare(const RoutingState& aState, uint32_t aTarget)
+{
+  return aState.m_uses[aTarget].InFlight() <
+         aState.m_book.Target(aTarget).m_share;
+}
+
 // Whether a target is so full that its last slots are kept back from accounts
 // beyond their share.
 bool IsReserveReached(const RoutingState& aState, uint32_t aTarget)
@@ -69,6 +80,7 @@
   question.m_tried = &aRecord.m_tried;
   question.m_avoidZone = aRecord.m_failedZone;
   question.m_mayUseShare =
+    IsNodeBelowShare(aState, aRecord.m_target) &&
     !IsOverShare(aState, aRecord.m_target, aRecord.m_place.m_account);
   return question;
 }
@@ -116,7 +128,9 @@
 {
   const RequestRecord& record = aState.m_requests.Get(aHandle);
   const RouteQuestion question = QuestionFor(aState, record);
-  if (!question.m_mayUseShare && IsReserveReached(aState, record.m_target)) {
+  const bool isOverShare =
+    IsOverShare(aState, record.m_target, record.m_place.m_account);
+  if (isOverShare && IsReserveReached(aState, record.m_target)) {
     return false;
   }
   const std::optional<uint32_t> slot =
@@ -127,6 +141,28 @@
   return slot.has_value();
 }
 
+// Returns the instant from which a request can't be expected to meet its
+// deadline.
+Millis LatestStart(const RoutingState& aState, const RequestRecord& aRecord)
+{
+  const FairQueue& queue = aState.m_queues[aRecord.m_target];
+  return aRecord.m_request.m_deadline -
+         queue.MeanService(aRecord.m_place.m_account);
+}
+
+// Returns the queue's entry for a request that joins it now. One that has run
+// already waits as long as its deadline allows.
+QueuedRequest QueueEntry(const RoutingState& aState,
+                         Millis aNow,
+                         uint32_t aHandle,
+                         const RequestRecord& aRecord)
+{
+  const Millis latest = LatestStart(aState, aRecord);
+  const bool isRetry = aRecord.m_attempts > 0;
+  return QueuedRequest{ aHandle,
+                        isRetry ? latest : std::min(latest, aNow + kMaxWait) };
+}
+
 // Returns why a request can't join its queue, or Ok.
 ResultCode JudgeQueue(const RoutingState& aState,
                       Millis aNow,
@@ -140,10 +176,11 @@
   }
   const Millis wait = queue.EstimateWait(
     account, queue.AccountSize(account), OwnSlots(aState, aRecord.m_target));
-  const Millis service = queue.MeanService(account);
-  return aNow + wait + service > aRecord.m_request.m_deadline
-           ? ResultCode::QueueDeadline
-           : ResultCode::Ok;
+  if (wait > kMaxExpectedWait) {
+    return ResultCode::QueueFull;
+  }
+  return aNow + wait > LatestStart(aState, aRecord) ? ResultCode::QueueDeadline
+                                                    : ResultCode::Ok;
 }
 
 void Refuse(const RequestArrived& aRequest,
@@ -182,7 +219,7 @@
   question.m_mayUseShare = false;
   const bool hasGeneral =
     ChooseRoute(aState.m_book, aNow, question, aState.m_random).has_value();
-  question.m_mayUseShare = true;
+  question.m_mayUseShare = IsNodeBelowShare(aState, aTarget);
   const bool hasShare =
     hasGeneral ||
     ChooseRoute(aState.m_book, aNow, question, aState.m_random).has_value();
@@ -271,7 +308,7 @@
       aState, handle, code, ComeBackAfter(aState, target, number), aEffects);
     return;
   }
-  queue.PushBack(record.m_place, QueuedRequest{ handle, aRequest.m_deadline });
+  queue.PushBack(record.m_place, QueueEntry(aState, aNow, handle, record));
   Dispatch(aState, aNow, target, aEffects);
 }
 
@@ -368,7 +405,7 @@
   return true;
 }
 
-void EnqueueRetry(RoutingState& aState, uint32_t aHandle)
+void EnqueueRetry(RoutingState& aState, Millis aNow, uint32_t aHandle)
 {
   RequestRecord& record = aState.m_requests.Get(aHandle);
   const RoutedAccount& account = aState.m_accounts[record.m_place.m_account];
@@ -377,8 +414,7 @@
   record.m_phase = RequestPhase::Queued;
   queue.SetAccount(
     record.m_place.m_account, account.m_share, account.m_classWeights);
-  queue.PushFront(record.m_place,
-                  QueuedRequest{ aHandle, record.m_request.m_deadline });
+  queue.PushFront(record.m_place, QueueEntry(aState, aNow, aHandle, record));
 }
 
 void StopWaiting(RoutingState& aState, uint32_t aHandle)
--- a/briarglade/routing/route_book.cc
+++ b/briarglade/routing/route_book.cc
@@ -3,6 +3,7 @@
 #include "briarglade/routing/route_book.h"
 
 #include <algorithm>
+#include <cmath>
 #include <xxhash.h>
 
 #include "briarglade/base/rendezvous.h"
@@ -15,6 +16,8 @@
 constexpr Millis kSamplePeriod = Millis(100);
 // Samples kept for each group; they cover a report that is six seconds late.
 constexpr size_t kMaxSamples = 64;
+// Weight of the newest sample in a mean hold time.
+constexpr double kHoldWeight = 1.0 / 64;
 // At least one in this many open groups of a target stays in the choice.
 constexpr size_t kEjectedPart = 2;
 
@@ -183,11 +186,11 @@
   m_targets[slot.m_target].m_dirty = true;
 }
 
-void RouteBook::Settle()
+void RouteBook::Settle(Millis aNow)
 {
   for (uint32_t target = 0; target < m_targets.size(); ++target) {
     if (m_targets[target].m_dirty) {
-      Rebuild(target);
+      Rebuild(aNow, target);
     }
   }
 }
@@ -233,11 +236,11 @@
         UpdateAdmission(aNow, slot);
       }
     }
-    Rebuild(target);
+    Rebuild(aNow, target);
   }
 }
 
-void RouteBook::Rebuild(uint32_t aTarget)
+void RouteBook::Rebuild(Millis aNow, uint32_t aTarget)
 {
   TargetRoutes& target = m_targets[aTarget];
   target.m_dirty = false;
@@ -250,11 +253,39 @@
     if (slot.m_open) {
       target.m_open.push_back(index);
       target.m_load += slot.Load();
-      target.m_limit += std::min(slot.m_route.m_requestLimit,
-                                 slot.m_othersLoad + slot.m_admission);
+      target.m_limit += slot.m_capacity;
       target.m_share += std::min(slot.m_share, slot.m_admission);
     }
   }
+  ExpectLoads(aNow, target);
+}
+
+void RouteBook::ExpectLoads(Millis aNow, const TargetRoutes& aTarget)
+{
+  double others = 0;
+  for (const uint32_t index : aTarget.m_open) {
+    others += m_slots[index].m_othersLoad;
+  }
+  const double mean =
+    others / static_cast<double>(std::max<uint64_t>(1, aTarget.m_limit));
+  for (const uint32_t index : aTarget.m_open) {
+    RouteSlot& slot = m_slots[index];
+    const Millis age =
+      aNow - slot.m_route.m_reportedAt + slot.m_route.m_loadAge;
+    const double known =
+      aTarget.m_holdTime > 0
+        ? std::exp(-static_cast<double>(age.Count()) / aTarget.m_holdTime)
+        : 1.0;
+    slot.m_expectedOthers =
+      known * slot.m_othersLoad + (1 - known) * mean * slot.m_capacity;
+  }
+}
+
+void RouteBook::NoteHold(uint32_t aSlot, Millis aTime)
+{
+  double& mean = m_targets[m_slots[aSlot].m_target].m_holdTime;
+  const auto sample = static_cast<double>(aTime.Count());
+  mean += mean == 0 ? sample : (sample - mean) * kHoldWeight;
 }
 
 void RouteBook::UpdateOpen(RouteSlot& aSlot)
@@ -265,6 +296,12 @@
                  !aSlot.m_route.m_draining && !isOut;
 }
 
+uint32_t RouteBook::PartOf(uint32_t aTotal, uint32_t aRank) const
+{
+  const auto nodes = static_cast<uint32_t>(m_roster.size());
+  return nodes == 0 ? 0 : aTotal / nodes + (aRank < aTotal % nodes ? 1 : 0);
+}
+
 void RouteBook::UpdateShare(RouteSlot& aSlot)
 {
   const std::string& group = aSlot.m_route.m_group.Value();
@@ -277,15 +314,19 @@
       ++rank;
     }
   }
-  const uint32_t limit = aSlot.m_route.m_requestLimit;
-  const auto nodes = static_cast<uint32_t>(m_roster.size());
-  aSlot.m_share = isMember ? limit / nodes + (rank < limit % nodes ? 1 : 0) : 0;
+  aSlot.m_rank = rank;
+  aSlot.m_share = isMember ? PartOf(aSlot.m_route.m_requestLimit, rank) : 0;
 }
 
 void RouteBook::UpdateAdmission(Millis aNow, RouteSlot& aSlot)
 {
   aSlot.m_admission =
     AdmissionLimit(m_cold, aNow, aSlot.m_route, m_self, m_roster);
+  const Route& route = aSlot.m_route;
+  const Millis uptime = route.m_uptime + (aNow - route.m_reportedAt);
+  aSlot.m_capacity = aSlot.m_admission < route.m_requestLimit
+                       ? RampedLimit(route, uptime)
+                       : route.m_requestLimit;
 }
 
 void RouteBook::UpdateOthersLoad(RouteSlot& aSlot)
@@ -294,6 +335,10 @@
   const uint32_t own = InFlightThen(aSlot.m_history, at);
   const uint32_t load = aSlot.m_route.m_load;
   aSlot.m_othersLoad = load > own ? load - own : 0;
+  const uint32_t limit = aSlot.m_route.m_requestLimit;
+  const uint32_t excess = load > limit ? PartOf(load - limit, aSlot.m_rank) : 0;
+  const uint32_t free = load < limit ? PartOf(limit - load, aSlot.m_rank) : 0;
+  aSlot.m_allowance = own + free - std::min(own, excess);
   DropSamplesBefore(aSlot.m_history, at);
 }
 
--- a/briarglade/routing/route_choice.cc
+++ b/briarglade/routing/route_choice.cc
@@ -10,6 +10,8 @@
 
 namespace {
 
+// Groups drawn at random, of which the least loaded is taken.
+constexpr uint32_t kSamples = 3;
 // A group named by prefix affinity may carry this much more than the mean load,
 // in parts of the mean, and a few requests on top.
 constexpr double kAffinityFactor = 1.25;
@@ -73,7 +75,8 @@
   if (aSlot.m_ejectedUntil > aNow || aSlot.m_inFlight >= aSlot.m_admission) {
     return false;
   }
-  return aSlot.Load() < aSlot.m_route.m_requestLimit ||
+  return (aSlot.m_inFlight < aSlot.m_allowance &&
+          aSlot.Load() < aSlot.m_route.m_requestLimit) ||
          (aMayUseShare && aSlot.m_inFlight < aSlot.m_share);
 }
 
@@ -81,7 +84,8 @@
 // own small limit counts.
 double Fullness(const RouteSlot& aSlot)
 {
-  const double whole = (aSlot.Load() + 1.0) / aSlot.m_route.m_requestLimit;
+  const double whole =
+    (aSlot.ExpectedLoad() + 1.0) / aSlot.m_route.m_requestLimit;
   const double own = (aSlot.m_inFlight + 1.0) / aSlot.m_admission;
   return std::max(whole, own);
 }
@@ -183,12 +187,17 @@
       return affine;
     }
   }
-  const uint32_t first = open[aRandom() % open.size()];
-  const uint32_t second = open[aRandom() % open.size()];
-  if (isUsable(first) && isUsable(second)) {
-    const bool isSecond =
-      IsBetter(aBook.Slot(second), aBook.Slot(first), aQuestion.m_zone);
-    return isSecond ? second : first;
+  std::optional<uint32_t> best;
+  for (uint32_t sample = 0; sample < kSamples; ++sample) {
+    const uint32_t index = open[aRandom() % open.size()];
+    if (isUsable(index) &&
+        (!best ||
+         IsBetter(aBook.Slot(index), aBook.Slot(*best), aQuestion.m_zone))) {
+      best = index;
+    }
+  }
+  if (best) {
+    return best;
   }
   for (const Allow allow : kFallbacks) {
     const auto best = IsUseful(aQuestion, allow)
