--- a/briarglade/actions/retention.cc
+++ b/briarglade/actions/retention.cc
@@ -2,6 +2,7 @@
 
 #include "briarglade/actions/retention.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -187,9 +188,8 @@
   for (const TableRow& row : aResult.m_rows) {
     NoteIfExpired(aState, row);
   }
-  if (!aState.m_expired.empty()) {
-    aState.m_sweepDueAt = aNow + kSweepBusyPeriod;
-  }
+  const auto rows = static_cast<int64_t>(aResult.m_rows.size());
+  aState.m_sweepDueAt = aNow + std::max(kSweepPeriod, kSweepRowTime * rows);
   if (aState.m_expired.size() < kMaxExpiredRows) {
     AdvanceSlice(aState);
   }
--- a/briarglade/actions/retention.h
+++ b/briarglade/actions/retention.h
@@ -39,14 +39,15 @@
 constexpr Millis kRetentionClockPeriod = Millis(300'000);
 // How soon it asks again when a read failed.
 constexpr Millis kRetentionClockRetry = Millis(1'000);
-// Time between two listings of a node, and while there is much to delete.
+// The least time between two listings of a node, and the time that it waits for
+// each row listed: the bound on what the sweep reads.
 constexpr Millis kSweepPeriod = Millis(10'000);
-constexpr Millis kSweepBusyPeriod = Millis(1'000);
+constexpr Millis kSweepRowTime = Millis(500);
 // Rows in one listing at which the slices are made smaller, or larger.
 constexpr size_t kSliceRowsHigh = 64;
 constexpr size_t kSliceRowsLow = 4;
 // Time between two deletions of a node: its share of the table's writes.
-constexpr Millis kDeletePeriod = Millis(800);
+constexpr Millis kDeletePeriod = Millis(600);
 // Expired rows remembered at once.
 constexpr size_t kMaxExpiredRows = 256;
 // The longest slice prefix, in hexadecimal digits.
--- a/briarglade/actions/retention_test.cc
+++ b/briarglade/actions/retention_test.cc
@@ -109,10 +109,13 @@
   state.m_clockOperation = OperationId("under way");
   UniqueIds ids(NodeId("node-1"), 1);
   size_t largest = 0;
+  size_t listed = 0;
+  Millis settledAt;
   Millis now;
   for (int listing = 0; listing < kListings; ++listing) {
-    now += kSweepPeriod;
+    now = std::max(now + kSweepPeriod, state.m_sweepDueAt);
     state.m_clockReadAt = now;
+    settledAt = listing == kSettling ? now : settledAt;
     ActionsEffects effects;
     OnRetentionTick(state, now, ids, effects);
     REQUIRE(effects.size() == 1);
@@ -126,9 +129,15 @@
       rows *= 16;
     }
     result.m_rows.resize(rows);
+    if (listing >= kSettling) {
+      listed += rows;
+    }
     largest = listing < kSettling ? 0 : std::max(largest, rows);
     CHECK(OnRetentionResult(state, now, result));
   }
+  // The pace of the sweep, give or take the last listing.
+  const Millis due = kSweepRowTime * static_cast<int64_t>(listed - largest);
+  CHECK(now - settledAt >= due);
   return largest;
 }
 
