actions: a record settled late is released; a paused node asks for no run

Two rules could be taken out unseen: releasing a row that landed after its caller was refused (the key then stayed in doubt for 24 hours), and the check of the deadline once the record is known to be written (routing checks it again, so nothing ran twice). Each has a test now that fails without it.

--- a/briarglade/actions/at_most_once_test.cc
+++ b/briarglade/actions/at_most_once_test.cc
@@ -380,6 +380,42 @@
   world.Judge();
 }
 
+TEST_CASE("a record that was settled too late is released, and the key runs")
+{
+  World world(1);
+  bool isFirst = true;
+  world.m_onWrite = [&](size_t, const TableWrite&) {
+    const StoreFault fault =
+      isFirst ? StoreFault::AnswerLost : StoreFault::None;
+    if (isFirst) {
+      // The outage begins once the write has landed.
+      world.At(World::kStoreTime * 2, [&world] { world.Outage(); });
+    }
+    isFirst = false;
+    return fault;
+  };
+  const std::string refused = world.Send(0, "key", 1, kAllowed);
+  world.RunFor(kRecordTime + World::kOutageTime + kSettlePeriod * 4);
+  CHECK(world.Told(refused) == ResultCode::RecordUnavailable);
+  const std::string repeat = world.Send(0, "key", 1, kAllowed);
+  world.RunFor(kAllowed);
+  CHECK(world.Told(repeat) == ResultCode::Ok);
+  world.Judge();
+}
+
+TEST_CASE("a node that was paused past the deadline doesn't ask for a run")
+{
+  World world(1);
+  bool isAsked = false;
+  world.m_beforeSend = [&isAsked](size_t) { isAsked = true; };
+  const std::string request = world.Send(0, "key", 1, kAllowed);
+  world.Pause(0, kLongPause);
+  world.RunFor(kLongPause + kAllowed);
+  CHECK_FALSE(isAsked);
+  CHECK(DescribeResultCode(world.Told(request)).m_outcome == Outcome::NotRun);
+  world.Judge();
+}
+
 // Seed 20261204 of the random run: the repeat that took the place of a caller
 // who left stood in the record twice.
 TEST_CASE("a repeat takes the place of a caller who left, once")
