--- a/briarglade/placement/placement_test.cc
+++ b/briarglade/placement/placement_test.cc
@@ -654,6 +654,8 @@
   REQUIRE(world.Run(kLeaseTime, false) == "");
   world.m_orders = 0;
   world.m_servers[HostId("host-0-0")].Restart(world.m_now);
+  // A holder would order this one out of a group that doesn't exist.
+  world.m_servers[HostId("host-0-8")].m_group = GroupId("stray");
   REQUIRE(world.Run(Millis(60'000), false) == "");
   CHECK(world.m_orders == 0);
   CHECK(world.Complete(DomainId()) == 5);
