--- a/standin/load_main.cc
+++ b/standin/load_main.cc
@@ -160,6 +160,7 @@
       { "cut", m_tally.m_cut },
       { "crossed", m_tally.m_crossed },
       { "codes", m_tally.m_codes },
+      { "not_run_keys", m_tally.m_notRunKeys },
       { "seconds", seconds },
       { "requests_per_second", static_cast<double>(m_tally.m_done) / seconds },
       { "tokens_per_second", static_cast<double>(m_tally.m_tokens) / seconds },
