--- a/spec/acceptance.pml
+++ b/spec/acceptance.pml
@@ -73,6 +73,10 @@
 byte roundAsOf[NODES];
 byte vouched[NODES];       /* Who has vouched since the round was begun. */
 
+/* The node that prepares a roster step, and who it knows to hold all that it does. */
+byte counter = NODES;
+byte counted;
+
 /* What an observer knows. */
 byte accepted;             /* The latest accepted version. */
 byte expired;              /* Accepted a confirmation life ago, or longer. */
@@ -91,6 +95,14 @@
   fi
 }
 
+/* Who was counted held what the node held before, not what it holds now. */
+inline ForgetCount(n) {
+  if
+  :: counter == n -> counted = BIT(n)
+  :: else
+  fi
+}
+
 /* Takes a row that is offered: AdoptRow. */
 inline Hold(n, v, c) {
   if
@@ -99,7 +111,7 @@
 #else
   :: v > version[n] ->
 #endif
-       version[n] = v; content[n] = c
+       version[n] = v; content[n] = c; ForgetCount(n)
   :: v == version[n] -> assert(content[n] == c)
   :: else
   fi
@@ -107,7 +119,7 @@
 
 inline HoldRoster(n, r) {
   if
-  :: r > roster[n] -> roster[n] = r
+  :: r > roster[n] -> roster[n] = r; ForgetCount(n)
   :: else
   fi
 }
@@ -140,22 +152,6 @@
   od
 }
 
-/* Counts who holds everything that node n does. */
-inline CountHolders(n, set) {
-  set = 0;
-  m = 0;
-  do
-  :: m < NODES ->
-       if
-       :: VOUCHES(m) && version[m] >= version[n] && roster[m] >= roster[n] ->
-            set = set | BIT(m)
-       :: else
-       fi;
-       m++
-  :: else -> break
-  od
-}
-
 /* Steps of one node and of a pair, each with its guard. */
 #if NODES > 3
 #define EACH_NODE(STEP) STEP(0) STEP(1) STEP(2) STEP(3)
@@ -296,34 +292,42 @@
   i = 0
 }
 
-/* The next roster step, by one node, once this one is settled. */
-#define CHANGE_ROSTER(x) \
+/* x prepares the next roster step. */
+#define BEGIN_COUNT(x) \
   :: atomic { \
-       tableUp && tableRoster < STEPS && hasRead[x] && \
+       counter != x && tableUp && tableRoster < STEPS && \
        roster[x] == tableRoster && HAS(ROSTER(roster[x]), x) -> \
-       i = x; ChangeRoster() }
+       counter = x; counted = BIT(x) }
 
-inline ChangeRoster() {
-  CountHolders(i, set);
-  r = roster[i];
-  if
+/* x hears what y holds. What is newer is adopted first (PUSH). */
+#ifdef COUNT_HOLDERS_UNHEARD
+#define HOLDS_ALL(y, x) (version[y] >= version[x] && roster[y] >= roster[x])
+#else
+#define HOLDS_ALL(y, x) (version[y] == version[x] && roster[y] == roster[x])
+#endif
+#define COUNT(x, y) \
+  :: atomic { counter == x && !HAS(counted, y) && HOLDS_ALL(y, x) -> \
+       counted = counted | BIT(y) }
+
+/* The step is written, by one node more or less, once the last one is settled. */
 #ifdef STEP_UNSETTLED
-  :: true ->
+#define SETTLED(r) 1
 #else
-  :: MAJORITY(set, ROSTER(r)) && (r == 0 || MAJORITY(set, ROSTER(r - 1))) ->
+#define SETTLED(r) \
+  (MAJORITY(counted, ROSTER(r)) && ((r) == 0 || MAJORITY(counted, ROSTER((r) - 1))))
 #endif
-       tableRoster++; HoldRoster(i, tableRoster)
-  :: else
-  fi;
-  i = 0; set = 0; m = 0; r = 0
-}
+#define CHANGE_ROSTER(x) \
+  :: atomic { \
+       counter == x && tableUp && tableRoster < STEPS && \
+       roster[x] == tableRoster && SETTLED(roster[x]) -> \
+       tableRoster++; counter = NODES; counted = 0; roster[x] = tableRoster }
 
 /* New work: asked of each node after each step that could let it be wrong. */
 #define MAY_SERVE(x) (confirmed[x] && HAS(ROSTER(roster[x]), x))
 #define SERVE(x) :: MAY_SERVE(x) && version[x] < expired -> assert(false)
 
 active proctype World() {
-  byte i, j, m, set, r;
+  byte i, j, m, set;
   do
   EACH_NODE(WRITE)
   EACH_NODE(READ_TABLE)
@@ -333,6 +337,8 @@
   EACH_PAIR(ANSWER)
   EACH_NODE(END_ROUND)
 #if STEPS > 0
+  EACH_NODE(BEGIN_COUNT)
+  EACH_PAIR(COUNT)
   EACH_NODE(CHANGE_ROSTER)
 #else
   EACH_PAIR(RELAY)
