--- a/briarglade/membership/membership_test.cc
+++ b/briarglade/membership/membership_test.cc
@@ -509,6 +509,25 @@
   CHECK(region.m_nodes[0].m_state.m_held.m_roster == 3);
 }
 
+TEST_CASE("a node that joins takes work only once its joining is accepted")
+{
+  FakeRegion region = MakeRegion(3);
+  region.m_nodes.emplace_back();
+  region.Start(3);
+  while (region.m_nodes[3].m_state.m_members.size() < 4) {
+    region.Run(Millis(1));
+  }
+  for (size_t i = 0; i < 3; ++i) {
+    region.Cut(i, 3);
+  }
+  region.Run(Millis(5'000));
+  // The table confirms its facts, yet no one may know of it.
+  CHECK_FALSE(region.Confirmed(3));
+  region.m_cuts.clear();
+  region.Run(Millis(8'000));
+  CHECK(region.Confirmed(3));
+}
+
 TEST_CASE("the roster changes only once majorities hold the step before")
 {
   FakeRegion region = MakeRegion(3);
