--- a/briarglade/routing/account_use.cc
+++ b/briarglade/routing/account_use.cc
@@ -1,8 +1,9 @@
-// Activity and requests in flight of accounts.
+// Activity and balances of accounts.
 
 #include "briarglade/routing/account_use.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace briarglade {
 
@@ -10,6 +11,16 @@
 
 // An account is active for this long after its last request came.
 constexpr Millis kActiveTime = Millis(10'000);
+// The largest credit or debt, in milliseconds of the account's part of the
+// slots.
+constexpr double kMaxBalanceMillis = 20'000;
+// The part of the largest debt from which an account is far over its share.
+constexpr double kFarOver = 0.75;
+// What a request in flight adds to the rank, in milliseconds.
+constexpr double kInFlightMillis = 100;
+// Standard deviations of a Poisson count that bursts are expected to stay
+// within.
+constexpr double kBurstDeviations = 1.65;
 
 } // namespace
 
@@ -21,36 +32,73 @@
   return m_uses[aAccount];
 }
 
+void AccountUse::AdvanceMean(Millis aNow)
+{
+  const auto passed = static_cast<double>((aNow - m_meanAt).Count());
+  m_meanAt = aNow;
+  if (m_activeShares > 0) {
+    m_mean += passed * static_cast<double>(m_inFlight) /
+              static_cast<double>(m_activeShares);
+  }
+}
+
+void AccountUse::Balance(Use& aUse)
+{
+  const auto passed =
+    static_cast<double>((m_meanAt - aUse.m_balancedAt).Count());
+  const double used = passed * aUse.m_inFlight / aUse.m_share;
+  const double balance = aUse.m_balance + used - (m_mean - aUse.m_meanThen);
+  aUse.m_balance = std::clamp(balance, -m_maxBalance, m_maxBalance);
+  aUse.m_balancedAt = m_meanAt;
+  aUse.m_meanThen = m_mean;
+}
+
 void AccountUse::NoteArrived(Millis aNow, uint32_t aAccount, uint32_t aShare)
 {
   Use& use = Account(aAccount);
   use.m_lastArrival = aNow;
-  if (!use.m_active) {
-    use.m_active = true;
-    use.m_share = aShare;
-    m_active.push_back(aAccount);
-    m_activeShares += aShare;
-  } else if (use.m_share != aShare) {
-    m_activeShares += aShare;
+  if (use.m_active && use.m_share == aShare) {
+    return;
+  }
+  AdvanceMean(aNow);
+  Balance(use);
+  if (use.m_active) {
     m_activeShares -= use.m_share;
-    use.m_share = aShare;
+  } else {
+    m_active.push_back(aAccount);
   }
+  use.m_active = true;
+  use.m_share = aShare;
+  m_activeShares += aShare;
 }
 
-void AccountUse::NoteStarted(uint32_t aAccount)
+void AccountUse::NoteStarted(Millis aNow, uint32_t aAccount)
 {
+  AdvanceMean(aNow);
+  Balance(Account(aAccount));
   ++Account(aAccount).m_inFlight;
   ++m_inFlight;
 }
 
-void AccountUse::NoteEnded(uint32_t aAccount)
+void AccountUse::NoteEnded(Millis aNow, uint32_t aAccount)
 {
+  AdvanceMean(aNow);
+  Balance(Account(aAccount));
   --Account(aAccount).m_inFlight;
   --m_inFlight;
 }
 
-void AccountUse::Expire(Millis aNow)
+void AccountUse::Refresh(Millis aNow, uint64_t aSlots)
 {
+  AdvanceMean(aNow);
+  m_maxBalance = kMaxBalanceMillis * static_cast<double>(aSlots) /
+                 static_cast<double>(std::max<uint64_t>(1, m_activeShares));
+  m_withinShare = 0;
+  for (const uint32_t account : m_active) {
+    Use& use = m_uses[account];
+    Balance(use);
+    m_withinShare += IsOverShare(account) ? 0 : use.m_inFlight;
+  }
   const auto isIdle = [&](uint32_t aAccount) {
     return aNow - m_uses[aAccount].m_lastArrival > kActiveTime;
   };
@@ -64,13 +112,26 @@
                  m_active.end());
 }
 
-bool AccountUse::IsOverShare(uint32_t aAccount, uint64_t aSlots) const
+double AccountUse::BurstSlots() const
+{
+  return kBurstDeviations * std::sqrt(m_withinShare);
+}
+
+double AccountUse::Rank(uint32_t aAccount) const
 {
   const Use& use = m_uses[aAccount];
-  if (m_active.size() <= 1) {
-    return false;
-  }
-  return use.m_inFlight * m_activeShares >= aSlots * use.m_share;
+  return use.m_balance + kInFlightMillis * use.m_inFlight / use.m_share;
+}
+
+bool AccountUse::IsOverShare(uint32_t aAccount) const
+{
+  return m_active.size() > 1 && m_uses[aAccount].m_balance > 0;
+}
+
+bool AccountUse::IsFarOverShare(uint32_t aAccount) const
+{
+  return m_active.size() > 1 &&
+         m_uses[aAccount].m_balance > kFarOver * m_maxBalance;
 }
 
 } // namespace briarglade
--- /dev/null
+++ b/briarglade/routing/address_list.cc
@@ -0,0 +1,68 @@
+// Weighting the addresses for callers.
+
+#include "briarglade/routing/address_list.h"
+
+#include <algorithm>
+
+namespace briarglade {
+
+namespace {
+
+constexpr Millis kKeepTime = Millis(10'000);
+// While a node is left out, it may be back soon.
+constexpr Millis kShortKeepTime = Millis(2'000);
+// Bounds of a weight; loads are old when callers act on them.
+constexpr uint32_t kMinWeight = 50;
+constexpr uint32_t kMaxWeight = 150;
+
+double MeanInFlight(const std::vector<AddressCandidate>& aCandidates)
+{
+  uint64_t sum = 0;
+  uint64_t count = 0;
+  for (const AddressCandidate& candidate : aCandidates) {
+    if (candidate.m_confirmed && !candidate.m_leaving && candidate.m_inFlight) {
+      sum += *candidate.m_inFlight;
+      ++count;
+    }
+  }
+  return count == 0 ? 0 : static_cast<double>(sum) / static_cast<double>(count);
+}
+
+uint32_t WeightOf(const AddressCandidate& aCandidate, double aMean)
+{
+  if (aCandidate.m_leaving) {
+    return 0;
+  }
+  if (!aCandidate.m_inFlight || aMean == 0) {
+    return kMeanAddressWeight;
+  }
+  const double above = *aCandidate.m_inFlight / aMean - 1;
+  const double weight = kMeanAddressWeight * (1 - above);
+  return static_cast<uint32_t>(std::clamp(
+    weight, static_cast<double>(kMinWeight), static_cast<double>(kMaxWeight)));
+}
+
+} // namespace
+
+AddressList BuildAddressList(const std::vector<AddressCandidate>& aCandidates)
+{
+  const double mean = MeanInFlight(aCandidates);
+  AddressList list;
+  for (const AddressCandidate& candidate : aCandidates) {
+    if (candidate.m_confirmed) {
+      list.m_entries.push_back(AddressEntry{ candidate.m_node,
+                                             candidate.m_endpoint,
+                                             candidate.m_zone,
+                                             WeightOf(candidate, mean) });
+    }
+  }
+  std::stable_partition(
+    list.m_entries.begin(),
+    list.m_entries.end(),
+    [](const AddressEntry& aEntry) { return aEntry.m_weight > 0; });
+  const bool isWhole = list.m_entries.size() == aCandidates.size();
+  list.m_keepFor = isWhole ? kKeepTime : kShortKeepTime;
+  return list;
+}
+
+} // namespace briarglade
--- a/briarglade/routing/fair_queue.cc
+++ b/briarglade/routing/fair_queue.cc
@@ -1,8 +1,11 @@
-// Weighted fair queuing over accounts and their classes.
+// Queues of accounts and their classes.
 
 #include "briarglade/routing/fair_queue.h"
 
 #include <algorithm>
+#include <iterator>
+
+#include "briarglade/routing/account_use.h"
 
 namespace briarglade {
 
@@ -10,8 +13,8 @@
 
 // Weight of the newest sample in a mean service time.
 constexpr double kMeanWeight = 1.0 / 16;
-// Charged for a request while no service time is known, in milliseconds.
-constexpr double kUnknownService = 1000;
+// The least part of the slots that accounts over their share can count on.
+constexpr double kMinPartLeft = 0.3;
 
 void UpdateMean(double& aMean, double aSample)
 {
@@ -37,21 +40,15 @@
   return account.m_classes[aPlace.m_class];
 }
 
-void FairQueue::SetAccount(uint32_t aAccount,
-                           uint32_t aShare,
-                           const std::vector<uint32_t>& aClassWeights)
+void FairQueue::SetClasses(uint32_t aAccount,
+                           const std::vector<uint32_t>& aWeights)
 {
   AccountQueue& account = Account(aAccount);
-  if (account.m_size > 0) {
-    m_backloggedShares += aShare;
-    m_backloggedShares -= account.m_share;
-  }
-  account.m_share = aShare;
-  if (account.m_classes.size() < aClassWeights.size()) {
-    account.m_classes.resize(aClassWeights.size());
+  if (account.m_classes.size() < aWeights.size()) {
+    account.m_classes.resize(aWeights.size());
   }
-  for (size_t i = 0; i < aClassWeights.size(); ++i) {
-    account.m_classes[i].m_weight = aClassWeights[i];
+  for (size_t i = 0; i < aWeights.size(); ++i) {
+    account.m_classes[i].m_weight = aWeights[i];
   }
 }
 
@@ -73,16 +70,14 @@
 
 void FairQueue::NoteAdded(QueuePlace aPlace)
 {
+  ClassQueue& entry = Class(aPlace);
   AccountQueue& account = Account(aPlace.m_account);
   ++m_size;
-  if (Class(aPlace).m_waiting.size() == 1) {
-    ClassQueue& entry = Class(aPlace);
-    entry.m_virtualTime = std::max(entry.m_virtualTime, account.m_classTime);
+  if (entry.m_waiting.size() == 1) {
+    entry.m_virtualTime = std::max(entry.m_virtualTime, account.m_virtualTime);
   }
   if (++account.m_size == 1) {
-    account.m_virtualTime = std::max(account.m_virtualTime, m_virtualTime);
-    m_backlogged.emplace(account.m_virtualTime, aPlace.m_account);
-    m_backloggedShares += account.m_share;
+    m_backlogged.push_back(aPlace.m_account);
   }
 }
 
@@ -92,8 +87,8 @@
   m_size -= aCount;
   account.m_size -= aCount;
   if (aCount > 0 && account.m_size == 0) {
-    m_backlogged.erase({ account.m_virtualTime, aAccount });
-    m_backloggedShares -= account.m_share;
+    m_backlogged.erase(
+      std::find(m_backlogged.begin(), m_backlogged.end(), aAccount));
   }
 }
 
@@ -103,20 +98,31 @@
   NoteAdded(aPlace);
 }
 
-void FairQueue::PushFront(QueuePlace aPlace, QueuedRequest aRequest)
+void FairQueue::PushRetry(QueuedRequest aRequest)
 {
-  Class(aPlace).m_waiting.push_front(aRequest);
-  NoteAdded(aPlace);
+  m_retries.push_back(aRequest);
+  ++m_size;
 }
 
-std::optional<QueuedRequest> FairQueue::Pop(const AccountFilter& aIsAllowed)
+std::optional<QueuedRequest> FairQueue::Pop(const AccountUse& aUse,
+                                            const AccountFilter& aIsAllowed)
 {
-  for (const auto& entry : m_backlogged) {
-    if (aIsAllowed(entry.second)) {
-      return PopFrom(entry.second);
+  if (!m_retries.empty()) {
+    const QueuedRequest request = m_retries.front();
+    m_retries.pop_front();
+    --m_size;
+    return request;
+  }
+  std::optional<uint32_t> next;
+  double nextRank = 0;
+  for (const uint32_t account : m_backlogged) {
+    const double rank = aUse.Rank(account);
+    if ((!next || rank < nextRank) && aIsAllowed(account)) {
+      next = account;
+      nextRank = rank;
     }
   }
-  return std::nullopt;
+  return next ? std::optional<QueuedRequest>(PopFrom(*next)) : std::nullopt;
 }
 
 QueuedRequest FairQueue::PopFrom(uint32_t aAccount)
@@ -131,31 +137,30 @@
   }
   const QueuedRequest request = next->m_waiting.front();
   next->m_waiting.pop_front();
-  account.m_classTime = next->m_virtualTime;
+  account.m_virtualTime = next->m_virtualTime;
   next->m_virtualTime += 1.0 / next->m_weight;
-
-  const double cost =
-    account.m_meanService > 0 ? account.m_meanService : kUnknownService;
-  m_backlogged.erase({ account.m_virtualTime, aAccount });
-  m_virtualTime = std::max(m_virtualTime, account.m_virtualTime);
-  account.m_virtualTime += cost / account.m_share;
-  m_backlogged.emplace(account.m_virtualTime, aAccount);
   NoteRemoved(aAccount, 1);
   return request;
 }
 
 bool FairQueue::Remove(QueuePlace aPlace, uint32_t aRequest)
 {
+  const auto isWanted = [aRequest](const QueuedRequest& aEntry) {
+    return aEntry.m_request == aRequest;
+  };
   std::list<QueuedRequest>& waiting = Class(aPlace).m_waiting;
-  const auto found = std::find_if(
-    waiting.begin(), waiting.end(), [aRequest](const QueuedRequest& aEntry) {
-      return aEntry.m_request == aRequest;
-    });
-  if (found == waiting.end()) {
+  const auto found = std::find_if(waiting.begin(), waiting.end(), isWanted);
+  if (found != waiting.end()) {
+    waiting.erase(found);
+    NoteRemoved(aPlace.m_account, 1);
+    return true;
+  }
+  const auto retry = std::find_if(m_retries.begin(), m_retries.end(), isWanted);
+  if (retry == m_retries.end()) {
     return false;
   }
-  waiting.erase(found);
-  NoteRemoved(aPlace.m_account, 1);
+  m_retries.erase(retry);
+  --m_size;
   return true;
 }
 
@@ -173,48 +178,63 @@
   return Millis(static_cast<int64_t>(own > 0 ? own : m_meanService));
 }
 
-Millis FairQueue::EstimateWait(uint32_t aAccount,
+Millis FairQueue::EstimateWait(const AccountUse& aUse,
+                               uint32_t aAccount,
                                size_t aAhead,
                                uint64_t aSlots) const
 {
   if (m_meanService == 0 || aSlots == 0) {
     return Millis();
   }
-  const AccountQueue& account = m_accounts[aAccount];
+  double before = static_cast<double>(m_retries.size() + aAhead + 1);
+  const double rank = aUse.Rank(aAccount);
+  for (const uint32_t other : m_backlogged) {
+    const bool isFirst = other != aAccount && aUse.Rank(other) < rank;
+    before += isFirst ? static_cast<double>(m_accounts[other].m_size) : 0;
+  }
+  if (aUse.IsOverShare(aAccount)) {
+    // Those within their share keep overtaking.
+    const double left = 1 - aUse.WithinShare() / static_cast<double>(aSlots);
+    before /= std::max(left, kMinPartLeft);
+  }
   const double slotTime = m_meanService / static_cast<double>(aSlots);
-  const double shares = static_cast<double>(m_backloggedShares) +
-                        (account.m_size == 0 ? account.m_share : 0);
-  const double ownTurn = static_cast<double>(aAhead + 1) * shares /
-                         static_cast<double>(account.m_share);
-  const double everyone = static_cast<double>(m_size + 1);
-  return Millis(static_cast<int64_t>(std::min(ownTurn, everyone) * slotTime));
+  return Millis(static_cast<int64_t>(before * slotTime));
 }
 
-std::vector<QueuedRequest> FairQueue::TakeHopeless(Millis aNow, uint64_t aSlots)
+std::vector<QueuedRequest> FairQueue::TakeHopeless(const AccountUse& aUse,
+                                                   Millis aNow,
+                                                   uint64_t aSlots)
 {
-  std::vector<uint32_t> accounts;
-  accounts.reserve(m_backlogged.size());
-  for (const auto& entry : m_backlogged) {
-    accounts.push_back(entry.second);
-  }
+  const std::vector<uint32_t> accounts = m_backlogged;
   std::vector<QueuedRequest> taken;
+  for (auto it = m_retries.begin(); it != m_retries.end();) {
+    const bool isLate = aNow > it->m_startBy;
+    if (isLate) {
+      taken.push_back(*it);
+    }
+    it = isLate ? m_retries.erase(it) : std::next(it);
+  }
+  m_size -= taken.size();
   for (const uint32_t account : accounts) {
-    DropHopeless(aNow, aSlots, account, taken);
+    DropHopeless(aUse, aNow, aSlots, account, taken);
   }
   return taken;
 }
 
-void FairQueue::DropHopeless(Millis aNow,
+void FairQueue::DropHopeless(const AccountUse& aUse,
+                             Millis aNow,
                              uint64_t aSlots,
                              uint32_t aAccount,
                              std::vector<QueuedRequest>& aTaken)
 {
   const size_t before = aTaken.size();
-  size_t ahead = 0;
+  // The wait grows evenly with the place in the queue.
+  const Millis first = EstimateWait(aUse, aAccount, 0, aSlots);
+  const Millis step = EstimateWait(aUse, aAccount, 1, aSlots) - first;
+  int64_t ahead = 0;
   for (ClassQueue& entry : m_accounts[aAccount].m_classes) {
     for (auto it = entry.m_waiting.begin(); it != entry.m_waiting.end();) {
-      const Millis wait = EstimateWait(aAccount, ahead, aSlots);
-      if (aNow + wait <= it->m_startBy) {
+      if (aNow + first + step * ahead <= it->m_startBy) {
         ++it;
         ++ahead;
         continue;
@@ -228,9 +248,11 @@
 
 std::vector<QueuedRequest> FairQueue::TakeAll()
 {
-  std::vector<QueuedRequest> taken;
-  while (const auto request = Pop([](uint32_t) { return true; })) {
-    taken.push_back(*request);
+  std::vector<QueuedRequest> taken(m_retries.begin(), m_retries.end());
+  m_size -= m_retries.size();
+  m_retries.clear();
+  while (!m_backlogged.empty()) {
+    taken.push_back(PopFrom(m_backlogged.back()));
   }
   return taken;
 }
--- a/briarglade/routing/fair_queue.h
+++ b/briarglade/routing/fair_queue.h
@@ -1,11 +1,11 @@
 // The requests that wait for one model or plain service on this node: a queue
-// for each client account and class, served by weighted fair queuing (start
-// time fair queuing over accounts, then over the account's classes). A request
-// is charged the time for which its account's requests lately held a slot.
+// for each client account and class. The account that has lately used least in
+// relation to its share is served first; among the classes of an account the
+// weights decide (start-time fair queuing).
 //
 // Example:
-//   queue.Push(now, account, trafficClass, item);
-//   if (const auto item = queue.Pop(isAllowed)) { Start(*item); }
+//   queue.PushBack(place, entry);
+//   if (const auto entry = queue.Pop(use, isAllowed)) { Start(*entry); }
 
 #pragma once
 
@@ -13,15 +13,14 @@
 #include <functional>
 #include <list>
 #include <optional>
-#include <set>
-#include <utility>
 #include <vector>
 
-#include "briarglade/base/ids.h"
 #include "briarglade/base/millis.h"
 
 namespace briarglade {
 
+class AccountUse;
+
 // A waiting request.
 struct QueuedRequest
 {
@@ -41,24 +40,25 @@
 class FairQueue
 {
 public:
-  // Sets an account's share and the weights of its classes.
-  void SetAccount(uint32_t aAccount,
-                  uint32_t aShare,
-                  const std::vector<uint32_t>& aClassWeights);
+  // Sets the weights of an account's classes.
+  void SetClasses(uint32_t aAccount, const std::vector<uint32_t>& aWeights);
 
-  // Returns the number of waiting requests: all, or those of one account.
+  // Returns the number of waiting requests: all, or those of one account or
+  // class.
   size_t Size() const { return m_size; }
   size_t AccountSize(uint32_t aAccount) const;
   size_t ClassSize(QueuePlace aPlace) const;
 
   void PushBack(QueuePlace aPlace, QueuedRequest aRequest);
-  // For a request that has waited already and is tried again.
-  void PushFront(QueuePlace aPlace, QueuedRequest aRequest);
+  // For a request that has had a slot and is tried again: it goes before all
+  // others, whatever its account's rank.
+  void PushRetry(QueuedRequest aRequest);
 
   // Tells whether an account may be served now.
   using AccountFilter = std::function<bool(uint32_t aAccount)>;
   // Takes the request that is next among the allowed accounts.
-  std::optional<QueuedRequest> Pop(const AccountFilter& aIsAllowed);
+  std::optional<QueuedRequest> Pop(const AccountUse& aUse,
+                                   const AccountFilter& aIsAllowed);
   // Removes a waiting request. Returns false if it isn't there.
   bool Remove(QueuePlace aPlace, uint32_t aRequest);
 
@@ -68,12 +68,17 @@
   // it isn't known yet.
   Millis MeanService(uint32_t aAccount) const;
 
-  // Returns the time until the slot for a request with so many of its account
-  // before it, if this node holds so many slots. Zero if nothing is known.
-  Millis EstimateWait(uint32_t aAccount, size_t aAhead, uint64_t aSlots) const;
+  // Returns the time until a request with so many of its account before it gets
+  // a slot, if this node holds so many. Zero if nothing is known.
+  Millis EstimateWait(const AccountUse& aUse,
+                      uint32_t aAccount,
+                      size_t aAhead,
+                      uint64_t aSlots) const;
 
   // Removes every request that can't be started in time, and returns them.
-  std::vector<QueuedRequest> TakeHopeless(Millis aNow, uint64_t aSlots);
+  std::vector<QueuedRequest> TakeHopeless(const AccountUse& aUse,
+                                          Millis aNow,
+                                          uint64_t aSlots);
   // Removes and returns everything.
   std::vector<QueuedRequest> TakeAll();
 
@@ -86,10 +91,9 @@
   };
   struct AccountQueue
   {
-    uint32_t m_share = 1;
-    double m_virtualTime = 0;
     // Virtual time of the class served last.
-    double m_classTime = 0;
+    double m_virtualTime = 0;
+    // In milliseconds; zero: unknown.
     double m_meanService = 0;
     size_t m_size = 0;
     std::vector<ClassQueue> m_classes;
@@ -100,17 +104,17 @@
   void NoteAdded(QueuePlace aPlace);
   void NoteRemoved(uint32_t aAccount, size_t aCount);
   QueuedRequest PopFrom(uint32_t aAccount);
-  void DropHopeless(Millis aNow,
+  void DropHopeless(const AccountUse& aUse,
+                    Millis aNow,
                     uint64_t aSlots,
                     uint32_t aAccount,
                     std::vector<QueuedRequest>& aTaken);
 
+  std::list<QueuedRequest> m_retries;
   std::vector<AccountQueue> m_accounts;
-  // Accounts with waiting requests, by virtual time.
-  std::set<std::pair<double, uint32_t>> m_backlogged;
-  uint64_t m_backloggedShares = 0;
+  // Accounts with waiting requests, in no order.
+  std::vector<uint32_t> m_backlogged;
   size_t m_size = 0;
-  double m_virtualTime = 0;
   // Mean over all accounts, in milliseconds.
   double m_meanService = 0;
 };
--- a/briarglade/routing/internal/attempt_end.cc
+++ b/briarglade/routing/internal/attempt_end.cc
@@ -259,7 +259,7 @@
   NoteHealth(aState, aNow, record.m_slot, aEnded, end, isServed, aEffects);
   RememberEnd(record, slot, aEnded, verdict);
   aState.m_requests.UnbindAttempt(handle);
-  aState.m_uses[target].NoteEnded(record.m_place.m_account);
+  aState.m_uses[target].NoteEnded(aNow, record.m_place.m_account);
   aState.m_book.NoteEnded(aNow, record.m_slot);
 
   if (record.m_callerGone) {
@@ -308,7 +308,7 @@
   for (const uint32_t handle :
        aState.m_requests.InPhase(RequestPhase::Delayed)) {
     if (aState.m_requests.Get(handle).m_notBefore <= aNow) {
-      EnqueueRetry(aState, aNow, handle);
+      EnqueueRetry(aState, handle);
     }
   }
 }
--- a/briarglade/routing/internal/dispatch.cc
+++ b/briarglade/routing/internal/dispatch.cc
@@ -25,8 +25,8 @@
 constexpr Millis kMinRetryAfter = Millis(1'000);
 constexpr Millis kMaxRetryAfter = Millis(60'000);
 constexpr Millis kNoCapacityRetryAfter = Millis(2'000);
-// One slot in this many is left to the accounts within their share.
-constexpr uint64_t kReservedPart = 16;
+// At most one slot in this many is left to the accounts within their share.
+constexpr uint64_t kMaxReservedPart = 8;
 
 // Makes room for what routing keeps for each target.
 uint32_t PrepareTarget(RoutingState& aState, const RouteTarget& aTarget)
@@ -50,8 +50,14 @@
                  uint32_t aTarget,
                  uint32_t aAccount)
 {
-  return aState.m_uses[aTarget].IsOverShare(aAccount,
-                                            OwnSlots(aState, aTarget));
+  return aState.m_uses[aTarget].IsOverShare(aAccount);
+}
+
+bool IsFarOverShare(const RoutingState& aState,
+                    uint32_t aTarget,
+                    uint32_t aAccount)
+{
+  return aState.m_uses[aTarget].IsFarOverShare(aAccount);
 }
 
 // Whether the node has less in flight at a target than is guaranteed to it.
@@ -62,12 +68,18 @@
 }
 
 // Whether a target is so full that its last slots are kept back from accounts
-// beyond their share.
+// far over their share. Each node keeps back its part of them, so that all
+// together don't take them at once.
 bool IsReserveReached(const RoutingState& aState, uint32_t aTarget)
 {
   const TargetRoutes& target = aState.m_book.Target(aTarget);
-  const uint64_t reserve = (target.m_limit + kReservedPart - 1) / kReservedPart;
-  return target.m_load + reserve >= target.m_limit;
+  const auto burst =
+    static_cast<uint64_t>(aState.m_uses[aTarget].BurstSlots()) + 1;
+  const uint64_t reserve = std::min(burst, target.m_share / kMaxReservedPart);
+  const uint64_t wanted = aState.m_uses[aTarget].InFlight() + reserve;
+  const bool isFull =
+    target.m_load * kMaxReservedPart >= target.m_limit * (kMaxReservedPart - 1);
+  return wanted >= target.m_allowance || (isFull && wanted >= target.m_share);
 }
 
 RouteQuestion QuestionFor(const RoutingState& aState,
@@ -79,9 +91,11 @@
   question.m_zone = aState.m_zone;
   question.m_tried = &aRecord.m_tried;
   question.m_avoidZone = aRecord.m_failedZone;
+  const bool isRetry = aRecord.m_attempts > 0;
   question.m_mayUseShare =
     IsNodeBelowShare(aState, aRecord.m_target) &&
-    !IsOverShare(aState, aRecord.m_target, aRecord.m_place.m_account);
+    (isRetry ||
+     !IsOverShare(aState, aRecord.m_target, aRecord.m_place.m_account));
   return question;
 }
 
@@ -104,7 +118,7 @@
   record.m_answerBegan = false;
   record.m_takenOver = false;
   aState.m_book.NoteStarted(aNow, aSlot);
-  aState.m_uses[record.m_target].NoteStarted(record.m_place.m_account);
+  aState.m_uses[record.m_target].NoteStarted(aNow, record.m_place.m_account);
   ++aState.m_counts.m_started;
   aState.m_counts.m_retried += record.m_attempts > 1 ? 1 : 0;
   aState.m_counts.m_resumed += record.m_tokensDelivered > 0 ? 1 : 0;
@@ -128,9 +142,9 @@
 {
   const RequestRecord& record = aState.m_requests.Get(aHandle);
   const RouteQuestion question = QuestionFor(aState, record);
-  const bool isOverShare =
-    IsOverShare(aState, record.m_target, record.m_place.m_account);
-  if (isOverShare && IsReserveReached(aState, record.m_target)) {
+  const bool isFarOver =
+    IsFarOverShare(aState, record.m_target, record.m_place.m_account);
+  if (isFarOver && IsReserveReached(aState, record.m_target)) {
     return false;
   }
   const std::optional<uint32_t> slot =
@@ -150,19 +164,6 @@
          queue.MeanService(aRecord.m_place.m_account);
 }
 
-// Returns the queue's entry for a request that joins it now. One that has run
-// already waits as long as its deadline allows.
-QueuedRequest QueueEntry(const RoutingState& aState,
-                         Millis aNow,
-                         uint32_t aHandle,
-                         const RequestRecord& aRecord)
-{
-  const Millis latest = LatestStart(aState, aRecord);
-  const bool isRetry = aRecord.m_attempts > 0;
-  return QueuedRequest{ aHandle,
-                        isRetry ? latest : std::min(latest, aNow + kMaxWait) };
-}
-
 // Returns why a request can't join its queue, or Ok.
 ResultCode JudgeQueue(const RoutingState& aState,
                       Millis aNow,
@@ -174,8 +175,10 @@
       queue.Size() >= kMaxQueued) {
     return ResultCode::QueueFull;
   }
-  const Millis wait = queue.EstimateWait(
-    account, queue.AccountSize(account), OwnSlots(aState, aRecord.m_target));
+  const Millis wait = queue.EstimateWait(aState.m_uses[aRecord.m_target],
+                                         account,
+                                         queue.AccountSize(account),
+                                         OwnSlots(aState, aRecord.m_target));
   if (wait > kMaxExpectedWait) {
     return ResultCode::QueueFull;
   }
@@ -202,13 +205,18 @@
 {
   const RoutingState& m_state;
   uint32_t m_target;
-  // A group has room for any account, or for one within its share only.
-  bool m_forAny;
+  // A group has room for any account; for one within its share.
+  bool m_general;
   bool m_forShare;
+  // The last slots are kept from accounts far over their share.
+  bool m_reserveReached;
 
   bool Allows(uint32_t aAccount) const
   {
-    return IsOverShare(m_state, m_target, aAccount) ? m_forAny : m_forShare;
+    if (m_reserveReached && IsFarOverShare(m_state, m_target, aAccount)) {
+      return false;
+    }
+    return m_general || !IsOverShare(m_state, m_target, aAccount);
   }
 };
 
@@ -217,14 +225,15 @@
   RouteQuestion question;
   question.m_target = aTarget;
   question.m_mayUseShare = false;
-  const bool hasGeneral =
+  const bool general =
     ChooseRoute(aState.m_book, aNow, question, aState.m_random).has_value();
   question.m_mayUseShare = IsNodeBelowShare(aState, aTarget);
-  const bool hasShare =
-    hasGeneral ||
+  const bool forShare =
+    general ||
     ChooseRoute(aState.m_book, aNow, question, aState.m_random).has_value();
-  const bool forAny = hasGeneral && !IsReserveReached(aState, aTarget);
-  return Room{ aState, aTarget, forAny, hasShare };
+  return Room{
+    aState, aTarget, general, forShare, IsReserveReached(aState, aTarget)
+  };
 }
 
 void RefuseQueue(RoutingState& aState,
@@ -301,14 +310,15 @@
   if (queue.Size() == 0 && StartNow(aState, aNow, handle, aEffects)) {
     return;
   }
-  queue.SetAccount(number, account.m_share, account.m_classWeights);
+  queue.SetClasses(number, account.m_classWeights);
   const ResultCode code = JudgeQueue(aState, aNow, record);
   if (code != ResultCode::Ok) {
     FinishWith(
       aState, handle, code, ComeBackAfter(aState, target, number), aEffects);
     return;
   }
-  queue.PushBack(record.m_place, QueueEntry(aState, aNow, handle, record));
+  const Millis startBy = std::min(aNow + kMaxWait, LatestStart(aState, record));
+  queue.PushBack(record.m_place, QueuedRequest{ handle, startBy });
   Dispatch(aState, aNow, target, aEffects);
 }
 
@@ -330,7 +340,9 @@
     const auto isAllowed = [&room](uint32_t aAccount) {
       return room.Allows(aAccount);
     };
-    const auto next = room.m_forShare ? queue.Pop(isAllowed) : std::nullopt;
+    const auto next = room.m_forShare
+                        ? queue.Pop(aState.m_uses[aTarget], isAllowed)
+                        : std::nullopt;
     if (!next) {
       return;
     }
@@ -348,7 +360,7 @@
     const auto slot = ChooseRoute(
       aState.m_book, aNow, QuestionFor(aState, record), aState.m_random);
     if (!slot) {
-      queue.PushFront(record.m_place, *next);
+      queue.PushRetry(*next);
       return;
     }
     StartOn(aState, aNow, next->m_request, *slot, aEffects);
@@ -377,7 +389,8 @@
       continue;
     }
     const uint64_t slots = OwnSlots(aState, target);
-    for (const QueuedRequest& entry : queue.TakeHopeless(aNow, slots)) {
+    for (const QueuedRequest& entry :
+         queue.TakeHopeless(aState.m_uses[target], aNow, slots)) {
       const uint32_t account =
         aState.m_requests.Get(entry.m_request).m_place.m_account;
       FinishWith(aState,
@@ -405,16 +418,20 @@
   return true;
 }
 
-void EnqueueRetry(RoutingState& aState, Millis aNow, uint32_t aHandle)
+void RefreshUse(RoutingState& aState, Millis aNow)
+{
+  for (uint32_t target = 0; target < aState.m_uses.size(); ++target) {
+    aState.m_uses[target].Refresh(aNow, OwnSlots(aState, target));
+  }
+}
+
+void EnqueueRetry(RoutingState& aState, uint32_t aHandle)
 {
   RequestRecord& record = aState.m_requests.Get(aHandle);
-  const RoutedAccount& account = aState.m_accounts[record.m_place.m_account];
-  FairQueue& queue = aState.m_queues[record.m_target];
   --aState.m_delayed;
   record.m_phase = RequestPhase::Queued;
-  queue.SetAccount(
-    record.m_place.m_account, account.m_share, account.m_classWeights);
-  queue.PushFront(record.m_place, QueueEntry(aState, aNow, aHandle, record));
+  aState.m_queues[record.m_target].PushRetry(
+    QueuedRequest{ aHandle, record.m_request.m_deadline });
 }
 
 void StopWaiting(RoutingState& aState, uint32_t aHandle)
@@ -451,8 +468,10 @@
                      uint32_t aAccount)
 {
   const FairQueue& queue = aState.m_queues[aTarget];
-  const Millis wait = queue.EstimateWait(
-    aAccount, queue.AccountSize(aAccount), OwnSlots(aState, aTarget));
+  const Millis wait = queue.EstimateWait(aState.m_uses[aTarget],
+                                         aAccount,
+                                         queue.AccountSize(aAccount),
+                                         OwnSlots(aState, aTarget));
   return std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
 }
 
--- a/briarglade/routing/internal/dispatch.h
+++ b/briarglade/routing/internal/dispatch.h
@@ -49,8 +49,11 @@
                     uint32_t aHandle,
                     RoutingEffects& aEffects);
 
-// Puts a request that has waited for its retry back in front of its queue.
-void EnqueueRetry(RoutingState& aState, Millis aNow, uint32_t aHandle);
+// Brings the accounts' use of every target up to date.
+void RefreshUse(RoutingState& aState, Millis aNow);
+
+// Puts a request that has waited for its retry before all others.
+void EnqueueRetry(RoutingState& aState, uint32_t aHandle);
 
 // Takes a waiting request out of its queue, or out of the delayed ones.
 void StopWaiting(RoutingState& aState, uint32_t aHandle);
--- a/briarglade/routing/reduce_routing.cc
+++ b/briarglade/routing/reduce_routing.cc
@@ -28,9 +28,7 @@
   if (aNow - aState.m_housekeptAt >= kHousekeepingPeriod) {
     aState.m_housekeptAt = aNow;
     aState.m_ledger.Expire(aNow);
-    for (AccountUse& use : aState.m_uses) {
-      use.Expire(aNow);
-    }
+    internal::RefreshUse(aState, aNow);
   }
   internal::TakeOverLost(aState, aNow, aEffects);
   internal::QueueDueRetries(aState, aNow);
--- a/briarglade/routing/route_book.cc
+++ b/briarglade/routing/route_book.cc
@@ -248,6 +248,7 @@
   target.m_load = 0;
   target.m_limit = 0;
   target.m_share = 0;
+  target.m_allowance = 0;
   for (const uint32_t index : target.m_slots) {
     const RouteSlot& slot = m_slots[index];
     if (slot.m_open) {
@@ -255,6 +256,7 @@
       target.m_load += slot.Load();
       target.m_limit += slot.m_capacity;
       target.m_share += std::min(slot.m_share, slot.m_admission);
+      target.m_allowance += std::min(slot.m_allowance, slot.m_admission);
     }
   }
   ExpectLoads(aNow, target);
--- a/briarglade/routing/route_book.h
+++ b/briarglade/routing/route_book.h
@@ -89,6 +89,7 @@
   uint64_t m_load = 0;
   uint64_t m_limit = 0;
   uint64_t m_share = 0;
+  uint64_t m_allowance = 0;
   // Mean time for which a request holds its slot, in milliseconds; zero:
   // unknown.
   double m_holdTime = 0;
