--- a/briarglade/actions/actions_state.h
+++ b/briarglade/actions/actions_state.h
@@ -21,6 +21,8 @@
 
 // Callers that may wait here at once.
 constexpr size_t kMaxActionCalls = 16'384;
+// Of these, those of one account: no account can take all the room.
+constexpr uint32_t kMaxAccountCalls = kMaxActionCalls / 4;
 // Rows that may be open here at once: being recorded, running or unwritten.
 constexpr size_t kMaxActionRecords = 16'384;
 // Bytes of answers kept until their rows are written.
@@ -144,6 +146,7 @@
   RetentionState m_retention;
 
   std::unordered_map<RequestId, ActionCall> m_calls;
+  std::unordered_map<AccountId, uint32_t> m_accountCalls;
   std::unordered_map<RowKey, ActionRecord> m_records;
   std::unordered_map<OperationId, PendingOperation> m_pending;
   std::set<std::pair<Millis, RequestId>> m_callTimers;
--- a/briarglade/actions/actions_world_test.h
+++ b/briarglade/actions/actions_world_test.h
@@ -178,12 +178,13 @@
   std::string Send(size_t aNode,
                    const std::string& aKey,
                    uint64_t aBody,
-                   Millis aTimeAllowed)
+                   Millis aTimeAllowed,
+                   const std::string& aAccount = "westsign")
   {
     Sending sending;
     RequestArrived& request = sending.m_request;
     request.m_request = RequestId("r" + std::to_string(m_sendings.size()));
-    request.m_account = AccountId("westsign");
+    request.m_account = AccountId(aAccount);
     request.m_target.m_service = ServiceId("order-desk");
     request.m_operation = "book";
     request.m_idempotent = false;
--- a/briarglade/actions/at_most_once_random_test.cc
+++ b/briarglade/actions/at_most_once_random_test.cc
@@ -129,6 +129,7 @@
     INFO("node " << node);
     const ActionsState& state = world.State(node);
     CHECK(state.m_calls.empty());
+    CHECK(state.m_accountCalls.empty());
     CHECK(state.m_records.empty());
     CHECK(state.m_pending.empty());
     CHECK(state.m_callTimers.empty());
--- a/briarglade/actions/at_most_once_test.cc
+++ b/briarglade/actions/at_most_once_test.cc
@@ -335,6 +335,10 @@
     left.m_repeat = repeat;
     CHECK(CaseRun(left).Run().m_repeat == ResultCode::OkReplayed);
   }
+  Case leftAtOnce;
+  leftAtOnce.m_node = NodeFault::CallerLeavesAtOnce;
+  leftAtOnce.m_repeat = Repeat::SameNodeAtOnce;
+  CHECK(CaseRun(leftAtOnce).Run().m_repeat == ResultCode::Ok);
 }
 
 TEST_CASE("kept answers are bounded, and written once the store is back")
@@ -371,12 +375,20 @@
   world.m_onAttempt = [](const RequestArrived&, int) {
     return ServiceFault::TimeoutRan;
   };
-  for (size_t call = 0; call < kMaxActionCalls; ++call) {
-    world.Send(0, std::to_string(call), 1, kAllowed);
+  for (const std::string account : { "a", "b", "c", "d" }) {
+    for (size_t call = 0; call < kMaxAccountCalls; ++call) {
+      const std::string key = account + std::to_string(call);
+      world.Send(0, key, 1, kAllowed, account);
+    }
+    const std::string over = world.Send(0, "over", 1, kAllowed, account);
+    const bool isFull = account == "d";
+    CHECK(world.Told(over) ==
+          (isFull ? ResultCode::RecordUnavailable : ResultCode::AccountLimit));
   }
-  const std::string refused = world.Send(0, "one more", 1, kAllowed);
+  const std::string refused = world.Send(0, "one more", 1, kAllowed, "e");
   CHECK(world.Told(refused) == ResultCode::RecordUnavailable);
   world.RunFor(kAllowed * 2);
+  CHECK(world.State(0).m_accountCalls.empty());
   world.Judge();
 }
 
--- a/briarglade/actions/internal/record.cc
+++ b/briarglade/actions/internal/record.cc
@@ -102,7 +102,9 @@
   ActionCall& call = *FindCall(aStep, aRecord.m_owner);
   ClearCallTimer(aStep, aRecord.m_owner);
   LogRow(aStep, LogLevel::Debug, "action-started", aRecord.m_content);
+  const AccountId account = call.m_request.m_account;
   aStep.m_effects.emplace_back(RunAction{ std::move(call.m_request) });
+  call.m_request.m_account = account;
 }
 
 // The row is in the table. A call whose time has passed, perhaps because this
@@ -182,6 +184,11 @@
   WriteRecord(aStep, row, record);
 }
 
+void AdoptRecord(Step& aStep, const RowKey& aRow, const RequestId& aRequest)
+{
+  SetOwner(aStep, *FindRecord(aStep, aRow), aRequest);
+}
+
 void OnRecordWritten(Step& aStep,
                      const RowKey& aRow,
                      const TableResult& aResult)
--- a/briarglade/actions/internal/record.h
+++ b/briarglade/actions/internal/record.h
@@ -11,6 +11,9 @@
 // not exist), and this node must not have a record of it.
 void BeginRecord(Step& aStep, const RequestId& aRequest, RowVersion aExpected);
 
+// Makes a call the one that a record without an owner is for.
+void AdoptRecord(Step& aStep, const RowKey& aRow, const RequestId& aRequest);
+
 // Takes the end of the write, or of the read that settles it.
 void OnRecordWritten(Step& aStep,
                      const RowKey& aRow,
--- a/briarglade/actions/internal/repeat.cc
+++ b/briarglade/actions/internal/repeat.cc
@@ -136,10 +136,9 @@
   ActionCall& call = *FindCall(aStep, aRequest);
   ActionRecord& record = *FindRecord(aStep, call.m_row);
   const bool isClosing = record.m_phase == RecordPhase::Closing;
-  const bool isRefused = isClosing
-                           ? record.m_content.m_state == ActionState::NotRun
-                           : record.m_owner.IsEmpty();
-  if (isRefused) {
+  const bool isReleased =
+    isClosing && record.m_content.m_state == ActionState::NotRun;
+  if (isReleased) {
     AnswerCall(aStep,
                aRequest,
                { ResultCode::RecordUnavailable, kActionRetryAfter, {} });
@@ -147,6 +146,9 @@
     RefuseReuse(aStep, aRequest);
   } else if (isClosing) {
     JoinClosing(aStep, aRequest, record.m_content);
+  } else if (record.m_owner.IsEmpty()) {
+    const RowKey row = call.m_row;
+    AdoptRecord(aStep, row, aRequest);
   } else {
     call.m_phase = CallPhase::Waiting;
     record.m_waiters.push_back(aRequest);
--- a/briarglade/actions/internal/step.cc
+++ b/briarglade/actions/internal/step.cc
@@ -20,9 +20,15 @@
 
 void FinishCall(Step& aStep, const FinishRequest& aFinish)
 {
-  if (FindCall(aStep, aFinish.m_request) == nullptr) {
+  const ActionCall* call = FindCall(aStep, aFinish.m_request);
+  if (call == nullptr) {
     return;
   }
+  const auto count =
+    aStep.m_state.m_accountCalls.find(call->m_request.m_account);
+  if (--count->second == 0) {
+    aStep.m_state.m_accountCalls.erase(count);
+  }
   ClearCallTimer(aStep, aFinish.m_request);
   aStep.m_state.m_calls.erase(aFinish.m_request);
   aStep.m_effects.emplace_back(aFinish);
--- a/briarglade/actions/reduce_actions.cc
+++ b/briarglade/actions/reduce_actions.cc
@@ -49,6 +49,13 @@
     RefuseArrival(aStep, aRequest, ResultCode::RecordUnavailable);
     return;
   }
+  const auto count = state.m_accountCalls.find(aRequest.m_account);
+  if (count != state.m_accountCalls.end() &&
+      count->second >= kMaxAccountCalls) {
+    RefuseArrival(aStep, aRequest, ResultCode::AccountLimit);
+    return;
+  }
+  ++state.m_accountCalls[aRequest.m_account];
   ActionCall call;
   call.m_request = aRequest;
   call.m_row = ActionRowKey(aRequest.m_account, aRequest.m_key);
