--- a/bench/repair_compare.cc
+++ b/bench/repair_compare.cc
@@ -1,9 +1,10 @@
 // Compares the planner with a plain baseline on the same seeded histories.
 //
 // The baseline repairs a group only with a spare host of its fabric domain, and
-// waits for the missing member otherwise. Both see the same deaths, restarts,
-// pauses and racks that lose power. Time is simulated from event to event; no
-// node, table or server runs.
+// waits for the missing member otherwise. The planner's spare hosts load
+// weights while no group does; the baseline's load when they are needed. Both
+// see the same deaths, restarts, pauses and racks that lose power. Time is
+// simulated from event to event; no node, table or server runs.
 //
 //   repair_compare [--csv FILE] [--seeds N] [--days N] [--rate N]
 //
@@ -201,6 +202,9 @@
       Take(event, aHistory);
       Plan(now);
       UpdateServing(now);
+      if (!m_isBaseline) {
+        LoadSpares(now);
+      }
     }
     Account(aEnd - now);
     return m_outcome;
@@ -253,6 +257,9 @@
       --host.m_absences;
     }
     host.m_isLoaded = host.m_isLoaded && absence.m_keepsWeights;
+    if (m_loadingSpare == &host) {
+      m_loadingSpare = nullptr;
+    }
   }
 
   const DomainPlanInput& Input(double aNow)
@@ -353,6 +360,32 @@
     }
   }
 
+  // Spare hosts load in turn while no group loads, as the domain's holder has
+  // them do.
+  void LoadSpares(double aNow)
+  {
+    if (m_loadingSpare != nullptr && aNow >= m_spareDoneAt) {
+      const bool isThere = m_loadingSpare->m_absences == 0;
+      m_loadingSpare->m_isLoaded = m_loadingSpare->m_isLoaded || isThere;
+      m_loadingSpare = nullptr;
+    }
+    if (m_loadingSpare != nullptr || !m_loads.empty()) {
+      return;
+    }
+    for (Host& host : m_hosts) {
+      const bool isSpare = host.m_absences == 0 && !host.m_isLoaded &&
+                           m_busy.count(host.m_id) == 0;
+      if (isSpare) {
+        m_loadingSpare = &host;
+        m_spareDoneAt = aNow + double(kModelGigabytes) /
+                                 m_input.m_demand.front().m_members /
+                                 kLoadGigabytesPerSecond;
+        m_events.push({ m_spareDoneAt, Kind::Check, 0 });
+        return;
+      }
+    }
+  }
+
   void Account(double aSeconds)
   {
     AccountFloor(aSeconds / kSecondsPerHour);
@@ -376,6 +409,8 @@
   DomainRow m_row;
   std::priority_queue<Event> m_events;
   std::map<GroupId, Load> m_loads;
+  Host* m_loadingSpare = nullptr;
+  double m_spareDoneAt = 0;
   uint32_t m_serving = 0;
   bool m_hasStarted = false;
   std::set<HostId> m_busy;
--- a/briarglade/placement/domain_control.cc
+++ b/briarglade/placement/domain_control.cc
@@ -74,6 +74,9 @@
   void SendOrders();
   void OrderMembers(const Group& aGroup);
   void OrderStray(const HostId& aHost);
+  const ModelConfig* SpareModel() const;
+  bool IsStoreIdle() const;
+  void OrderSpare(const HostId& aHost);
   void Order(ServerOrder aOrder);
   void LogMove(const Move& aMove);
 
@@ -495,6 +498,73 @@
   Order(std::move(order));
 }
 
+// The model that spare hosts hold ready: the first by priority that has a group
+// here.
+const ModelConfig* DomainStep::SpareModel() const
+{
+  const ModelConfig* best = nullptr;
+  for (const Group& group : m_row.m_groups) {
+    const auto model = m_state.m_fleet.m_models.find(group.m_model);
+    const bool counts =
+      TakesWork(group) && model != m_state.m_fleet.m_models.end();
+    if (counts &&
+        (best == nullptr || model->second.m_priority > best->m_priority)) {
+      best = &model->second;
+    }
+  }
+  return best;
+}
+
+// Tells whether no group waits for weights in any domain.
+bool DomainStep::IsStoreIdle() const
+{
+  for (const auto& entry : m_state.m_domains) {
+    for (const Group& group : entry.second.m_row.m_groups) {
+      if (group.m_state == GroupState::Assigned ||
+          group.m_state == GroupState::Loading) {
+        return false;
+      }
+    }
+  }
+  return m_now >= m_control.m_loadFreeAt;
+}
+
+// Lets a spare host load weights while nobody else needs the weight store, so
+// that it can take a seat at once. It joins a group of its own, which is in no
+// row and which no request is sent to.
+void DomainStep::OrderSpare(const HostId& aHost)
+{
+  const ServerReport* report = FreshReport(m_state.m_presence, m_now, aHost);
+  const ModelConfig* model = SpareModel();
+  if (report == nullptr || model == nullptr) {
+    OrderStray(aHost);
+    return;
+  }
+  ServerOrder order;
+  order.m_host = aHost;
+  order.m_group = GroupId(m_domain.Value() + "/spare/" + aHost.Value());
+  order.m_generation = Generation(1);
+  order.m_model = model->m_id;
+  const bool isLoaded =
+    report->m_model == model->m_id && report->m_phase != MemberPhase::Idle;
+  if (isLoaded && report->m_group == order.m_group) {
+    return;
+  }
+  if (!isLoaded && !IsStoreIdle()) {
+    if (report->m_group != order.m_group) {
+      OrderStray(aHost);
+    }
+    return;
+  }
+  if (!isLoaded) {
+    const double gigabytes =
+      double(model->m_weightGigabytes) / model->m_members;
+    m_control.m_loadFreeAt =
+      m_now + Millis(static_cast<int64_t>(1'000 * gigabytes / LoadShare()));
+  }
+  Order(std::move(order));
+}
+
 void DomainStep::SendOrders()
 {
   std::set<HostId> members;
@@ -503,7 +573,12 @@
     OrderMembers(group);
   }
   for (const auto& entry : m_hosts) {
-    if (members.count(entry.first) == 0) {
+    if (members.count(entry.first) > 0) {
+      continue;
+    }
+    if (entry.second.m_condition == HostCondition::Usable) {
+      OrderSpare(entry.first);
+    } else {
       OrderStray(entry.first);
     }
   }
--- a/briarglade/placement/placement_test.cc
+++ b/briarglade/placement/placement_test.cc
@@ -653,9 +653,11 @@
   world.m_tableDown = true;
   REQUIRE(world.Run(kLeaseTime, false) == "");
   world.m_orders = 0;
-  world.m_servers[HostId("host-0-0")].Restart(world.m_now);
   // A holder would order this one out of a group that doesn't exist.
   world.m_servers[HostId("host-0-8")].m_group = GroupId("stray");
+  REQUIRE(world.Run(Millis(10'000), false) == "");
+  CHECK(world.m_orders == 0);
+  world.m_servers[HostId("host-0-0")].Restart(world.m_now);
   REQUIRE(world.Run(Millis(60'000), false) == "");
   CHECK(world.m_orders == 0);
   CHECK(world.Complete(DomainId()) == 5);
@@ -664,6 +666,20 @@
   CHECK(world.Complete(DomainId()) == 6);
 }
 
+TEST_CASE("a spare host holds weights, so that it takes a seat at once")
+{
+  World world(7);
+  REQUIRE(world.Run(Millis(60'000), false) == "");
+  const FakeServer& spare = world.m_servers[HostId("host-0-8")];
+  CHECK(spare.m_model == ModelId("m"));
+  CHECK(world.RouteOf(HostId("host-0-8")) == nullptr);
+  world.m_servers[HostId("host-0-1")].m_isDown = true;
+  // Less than the two seconds that a load takes, after the loss is noticed.
+  REQUIRE(world.Run(Millis(6'000), false) == "");
+  CHECK(world.Complete(DomainId()) == 6);
+  CHECK(spare.m_group == world.m_servers[HostId("host-0-0")].m_group);
+}
+
 TEST_CASE("a slow member is replaced, and a short hiccup is not")
 {
   World world(4);
