--- a/briarglade/core/effect.h
+++ b/briarglade/core/effect.h
@@ -6,8 +6,9 @@
 #include <vector>
 
 #include "briarglade/base/log_event.h"
-#include "briarglade/membership/operator_command.h"
+#include "briarglade/membership/membership_effect.h"
 #include "briarglade/placement/placement_event.h"
+#include "briarglade/platform/object_store.h"
 #include "briarglade/platform/table.h"
 #include "briarglade/routing/request_event.h"
 
@@ -15,12 +16,16 @@
 
 using Effect = std::variant<TableRead,
                             TableWrite,
+                            ObjectRead,
+                            ObjectWrite,
                             ProbeServer,
                             SendOrder,
+                            SendPeer,
                             CommandAnswer,
                             StartAttempt,
                             CancelAttempt,
                             FinishRequest,
+                            ShutdownComplete,
                             LogEvent>;
 
 using Effects = std::vector<Effect>;
--- a/briarglade/placement/placement.cc
+++ b/briarglade/placement/placement.cc
@@ -351,7 +351,7 @@
   }
   aState.m_routes = std::move(routes);
   aState.m_routesToldAt = aNow;
-  RoutesChanged changed;
+  RoutesFound changed;
   for (const auto& entry : aState.m_routes) {
     changed.m_routes.push_back(entry.second);
   }
@@ -486,12 +486,14 @@
         OnPresenceNews(aState.m_presence, aNow, aNews, effects);
       },
       [&](const InFlightNews& aNews) { OnInFlightNews(aState, aNews); },
-      [&](const FleetAdopted& aAdopted) { OnFleet(aState, aAdopted.m_fleet); },
-      [&](const ZonesAdopted& aAdopted) {
+      [&](const PlacementFleet& aAdopted) {
+        OnFleet(aState, aAdopted.m_fleet);
+      },
+      [&](const PlacementZones& aAdopted) {
         aState.m_zones = aAdopted.m_zones;
         aState.m_nextRouteCheck = Millis();
       },
-      [&](const RosterAdopted& aAdopted) {
+      [&](const PlacementRoster& aAdopted) {
         aState.m_roster = aAdopted.m_roster;
         aState.m_unitsChanged = true;
       },
--- a/briarglade/placement/placement_event.h
+++ b/briarglade/placement/placement_event.h
@@ -34,19 +34,19 @@
 };
 
 // A configuration is in force on this node.
-struct FleetAdopted
+struct PlacementFleet
 {
   FleetConfig m_fleet;
 };
 
 // The states of all availability zones, as in force on this node.
-struct ZonesAdopted
+struct PlacementZones
 {
   std::map<ZoneId, ZoneState> m_zones;
 };
 
 // The roster of nodes, as in force on this node.
-struct RosterAdopted
+struct PlacementRoster
 {
   std::vector<NodeId> m_roster;
 };
@@ -66,9 +66,9 @@
                                     HostsListed,
                                     PresenceNews,
                                     InFlightNews,
-                                    FleetAdopted,
-                                    ZonesAdopted,
-                                    RosterAdopted,
+                                    PlacementFleet,
+                                    PlacementZones,
+                                    PlacementRoster,
                                     InFlightChanged>;
 
 // Ask a backend server for its state; the shell answers with a ServerReport or
@@ -94,7 +94,7 @@
 };
 
 // The routes of this node, all of them, when any has changed.
-struct RoutesChanged
+struct RoutesFound
 {
   std::vector<Route> m_routes;
 };
@@ -104,7 +104,7 @@
                                      SendOrder,
                                      ProbeServer,
                                      SendNews,
-                                     RoutesChanged,
+                                     RoutesFound,
                                      LogEvent>;
 
 using PlacementEffects = std::vector<PlacementEffect>;
--- a/briarglade/placement/placement_test.cc
+++ b/briarglade/placement/placement_test.cc
@@ -176,7 +176,7 @@
   {
     m_zones[aZone] = aZoneState;
     for (auto& node : m_nodes) {
-      Send(*node, ZonesAdopted{ m_zones });
+      Send(*node, PlacementZones{ m_zones });
     }
   }
 
@@ -184,7 +184,7 @@
   {
     m_fleet.m_models[ModelId("m")].m_wantedGroups = aGroups;
     for (auto& node : m_nodes) {
-      Send(*node, FleetAdopted{ m_fleet });
+      Send(*node, PlacementFleet{ m_fleet });
     }
   }
 
@@ -297,9 +297,9 @@
     for (const auto& node : m_nodes) {
       roster.push_back(node->m_id);
     }
-    Send(aNode, FleetAdopted{ m_fleet });
-    Send(aNode, ZonesAdopted{ m_zones });
-    Send(aNode, RosterAdopted{ roster });
+    Send(aNode, PlacementFleet{ m_fleet });
+    Send(aNode, PlacementZones{ m_zones });
+    Send(aNode, PlacementRoster{ roster });
   }
 
   FakeServer& AnyServer()
@@ -411,7 +411,7 @@
           [&](SendOrder& aOrder) { SendOrderOf(aOrder.m_order); },
           [&](ProbeServer& aProbe) { Probe(aNode, aProbe.m_host); },
           [&](SendNews& aNews) { CarryNews(aNews); },
-          [&](RoutesChanged& aRoutes) {
+          [&](RoutesFound& aRoutes) {
             aNode.m_routes = std::move(aRoutes.m_routes);
             for (const Route& route : aNode.m_routes) {
               if (route.m_draining && m_saysInFlight) {
