--- a/briarglade/node/status_view.cc
+++ b/briarglade/node/status_view.cc
@@ -2,11 +2,15 @@
 
 #include "briarglade/node/status_view.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
 
 #include "briarglade/core/node_state.h"
 #include "briarglade/membership/membership.h"
 #include "briarglade/placement/placement.h"
+#include "briarglade/routing/address_list.h"
 
 namespace briarglade {
 
@@ -95,19 +99,28 @@
 
 std::string RenderAddresses(const NodeState& aState, Millis aLifetime)
 {
-  json addresses = json::array();
+  std::vector<AddressCandidate> candidates;
   for (const RosterNode& node : aState.m_roster) {
-    const bool isSelf = node.m_id == aState.m_self;
-    const bool isUsable = aState.m_leavingNodes.count(node.m_id) == 0 &&
-                          (!isSelf || aState.m_confirmed);
-    if (isUsable) {
-      addresses.push_back({ { "address", node.m_callerEndpoint.ToString() },
-                            { "zone", node.m_zone.Value() },
-                            { "weight", 1 } });
-    }
+    AddressCandidate candidate;
+    candidate.m_node = node.m_id;
+    candidate.m_endpoint = node.m_callerEndpoint;
+    candidate.m_zone = node.m_zone;
+    // Whether another node is confirmed is known only to itself: it refuses
+    // with "not run" and its callers try the next address.
+    candidate.m_confirmed = node.m_id != aState.m_self || aState.m_confirmed;
+    candidate.m_leaving = aState.m_leavingNodes.count(node.m_id) > 0;
+    candidates.push_back(std::move(candidate));
+  }
+  const AddressList list = BuildAddressList(candidates);
+  json addresses = json::array();
+  for (const AddressEntry& entry : list.m_entries) {
+    addresses.push_back({ { "address", entry.m_endpoint.ToString() },
+                          { "zone", entry.m_zone.Value() },
+                          { "weight", entry.m_weight } });
   }
   return json{
-    { "addresses", addresses }, { "keep_ms", aLifetime.Count() }
+    { "addresses", addresses },
+    { "keep_ms", std::min(aLifetime, list.m_keepFor).Count() }
   }.dump();
 }
 
--- a/standin/raw_client.cc
+++ b/standin/raw_client.cc
@@ -56,6 +56,11 @@
   bufferevent_write(m_bufferevent, aBytes.data(), aBytes.size());
 }
 
+void RawClient::PauseReading()
+{
+  bufferevent_disable(m_bufferevent, EV_READ);
+}
+
 void RawClient::CloseSending()
 {
   shutdown(bufferevent_getfd(m_bufferevent), SHUT_WR);
--- a/standin/raw_client.h
+++ b/standin/raw_client.h
@@ -29,6 +29,8 @@
   RawClient& operator=(const RawClient&) = delete;
 
   void Send(const std::string& aBytes);
+  // Takes nothing more from the connection.
+  void PauseReading();
   // Closes the sending half of the connection.
   void CloseSending();
   // Calls back with everything received, each time more has come.
