--- a/briarglade/membership/membership_test.cc
+++ b/briarglade/membership/membership_test.cc
@@ -425,6 +425,24 @@
   CHECK(CountServing(region, 1) == 3);
 }
 
+TEST_CASE("a slow read confirms as of its asking")
+{
+  FakeRegion region = MakeRegion(3);
+  region.Cut(2, 0);
+  region.Cut(2, 1);
+  region.m_tableDelay = Millis(900);
+  const MembershipState& state = region.m_nodes[2].m_state;
+  do {
+    region.Run(Millis(1));
+  } while (!state.m_tableRead.has_value() ||
+           state.m_tableRead->m_askedAt != region.Now());
+  region.m_nodes[2].m_isCutFromTable = true;
+  region.Run(kConfirmationLife);
+  CHECK(region.Confirmed(2));
+  region.Run(Millis(1));
+  CHECK_FALSE(region.Confirmed(2));
+}
+
 // Runs until a node waits for a partner's answer, and returns an answer that
 // confirms as strongly as one can.
 PeerMessageReceived AwaitAsk(FakeRegion& aRegion, size_t aNode)
