--- a/briarglade/actions/at_most_once_test.cc
+++ b/briarglade/actions/at_most_once_test.cc
@@ -335,6 +335,10 @@
     left.m_repeat = repeat;
     CHECK(CaseRun(left).Run().m_repeat == ResultCode::OkReplayed);
   }
+  Case leftAtOnce;
+  leftAtOnce.m_node = NodeFault::CallerLeavesAtOnce;
+  leftAtOnce.m_repeat = Repeat::SameNodeAtOnce;
+  CHECK(CaseRun(leftAtOnce).Run().m_repeat == ResultCode::Ok);
 }
 
 TEST_CASE("kept answers are bounded, and written once the store is back")
@@ -371,12 +375,56 @@
   world.m_onAttempt = [](const RequestArrived&, int) {
     return ServiceFault::TimeoutRan;
   };
-  for (size_t call = 0; call < kMaxActionCalls; ++call) {
-    world.Send(0, std::to_string(call), 1, kAllowed);
+  for (const std::string account : { "a", "b", "c", "d" }) {
+    for (size_t call = 0; call < kMaxAccountCalls; ++call) {
+      const std::string key = account + std::to_string(call);
+      world.Send(0, key, 1, kAllowed, account);
+    }
+    const std::string over = world.Send(0, "over", 1, kAllowed, account);
+    const bool isFull = account == "d";
+    CHECK(world.Told(over) ==
+          (isFull ? ResultCode::RecordUnavailable : ResultCode::AccountLimit));
   }
-  const std::string refused = world.Send(0, "one more", 1, kAllowed);
+  const std::string refused = world.Send(0, "one more", 1, kAllowed, "e");
   CHECK(world.Told(refused) == ResultCode::RecordUnavailable);
   world.RunFor(kAllowed * 2);
+  CHECK(world.State(0).m_accountCalls.empty());
+  world.Judge();
+}
+
+TEST_CASE("a record that was settled too late is released, and the key runs")
+{
+  World world(1);
+  bool isFirst = true;
+  world.m_onWrite = [&](size_t, const TableWrite&) {
+    const StoreFault fault =
+      isFirst ? StoreFault::AnswerLost : StoreFault::None;
+    if (isFirst) {
+      // The outage begins once the write has landed.
+      world.At(World::kStoreTime * 2, [&world] { world.Outage(); });
+    }
+    isFirst = false;
+    return fault;
+  };
+  const std::string refused = world.Send(0, "key", 1, kAllowed);
+  world.RunFor(kRecordTime + World::kOutageTime + kSettlePeriod * 4);
+  CHECK(world.Told(refused) == ResultCode::RecordUnavailable);
+  const std::string repeat = world.Send(0, "key", 1, kAllowed);
+  world.RunFor(kAllowed);
+  CHECK(world.Told(repeat) == ResultCode::Ok);
+  world.Judge();
+}
+
+TEST_CASE("a node that was paused past the deadline doesn't ask for a run")
+{
+  World world(1);
+  bool isAsked = false;
+  world.m_beforeSend = [&isAsked](size_t) { isAsked = true; };
+  const std::string request = world.Send(0, "key", 1, kAllowed);
+  world.Pause(0, kLongPause);
+  world.RunFor(kLongPause + kAllowed);
+  CHECK_FALSE(isAsked);
+  CHECK(DescribeResultCode(world.Told(request)).m_outcome == Outcome::NotRun);
   world.Judge();
 }
 
