Routing tests: given-up retries, parts of the room, the reserve; a holder of slots stays active

Cause: the new test of the reserve failed: an account that holds slots but sent nothing for 10 s counted as idle, so its debt was forgotten. Change: an account is idle only when it also has nothing in flight.

--- a/briarglade/routing/account_use.cc
+++ b/briarglade/routing/account_use.cc
@@ -9,7 +9,7 @@
 
 namespace {
 
-// An account is active for this long after its last request came.
+// An account without requests is active for this long after its last one came.
 constexpr Millis kActiveTime = Millis(10'000);
 // The largest credit or debt, in milliseconds of the account's part of the
 // slots.
@@ -100,7 +100,8 @@
     m_withinShare += IsOverShare(account) ? 0 : use.m_inFlight;
   }
   const auto isIdle = [&](uint32_t aAccount) {
-    return aNow - m_uses[aAccount].m_lastArrival > kActiveTime;
+    const Use& use = m_uses[aAccount];
+    return use.m_inFlight == 0 && aNow - use.m_lastArrival > kActiveTime;
   };
   for (const uint32_t account : m_active) {
     if (isIdle(account)) {
--- a/briarglade/routing/crash_ledger_test.cc
+++ b/briarglade/routing/crash_ledger_test.cc
@@ -117,6 +117,7 @@
                     kGroupsInDomain);
   }
   CHECK_FALSE(ledger.IsSuspect(kBad));
+  CHECK(ledger.RefusedFor(Millis(60'000), kBad) == Millis());
 }
 
 } // namespace
--- a/briarglade/routing/reduce_routing_test.cc
+++ b/briarglade/routing/reduce_routing_test.cc
@@ -309,6 +309,56 @@
   CHECK(node.CodeOf(request) == ResultCode::BackendFailed);
 }
 
+TEST_CASE("not run is not said either when a waiting retry is given up")
+{
+  Node node;
+  const StartAttempt first = node.FillUp().front();
+  node.End(first, ExchangeEnd::ResetBeforeAnswer);
+  CHECK(node.CodeOf(first.m_request) == ResultCode::Internal);
+  node.Send(RoutingZones{
+    { { ZoneId("z1"), ZoneState::Out }, { ZoneId("z2"), ZoneState::Out } } });
+  node.Advance(Millis(1'000));
+  CHECK(node.CodeOf(first.m_request) == ResultCode::BackendFailed);
+}
+
+TEST_CASE("a node takes only its part of the room that a report shows")
+{
+  Node node(1);
+  node.Send(RoutingRoster{
+    2, { kSelf, NodeId("node-2"), NodeId("node-3"), NodeId("node-4") } });
+  Route route = MakeRoute("g1", "z1");
+  route.m_requestLimit = 16;
+  route.m_load = 4;
+  route.m_reportedAt = node.m_now;
+  node.Send(RoutesChanged{ { route }, {} });
+  for (int i = 0; i < 12; ++i) {
+    node.Arrive();
+  }
+  // A quarter of the limit is guaranteed; a quarter of the room would be less.
+  CHECK(node.m_starts.size() == 4);
+}
+
+TEST_CASE("the last slots are kept from an account far over its share")
+{
+  Node node;
+  const RequestId small = node.Arrive("small");
+  for (int i = 0; i < 7; ++i) {
+    node.Arrive("large");
+  }
+  node.End(node.m_starts.front(), ExchangeEnd::Whole);
+  CHECK(node.CodeOf(small) == ResultCode::Ok);
+  for (int second = 0; second < 40; second += 5) {
+    node.Arrive("small");
+    node.End(node.m_starts.back(), ExchangeEnd::Whole);
+    node.Advance(Millis(5'000));
+  }
+  const size_t before = node.m_starts.size();
+  node.Arrive("large");
+  CHECK(node.m_starts.size() == before);
+  node.Arrive("small");
+  CHECK(node.m_starts.size() == before + 1);
+}
+
 TEST_CASE("retries stop with the budget, and come back with successes")
 {
   Node node;
