--- a/bench/actions_cost.cc
+++ b/bench/actions_cost.cc
@@ -26,6 +26,7 @@
 
 constexpr int kCycles = 100'000;
 constexpr int kTicks = 1'000;
+constexpr uint64_t kAccounts = 10;
 constexpr size_t kAnswerBytes = 256;
 constexpr Millis kTimeAllowed = Millis(30'000);
 constexpr Millis kTickPeriod = Millis(50);
@@ -73,7 +74,8 @@
     RequestArrived request;
     request.m_request =
       RequestId("node-1.1733270000000." + std::to_string(++m_count));
-    request.m_account = AccountId("westsign");
+    request.m_account =
+      AccountId("account-" + std::to_string(m_count % kAccounts));
     request.m_class = ClassId("interactive");
     request.m_target.m_service = ServiceId("order-desk");
     request.m_operation = "book";
@@ -86,6 +88,10 @@
   // Ends the oldest open call with an answer of its own.
   void End()
   {
+    if (m_running.empty()) {
+      std::fprintf(stderr, "a call was refused\n");
+      std::exit(1);
+    }
     ActionFinished finished;
     finished.m_finish.m_request = m_running.front();
     finished.m_finish.m_code = ResultCode::Ok;
