--- a/briarglade/placement/leased_row.cc
+++ b/briarglade/placement/leased_row.cc
@@ -187,7 +187,7 @@
     return;
   }
   AdoptLease(aRow, aNow, row.m_version, value);
-  if (row.m_operation == aRow.m_lastLeaseWrite) {
+  if (row.m_operation == aRow.m_lastLeaseWrite && !row.m_operation.IsEmpty()) {
     HoldFrom(aRow, aRow.m_lastLeaseWriteAt, oldToken);
   } else {
     aRow.m_held = false;
--- a/briarglade/placement/presence.cc
+++ b/briarglade/placement/presence.cc
@@ -39,7 +39,10 @@
 
 Millis HeartbeatPeriod(const PresenceState& aState)
 {
-  const auto peers = static_cast<int64_t>(aState.m_feeds.size());
+  const auto peers =
+    std::count_if(aState.m_feeds.begin(),
+                  aState.m_feeds.end(),
+                  [](const auto& aFeed) { return aFeed.second.m_isNeeded; });
   const Millis needed(peers * 1'000 / kHeartbeatsPerSecond);
   return std::clamp(needed, kMinHeartbeat, kMaxHeartbeat);
 }
@@ -150,9 +153,12 @@
 void RestartFeeds(PresenceState& aState)
 {
   for (auto& entry : aState.m_feeds) {
-    entry.second.m_sequence = 0;
-    entry.second.m_sentAt = Millis(-1'000'000);
+    PeerFeed& feed = entry.second;
+    feed.m_owesRestart = feed.m_owesRestart || feed.m_sequence > 0;
+    feed.m_sequence = 0;
+    feed.m_sentAt = Millis(-1'000'000);
   }
+  aState.m_feedsChanged = true;
 }
 
 // Returns when a better-ranked watcher last spoke for the host.
@@ -185,6 +191,7 @@
     aNow - aHost.m_coveredAt >= TakeoverTime(aHost.m_rank);
   const bool hasStopped = aHost.m_isWatching && !shallWatch;
   if (shallWatch && !aHost.m_isWatching) {
+    aState.m_feedsChanged = true;
     aHost.m_isProbing = false;
     aHost.m_nextProbe = aNow;
     aHost.m_misses = 0;
@@ -270,12 +277,34 @@
 {
   const Millis period = HeartbeatPeriod(aState);
   for (auto& [node, feed] : aState.m_feeds) {
-    if (!feed.m_changed.empty() || aNow - feed.m_sentAt >= period) {
+    const bool isDue =
+      !feed.m_changed.empty() || aNow - feed.m_sentAt >= period;
+    if (feed.m_owesRestart || (feed.m_isNeeded && isDue)) {
+      feed.m_owesRestart = false;
       Tell(aState, aNow, node, feed, aEffects);
     }
   }
 }
 
+// Works out which nodes learn of the hosts that this node watches.
+void UpdateNeeded(PresenceState& aState)
+{
+  for (auto& entry : aState.m_feeds) {
+    entry.second.m_isNeeded = false;
+  }
+  for (const auto& entry : aState.m_hosts) {
+    if (!entry.second.m_isWatching) {
+      continue;
+    }
+    for (const NodeId& node : entry.second.m_receivers) {
+      if (node != aState.m_self) {
+        aState.m_feeds[node].m_isNeeded = true;
+      }
+    }
+  }
+  aState.m_feedsChanged = false;
+}
+
 void AskAgain(PresenceState& aState,
               Millis aNow,
               const NodeId& aWatcher,
@@ -450,9 +479,10 @@
   if (hasStopped) {
     RestartFeeds(aState);
   }
-  if (watching > 0 || hasStopped) {
-    TellAll(aState, aNow, aEffects);
+  if (aState.m_feedsChanged) {
+    UpdateNeeded(aState);
   }
+  TellAll(aState, aNow, aEffects);
 }
 
 void OnProbeReport(PresenceState& aState,
@@ -513,7 +543,7 @@
     const auto feed = aState.m_feeds.find(aNews.m_watcher);
     if (feed != aState.m_feeds.end()) {
       feed->second.m_sequence = 0;
-      feed->second.m_sentAt = Millis(-1'000'000);
+      feed->second.m_owesRestart = true;
     }
     return;
   }
--- a/briarglade/placement/presence.h
+++ b/briarglade/placement/presence.h
@@ -108,6 +108,10 @@
   uint64_t m_sequence = 0;
   Millis m_sentAt;
   std::set<HostId> m_changed;
+  // This node watches a host that the other one learns of.
+  bool m_isNeeded = false;
+  // What was told before has to be voided, or told again.
+  bool m_owesRestart = false;
 };
 
 struct PresenceState
@@ -119,6 +123,8 @@
   std::map<NodeId, PeerFeed> m_feeds;
   // Hosts that this node probes now.
   uint32_t m_watching = 0;
+  // Who needs to be told has to be worked out again.
+  bool m_feedsChanged = false;
   // The last tick, to notice that the process was paused.
   bool m_hasTicked = false;
   Millis m_tickedAt;
