--- /dev/null
+++ b/briarglade/routing/fair_queue.cc
@@ -0,0 +1,260 @@
+// Queues of accounts and their classes.
+
+#include "briarglade/routing/fair_queue.h"
+
+#include <algorithm>
+#include <iterator>
+
+#include "briarglade/routing/account_use.h"
+
+namespace briarglade {
+
+namespace {
+
+// Weight of the newest sample in a mean service time.
+constexpr double kMeanWeight = 1.0 / 16;
+// The least part of the slots that accounts over their share can count on.
+constexpr double kMinPartLeft = 0.3;
+
+void UpdateMean(double& aMean, double aSample)
+{
+  aMean = aMean == 0 ? aSample : aMean + (aSample - aMean) * kMeanWeight;
+}
+
+} // namespace
+
+FairQueue::AccountQueue& FairQueue::Account(uint32_t aAccount)
+{
+  if (aAccount >= m_accounts.size()) {
+    m_accounts.resize(aAccount + 1);
+  }
+  return m_accounts[aAccount];
+}
+
+FairQueue::ClassQueue& FairQueue::Class(QueuePlace aPlace)
+{
+  AccountQueue& account = Account(aPlace.m_account);
+  if (aPlace.m_class >= account.m_classes.size()) {
+    account.m_classes.resize(aPlace.m_class + 1);
+  }
+  return account.m_classes[aPlace.m_class];
+}
+
+void FairQueue::SetClasses(uint32_t aAccount,
+                           const std::vector<uint32_t>& aWeights)
+{
+  AccountQueue& account = Account(aAccount);
+  if (account.m_classes.size() < aWeights.size()) {
+    account.m_classes.resize(aWeights.size());
+  }
+  for (size_t i = 0; i < aWeights.size(); ++i) {
+    account.m_classes[i].m_weight = aWeights[i];
+  }
+}
+
+size_t FairQueue::AccountSize(uint32_t aAccount) const
+{
+  return aAccount < m_accounts.size() ? m_accounts[aAccount].m_size : 0;
+}
+
+size_t FairQueue::ClassSize(QueuePlace aPlace) const
+{
+  if (aPlace.m_account >= m_accounts.size()) {
+    return 0;
+  }
+  const AccountQueue& account = m_accounts[aPlace.m_account];
+  return aPlace.m_class < account.m_classes.size()
+           ? account.m_classes[aPlace.m_class].m_waiting.size()
+           : 0;
+}
+
+void FairQueue::NoteAdded(QueuePlace aPlace)
+{
+  ClassQueue& entry = Class(aPlace);
+  AccountQueue& account = Account(aPlace.m_account);
+  ++m_size;
+  if (entry.m_waiting.size() == 1) {
+    entry.m_virtualTime = std::max(entry.m_virtualTime, account.m_virtualTime);
+  }
+  if (++account.m_size == 1) {
+    m_backlogged.push_back(aPlace.m_account);
+  }
+}
+
+void FairQueue::NoteRemoved(uint32_t aAccount, size_t aCount)
+{
+  AccountQueue& account = m_accounts[aAccount];
+  m_size -= aCount;
+  account.m_size -= aCount;
+  if (aCount > 0 && account.m_size == 0) {
+    m_backlogged.erase(
+      std::find(m_backlogged.begin(), m_backlogged.end(), aAccount));
+  }
+}
+
+void FairQueue::PushBack(QueuePlace aPlace, QueuedRequest aRequest)
+{
+  Class(aPlace).m_waiting.push_back(aRequest);
+  NoteAdded(aPlace);
+}
+
+void FairQueue::PushRetry(QueuedRequest aRequest)
+{
+  m_retries.push_back(aRequest);
+  ++m_size;
+}
+
+std::optional<QueuedRequest> FairQueue::Pop(const AccountUse& aUse,
+                                            const AccountFilter& aIsAllowed)
+{
+  if (!m_retries.empty()) {
+    const QueuedRequest request = m_retries.front();
+    m_retries.pop_front();
+    --m_size;
+    return request;
+  }
+  std::optional<uint32_t> next;
+  double nextRank = 0;
+  for (const uint32_t account : m_backlogged) {
+    const double rank = aUse.Rank(account);
+    if ((!next || rank < nextRank) && aIsAllowed(account)) {
+      next = account;
+      nextRank = rank;
+    }
+  }
+  return next ? std::optional<QueuedRequest>(PopFrom(*next)) : std::nullopt;
+}
+
+QueuedRequest FairQueue::PopFrom(uint32_t aAccount)
+{
+  AccountQueue& account = m_accounts[aAccount];
+  ClassQueue* next = nullptr;
+  for (ClassQueue& entry : account.m_classes) {
+    if (!entry.m_waiting.empty() &&
+        (next == nullptr || entry.m_virtualTime < next->m_virtualTime)) {
+      next = &entry;
+    }
+  }
+  const QueuedRequest request = next->m_waiting.front();
+  next->m_waiting.pop_front();
+  account.m_virtualTime = next->m_virtualTime;
+  next->m_virtualTime += 1.0 / next->m_weight;
+  NoteRemoved(aAccount, 1);
+  return request;
+}
+
+bool FairQueue::Remove(QueuePlace aPlace, uint32_t aRequest)
+{
+  const auto isWanted = [aRequest](const QueuedRequest& aEntry) {
+    return aEntry.m_request == aRequest;
+  };
+  std::list<QueuedRequest>& waiting = Class(aPlace).m_waiting;
+  const auto found = std::find_if(waiting.begin(), waiting.end(), isWanted);
+  if (found != waiting.end()) {
+    waiting.erase(found);
+    NoteRemoved(aPlace.m_account, 1);
+    return true;
+  }
+  const auto retry = std::find_if(m_retries.begin(), m_retries.end(), isWanted);
+  if (retry == m_retries.end()) {
+    return false;
+  }
+  m_retries.erase(retry);
+  --m_size;
+  return true;
+}
+
+void FairQueue::NoteService(uint32_t aAccount, Millis aTime)
+{
+  const auto sample = static_cast<double>(std::max<int64_t>(1, aTime.Count()));
+  UpdateMean(Account(aAccount).m_meanService, sample);
+  UpdateMean(m_meanService, sample);
+}
+
+Millis FairQueue::MeanService(uint32_t aAccount) const
+{
+  const double own =
+    aAccount < m_accounts.size() ? m_accounts[aAccount].m_meanService : 0;
+  return Millis(static_cast<int64_t>(own > 0 ? own : m_meanService));
+}
+
+Millis FairQueue::EstimateWait(const AccountUse& aUse,
+                               uint32_t aAccount,
+                               size_t aAhead,
+                               uint64_t aSlots) const
+{
+  if (m_meanService == 0 || aSlots == 0) {
+    return Millis();
+  }
+  double before = static_cast<double>(m_retries.size() + aAhead + 1);
+  const double rank = aUse.Rank(aAccount);
+  for (const uint32_t other : m_backlogged) {
+    const bool isFirst = other != aAccount && aUse.Rank(other) < rank;
+    before += isFirst ? static_cast<double>(m_accounts[other].m_size) : 0;
+  }
+  if (aUse.IsOverShare(aAccount)) {
+    // Those within their share keep overtaking.
+    const double left = 1 - aUse.WithinShare() / static_cast<double>(aSlots);
+    before /= std::max(left, kMinPartLeft);
+  }
+  const double slotTime = m_meanService / static_cast<double>(aSlots);
+  return Millis(static_cast<int64_t>(before * slotTime));
+}
+
+std::vector<QueuedRequest> FairQueue::TakeHopeless(const AccountUse& aUse,
+                                                   Millis aNow,
+                                                   uint64_t aSlots)
+{
+  const std::vector<uint32_t> accounts = m_backlogged;
+  std::vector<QueuedRequest> taken;
+  for (auto it = m_retries.begin(); it != m_retries.end();) {
+    const bool isLate = aNow > it->m_startBy;
+    if (isLate) {
+      taken.push_back(*it);
+    }
+    it = isLate ? m_retries.erase(it) : std::next(it);
+  }
+  m_size -= taken.size();
+  for (const uint32_t account : accounts) {
+    DropHopeless(aUse, aNow, aSlots, account, taken);
+  }
+  return taken;
+}
+
+void FairQueue::DropHopeless(const AccountUse& aUse,
+                             Millis aNow,
+                             uint64_t aSlots,
+                             uint32_t aAccount,
+                             std::vector<QueuedRequest>& aTaken)
+{
+  const size_t before = aTaken.size();
+  // The wait grows evenly with the place in the queue.
+  const Millis first = EstimateWait(aUse, aAccount, 0, aSlots);
+  const Millis step = EstimateWait(aUse, aAccount, 1, aSlots) - first;
+  int64_t ahead = 0;
+  for (ClassQueue& entry : m_accounts[aAccount].m_classes) {
+    for (auto it = entry.m_waiting.begin(); it != entry.m_waiting.end();) {
+      if (aNow + first + step * ahead <= it->m_startBy) {
+        ++it;
+        ++ahead;
+        continue;
+      }
+      aTaken.push_back(*it);
+      it = entry.m_waiting.erase(it);
+    }
+  }
+  NoteRemoved(aAccount, aTaken.size() - before);
+}
+
+std::vector<QueuedRequest> FairQueue::TakeAll()
+{
+  std::vector<QueuedRequest> taken(m_retries.begin(), m_retries.end());
+  m_size -= m_retries.size();
+  m_retries.clear();
+  while (!m_backlogged.empty()) {
+    taken.push_back(PopFrom(m_backlogged.back()));
+  }
+  return taken;
+}
+
+} // namespace briarglade
--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -45,6 +45,17 @@
     def is_running(self):
         return self.popen.poll() is None
 
+    def cpu_seconds(self):
+        """Processor time spent so far, in user and system mode."""
+        with open(f"/proc/{self.popen.pid}/stat", encoding="ascii") as file:
+            fields = file.read().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def resident_megabytes(self):
+        with open(f"/proc/{self.popen.pid}/statm", encoding="ascii") as file:
+            pages = int(file.read().split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
     def wait(self, seconds=DEADLINE_S):
         return self.popen.wait(seconds)
 
@@ -82,6 +93,25 @@
     raise RuntimeError(f"waited {seconds} s in vain for: {what}")
 
 
+class EngineSet:
+    """The stand-in engines of a zone, in one process or in one process each."""
+
+    def __init__(self, processes):
+        self.processes = processes
+        self.ports = {host: port for p in processes for host, port in p.ports.items()}
+
+    def process_of(self, host):
+        return next(p for p in self.processes if host in p.ports)
+
+    def administer(self, path, **call):
+        """Calls every process, or the one that runs call["host"]; joins the answers."""
+        answer = {}
+        for process in self.processes:
+            if process.is_running() and call.get("host", "") in ("", *process.ports):
+                answer.update(process.administer(path, **call))
+        return answer
+
+
 class Zone:
     """The stand-ins of one availability zone."""
 
@@ -95,7 +125,10 @@
     """A table, a host list, zones of engines and services, and nodes."""
 
     def __init__(self, zones=("sapporo", "asahikawa"), engines_per_zone=4,
-                 members=2, nodes=3, engine_flags=(), node_flags=()):
+                 members=2, nodes=3, engine_flags=(), node_flags=(), request_limit=64,
+                 separate=False):
+        self.request_limit = request_limit
+        self.engine_flags = list(engine_flags)
         self.directory = tempfile.mkdtemp(prefix="briarglade-")
         self.processes = []
         self.members = members
@@ -105,7 +138,10 @@
         self.zones = {}
         for zone in zones:
             names = [f"{zone}-e{i}" for i in range(engines_per_zone)]
-            engines = self._standin(f"{zone}-engines", "engines", *names, *engine_flags)
+            parts = [[name] for name in names] if separate else [names]
+            engines = EngineSet([
+                self._standin(f"{part[0]}-engines", "engines", *part, *engine_flags)
+                for part in parts])
             services = self._standin(f"{zone}-services", "services", f"{zone}-desk")
             self.zones[zone] = Zone(zone, engines, services)
         self.write_fleet()
@@ -120,6 +156,15 @@
         self.processes.append(process)
         return process
 
+    def restart_engine(self, zone, host):
+        """Starts an engine that was killed again, on its old port."""
+        engines = self.zones[zone].engines
+        old = engines.process_of(host)
+        old.end()
+        new = self._standin(f"{host}-engines", "engines", f"{host}:{engines.ports[host]}",
+                            *self.engine_flags)
+        engines.processes[engines.processes.index(old)] = new
+
     def start_node(self, name, zone):
         process = Process(
             name,
@@ -150,7 +195,7 @@
         groups = sum(len(z.engines.ports) // self.members for z in self.zones.values())
         lines += ["models:", "  assistant:", f"    members: {self.members}",
                   "    min_groups: 1", f"    wanted_groups: {groups}",
-                  "    request_limit: 64", "    cold_limit: 4",
+                  f"    request_limit: {self.request_limit}", "    cold_limit: 4",
                   "    warm_up: 5s", "    request_timeout: 60s"]
         lines += ["services:", "  booking-desk:", "    hosts:"]
         lines += [f"      - {host}" for z in self.zones.values() for host in z.services.ports]
@@ -208,6 +253,10 @@
     def start_load(self, kind, *flags, nodes=None):
         """Starts the load tool; finish_load() returns its counts."""
         targets = [f"127.0.0.1:{n.ports['caller']}" for n in nodes or self.nodes.values()]
+        return self.start_load_at(kind, targets, *flags)
+
+    @staticmethod
+    def start_load_at(kind, targets, *flags):
         popen = subprocess.Popen(
             [os.path.join(BUILD, "briarglade-load"), kind, *targets, *flags],
             stdout=subprocess.PIPE, text=True)
