--- a/briarglade/routing/reduce_routing_test.cc
+++ b/briarglade/routing/reduce_routing_test.cc
@@ -211,14 +211,14 @@
         aNode.Send(RoutesChanged{ { route }, {} });
       } },
     { "incomplete", [](Node& aNode) { aNode.Lose(GroupId("g1")); } },
-    { "just refused a connection",
+    { "just refused a request",
       [](Node& aNode) {
         aNode.Arrive();
         while (aNode.m_starts.back().m_group != GroupId("g1")) {
           aNode.End(aNode.m_starts.back(), ExchangeEnd::Whole);
           aNode.Arrive();
         }
-        aNode.End(aNode.m_starts.back(), ExchangeEnd::ConnectRefused);
+        aNode.End(aNode.m_starts.back(), ExchangeEnd::RefusedByServer);
       } },
   };
   for (const Row& row : rows) {
