--- a/briarglade/cli/briarglade_main.cc
+++ b/briarglade/cli/briarglade_main.cc
@@ -20,10 +20,10 @@
       [--caller-address=A] [--operator-address=A] [--peer-address=A]
       [--table=A] [--host-list=A] [--cluster-key-file=F]
       [--operator-key-file=F] [--log-level=L] [--address-lifetime-ms=N]
-      [--shutdown-limit-ms=N]
+      [--shutdown-limit-ms=N] [--seed=A]...
   briarglade check [--base=F] [--overlay=F]...
   briarglade render [--base=F] [--overlay=F]...
-  briarglade diff [--base=F] [--overlay=F]...
+  briarglade diff [--base=F] [--overlay=F]... [--against=F]
   briarglade apply [--base=F] [--overlay=F]... [--node=A]
       [--operator-key-file=F] [--who=NAME] [--why=TEXT]
   briarglade zone (out|in) <zone> [--node=A] [--operator-key-file=F]
@@ -52,8 +52,10 @@
   --log-level=L             debug, info, warn or error.
   --address-lifetime-ms=N   How long callers may keep the address answer.
   --shutdown-limit-ms=N     The longest time of a graceful shutdown.
+  --seed=A                  Peer address of another node; may be repeated.
   --base=F                  Fleet file of the whole fleet.
   --overlay=F               Fleet file of a site; may be repeated.
+  --against=F               Rendered fleet to compare with.
   --node=A                  Operator address of any node.
   --who=NAME                Who makes the change.
   --why=TEXT                Why; kept for the board.
--- a/briarglade/net/peer.capnp
+++ b/briarglade/net/peer.capnp
@@ -1,24 +1,21 @@
-# The protocol between the nodes of one region.
-#
-# Every call carries an envelope that names cluster and protocol and proves the
-# shared cluster key. A message of another cluster or protocol is refused.
+# The remote procedure call between the nodes of one region.
 @0xc3a1e4b0d5f2a697;
 
 $import "/capnp/c++.capnp".namespace("briarglade::wire");
 
-struct Envelope {
+# A sealed message; see briarglade/membership/envelope.h for the fields.
+struct PeerEnvelope {
   cluster @0 :Text;
   protocol @1 :UInt32;
   sender @2 :Text;
-  # The start of the sender's process, so that a restart is noticed.
   incarnation @3 :UInt64;
-  # HMAC-SHA256 over cluster, protocol, sender, incarnation and payload.
-  proof @4 :Data;
-  # A canonical PeerMessage.
-  payload @5 :Data;
+  receiver @4 :Text;
+  sequence @5 :UInt64;
+  proof @6 :Data;
+  payload @7 :Data;
 }
 
 interface Peer {
-  # Delivers a message and returns the receiver's answer to it.
-  exchange @0 (envelope :Envelope) -> (envelope :Envelope);
+  # Delivers a message. Answers, if any, come as messages of their own.
+  deliver @0 (envelope :PeerEnvelope);
 }
