--- a/briarglade/core/node_state.h
+++ b/briarglade/core/node_state.h
@@ -22,6 +22,7 @@
 struct NodeState
 {
   NodeId m_self;
+  Millis m_tickedAt;
   MembershipState m_membership;
   PlacementState m_placement;
   RoutingState m_routing;
--- a/briarglade/core/reduce.cc
+++ b/briarglade/core/reduce.cc
@@ -24,6 +24,9 @@
 // When a caller refused by an unconfirmed node should come back to it.
 constexpr Millis kUnconfirmedRetryAfter = Millis(1'000);
 
+// A tick that is later than this shows that the process was paused.
+constexpr Millis kLateTick = Millis(500);
+
 // The reduction of one event.
 class Reduction
 {
@@ -37,6 +40,10 @@
   void Run(const EventBody& aBody)
   {
     NoteConfirmation(IsConfirmed(m_state.m_membership, m_now));
+    if (m_now - m_state.m_tickedAt > kLateTick) {
+      // The process was paused: what it knew may be too old to act on.
+      On(Tick{});
+    }
     std::visit([this](const auto& aEvent) { On(aEvent); }, aBody);
   }
 
@@ -85,6 +92,7 @@
 
   void On(const Tick&)
   {
+    m_state.m_tickedAt = m_now;
     ToMembership(MembershipTick{});
     NoteConfirmation(IsConfirmed(m_state.m_membership, m_now));
     ToPlacement(PlacementTick{});
@@ -197,7 +205,7 @@
   void Take(RosterAdopted aAdopted)
   {
     m_state.m_roster = std::move(aAdopted.m_nodes);
-    ++m_state.m_rosterVersion;
+    m_state.m_rosterVersion = m_state.m_membership.m_held.m_roster;
     std::vector<NodeId> ids;
     std::set<NodeId> leaving;
     for (const RosterNode& node : m_state.m_roster) {
--- a/briarglade/membership/membership_random_test.cc
+++ b/briarglade/membership/membership_random_test.cc
@@ -14,7 +14,7 @@
 
 constexpr Millis kInForceWithin = Millis(4'000);
 constexpr size_t kNodes = 5;
-constexpr int kRuns = 16;
+constexpr int kRuns = 60;
 constexpr int kStepsPerRun = 250;
 const char* const kZones[] = { "perth-a", "bunbury-b", "albany-c" };
 
--- a/briarglade/net/http_call.h
+++ b/briarglade/net/http_call.h
@@ -42,6 +42,8 @@
   void Abandon();
   void EndSoon(ExchangeEnd aEnd);
   ExchangeEnd FailureKind() const;
+  void WatchSilence();
+  void OnIdleTimer();
   static int OnHead(evhttp_request* aRequest, void* aSelf);
   static void OnData(evhttp_request* aRequest, void* aSelf);
   static void OnDone(evhttp_request* aRequest, void* aSelf);
@@ -50,9 +52,12 @@
   HttpCallSpec m_spec;
   std::unique_ptr<PooledConnection> m_connection;
   std::unique_ptr<Timer> m_timer;
+  std::unique_ptr<Timer> m_idleTimer;
+  Millis m_lastDataAt;
   evhttp_request* m_request = nullptr;
   uint16_t m_status = 0;
   bool m_delimited = false;
+  bool m_isPaused = false;
   bool m_ended = false;
   bool m_ending = false;
 };
--- a/briarglade/net/http_client.cc
+++ b/briarglade/net/http_client.cc
@@ -183,6 +183,7 @@
   }
   m_ended = true;
   m_timer.reset();
+  m_idleTimer.reset();
   ReleaseRequest();
   if (m_connection && aKeepConnection) {
     m_client.Keep(std::move(m_connection));
@@ -213,6 +214,7 @@
 {
   m_ended = true;
   m_timer.reset();
+  m_idleTimer.reset();
   m_spec = HttpCallSpec();
   ReleaseRequest();
   m_connection.reset();
@@ -239,6 +241,7 @@
   const HttpAnswerHead head = ReadHead(aRequest);
   self->m_status = head.m_status;
   self->m_delimited = HasDeclaredEnd(head);
+  self->WatchSilence();
   if (self->m_spec.m_onHead) {
     self->m_spec.m_onHead(head);
   }
@@ -253,6 +256,7 @@
   if (self->m_ended || self->m_ending || !self->m_spec.m_onData) {
     return;
   }
+  self->m_lastDataAt = EventLoop::Now();
   const auto* data = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
   self->m_spec.m_onData(std::string_view(data, length));
 }
@@ -281,8 +285,32 @@
   self->End(HttpCallEnd{ ExchangeEnd::Whole, self->m_status }, keep);
 }
 
+void HttpCall::WatchSilence()
+{
+  if (m_spec.m_idleTimeout == Millis()) {
+    return;
+  }
+  m_lastDataAt = EventLoop::Now();
+  m_idleTimer = m_client.m_loop.MakeTimer([this] { OnIdleTimer(); });
+  m_idleTimer->Start(m_spec.m_idleTimeout);
+}
+
+// The timer isn't set anew with each piece of the answer: it looks when it
+// fires.
+void HttpCall::OnIdleTimer()
+{
+  const Millis silence = EventLoop::Now() - m_lastDataAt;
+  if (silence >= m_spec.m_idleTimeout && !m_isPaused) {
+    Cancel(ExchangeEnd::Timeout);
+    return;
+  }
+  m_idleTimer->Start(std::max(
+    Millis(1), m_spec.m_idleTimeout - (m_isPaused ? Millis() : silence)));
+}
+
 void HttpCall::PauseReading()
 {
+  m_isPaused = true;
   if (m_connection && !m_ended) {
     bufferevent_disable(evhttp_connection_get_bufferevent(m_connection->Raw()),
                         EV_READ);
@@ -291,6 +319,8 @@
 
 void HttpCall::ResumeReading()
 {
+  m_isPaused = false;
+  m_lastDataAt = EventLoop::Now();
   if (m_connection && !m_ended) {
     bufferevent_enable(evhttp_connection_get_bufferevent(m_connection->Raw()),
                        EV_READ);
--- a/briarglade/net/http_client.h
+++ b/briarglade/net/http_client.h
@@ -59,6 +59,8 @@
   std::string m_body;
   // Bounds the whole call, from Start() to its end.
   Millis m_timeout = Millis(30'000);
+  // Bounds the silence within an answer that has begun; zero: no bound.
+  Millis m_idleTimeout;
   // Uses a new connection, so that a kept one that just died can't leave the
   // outcome in doubt.
   bool m_freshConnection = false;
--- a/briarglade/node/caller_api.cc
+++ b/briarglade/node/caller_api.cc
@@ -43,9 +43,22 @@
   return Fingerprint(XXH3_64bits_withSeed(body.data(), body.size(), seed));
 }
 
+// Hashes the beginning of the prompt. Only the messages' own texts count, so
+// that a body nested thousands deep costs nothing.
 uint64_t PrefixHash(const json& aMessages)
 {
-  const std::string text = aMessages.dump().substr(0, kPrefixBytes);
+  std::string text;
+  for (const json& message : aMessages) {
+    if (text.size() >= kPrefixBytes || !message.is_object()) {
+      break;
+    }
+    const auto content = message.find("content");
+    if (content != message.end() && content->is_string()) {
+      text += content->get_ref<const std::string&>().substr(0, kPrefixBytes);
+    }
+    text += '\n';
+  }
+  text.resize(std::min(text.size(), kPrefixBytes));
   return XXH3_64bits(text.data(), text.size());
 }
 
--- a/briarglade/node/relay.cc
+++ b/briarglade/node/relay.cc
@@ -18,6 +18,8 @@
 
 // Unsent bytes at which reading from the backend server pauses.
 constexpr size_t kPauseBytes = 64 * 1024;
+// The longest silence of a backend server within an answer that has begun.
+constexpr Millis kMaxSilence = Millis(10'000);
 // The largest answer that is held to be sent whole.
 constexpr size_t kMaxAnswerBytes = 4 * 1024 * 1024;
 constexpr double kMicrosPerMilli = 1000.0;
@@ -77,6 +79,7 @@
   spec.m_path = m_path;
   spec.m_body = m_body;
   spec.m_timeout = std::max(Millis(1), aStart.m_deadline - aNow);
+  spec.m_idleTimeout = kMaxSilence;
   spec.m_freshConnection = !m_request.m_idempotent;
   spec.m_headers = { { "Content-Type", "application/json" },
                      { kRequestIdHeader, m_request.m_request.Value() },
