--- a/briarglade/cli/briarglade_main.cc
+++ b/briarglade/cli/briarglade_main.cc
@@ -28,7 +28,7 @@
       [--operator-key-file=F] [--who=NAME] [--why=TEXT]
   briarglade zone (out|in) <zone> [--node=A] [--operator-key-file=F]
       [--who=NAME] [--why=TEXT]
-  briarglade status [--node=A] [--operator-key-file=F]
+  briarglade status [--history] [--node=A] [--operator-key-file=F]
   briarglade explain <subject> [--node=A] [--operator-key-file=F]
   briarglade (-h | --help)
   briarglade --version
@@ -57,6 +57,7 @@
   --overlay=F               Fleet file of a site; may be repeated.
   --against=F               Rendered fleet to compare with.
   --node=A                  Operator address of any node.
+  --history                 Print only the changes: when, what, who, why.
   --who=NAME                Who makes the change.
   --why=TEXT                Why; kept for the board.
 
--- a/briarglade/cli/operator_client.h
+++ b/briarglade/cli/operator_client.h
@@ -17,8 +17,8 @@
   std::string m_body;
 };
 
-// Makes one call. Returns TableUnavailable-free errors only for a node that
-// can't be reached or cut the answer: Internal, with the address in the detail.
+// Makes one call. Returns Internal, with the address in the detail, for a node
+// that can't be reached or that cut its answer.
 Result<OperatorAnswer> CallOperator(const Endpoint& aNode,
                                     const std::string& aKey,
                                     const std::string& aMethod,
--- a/briarglade/cli/operator_commands.cc
+++ b/briarglade/cli/operator_commands.cc
@@ -2,6 +2,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <ctime>
 #include <nlohmann/json.hpp>
 
 #include "briarglade/cli/commands.h"
@@ -101,6 +102,27 @@
   return ExitOf(code);
 }
 
+// Prints one line for each recorded change, the latest first.
+void PrintHistory(const json& aStatus)
+{
+  constexpr uint64_t kMillisPerSecond = 1000;
+  for (const json& change : aStatus.value("changes", json::array())) {
+    const auto when = static_cast<time_t>(
+      change.value("when_unix_ms", uint64_t{ 0 }) / kMillisPerSecond);
+    tm parts{};
+    gmtime_r(&when, &parts);
+    char text[32];
+    std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%SZ", &parts);
+    std::printf(
+      "%s version %llu %s by %s: %s\n",
+      when == 0 ? "-" : text,
+      static_cast<unsigned long long>(change.value("version", uint64_t{ 0 })),
+      change.value("what", "").c_str(),
+      change.value("who", "").c_str(),
+      change.value("why", "").c_str());
+  }
+}
+
 std::string Who(const Options& aOptions)
 {
   const char* user = std::getenv("USER");
@@ -167,7 +189,11 @@
   if (const Error* error = GetError(status)) {
     return ReportError(*error, ExitCode::Failed);
   }
-  std::puts(std::get<json>(status).dump(2).c_str());
+  if (aOptions.Has("--history")) {
+    PrintHistory(std::get<json>(status));
+  } else {
+    std::puts(std::get<json>(status).dump(2).c_str());
+  }
   return ExitCode::Ok;
 }
 
