Connections end before the parts that are told of it; the whole product of failures of a booking again

Cause: the sanitizer run of standin_test: a listener destroyed after its relay told it of the closed connection; the node had the same order.

--- a/briarglade/actions/at_most_once_test.cc
+++ b/briarglade/actions/at_most_once_test.cc
@@ -280,28 +280,30 @@
 TEST_CASE("each failure of the final write: true, and run once")
 {
   int cases = 0;
-  for (int final = 1; final < kStoreFaults; ++final) {
-    for (const ServiceFault service : { ServiceFault::None,
-                                        ServiceFault::RefusedByServer,
-                                        ServiceFault::ResetRan }) {
-      Case broken;
-      broken.m_service = service;
-      broken.m_final = static_cast<StoreFault>(final);
-      cases += RunWithNodesAndRepeats(broken);
+  for (int record = 0; record < kStoreFaults; ++record) {
+    for (int service = 0; service < kServiceFaults; ++service) {
+      for (int final = 1; final < kStoreFaults; ++final) {
+        Case broken;
+        broken.m_record = static_cast<StoreFault>(record);
+        broken.m_service = static_cast<ServiceFault>(service);
+        broken.m_final = static_cast<StoreFault>(final);
+        cases += RunWithNodesAndRepeats(broken);
+      }
     }
   }
-  CHECK(cases == 1'320);
+  CHECK(cases == 31'680);
 }
 
 TEST_CASE("an answer whose body is in the object store, at each failure of it")
 {
   for (int object = 0; object < kStoreFaults; ++object) {
-    Case large;
-    large.m_large = true;
-    large.m_object = static_cast<StoreFault>(object);
-    RunWithNodesAndRepeats(large);
-    large.m_final = StoreFault::Outage;
-    RunWithNodesAndRepeats(large);
+    for (int final = 0; final < kStoreFaults; ++final) {
+      Case large;
+      large.m_large = true;
+      large.m_object = static_cast<StoreFault>(object);
+      large.m_final = static_cast<StoreFault>(final);
+      RunWithNodesAndRepeats(large);
+    }
   }
 }
 
--- a/briarglade/node/node.cc
+++ b/briarglade/node/node.cc
@@ -54,7 +54,12 @@
 {
 }
 
-Node::~Node() = default;
+Node::~Node()
+{
+  // The connections' ends are told to parts that must still be there.
+  m_callerServer.CloseConnections();
+  m_operatorServer.CloseConnections();
+}
 
 OperatorHooks Node::MakeOperatorHooks()
 {
--- a/standin/relay_test.cc
+++ b/standin/relay_test.cc
@@ -37,27 +37,31 @@
     : m_server(m_loop, HttpServerLimits())
     , m_client(m_loop, HttpClientLimits())
   {
-    m_server.SetHandler([this, aStreaming](
-                          const std::shared_ptr<HttpExchange>& aExchange) {
-      RequestArrived request;
-      request.m_request = RequestId("request-1");
-      request.m_target.m_model = ModelId("drafting");
-      request.m_streaming = aStreaming;
-      RelayHooks hooks;
-      hooks.m_onBegan = [this](const AttemptAnswerBegan&) { ++m_began; };
-      hooks.m_onEnded = [this](const AttemptEnded& aEnded) {
-        m_ended.push_back(aEnded);
-        m_onEnded(aEnded);
-      };
-      m_relay = std::make_unique<Relay>(
-        request,
-        aExchange,
-        std::move(hooks),
-        RelayHistograms{
-          &m_histogram, &m_histogram, &m_histogram, &m_histogram });
-      aExchange->OnClosed([this] { m_relay->Cancel(AttemptId("attempt-1")); });
-      Start("attempt-1", m_backendPort, 0);
-    });
+    m_server.SetHandler(
+      [this, aStreaming](const std::shared_ptr<HttpExchange>& aExchange) {
+        RequestArrived request;
+        request.m_request = RequestId("request-1");
+        request.m_target.m_model = ModelId("drafting");
+        request.m_streaming = aStreaming;
+        RelayHooks hooks;
+        hooks.m_onBegan = [this](const AttemptAnswerBegan&) { ++m_began; };
+        hooks.m_onEnded = [this](const AttemptEnded& aEnded) {
+          m_ended.push_back(aEnded);
+          m_onEnded(aEnded);
+        };
+        m_relay = std::make_unique<Relay>(
+          request,
+          aExchange,
+          std::move(hooks),
+          RelayHistograms{
+            &m_histogram, &m_histogram, &m_histogram, &m_histogram });
+        aExchange->OnClosed([this] {
+          if (m_relay) {
+            m_relay->Cancel(AttemptId("attempt-1"));
+          }
+        });
+        Start("attempt-1", m_backendPort, 0);
+      });
     m_caller =
       std::make_unique<RawClient>(m_loop, m_server.Listen({ "127.0.0.1", 0 }));
     m_caller->OnEnd([this] { m_loop.Stop(); });
