--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -250,14 +250,14 @@
         return http("GET", node.ports["operator"], "/operator/status",
                     headers={"Authorization": f"Bearer {OPERATOR_KEY}"})
 
-    def wait_complete(self, groups):
+    def wait_complete(self, groups, seconds=DEADLINE_S):
         """Waits until every node sees so many complete groups."""
         def complete():
             return all(
                 sum(1 for g in self.status(n).get("groups", [])
                     if g["complete"] and g.get("model", True)) >= groups
                 for n in self.nodes.values() if n.is_running())
-        wait_for(f"{groups} complete groups and servers", complete)
+        wait_for(f"{groups} complete groups", complete, seconds)
 
     def start_load(self, kind, *flags, nodes=None):
         """Starts the load tool; finish_load() returns its counts."""
