status says which groups a node isn't told of

On rosters of more than 16 nodes a group belongs to 16 of them; the others showed its members as absent, as if it were down. They now show not-told, and the scripts wait for the groups that a node knows.

--- a/briarglade/node/status_view.cc
+++ b/briarglade/node/status_view.cc
@@ -30,6 +30,7 @@
                        { "state", group.m_state },
                        { "reason", group.m_reason },
                        { "complete", group.m_isComplete },
+                       { "told", group.m_isTold },
                        { "members", group.m_members } });
   }
   return groups;
--- a/briarglade/placement/placement.cc
+++ b/briarglade/placement/placement.cc
@@ -518,14 +518,20 @@
       status.m_state = GroupStateName(group.m_state);
       status.m_reason = MoveReasonName(group.m_reason);
       status.m_isComplete = IsComplete(aState, aNow, group);
+      status.m_isTold =
+        IsInSubset(group.m_id.Value(), aState.m_self, aState.m_roster);
       for (const HostId& host : group.m_members) {
         const auto config = aState.m_fleet.m_hosts.find(host);
         if (config != aState.m_fleet.m_hosts.end()) {
           status.m_zone = config->second.m_zone.Value();
         }
+        const MemberStanding standing = StandingOf(aState, aNow, group, host);
+        const bool isUnknown =
+          !status.m_isTold && standing == MemberStanding::Absent;
         status.m_members.push_back(
           host.Value() + "=" +
-          MemberStandingName(StandingOf(aState, aNow, group, host)));
+          (isUnknown ? std::string("not-told")
+                     : std::string(MemberStandingName(standing))));
       }
       list.push_back(std::move(status));
     }
--- a/briarglade/placement/placement.h
+++ b/briarglade/placement/placement.h
@@ -35,6 +35,8 @@
   std::string m_state;
   std::string m_reason;
   bool m_isComplete = false;
+  // Whether this node is told of the group's members: it routes there.
+  bool m_isTold = false;
   // Each member as "HOST=present" or what is wrong with it.
   std::vector<std::string> m_members;
 };
--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -253,10 +253,16 @@
     def wait_complete(self, groups, seconds=DEADLINE_S):
         """Waits until every node sees so many complete groups."""
         def complete():
-            return all(
-                sum(1 for g in self.status(n).get("groups", [])
-                    if g["complete"] and g.get("model", True)) >= groups
-                for n in self.nodes.values() if n.is_running())
+            known = set()
+            for node in self.nodes.values():
+                if not node.is_running():
+                    continue
+                shown = self.status(node).get("groups", [])
+                told = [g for g in shown if g.get("told", True)]
+                if not shown or not all(g["complete"] for g in told):
+                    return False
+                known.update(g["group"] for g in told)
+            return len(known) >= groups
         wait_for(f"{groups} complete groups", complete, seconds)
 
     def start_load(self, kind, *flags, nodes=None):
