--- a/briarglade/platform/table_client.cc
+++ b/briarglade/platform/table_client.cc
@@ -241,18 +241,33 @@
                                         const Endpoint& aEndpoint,
                                         Millis aTimeout)
 {
+  // The last list and its tag, so that an unchanged one isn't sent again.
+  struct Known
+  {
+    std::string m_tag;
+    HostList m_list;
+  };
+  auto known = std::make_shared<Known>();
   HostListService service;
-  service.m_read = [&aClient, aEndpoint, aTimeout](auto aDone) {
+  service.m_read = [&aClient, aEndpoint, aTimeout, known](auto aDone) {
     auto gathered = std::make_shared<Gathered>();
     HttpCallSpec spec = MakeSpec(aEndpoint, aTimeout, gathered);
     spec.m_method = "GET";
     spec.m_path = "/v1/hosts";
-    spec.m_onEnd = [gathered, done = aDone](const HttpCallEnd& aEnd) {
+    if (!known->m_tag.empty()) {
+      spec.m_headers.push_back({ "If-None-Match", known->m_tag });
+    }
+    spec.m_onEnd = [gathered, known, done = aDone](const HttpCallEnd& aEnd) {
+      const bool whole = aEnd.m_end == ExchangeEnd::Whole;
       HostList list;
-      const bool whole =
-        aEnd.m_end == ExchangeEnd::Whole && aEnd.m_status == 200;
-      const bool ok = whole && ReadHostList(gathered->m_body, list);
-      done(ok, list);
+      bool ok = whole && aEnd.m_status == 304 && !known->m_tag.empty();
+      if (whole && aEnd.m_status == 200 &&
+          ReadHostList(gathered->m_body, list)) {
+        known->m_tag = FindHeader(gathered->m_head.m_headers, "ETag");
+        known->m_list = std::move(list);
+        ok = true;
+      }
+      done(ok, known->m_list);
     };
     aClient.Start(std::move(spec));
   };
--- a/standin/host_list.cc
+++ b/standin/host_list.cc
@@ -2,6 +2,8 @@
 
 #include "standin/host_list.h"
 
+#include <functional>
+
 #include "briarglade/net/event_loop.h"
 #include "briarglade/net/http_exchange.h"
 
@@ -13,8 +15,16 @@
 {
   m_server = std::make_unique<HttpServer>(aLoop, HttpServerLimits());
   m_server->SetHandler([this](const std::shared_ptr<HttpExchange>& aExchange) {
-    aExchange->Respond(
-      200, { { "Content-Type", "application/json" } }, m_visible);
+    const std::string tag =
+      "\"" + std::to_string(std::hash<std::string>()(m_visible)) + "\"";
+    const HttpHeaders headers = { { "Content-Type", "application/json" },
+                                  { "ETag", tag } };
+    if (aExchange->Header("If-None-Match") == tag) {
+      ++m_unchanged;
+      aExchange->Respond(304, headers, "");
+    } else {
+      aExchange->Respond(200, headers, m_visible);
+    }
   });
   m_port = m_server->Listen(Endpoint{ "127.0.0.1", aPort });
 }
