--- a/standin/relay_test.cc
+++ b/standin/relay_test.cc
@@ -67,6 +67,9 @@
     m_caller->OnEnd([this] { m_loop.Stop(); });
   }
 
+  // The connections' ends are told to a relay that must still be there.
+  ~RelayWorld() { m_server.CloseConnections(); }
+
   void Start(const std::string& aAttempt, uint16_t aPort, uint32_t aResumeAfter)
   {
     StartAttempt start;
