A cold server's limit is dealt in whole requests, so that all nodes together keep it

Cause: backend_book split the limit into equal parts, never below one request at once. At more nodes than the limit has requests the floor is the limit: 63 nodes send 63 at once, and the refill on top.

A smaller floor can't be had: a node sends a request or it doesn't.

Change: base/roster_place deals a limit in whole units by rendezvous rank, as routing/cold_start already did for `node`; both use the one module. gateway/fleet_share holds the roster and how long it is good for, gateway/cold_start_limit counts what each server was sent, exactly and for all of its groups, cold or not. A node without a part refuses at once where no other backend serves. Other nodes' loads are kept as sums and no longer added up anew with each news.

--- /dev/null
+++ b/briarglade/base/roster_place_test.cc
@@ -0,0 +1,56 @@
+// Tests of the split of a limit over a roster.
+
+#include "briarglade/base/roster_place.h"
+
+#include <doctest/doctest.h>
+#include <string>
+
+namespace briarglade {
+namespace {
+
+std::vector<NodeId> Roster(uint32_t aNodes)
+{
+  std::vector<NodeId> roster;
+  for (uint32_t i = 0; i < aNodes; ++i) {
+    roster.emplace_back("n" + std::to_string(i));
+  }
+  return roster;
+}
+
+TEST_CASE("the parts of all nodes add up to the limit, whatever its size")
+{
+  for (const uint32_t nodes : { 1U, 9U, 63U, 87U, 320U }) {
+    for (const uint32_t limit : { 0U, 1U, 27U, 62U, 500U }) {
+      CAPTURE(nodes);
+      CAPTURE(limit);
+      const std::vector<NodeId> roster = Roster(nodes);
+      uint32_t sum = 0;
+      for (const NodeId& node : roster) {
+        sum += DealtTo(PlaceIn(roster, "server", node), limit);
+      }
+      CHECK(sum == limit);
+    }
+  }
+}
+
+TEST_CASE("a longer roster gives no node more")
+{
+  const std::vector<NodeId> longer = Roster(40);
+  std::vector<NodeId> shorter = longer;
+  while (shorter.size() > 1) {
+    shorter.erase(shorter.begin() + static_cast<long>(shorter.size() / 2));
+    for (const NodeId& node : shorter) {
+      CHECK(DealtTo(PlaceIn(longer, "server", node), 27) <=
+            DealtTo(PlaceIn(shorter, "server", node), 27));
+    }
+  }
+}
+
+TEST_CASE("a node that isn't on the roster has no part")
+{
+  CHECK(DealtTo(PlaceIn(Roster(9), "server", NodeId("other")), 27) == 0);
+  CHECK(DealtTo(PlaceIn({}, "server", NodeId("n0")), 27) == 0);
+}
+
+} // namespace
+} // namespace briarglade
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -79,7 +79,7 @@
   void AnswerWithRows(const NodeNews& aNews);
   void TakeHanded(const NodeNews& aNews);
   void AskIfBehind(const NodeNews& aNews);
-  void UpdateNodeCount();
+  void UpdateRoster();
   void TickLease();
   void TickControl();
   void ContinueLeaving();
--- a/briarglade/entry/internal/peer_news.cc
+++ b/briarglade/entry/internal/peer_news.cc
@@ -13,6 +13,8 @@
 // Each so many news go to other zones too: requests mostly stay in their own,
 // and bytes between zones are dear.
 constexpr uint64_t kNewsForAll = 2;
+// How long a roster holds that isn't confirmed.
+constexpr Millis kRosterTime = Millis(1'000);
 
 } // namespace
 
@@ -79,19 +81,18 @@
   }
 }
 
-void EntryReduction::UpdateNodeCount()
+void EntryReduction::UpdateRoster()
 {
-  const auto count =
-    static_cast<uint32_t>(m_state.m_directory.Alive(m_now).size());
+  std::vector<NodeId> alive = m_state.m_directory.Alive(m_now);
   for (const auto& [id, node] : m_state.m_directory.Others()) {
     if (!m_state.m_directory.IsAlive(m_now, id)) {
       m_state.m_gateway.m_book.ForgetPeer(id);
     }
   }
-  if (count != m_state.m_nodeCount) {
-    m_state.m_nodeCount = count;
-    ToGateway(NodeCountChanged{ count });
-  }
+  m_state.m_nodeCount = static_cast<uint32_t>(alive.size());
+  ToGateway(RosterChanged{
+    std::make_shared<const std::vector<NodeId>>(std::move(alive)),
+    m_now + kRosterTime });
 }
 
 void EntryReduction::On(const NewsReceived& aReceived)
--- a/briarglade/entry/reduce_entry.cc
+++ b/briarglade/entry/reduce_entry.cc
@@ -59,7 +59,7 @@
   RemoveLapsed();
   Register();
   SendNews();
-  UpdateNodeCount();
+  UpdateRoster();
   TickLease();
   TickControl();
   const size_t suspects = OwnSuspects().size();
@@ -178,6 +178,7 @@
                  aIncarnation,
                  ControlBounds{ bounds.m_loadFactor, bounds.m_loadWindow });
   GatewaySettings gateway;
+  gateway.m_node = aSettings.m_node;
   gateway.m_zone = aSettings.m_zone;
   gateway.m_seed = static_cast<uint32_t>(
     RendezvousWeight("gateway", aSettings.m_node.Value()));
@@ -185,7 +186,7 @@
   gateway.m_retrySlack = bounds.m_retrySlack;
   gateway.m_coldFactor = bounds.m_coldFactor;
   gateway.m_coldSlack = bounds.m_coldSlack;
-  state.m_gateway = MakeGatewayState(gateway);
+  state.m_gateway = GatewayState(gateway);
   return state;
 }
 
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -101,7 +101,7 @@
 
   ControlLease m_lease;
   GroupControl m_control;
-  GatewayState m_gateway;
+  GatewayState m_gateway{ GatewaySettings() };
   uint32_t m_nodeCount = 1;
 };
 
--- a/briarglade/gateway/backend_book.cc
+++ b/briarglade/gateway/backend_book.cc
@@ -26,7 +26,6 @@
 // Requests that may wait in a backend's own queue, as a share of its slots:
 // other nodes' loads are known late.
 constexpr double kOverbooking = 0.15;
-constexpr double kMillisPerSecond = 1'000;
 // Prompt tokens to be read that hold up a group like one more request in
 // flight.
 constexpr double kTokensPerRequest = 700;
@@ -43,12 +42,6 @@
   return std::max(kLeastSilence, m_backend.m_longestPass + kSilenceMargin);
 }
 
-void BackendBook::SetColdBounds(double aFactor, double aSlack)
-{
-  m_coldFactor = aFactor;
-  m_coldSlack = aSlack;
-}
-
 size_t BackendBook::SlotFor(const Backend& aBackend)
 {
   const Key key(aBackend.m_server, aBackend.m_group);
@@ -88,35 +81,73 @@
     }
   }
   UpdateOthers();
+  m_coldStart.Forget(aNow);
 }
 
 void BackendBook::SetPeerLoad(const PeerLoad& aLoad)
 {
-  std::map<HostId, ServerLoad>& loads = m_peerLoads[aLoad.m_node];
-  loads.clear();
-  for (const ServerLoad& load : aLoad.m_loads) {
-    loads.emplace(load.m_server, load);
+  std::vector<ServerLoad>& known = m_peerLoads[aLoad.m_node];
+  for (const ServerLoad& load : known) {
+    SubtractOthers(load);
+  }
+  known = aLoad.m_loads;
+  for (const ServerLoad& load : known) {
+    AddOthers(load);
   }
-  UpdateOthers();
 }
 
 void BackendBook::ForgetPeer(const NodeId& aNode)
 {
-  m_peerLoads.erase(aNode);
-  UpdateOthers();
+  const auto known = m_peerLoads.find(aNode);
+  if (known == m_peerLoads.end()) {
+    return;
+  }
+  for (const ServerLoad& load : known->second) {
+    SubtractOthers(load);
+  }
+  m_peerLoads.erase(known);
+}
+
+// Returns the slots of a server: one for each of its groups.
+std::vector<BackendSlot*> BackendBook::SlotsOf(const HostId& aServer)
+{
+  std::vector<BackendSlot*> slots;
+  for (auto entry = m_byKey.lower_bound(Key(aServer, GroupId()));
+       entry != m_byKey.end() && entry->first.first == aServer;
+       ++entry) {
+    slots.push_back(&m_slots[entry->second]);
+  }
+  return slots;
 }
 
+void BackendBook::AddOthers(const ServerLoad& aLoad)
+{
+  for (BackendSlot* slot : SlotsOf(aLoad.m_server)) {
+    slot->m_othersInFlight += aLoad.m_inFlight;
+    slot->m_othersUnread += aLoad.m_unreadTokens;
+  }
+}
+
+void BackendBook::SubtractOthers(const ServerLoad& aLoad)
+{
+  for (BackendSlot* slot : SlotsOf(aLoad.m_server)) {
+    slot->m_othersInFlight -=
+      std::min(slot->m_othersInFlight, aLoad.m_inFlight);
+    slot->m_othersUnread -=
+      std::min(slot->m_othersUnread, aLoad.m_unreadTokens);
+  }
+}
+
+// Adds the other nodes' loads up anew.
 void BackendBook::UpdateOthers()
 {
   for (BackendSlot& slot : m_slots) {
     slot.m_othersInFlight = 0;
     slot.m_othersUnread = 0;
-    for (const auto& [node, loads] : m_peerLoads) {
-      const auto found = loads.find(slot.m_backend.m_server);
-      if (found != loads.end()) {
-        slot.m_othersInFlight += found->second.m_inFlight;
-        slot.m_othersUnread += found->second.m_unreadTokens;
-      }
+  }
+  for (const auto& [node, loads] : m_peerLoads) {
+    for (const ServerLoad& load : loads) {
+      AddOthers(load);
     }
   }
 }
@@ -136,41 +167,23 @@
                    aSlot.m_serial) != aWish.m_tried->end();
 }
 
-bool BackendBook::HasAny(const BackendWish& aWish) const
+bool BackendBook::HasAny(Millis aNow, const BackendWish& aWish, Millis aBefore)
 {
   return std::any_of(
     m_slots.begin(), m_slots.end(), [&](const BackendSlot& aSlot) {
-      return Serves(aSlot, aWish) && !WasTried(aSlot, aWish);
+      const Backend& backend = aSlot.m_backend;
+      const bool isOthers = m_coldStart.IsCold(aNow, backend) &&
+                            backend.m_coldUntil >= aBefore &&
+                            !m_coldStart.HasPart(aNow, backend);
+      return Serves(aSlot, aWish) && !WasTried(aSlot, aWish) && !isOthers;
     });
 }
 
-// Refills this node's part of what a cold server bears.
-bool BackendBook::HasColdRoom(Millis aNow, BackendSlot& aSlot) const
-{
-  const bool isCold =
-    aNow < aSlot.m_backend.m_coldUntil && aSlot.m_backend.m_coldRate > 0;
-  if (!isCold) {
-    return true;
-  }
-  const double nodes = std::max(1U, m_nodes);
-  const double rate = aSlot.m_backend.m_coldRate / nodes;
-  const double burst = std::max(
-    1.0,
-    ((m_coldFactor - 1) * aSlot.m_backend.m_coldRate + m_coldSlack) / nodes);
-  const double seconds =
-    static_cast<double>((aNow - aSlot.m_coldTokensAt).Count()) /
-    kMillisPerSecond;
-  aSlot.m_coldTokens =
-    std::min(burst, aSlot.m_coldTokens + std::max(0.0, seconds) * rate);
-  aSlot.m_coldTokensAt = aNow;
-  return aSlot.m_coldTokens >= 1;
-}
-
-bool BackendBook::HasRoom(Millis aNow, BackendSlot& aSlot) const
+bool BackendBook::HasRoom(Millis aNow, const BackendSlot& aSlot)
 {
   const double limit = aSlot.m_backend.m_slots * (1 + kOverbooking);
   return aSlot.m_suspectUntil <= aNow && aSlot.m_avoidUntil <= aNow &&
-         aSlot.Load() < limit && HasColdRoom(aNow, aSlot);
+         aSlot.Load() < limit && m_coldStart.MaySend(aNow, aSlot.m_backend);
 }
 
 double BackendBook::Cost(const BackendSlot& aSlot) const
@@ -206,7 +219,7 @@
   BackendSlot& slot = m_slots[aSlot];
   ++slot.m_inFlight;
   slot.m_unreadTokens += aPromptTokens;
-  slot.m_coldTokens = std::max(0.0, slot.m_coldTokens - 1);
+  m_coldStart.NoteSent(aNow, slot.m_backend.m_server);
   if (slot.m_inFlight == 1) {
     slot.m_lastBytesAt = aNow;
   }
--- a/briarglade/gateway/backend_book.h
+++ b/briarglade/gateway/backend_book.h
@@ -20,6 +20,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <random>
 #include <utility>
@@ -27,6 +28,7 @@
 
 #include "briarglade/base/ids.h"
 #include "briarglade/base/millis.h"
+#include "briarglade/gateway/cold_start_limit.h"
 #include "briarglade/gateway/gateway_event.h"
 
 namespace briarglade {
@@ -68,9 +70,6 @@
   Millis m_avoidUntil;
   // Moving average of failed exchanges, 0 to 1.
   double m_failureShare = 0;
-  // Requests that may still be sent while it is cold.
-  double m_coldTokens = 0;
-  Millis m_coldTokensAt;
 
   uint32_t Load() const { return m_inFlight + m_othersInFlight; }
   // How long the backend may be silent while it writes.
@@ -80,11 +79,13 @@
 class BackendBook
 {
 public:
-  BackendBook() = default;
   // The node's own zone is preferred where loads are near.
-  BackendBook(ZoneId aZone, uint32_t aSeed)
+  BackendBook(ZoneId aZone,
+              uint32_t aSeed,
+              std::shared_ptr<const FleetShare> aShare)
     : m_zone(std::move(aZone))
     , m_random(aSeed)
+    , m_coldStart(std::move(aShare))
   {
   }
 
@@ -93,15 +94,13 @@
   void SetBackends(Millis aNow, const std::vector<Backend>& aBackends);
   void SetPeerLoad(const PeerLoad& aLoad);
   void ForgetPeer(const NodeId& aNode);
-  void SetNodeCount(uint32_t aNodes) { m_nodes = aNodes; }
-  // The factors on what a cold server bears.
-  void SetColdBounds(double aFactor, double aSlack);
+  ColdStartLimit& ColdStart() { return m_coldStart; }
 
   // Returns the backend with room that is best for the request, or nothing.
   std::optional<size_t> Choose(Millis aNow, const BackendWish& aWish);
   // Tells whether any backend that wasn't tried serves the wish, with room or
-  // without.
-  bool HasAny(const BackendWish& aWish) const;
+  // without, and may get requests of this node before an instant.
+  bool HasAny(Millis aNow, const BackendWish& aWish, Millis aBefore);
 
   // A request with a prompt of so many tokens is sent, its answer begins, goes
   // on
@@ -133,21 +132,21 @@
 
   bool Serves(const BackendSlot& aSlot, const BackendWish& aWish) const;
   static bool WasTried(const BackendSlot& aSlot, const BackendWish& aWish);
-  bool HasRoom(Millis aNow, BackendSlot& aSlot) const;
-  bool HasColdRoom(Millis aNow, BackendSlot& aSlot) const;
+  bool HasRoom(Millis aNow, const BackendSlot& aSlot);
   double Cost(const BackendSlot& aSlot) const;
   size_t SlotFor(const Backend& aBackend);
+  std::vector<BackendSlot*> SlotsOf(const HostId& aServer);
+  void AddOthers(const ServerLoad& aLoad);
+  void SubtractOthers(const ServerLoad& aLoad);
   void UpdateOthers();
 
   ZoneId m_zone;
   std::minstd_rand m_random;
-  uint32_t m_nodes = 1;
-  double m_coldFactor = 1;
-  double m_coldSlack = 0;
+  ColdStartLimit m_coldStart;
   std::deque<BackendSlot> m_slots;
   uint64_t m_lastSerial = 0;
   std::map<Key, size_t> m_byKey;
-  std::map<NodeId, std::map<HostId, ServerLoad>> m_peerLoads;
+  std::map<NodeId, std::vector<ServerLoad>> m_peerLoads;
 };
 
 } // namespace briarglade
--- a/briarglade/gateway/backend_book_test.cc
+++ b/briarglade/gateway/backend_book_test.cc
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 #include <map>
+#include <memory>
 
 namespace briarglade {
 namespace {
@@ -30,7 +31,13 @@
 
 struct World
 {
-  BackendBook m_book{ ZoneId("a"), 1 };
+  explicit World(const std::string& aNode = "n0")
+    : m_share(std::make_shared<FleetShare>(NodeId(aNode)))
+  {
+  }
+
+  std::shared_ptr<FleetShare> m_share;
+  BackendBook m_book{ ZoneId("a"), 1, m_share };
   Millis m_now{ 1'000 };
 
   std::string Choose()
@@ -74,7 +81,7 @@
   // Ten slots, and a little for what other nodes report late.
   CHECK(started >= 10);
   CHECK(started <= 12);
-  CHECK(world.m_book.HasAny(Wish()));
+  CHECK(world.m_book.HasAny(world.m_now, Wish(), world.m_now));
 }
 
 TEST_CASE("the own zone is preferred where loads are near, not beyond")
@@ -149,27 +156,77 @@
 
 TEST_CASE("all nodes together send a cold server no more than it bears")
 {
-  constexpr uint32_t kNodes = 8;
-  std::vector<World> nodes(kNodes);
-  int sent = 0;
-  for (World& node : nodes) {
-    Backend cold = Make("x");
-    cold.m_slots = 1'000;
-    cold.m_coldRate = 28;
-    cold.m_coldUntil = Millis(4'000);
-    node.m_book.SetColdBounds(1.5, 5);
-    node.m_book.SetNodeCount(kNodes);
-    node.m_book.SetBackends(node.m_now, { cold });
-    for (int tick = 0; tick < 20; ++tick) {
-      node.m_now += Millis(50);
-      while (node.m_book.Choose(node.m_now, Wish())) {
-        node.Start();
-        ++sent;
+  for (const uint32_t count : { 1U, 8U, 63U, 87U, 320U }) {
+    CAPTURE(count);
+    std::vector<NodeId> roster;
+    for (uint32_t i = 0; i < count; ++i) {
+      roster.emplace_back("n" + std::to_string(i));
+    }
+    const auto nodes =
+      std::make_shared<const std::vector<NodeId>>(std::move(roster));
+    int sent = 0;
+    for (const NodeId& id : *nodes) {
+      World node(id.Value());
+      Backend cold = Make("x");
+      cold.m_slots = 1'000;
+      cold.m_coldRate = 28;
+      cold.m_coldUntil = Millis(4'000);
+      node.m_share->SetRoster(nodes, Millis(4'000));
+      node.m_book.ColdStart().SetBounds(1.5, 5);
+      node.m_book.SetBackends(node.m_now, { cold });
+      for (int tick = 0; tick < 20; ++tick) {
+        node.m_now += Millis(50);
+        while (node.m_book.Choose(node.m_now, Wish())) {
+          node.Start();
+          ++sent;
+        }
       }
     }
+    // All of what it bears, and no more.
+    CHECK(sent == 28 * 1.5 + 5);
   }
-  CHECK(sent > 20);
-  CHECK(sent <= 28 * 1.5 + 5);
+}
+
+TEST_CASE("a node whose roster is no longer confirmed sends a cold server "
+          "nothing")
+{
+  World node;
+  Backend cold = Make("x");
+  cold.m_coldRate = 28;
+  cold.m_coldUntil = Millis(9'000);
+  node.m_share->SetRoster(
+    std::make_shared<const std::vector<NodeId>>(1, NodeId("n0")),
+    Millis(2'000));
+  node.m_book.ColdStart().SetBounds(1.5, 5);
+  node.m_book.SetBackends(node.m_now, { cold });
+  CHECK(node.Choose() == "x");
+  node.m_now = Millis(2'000);
+  CHECK(node.Choose() == "none");
+  CHECK(!node.m_book.HasAny(node.m_now, Wish(), Millis(3'000)));
+  node.m_now = Millis(9'000);
+  CHECK(node.Choose() == "x");
+}
+
+TEST_CASE("what a server was sent before it turned cold counts, for any of its "
+          "groups")
+{
+  World node;
+  node.m_share->SetRoster(
+    std::make_shared<const std::vector<NodeId>>(1, NodeId("n0")),
+    Millis(9'000));
+  node.m_book.ColdStart().SetBounds(1, 2);
+  Backend backend = Make("x");
+  node.m_book.SetBackends(node.m_now, { backend });
+  node.Start();
+  node.Start();
+  backend.m_group = GroupId("next");
+  backend.m_coldRate = 1;
+  backend.m_coldUntil = Millis(9'000);
+  node.m_book.SetBackends(node.m_now, { backend });
+  node.Start();
+  CHECK(node.Choose() == "none");
+  node.m_now += Millis(1'300);
+  CHECK(node.Choose() == "x");
 }
 
 TEST_CASE("a backend that fails many requests is chosen less")
--- /dev/null
+++ b/briarglade/gateway/cold_start_limit.cc
@@ -0,0 +1,87 @@
+// What was sent to each server lately, against this node's part.
+
+#include "briarglade/gateway/cold_start_limit.h"
+
+#include <utility>
+
+#include "briarglade/gateway/fleet_share.h"
+#include "briarglade/gateway/gateway_event.h"
+
+namespace briarglade {
+
+namespace {
+
+// The limit is one of requests within a second. Two requests that leave further
+// apart may still arrive within one, where the first one had to wait for its
+// connection.
+constexpr Millis kLimitWindow = Millis(1'000);
+constexpr Millis kArrivalSpread = Millis(300);
+
+} // namespace
+
+ColdStartLimit::ColdStartLimit(std::shared_ptr<const FleetShare> aShare)
+  : m_share(std::move(aShare))
+{
+}
+
+void ColdStartLimit::SetBounds(double aFactor, double aSlack)
+{
+  m_factor = aFactor;
+  m_slack = aSlack;
+}
+
+bool ColdStartLimit::IsCold(Millis aNow, const Backend& aBackend) const
+{
+  return aNow < aBackend.m_coldUntil && aBackend.m_coldRate > 0;
+}
+
+ColdStartLimit::Server& ColdStartLimit::ServerFor(const HostId& aServer)
+{
+  Server fresh;
+  fresh.m_sent = RecentCount(kLimitWindow + kArrivalSpread);
+  return m_servers.try_emplace(aServer, std::move(fresh)).first->second;
+}
+
+uint32_t ColdStartLimit::PartOf(Millis aNow,
+                                const Backend& aBackend,
+                                Server& aServer) const
+{
+  if (!m_share->IsValid(aNow)) {
+    return 0;
+  }
+  if (aServer.m_rosterNumber != m_share->RosterNumber()) {
+    aServer.m_rosterNumber = m_share->RosterNumber();
+    aServer.m_place = m_share->PlaceFor(aBackend.m_server.Value());
+  }
+  const double limit = aBackend.m_coldRate * m_factor + m_slack;
+  return DealtTo(aServer.m_place, static_cast<uint32_t>(limit));
+}
+
+bool ColdStartLimit::HasPart(Millis aNow, const Backend& aBackend)
+{
+  return PartOf(aNow, aBackend, ServerFor(aBackend.m_server)) > 0;
+}
+
+bool ColdStartLimit::MaySend(Millis aNow, const Backend& aBackend)
+{
+  if (!IsCold(aNow, aBackend)) {
+    return true;
+  }
+  Server& server = ServerFor(aBackend.m_server);
+  return server.m_sent.Count(aNow) < PartOf(aNow, aBackend, server);
+}
+
+void ColdStartLimit::NoteSent(Millis aNow, const HostId& aServer)
+{
+  ServerFor(aServer).m_sent.Note(aNow);
+}
+
+void ColdStartLimit::Forget(Millis aNow)
+{
+  for (auto entry = m_servers.begin(); entry != m_servers.end();) {
+    entry = entry->second.m_sent.Count(aNow) == 0 ? m_servers.erase(entry)
+                                                  : std::next(entry);
+  }
+}
+
+} // namespace briarglade
--- a/briarglade/gateway/engine_replay_test.h
+++ b/briarglade/gateway/engine_replay_test.h
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <deque>
+#include <memory>
 #include <random>
 #include <string>
 #include <vector>
@@ -86,8 +87,9 @@
     , m_groups(aOptions.m_groups)
   {
     for (uint32_t node = 0; node < aOptions.m_nodes; ++node) {
-      m_books.emplace_back(ZoneOf(node), node + 1);
-      m_books.back().SetNodeCount(aOptions.m_nodes);
+      // No server of the replay is cold: the nodes share no limit.
+      m_books.emplace_back(
+        ZoneOf(node), node + 1, std::make_shared<FleetShare>(NodeId("n")));
     }
     ListGroups();
   }
--- a/briarglade/gateway/gateway.cc
+++ b/briarglade/gateway/gateway.cc
@@ -49,8 +49,9 @@
 
 RetryBudget& GatewayReduction::BudgetOf(const ServiceId& aService)
 {
+  const auto nodes = std::max<size_t>(1, m_state.m_share->NodeCount());
   const double perNode =
-    m_state.m_settings.m_retrySlack * kBudgetPart / m_state.m_nodes;
+    m_state.m_settings.m_retrySlack * kBudgetPart / static_cast<double>(nodes);
   return m_state.m_retryBudgets
     .try_emplace(aService,
                  m_state.m_settings.m_retryShare * kBudgetPart,
@@ -160,24 +161,25 @@
   send.m_deadline = aRequest.m_request.m_deadline;
   send.m_answerBy = aRequest.m_request.m_answerBy;
   send.m_needsFreshConnection = !aRequest.m_request.m_mayRepeat;
-  LogRequest(
-    "request-sent",
-    aRequest,
-    { { "server", send.m_server.Value() },
-      { "group", chosen.m_backend.m_group.Value() },
-      { "load", std::to_string(chosen.Load()) },
-      { "cold-ms",
-        std::to_string(
-          std::max(Millis(), chosen.m_backend.m_coldUntil - m_now).Count()) },
-      { "nodes", std::to_string(m_state.m_nodes) },
-      { "send", std::to_string(aRequest.m_tried.size()) } });
+  const Millis coldFor =
+    std::max(Millis(), chosen.m_backend.m_coldUntil - m_now);
+  LogRequest("request-sent",
+             aRequest,
+             { { "server", send.m_server.Value() },
+               { "group", chosen.m_backend.m_group.Value() },
+               { "load", std::to_string(chosen.Load()) },
+               { "cold-ms", std::to_string(coldFor.Count()) },
+               { "nodes", std::to_string(m_state.m_share->NodeCount()) },
+               { "send", std::to_string(aRequest.m_tried.size()) } });
   m_effects.emplace_back(std::move(send));
   return true;
 }
 
 void GatewayReduction::WaitOrRefuse(GatewayRequest& aRequest)
 {
-  const bool hasBackend = m_state.m_book.HasAny(WishOf(aRequest));
+  const Millis patience = std::min(kMaxWait, TimeLeft(aRequest) / kMaxWaitPart);
+  const bool hasBackend =
+    m_state.m_book.HasAny(m_now, WishOf(aRequest), m_now + patience);
   // The caller of a stream that has begun can't be told to come back: it waits
   // for a group that takes the place of the lost one.
   if (!hasBackend && !aRequest.m_answerBegan) {
@@ -185,7 +187,6 @@
     return;
   }
   WaitQueue& queue = QueueOf(aRequest);
-  const Millis patience = std::min(kMaxWait, TimeLeft(aRequest) / kMaxWaitPart);
   // Streams that have begun go before all others.
   const int32_t priority =
     aRequest.m_answerBegan ? kBegunPriority : aRequest.m_request.m_priority;
@@ -315,10 +316,9 @@
   m_state.m_book.NotePeerSuspects(m_now, aLoad.m_suspects);
 }
 
-void GatewayReduction::On(const NodeCountChanged& aChange)
+void GatewayReduction::On(const RosterChanged& aChange)
 {
-  m_state.m_nodes = std::max(1U, aChange.m_nodes);
-  m_state.m_book.SetNodeCount(m_state.m_nodes);
+  m_state.m_share->SetRoster(aChange.m_nodes, aChange.m_validUntil);
 }
 
 void GatewayReduction::On(const GatewayTick&)
@@ -343,13 +343,12 @@
 
 } // namespace internal
 
-GatewayState MakeGatewayState(const GatewaySettings& aSettings)
+GatewayState::GatewayState(const GatewaySettings& aSettings)
+  : m_settings(aSettings)
+  , m_share(std::make_shared<FleetShare>(aSettings.m_node))
+  , m_book(aSettings.m_zone, aSettings.m_seed, m_share)
 {
-  GatewayState state;
-  state.m_settings = aSettings;
-  state.m_book = BackendBook(aSettings.m_zone, aSettings.m_seed);
-  state.m_book.SetColdBounds(aSettings.m_coldFactor, aSettings.m_coldSlack);
-  return state;
+  m_book.ColdStart().SetBounds(aSettings.m_coldFactor, aSettings.m_coldSlack);
 }
 
 std::map<ModelId, double> RequestsByModel(const GatewayState& aState,
--- a/briarglade/gateway/gateway.h
+++ b/briarglade/gateway/gateway.h
@@ -2,18 +2,20 @@
 // what waits and what is turned away.
 //
 // Example:
-//   GatewayState state = MakeGatewayState(settings);
+//   GatewayState state(settings);
 //   for (GatewayEffect& effect : ReduceGateway(state, now, event)) { ... }
 
 #pragma once
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "briarglade/gateway/backend_book.h"
+#include "briarglade/gateway/fleet_share.h"
 #include "briarglade/gateway/gateway_event.h"
 #include "briarglade/gateway/wait_queue.h"
 #include "briarglade/routing/crash_ledger.h"
@@ -24,6 +26,7 @@
 // Bounds on the gateway's decisions.
 struct GatewaySettings
 {
+  NodeId m_node;
   ZoneId m_zone;
   // Makes nodes choose differently where backends are equal.
   uint32_t m_seed = 1;
@@ -73,18 +76,18 @@
 
 struct GatewayState
 {
+  explicit GatewayState(const GatewaySettings& aSettings);
+
   GatewaySettings m_settings;
+  std::shared_ptr<FleetShare> m_share;
   BackendBook m_book;
   std::unordered_map<RequestHandle, GatewayRequest> m_requests;
   std::map<std::pair<ServiceId, ModelId>, WaitQueue> m_queues;
   std::map<ServiceId, RetryBudget> m_retryBudgets;
   // Requests that take servers down.
   CrashLedger m_ledger;
-  uint32_t m_nodes = 1;
 };
 
-GatewayState MakeGatewayState(const GatewaySettings& aSettings);
-
 // Returns the requests in flight at each model's backends, those of the other
 // nodes included, and those that wait, of which this node sees one part in so
 // many.
--- a/briarglade/gateway/gateway_event.h
+++ b/briarglade/gateway/gateway_event.h
@@ -18,6 +18,7 @@
 #include "briarglade/base/log_event.h"
 #include "briarglade/base/millis.h"
 #include "briarglade/base/result_code.h"
+#include "briarglade/gateway/fleet_share.h"
 #include "briarglade/gateway/gateway_config.h"
 #include "briarglade/routing/crash_notice.h"
 #include "briarglade/routing/request_event.h"
@@ -127,10 +128,12 @@
   std::vector<GroupId> m_groups;
 };
 
-// The number of nodes that serve, this one included.
-struct NodeCountChanged
+// The nodes that share the limits of the whole fleet, this one included, and
+// until when this node may use its part; none: it has no part.
+struct RosterChanged
 {
-  uint32_t m_nodes = 1;
+  NodeList m_nodes;
+  Millis m_validUntil;
 };
 
 // A server has ended without a plan. Its domain has so many servers.
@@ -152,7 +155,7 @@
                                   GroupsEnded,
                                   ServerLost,
                                   CrashNotice,
-                                  NodeCountChanged,
+                                  RosterChanged,
                                   CallerRequestArrived,
                                   AnswerProgressed,
                                   ExchangeEnded,
--- a/briarglade/gateway/gateway_test.cc
+++ b/briarglade/gateway/gateway_test.cc
@@ -29,10 +29,36 @@
   return backend;
 }
 
+// This node, and a roster of that many with it.
+const NodeId kSelf("n0");
+
+NodeList MakeRoster(uint32_t aNodes)
+{
+  std::vector<NodeId> nodes;
+  for (uint32_t i = 0; i < aNodes; ++i) {
+    nodes.emplace_back("n" + std::to_string(i));
+  }
+  return std::make_shared<const std::vector<NodeId>>(std::move(nodes));
+}
+
+GatewaySettings MakeSettings()
+{
+  GatewaySettings settings;
+  settings.m_node = kSelf;
+  return settings;
+}
+
 // A gateway, and what it asked for last.
 struct World
 {
-  GatewayState m_state = MakeGatewayState(GatewaySettings());
+  World() { SetNodes(1); }
+
+  void SetNodes(uint32_t aNodes)
+  {
+    Do(RosterChanged{ MakeRoster(aNodes), Millis(1'000'000'000) });
+  }
+
+  GatewayState m_state{ MakeSettings() };
   Millis m_now{ 10'000 };
   uint64_t m_handles = 0;
   std::map<RequestHandle, std::vector<SendToServer>> m_sent;
@@ -357,7 +383,7 @@
     servers.push_back(MakeServer("s" + std::to_string(i), 100));
   }
   world.Do(BackendsChanged{ servers });
-  world.Do(NodeCountChanged{ 8 });
+  world.SetNodes(8);
   constexpr int kRequests = 1'000;
   size_t sends = 0;
   for (int i = 0; i < kRequests; ++i) {
--- a/briarglade/gateway/internal/gateway_reduction.h
+++ b/briarglade/gateway/internal/gateway_reduction.h
@@ -37,7 +37,7 @@
   void On(const GroupsEnded& aEnded);
   void On(const ServerLost& aLost);
   void On(const CrashNotice& aNotice);
-  void On(const NodeCountChanged& aChange);
+  void On(const RosterChanged& aChange);
   void On(const CallerRequestArrived& aRequest);
   void On(const AnswerProgressed& aProgress);
   void On(const ExchangeEnded& aEnded);
--- a/briarglade/routing/cold_start.cc
+++ b/briarglade/routing/cold_start.cc
@@ -6,8 +6,6 @@
 #include <string>
 #include <utility>
 
-#include "briarglade/base/rendezvous.h"
-
 namespace briarglade {
 
 namespace {
@@ -28,37 +26,6 @@
   return aRoute.m_group.Value() + "|" + aRoute.m_boot.Value();
 }
 
-RosterPlace PlaceIn(const std::vector<NodeId>& aRoster,
-                    const std::string& aKey,
-                    const NodeId& aSelf)
-{
-  RosterPlace place;
-  place.m_nodes = static_cast<uint32_t>(aRoster.size());
-  if (!Contains(aRoster, aSelf)) {
-    place.m_rank = place.m_nodes;
-    return place;
-  }
-  const uint64_t own = RendezvousWeight(aKey, aSelf.Value());
-  for (const NodeId& node : aRoster) {
-    const uint64_t weight = RendezvousWeight(aKey, node.Value());
-    const bool isAhead = weight != own ? weight > own : node < aSelf;
-    if (isAhead) {
-      ++place.m_rank;
-    }
-  }
-  return place;
-}
-
-// The requests out of aLimit that are dealt to a place, one by one in rank
-// order. It falls with the rank and with the number of nodes.
-uint32_t DealtTo(const RosterPlace& aPlace, uint32_t aLimit)
-{
-  if (aPlace.m_rank >= aPlace.m_nodes || aLimit <= aPlace.m_rank) {
-    return 0;
-  }
-  return (aLimit - aPlace.m_rank - 1) / aPlace.m_nodes + 1;
-}
-
 // Tells whether the first place never gets more than the second.
 bool GetsAtMost(const RosterPlace& aFirst, const RosterPlace& aSecond)
 {
--- a/briarglade/routing/cold_start.h
+++ b/briarglade/routing/cold_start.h
@@ -34,6 +34,7 @@
 
 #include "briarglade/base/ids.h"
 #include "briarglade/base/millis.h"
+#include "briarglade/base/roster_place.h"
 #include "briarglade/routing/route_table.h"
 
 namespace briarglade {
@@ -53,14 +54,6 @@
   LatencyJump
 };
 
-// This node's place in one roster, for one group and boot id.
-struct RosterPlace
-{
-  uint32_t m_nodes = 0;
-  // 0 is the first; m_nodes if the node is not on the roster.
-  uint32_t m_rank = 0;
-};
-
 // One group's cold period, as this node sees it.
 struct ColdPeriod
 {
