Who shares a limit rests on the store's rows and their age, not on what a node has heard

Cause: a node divided the limits of the whole fleet by the nodes that it had heard of within 1.2 s. A node that is cut off from the others, has just started or has just woken divides by one, and 63 such nodes send a cold server 63 times what it bears.

Ruled out: the number of registered rows alone, as a node may know them late. Rosters by steps, as `node` has them: they need a majority. Grants from the holder of the lease: nothing could be sent to a cold server while there is none.

Change: entry/node_roster counts the registered nodes. Of two nodes that use their parts within one window each counts the other: a registered node waits 14 s (knowledge 3 s old at most, the window of 10 s of the repeats, a margin of 1 s), a node whose knowledge of the rows is older than 3 s by the store's clock has no part, and a row that is gone is counted for as long. News carry up to which time of the store's clock the sender knows every row, so that a node which the store turns away keeps its part. The store's clock is estimated by the least late answer (store_clock.h), for the lease as well. A node whose own row was overwritten by an old write registers again. fleet-share-gained and fleet-share-lost are logged with the roster's age.

--- a/briarglade/entry/fleet_bounds_test.cc
+++ b/briarglade/entry/fleet_bounds_test.cc
@@ -1,8 +1,12 @@
 // Tests of the bounds that hold for all nodes together, at the sizes of the
 // fleets: what a server in cold start is sent within any second.
 
+#include <algorithm>
+#include <cstdlib>
 #include <doctest/doctest.h>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "briarglade/entry/fleet_world_test.h"
 
@@ -17,6 +21,15 @@
 constexpr Millis kSettleTime = Millis(20'000);
 const char* const kService = "assist";
 
+// Returns how many seeds to play: more if BRIARGLADE_SEEDS says so.
+uint32_t SeedCount(uint32_t aLeast)
+{
+  const char* wanted = std::getenv("BRIARGLADE_SEEDS");
+  return wanted == nullptr
+           ? aLeast
+           : std::max(aLeast, static_cast<uint32_t>(std::stoul(wanted)));
+}
+
 // What all nodes may send to a cold server within a second.
 size_t ColdBound(const EntryBounds& aBounds)
 {
@@ -112,6 +125,100 @@
     }
     world.Run(Millis(2'000));
     CHECK(world.RunWithColdServer("cold") <= world.Bound());
+    CHECK(!world.ServedBy("cold").empty());
+  }
+}
+
+// Strikes the fleet with troubles that overlap: processes that end, stop, start
+// and freeze, nodes that are cut off or turned away by the store, new nodes.
+class TroubledWorld : public BusyWorld
+{
+public:
+  using BusyWorld::BusyWorld;
+
+  // Lets one more trouble begin, and those that are over end.
+  void Strike()
+  {
+    EndTroubles();
+    const size_t node = Pick(NodeCount());
+    const Millis time = Millis(static_cast<int64_t>(500 + Pick(5'500)));
+    switch (Pick(6)) {
+      case 0:
+        Kill(node);
+        break;
+      case 1:
+        Freeze(node, time);
+        break;
+      case 2:
+        SetCutOff(node, true);
+        break;
+      case 3:
+        TurnAway(node,
+                 Pick(2) == 0 ? StoreStatus::Refused : StoreStatus::Unknown);
+        break;
+      case 4:
+        Stop(node);
+        break;
+      default:
+        AddNode();
+        return;
+    }
+    m_ends.push_back(End{ Now() + time, node });
+  }
+
+private:
+  struct End
+  {
+    Millis m_at;
+    size_t m_node = 0;
+  };
+
+  void EndTroubles()
+  {
+    std::vector<End> later;
+    for (const End& end : m_ends) {
+      if (end.m_at > Now()) {
+        later.push_back(end);
+        continue;
+      }
+      SetCutOff(end.m_node, false);
+      TurnAway(end.m_node, StoreStatus::Ok);
+      if (!IsUp(end.m_node)) {
+        Start(end.m_node);
+      }
+    }
+    m_ends = std::move(later);
+  }
+
+  std::vector<End> m_ends;
+};
+
+TEST_CASE("a cold server is not flooded while nodes and news come and go")
+{
+  constexpr uint32_t kSeeds = 4;
+  constexpr int kColdServers = 6;
+  for (uint32_t seed = 1; seed <= SeedCount(kSeeds); ++seed) {
+    CAPTURE(seed);
+    FleetOptions options = Busy(seed % 2 == 0 ? 12 : 30, seed);
+    options.m_requestsPerSecond = 20;
+    options.m_mostDelay = Millis(700);
+    options.m_lostPart = 0.1;
+    TroubledWorld world(options);
+    world.Run(kSettleTime);
+    size_t served = 0;
+    for (int i = 0; i < kColdServers; ++i) {
+      const std::string cold = "cold" + std::to_string(i);
+      const Millis from = world.Now();
+      world.AddServerIn(cold, 1, kColdTime);
+      for (Millis passed; passed < kColdTime; passed += Millis(300)) {
+        world.Strike();
+        world.Run(Millis(300));
+      }
+      CHECK(world.MostServedWithin(cold, kSecond, from, from + kColdTime) <=
+            world.Bound());
+      served += world.ServedBy(cold).size();
+    }
+    CHECK(served > 0);
   }
 }
 
--- a/briarglade/entry/internal/control_duties.cc
+++ b/briarglade/entry/internal/control_duties.cc
@@ -12,13 +12,23 @@
 void EntryReduction::On(const OwnRowWritten& aWritten)
 {
   if (aWritten.m_key == NodeRowKey(m_state.m_settings.m_node)) {
-    m_state.m_isRegistered =
-      m_state.m_isRegistered || aWritten.m_status == StoreStatus::Ok;
+    OnNodeRowWritten(aWritten);
     return;
   }
   m_state.m_lease.OnWritten(aWritten);
 }
 
+void EntryReduction::OnNodeRowWritten(const OwnRowWritten& aWritten)
+{
+  const bool isRegistration = m_state.m_phase == EntryPhase::Serving;
+  if (aWritten.m_status != StoreStatus::Ok || !isRegistration) {
+    return;
+  }
+  m_state.m_isRegistered = true;
+  m_state.m_storeClock.Note(m_now, aWritten.m_storeTime);
+  m_state.m_roster.OnRegistered(m_now, aWritten.m_version);
+}
+
 void EntryReduction::TickLease()
 {
   const std::vector<NodeId> alive = m_state.m_directory.Alive(m_now);
@@ -26,7 +36,7 @@
     std::find(alive.begin(), alive.end(), m_state.m_settings.m_node);
   const LeaseRow& row = m_state.m_lease.Row();
   LeaseView view;
-  view.m_storeTime = m_now + m_state.m_storeClockLead;
+  view.m_storeTime = m_state.m_storeClock.At(m_now);
   // A holder that the store turns away learns of nothing new.
   const bool isCutOff =
     m_state.m_directory.IsStoreLost(m_now, row.m_holder) && !IsStoreLost();
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -10,6 +10,7 @@
 
 #pragma once
 
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -56,6 +57,7 @@
   void Take(const ZoneRow& aRow);
   void Take(const ServerRow& aRow);
   void Take(const OwnRow& aRow);
+  void TakeSelf(const OwnRow& aRow, const std::optional<NodeRow>& aContent);
   void Take(const BadRow& aRow);
   void UpdateBackends();
   std::vector<Backend> MakeBackends() const;
@@ -64,6 +66,7 @@
 
   void FollowFeeds();
   void Register();
+  void OnNodeRowWritten(const OwnRowWritten& aWritten);
   std::vector<GroupId> OwnSuspects() const;
   NodeNews MakeNews() const;
   void SendNews();
@@ -80,6 +83,7 @@
   void TakeHanded(const NodeNews& aNews);
   void AskIfBehind(const NodeNews& aNews);
   void UpdateRoster();
+  void TakeRosterKnowledge(const NodeNews& aNews);
   void TickLease();
   void TickControl();
   void ContinueLeaving();
--- a/briarglade/entry/internal/peer_news.cc
+++ b/briarglade/entry/internal/peer_news.cc
@@ -13,8 +13,6 @@
 // Each so many news go to other zones too: requests mostly stay in their own,
 // and bytes between zones are dear.
 constexpr uint64_t kNewsForAll = 2;
-// How long a roster holds that isn't confirmed.
-constexpr Millis kRosterTime = Millis(1'000);
 
 } // namespace
 
@@ -49,6 +47,7 @@
   for (const auto& [feed, follower] : m_state.m_feeds) {
     news.m_complete.push_back(m_state.m_rows.CompleteUpTo(feed));
   }
+  news.m_rosterKnownUpTo = m_state.m_roster.KnownUpTo();
   if (m_state.m_control.IsActive()) {
     news.m_ended = m_state.m_control.EndedGroups();
     for (const ReplicaGroup& group : m_state.m_control.OpenedGroups()) {
@@ -83,16 +82,38 @@
 
 void EntryReduction::UpdateRoster()
 {
-  std::vector<NodeId> alive = m_state.m_directory.Alive(m_now);
   for (const auto& [id, node] : m_state.m_directory.Others()) {
     if (!m_state.m_directory.IsAlive(m_now, id)) {
       m_state.m_gateway.m_book.ForgetPeer(id);
     }
   }
-  m_state.m_nodeCount = static_cast<uint32_t>(alive.size());
-  ToGateway(RosterChanged{
-    std::make_shared<const std::vector<NodeId>>(std::move(alive)),
-    m_now + kRosterTime });
+  m_state.m_nodeCount =
+    static_cast<uint32_t>(m_state.m_directory.Alive(m_now).size());
+  RosterChanged roster;
+  roster.m_nodes = m_state.m_roster.Nodes(m_now);
+  roster.m_validUntil =
+    m_state.m_roster.ValidUntil(m_now, m_state.m_storeClock);
+  const bool hasShare = m_now < roster.m_validUntil;
+  if (hasShare != m_state.m_hasFleetShare) {
+    m_state.m_hasFleetShare = hasShare;
+    const Millis age =
+      m_state.m_storeClock.At(m_now) - m_state.m_roster.KnownUpTo();
+    Log(LogLevel::Info,
+        hasShare ? "fleet-share-gained" : "fleet-share-lost",
+        { { "nodes", std::to_string(roster.m_nodes->size()) },
+          { "roster-age-ms", std::to_string(age.Count()) } });
+  }
+  ToGateway(roster);
+}
+
+// Learns as of when the sender knows every row, if this node knows as much.
+void EntryReduction::TakeRosterKnowledge(const NodeNews& aNews)
+{
+  m_state.m_storeClock.Note(m_now, aNews.m_rosterKnownUpTo);
+  const auto own = static_cast<size_t>(Feed::Own);
+  if (aNews.m_complete[own] <= m_state.m_rows.CompleteUpTo(Feed::Own)) {
+    m_state.m_roster.OnKnownUpTo(aNews.m_rosterKnownUpTo);
+  }
 }
 
 void EntryReduction::On(const NewsReceived& aReceived)
@@ -110,6 +131,7 @@
   TakeOpened(news.m_opened);
   TakeEnded(news.m_ended);
   TakeHanded(news);
+  TakeRosterKnowledge(news);
   AskIfBehind(news);
   if (news.m_wantsRows) {
     AnswerWithRows(news);
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -42,12 +42,18 @@
   if (aAnswer.m_status != StoreStatus::Ok) {
     return;
   }
-  m_state.m_storeClockLead = aAnswer.m_storeTime - m_now;
+  m_state.m_storeClock.Note(m_now, aAnswer.m_storeTime);
   if (aAnswer.m_feed == Feed::Own && aAnswer.m_isWhole) {
     m_state.m_lease.OnFeedKnown();
   }
   const RowVersion known = m_state.m_rows.CompleteUpTo(aAnswer.m_feed);
   TakeRows(m_state.m_rows.Apply(aAnswer));
+  if (aAnswer.m_feed == Feed::Own) {
+    m_state.m_roster.OnKnownUpTo(aAnswer.m_storeTime);
+    if (aAnswer.m_isWhole) {
+      m_state.m_roster.OnWholeRead(m_now);
+    }
+  }
   HandOn(aAnswer.m_feed, known);
   FollowFeeds();
 }
@@ -225,8 +231,30 @@
   }
   const std::optional<NodeRow> row =
     aRow.m_value ? DecodeNodeRow(*aRow.m_value) : std::nullopt;
-  m_state.m_directory.OnRow(
-    m_now, NodeId(key.substr(prefix.size())), row ? &*row : nullptr);
+  const NodeId node(key.substr(prefix.size()));
+  m_state.m_directory.OnRow(m_now, node, row ? &*row : nullptr);
+  m_state.m_roster.OnRow(m_now, node, row.has_value());
+  if (node == m_state.m_settings.m_node) {
+    TakeSelf(aRow, row);
+  }
+}
+
+// Registers again if this node's own row holds something else: an old write
+// that was carried out late, or another process of the same name.
+void EntryReduction::TakeSelf(const OwnRow& aRow,
+                              const std::optional<NodeRow>& aContent)
+{
+  const bool isOurs =
+    aContent && aContent->m_incarnation == m_state.m_incarnation;
+  if (isOurs || !m_state.m_roster.OnDisplaced(aRow.m_version)) {
+    return;
+  }
+  Log(LogLevel::Warn,
+      "registration-displaced",
+      { { "version", std::to_string(aRow.m_version.Value()) },
+        { "incarnation",
+          aContent ? std::to_string(aContent->m_incarnation) : "none" } });
+  m_state.m_isRegistered = false;
 }
 
 void EntryReduction::Take(const BadRow& aRow)
--- a/briarglade/entry/node_news.capnp
+++ b/briarglade/entry/node_news.capnp
@@ -5,7 +5,7 @@
 
 struct ServerLoad {
   server @0 :Text;
-    inFlight @1 :UInt16;
+  inFlight @1 :UInt16;
   # Prompt tokens that the server has still to read.
   unreadTokens @2 :UInt32;
 }
@@ -64,4 +64,7 @@
   storeLost @13 :Bool;
   # This node follows the store, and entries may be missing there that will be back.
   storeDisturbed @14 :Bool;
+  # The time of the store's clock, in milliseconds, as of which this node knows
+  # every node's row.
+  rosterKnownUpTo @15 :Int64;
 }
--- a/briarglade/entry/node_news.capnp.h
+++ b/briarglade/entry/node_news.capnp.h
@@ -139,7 +139,7 @@
 
   struct _capnpPrivate
   {
-    CAPNP_DECLARE_STRUCT_HEADER(cedd4078abce72d1, 2, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(cedd4078abce72d1, 3, 8)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand()
     {
@@ -833,6 +833,8 @@
 
   inline bool getStoreDisturbed() const;
 
+  inline ::int64_t getRosterKnownUpTo() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -1002,6 +1004,9 @@
   inline bool getStoreDisturbed();
   inline void setStoreDisturbed(bool value);
 
+  inline ::int64_t getRosterKnownUpTo();
+  inline void setRosterKnownUpTo(::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -2177,6 +2182,23 @@
                               value);
 }
 
+inline ::int64_t NodeNews::Reader::getRosterKnownUpTo() const
+{
+  return _reader.getDataField<::int64_t>(::capnp::bounded<2>() *
+                                         ::capnp::ELEMENTS);
+}
+
+inline ::int64_t NodeNews::Builder::getRosterKnownUpTo()
+{
+  return _builder.getDataField<::int64_t>(::capnp::bounded<2>() *
+                                          ::capnp::ELEMENTS);
+}
+inline void NodeNews::Builder::setRosterKnownUpTo(::int64_t value)
+{
+  _builder.setDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
+                                   value);
+}
+
 } // namespace
 } // namespace
 
--- a/briarglade/entry/node_news.cc
+++ b/briarglade/entry/node_news.cc
@@ -194,6 +194,7 @@
   news.m_wantsRows = aMessage.getWantsRows();
   news.m_isStoreLost = aMessage.getStoreLost();
   news.m_isStoreDisturbed = aMessage.getStoreDisturbed();
+  news.m_rosterKnownUpTo = Millis(aMessage.getRosterKnownUpTo());
   ReadOpened(aMessage, news);
   ReadCrashes(aMessage, news);
   ReadHanded(aMessage, news);
@@ -214,6 +215,7 @@
   message.setWantsRows(aNews.m_wantsRows);
   message.setStoreLost(aNews.m_isStoreLost);
   message.setStoreDisturbed(aNews.m_isStoreDisturbed);
+  message.setRosterKnownUpTo(aNews.m_rosterKnownUpTo.Count());
   WriteLists(aNews, message);
   WriteOpened(aNews, message);
   WriteCrashes(aNews, message);
--- a/briarglade/entry/node_news.h
+++ b/briarglade/entry/node_news.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "briarglade/base/ids.h"
+#include "briarglade/base/millis.h"
 #include "briarglade/entry/store_feed.h"
 #include "briarglade/gateway/gateway_event.h"
 #include "briarglade/routing/crash_notice.h"
@@ -51,6 +52,8 @@
   bool m_isStoreDisturbed = false;
   // The version up to which the node has every change, of each feed.
   std::vector<RowVersion> m_complete;
+  // The time of the store's clock as of which the node knows every node's row.
+  Millis m_rosterKnownUpTo;
   // The node asks for the changes that it lacks.
   bool m_wantsRows = false;
   std::vector<HandedRows> m_handed;
--- /dev/null
+++ b/briarglade/entry/node_roster.cc
@@ -0,0 +1,105 @@
+// The registered nodes, and those that were lately.
+
+#include "briarglade/entry/node_roster.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace briarglade {
+
+namespace {
+
+// What two nodes' estimates of the store's clock may differ by, and how long a
+// request may be on its way.
+constexpr Millis kRosterMargin = Millis(1'000);
+
+} // namespace
+
+NodeRoster::NodeRoster(NodeId aSelf, Millis aWindow)
+  : m_self(std::move(aSelf))
+  , m_window(aWindow)
+{
+}
+
+Millis NodeRoster::SettleTime() const
+{
+  return kRosterFreshTime + m_window + kRosterMargin;
+}
+
+void NodeRoster::OnRow(Millis aNow, const NodeId& aNode, bool aIsThere)
+{
+  if (aNode == m_self) {
+    return;
+  }
+  m_isChanged = true;
+  if (aIsThere) {
+    m_others[aNode].reset();
+    return;
+  }
+  // A node whose row came and went unseen is counted, too.
+  const auto [other, isNew] = m_others.try_emplace(aNode, aNow);
+  if (!isNew && !other->second) {
+    other->second = aNow;
+  }
+}
+
+void NodeRoster::OnRegistered(Millis aNow, RowVersion aVersion)
+{
+  if (!m_registeredAt) {
+    m_registeredAt = aNow;
+  }
+  m_registeredVersion = std::max(m_registeredVersion, aVersion);
+}
+
+bool NodeRoster::OnDisplaced(RowVersion aVersion)
+{
+  if (!m_registeredAt || aVersion <= m_registeredVersion) {
+    return false;
+  }
+  m_registeredAt.reset();
+  return true;
+}
+
+void NodeRoster::OnWholeRead(Millis aNow)
+{
+  if (!m_readAt) {
+    m_readAt = aNow;
+  }
+}
+
+void NodeRoster::OnKnownUpTo(Millis aStoreTime)
+{
+  m_knownUpTo = std::max(m_knownUpTo, aStoreTime);
+}
+
+std::shared_ptr<const std::vector<NodeId>> NodeRoster::Nodes(Millis aNow)
+{
+  for (auto other = m_others.begin(); other != m_others.end();) {
+    const bool isOver = other->second && aNow - *other->second >= SettleTime();
+    m_isChanged = m_isChanged || isOver;
+    other = isOver ? m_others.erase(other) : std::next(other);
+  }
+  if (m_isChanged) {
+    std::vector<NodeId> nodes{ m_self };
+    for (const auto& [node, goneAt] : m_others) {
+      nodes.push_back(node);
+    }
+    std::sort(nodes.begin(), nodes.end());
+    m_nodes = std::make_shared<const std::vector<NodeId>>(std::move(nodes));
+    m_isChanged = false;
+  }
+  return m_nodes;
+}
+
+Millis NodeRoster::ValidUntil(Millis aNow, const StoreClock& aClock) const
+{
+  const bool isMember = !m_isLeaving && m_registeredAt && m_readAt;
+  if (!isMember || !aClock.IsKnown() ||
+      aNow < std::max(*m_registeredAt, *m_readAt) + SettleTime()) {
+    return aNow;
+  }
+  const Millis age = aClock.At(aNow) - m_knownUpTo;
+  return aNow + kRosterFreshTime - age;
+}
+
+} // namespace briarglade
--- a/briarglade/entry/reduce_entry.cc
+++ b/briarglade/entry/reduce_entry.cc
@@ -117,6 +117,8 @@
   m_state.m_phase = EntryPhase::Leaving;
   m_state.m_leavingSince = m_now;
   m_state.m_directory.SetSelf(false, true);
+  m_state.m_roster.OnLeaving();
+  UpdateRoster();
   m_state.m_hasUrgentNews = true;
   SendNews();
   WriteOwnRow remove;
@@ -170,6 +172,8 @@
   self.m_peerAddress = aSettings.m_peerAddress;
   self.m_incarnation = aIncarnation;
   state.m_directory = NodeDirectory(self);
+  state.m_roster =
+    NodeRoster(aSettings.m_node, aSettings.m_bounds.m_retryWindow);
   state.m_ids = UniqueIds(aSettings.m_node, aIncarnation);
   state.m_lease = ControlLease(aSettings.m_node, aIncarnation);
   const EntryBounds& bounds = aSettings.m_bounds;
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -24,7 +24,9 @@
 #include "briarglade/entry/entry_settings.h"
 #include "briarglade/entry/feed_follower.h"
 #include "briarglade/entry/node_directory.h"
+#include "briarglade/entry/node_roster.h"
 #include "briarglade/entry/row_cache.h"
+#include "briarglade/entry/store_clock.h"
 #include "briarglade/gateway/gateway.h"
 #include "briarglade/gateway/route_index.h"
 
@@ -60,8 +62,7 @@
   // What the store says.
   RowCache m_rows;
   std::map<Feed, FeedFollower> m_feeds;
-  // The store's clock less this node's.
-  Millis m_storeClockLead;
+  StoreClock m_storeClock;
   std::shared_ptr<const RouteIndex> m_routes;
   std::set<ZoneId> m_zonesOut;
   ServerMap m_servers;
@@ -80,6 +81,9 @@
 
   // Other nodes.
   NodeDirectory m_directory;
+  // Who shares the limits of the whole fleet.
+  NodeRoster m_roster;
+  bool m_hasFleetShare = false;
   UniqueIds m_ids;
   bool m_isRegistered = false;
   Millis m_registeredAt;
