Servers of a zone that returns count as cold until their own word can have come

Cause: the operators' row that takes a zone back in is in force everywhere within a moment. The servers' entries that say that they have turned cold come a heartbeat and the store's delay later, up to 2 s. Meanwhile the emptied servers have the least load of all, and every node sends there.

Ruled out: holding the zone out until its entries have changed, as entries of servers that stayed warm don't change. Probing its servers: one probe for each server and node, at the worst moment.

A node that starts in the 2 s after the return doesn't know of it: open, in the postmortem.

--- a/briarglade/entry/fleet_bounds_test.cc
+++ b/briarglade/entry/fleet_bounds_test.cc
@@ -60,6 +60,7 @@
     ServiceSpec service;
     service.m_id = ServiceId(kService);
     service.m_coldRequestsPerSecond = kColdRate;
+    service.m_coldTime = kColdTime;
     Config().m_services.emplace(service.m_id, service);
     RouteRule route;
     route.m_host = "desk.example";
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -63,6 +63,8 @@
   std::vector<Backend> MakeBackends() const;
   Backend MakeBackend(const ServerRecord& aServer,
                       const ServiceSpec& aService) const;
+  Millis ColdUntil(const ServerRecord& aServer,
+                   const ServiceSpec& aService) const;
 
   void FollowFeeds();
   void Register();
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -90,6 +90,7 @@
     m_state.m_zonesOut.insert(aRow.m_zone);
   } else {
     m_state.m_zonesOut.erase(aRow.m_zone);
+    m_state.m_zonesReturnedAt[aRow.m_zone] = m_now;
   }
   m_state.m_isBackendsStale = true;
 }
@@ -274,10 +275,22 @@
   backend.m_zone = aServer.m_zone;
   backend.m_slots = aServer.m_slots;
   backend.m_coldRate = aService.m_coldRequestsPerSecond;
-  backend.m_coldUntil = aServer.m_coldUntil;
+  backend.m_coldUntil = ColdUntil(aServer, aService);
   return backend;
 }
 
+// Returns until when a server is cold, or may be: those of a zone that was out
+// may have turned cold, and their entries say so only a while later.
+Millis EntryReduction::ColdUntil(const ServerRecord& aServer,
+                                 const ServiceSpec& aService) const
+{
+  const auto returned = m_state.m_zonesReturnedAt.find(aServer.m_zone);
+  if (returned == m_state.m_zonesReturnedAt.end()) {
+    return aServer.m_coldUntil;
+  }
+  return std::max(aServer.m_coldUntil, returned->second + aService.m_coldTime);
+}
+
 // Returns what may get new requests: servers of plain services, and the leaders
 // of groups that serve.
 std::vector<Backend> EntryReduction::MakeBackends() const
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -65,6 +65,8 @@
   StoreClock m_storeClock;
   std::shared_ptr<const RouteIndex> m_routes;
   std::set<ZoneId> m_zonesOut;
+  // When zones that were out have returned.
+  std::map<ZoneId, Millis> m_zonesReturnedAt;
   ServerMap m_servers;
   // Servers whose entries are gone while the store was disturbed, and until
   // when that may be the reason.
--- a/briarglade/gateway/gateway_config.h
+++ b/briarglade/gateway/gateway_config.h
@@ -134,6 +134,8 @@
   uint32_t m_maxConnections = 100;
   // Requests a second that a cold server bears; zero: no limit is stated.
   double m_coldRequestsPerSecond = 0;
+  // How long a server stays cold.
+  Millis m_coldTime;
   // Set for services of model engines.
   std::optional<EngineSpec> m_engine;
 };
