Repeats are counted exactly, and what may come on top is dealt over the fleet

With every exchange failing, the fleet repeats twice what it may.

Cause: a node's budget was made at its first request, for as many nodes as it had heard of then, which is one, and kept at that: each of 9, 63 or 87 nodes had the whole slack. Had it been made later, its floor of one repeat for each node would have been too much at 320 nodes.

Ruled out: making the bucket anew at each change of the roster, which fills it anew each time.

Change: gateway/repeat_budget counts requests and repeats of the window exactly; what may come on top is this node's part of a whole number (fleet_share), nothing where it has none.

--- a/briarglade/entry/fleet_bounds_test.cc
+++ b/briarglade/entry/fleet_bounds_test.cc
@@ -67,6 +67,7 @@
     route.m_prefix = "/assist/";
     route.m_services = { WeightedService{ service.m_id, 1 } };
     route.m_kind = RouteKind::Idempotent;
+    route.m_maxAttempts = 3;
     Config().m_routes = { route };
     Configure(2);
     AddServerIn("warm", 0, Millis());
@@ -130,6 +131,36 @@
   }
 }
 
+TEST_CASE("repeats stay within the budget of the fleet, whether or not its "
+          "nodes hear of each other")
+{
+  for (const bool isCutOff : { false, true }) {
+    for (const uint32_t nodes : { 9U, 63U }) {
+      CAPTURE(isCutOff);
+      CAPTURE(nodes);
+      FleetOptions options = Busy(nodes);
+      BusyWorld world(options);
+      world.AddServerIn("other", 1, Millis());
+      world.AddServerIn("third", 2, Millis());
+      world.Run(kSettleTime);
+      for (size_t node = 0; node < nodes; ++node) {
+        world.SetCutOff(node, isCutOff);
+      }
+      world.Run(Millis(2'000));
+      const Millis from = world.Now();
+      const uint64_t asked = world.Asked();
+      world.SetFailing(true);
+      world.Run(options.m_bounds.m_retryWindow);
+      const auto requests = static_cast<double>(world.Asked() - asked);
+      const size_t repeats = world.RepeatsSince(from);
+      CHECK(repeats > 0);
+      CHECK(static_cast<double>(repeats) <=
+            requests * options.m_bounds.m_retryShare +
+              options.m_bounds.m_retrySlack);
+    }
+  }
+}
+
 // Strikes the fleet with troubles that overlap: processes that end, stop, start
 // and freeze, nodes that are cut off or turned away by the store, new nodes.
 class TroubledWorld : public BusyWorld
--- a/briarglade/entry/fleet_world_test.h
+++ b/briarglade/entry/fleet_world_test.h
@@ -141,6 +141,8 @@
   {
     m_nodes[aNode].m_storeStatus = aStatus;
   }
+  // Lets every exchange with a server fail.
+  void SetFailing(bool aIsFailing) { m_isFailing = aIsFailing; }
   void Stop(size_t aNode) { Send(aNode, Millis(), StopRequested{}); }
 
   void Run(Millis aTime)
@@ -190,6 +192,7 @@
   {
     return std::uniform_int_distribution<size_t>(0, aBound - 1)(m_random);
   }
+  uint64_t Asked() const { return m_lastHandle; }
   uint64_t Answered() const { return m_answered; }
   uint64_t Refused() const { return m_refused; }
   static std::string ZoneName(size_t aZone)
@@ -247,6 +250,22 @@
     return most;
   }
 
+  // Returns the sends beyond the first one of each request, over all servers,
+  // since an instant.
+  size_t RepeatsSince(Millis aFrom) const
+  {
+    std::map<RequestHandle, size_t> sends;
+    size_t repeats = 0;
+    for (const auto& [server, requests] : m_served) {
+      for (const ServedRequest& served : requests) {
+        const bool isRepeat =
+          served.m_at >= aFrom && ++sends[served.m_handle] > 1;
+        repeats += isRepeat ? 1 : 0;
+      }
+    }
+    return repeats;
+  }
+
   // Returns the number of calls to the store since the last time.
   int TakeCalls()
   {
@@ -365,6 +384,10 @@
     ExchangeEnded ended;
     ended.m_handle = aSend.m_handle;
     ended.m_status = 200;
+    if (m_isFailing) {
+      ended.m_end = ExchangeEnd::ResetBeforeAnswer;
+      ended.m_status = 0;
+    }
     Send(aNode, m_options.m_answerTime, ended);
   }
 
@@ -552,6 +575,7 @@
   std::deque<Watch> m_watches;
   std::priority_queue<Message> m_messages;
   std::map<HostId, std::vector<ServedRequest>> m_served;
+  bool m_isFailing = false;
   int m_calls = 0;
 };
 
--- a/briarglade/gateway/backend_faults.cc
+++ b/briarglade/gateway/backend_faults.cc
@@ -92,7 +92,7 @@
       continue;
     }
     if (!m_state.m_book.Choose(m_now, WishOf(request)) ||
-        !BudgetOf(request.m_request.m_service).Take()) {
+        !TakeRepeat(request.m_request.m_service)) {
       continue;
     }
     request.m_isMoved = true;
--- a/briarglade/gateway/exchange_ends.cc
+++ b/briarglade/gateway/exchange_ends.cc
@@ -76,7 +76,7 @@
   // A request that was moved has drawn on the budget already.
   const bool mayTry =
     MayTryAgain(aRequest, aVerdict) &&
-    (aRequest.m_isMoved || BudgetOf(aRequest.m_request.m_service).Take());
+    (aRequest.m_isMoved || TakeRepeat(aRequest.m_request.m_service));
   if (mayTry && Start(aRequest)) {
     return;
   }
--- a/briarglade/gateway/gateway.cc
+++ b/briarglade/gateway/gateway.cc
@@ -22,8 +22,8 @@
 constexpr int32_t kBegunPriority = -1;
 // A lost group is usually replaced by then.
 constexpr Millis kNoBackendRetryAfter = Millis(1'000);
-// The part of the fleet's budget for repeats that its nodes use; each node's
-// requests are only an estimate of its share.
+// The part of the fleet's budget for repeats that its nodes use: a request that
+// comes to a server twice by itself counts there, too.
 constexpr double kBudgetPart = 0.6;
 
 } // namespace
@@ -47,18 +47,24 @@
     .m_queues[{ aRequest.m_request.m_service, aRequest.m_request.m_model }];
 }
 
-RetryBudget& GatewayReduction::BudgetOf(const ServiceId& aService)
+RepeatBudget& GatewayReduction::BudgetOf(const ServiceId& aService)
 {
-  const auto nodes = std::max<size_t>(1, m_state.m_share->NodeCount());
-  const double perNode =
-    m_state.m_settings.m_retrySlack * kBudgetPart / static_cast<double>(nodes);
-  return m_state.m_retryBudgets
-    .try_emplace(aService,
-                 m_state.m_settings.m_retryShare * kBudgetPart,
-                 std::max(1.0, perNode))
+  const GatewaySettings& settings = m_state.m_settings;
+  return m_state.m_repeatBudgets
+    .try_emplace(
+      aService, settings.m_retryShare * kBudgetPart, settings.m_retryWindow)
     .first->second;
 }
 
+// Draws on the budget for sending a request of the service once more.
+bool GatewayReduction::TakeRepeat(const ServiceId& aService)
+{
+  const double slack = m_state.m_settings.m_retrySlack * kBudgetPart;
+  const uint32_t part = m_state.m_share->PartOf(
+    m_now, aService.Value(), static_cast<uint32_t>(slack));
+  return BudgetOf(aService).Take(m_now, part);
+}
+
 Millis GatewayReduction::TimeLeft(const GatewayRequest& aRequest) const
 {
   return std::min(aRequest.m_request.m_deadline,
@@ -245,7 +251,7 @@
   GatewayRequest& request = m_state.m_requests[aArrived.m_handle];
   request.m_request = aArrived;
   request.m_arrivedAt = m_now;
-  BudgetOf(aArrived.m_service).NoteSuccess();
+  BudgetOf(aArrived.m_service).NoteRequest(m_now);
   if (TimeLeft(request) < kMinUsefulTime) {
     Finish(request, ResultCode::QueueDeadline, Millis());
     return;
--- a/briarglade/gateway/gateway.h
+++ b/briarglade/gateway/gateway.h
@@ -17,9 +17,9 @@
 #include "briarglade/gateway/backend_book.h"
 #include "briarglade/gateway/fleet_share.h"
 #include "briarglade/gateway/gateway_event.h"
+#include "briarglade/gateway/repeat_budget.h"
 #include "briarglade/gateway/wait_queue.h"
 #include "briarglade/routing/crash_ledger.h"
-#include "briarglade/routing/retry_budget.h"
 
 namespace briarglade {
 
@@ -34,6 +34,7 @@
   // within the window.
   double m_retryShare = 0.2;
   double m_retrySlack = 100;
+  Millis m_retryWindow = Millis(10'000);
   double m_coldFactor = 1.5;
   double m_coldSlack = 5;
 };
@@ -83,7 +84,7 @@
   BackendBook m_book;
   std::unordered_map<RequestHandle, GatewayRequest> m_requests;
   std::map<std::pair<ServiceId, ModelId>, WaitQueue> m_queues;
-  std::map<ServiceId, RetryBudget> m_retryBudgets;
+  std::map<ServiceId, RepeatBudget> m_repeatBudgets;
   // Requests that take servers down.
   CrashLedger m_ledger;
 };
--- a/briarglade/gateway/internal/gateway_reduction.h
+++ b/briarglade/gateway/internal/gateway_reduction.h
@@ -47,7 +47,8 @@
   GatewayRequest* Find(RequestHandle aHandle);
   static BackendWish WishOf(const GatewayRequest& aRequest);
   WaitQueue& QueueOf(const GatewayRequest& aRequest);
-  RetryBudget& BudgetOf(const ServiceId& aService);
+  RepeatBudget& BudgetOf(const ServiceId& aService);
+  bool TakeRepeat(const ServiceId& aService);
   Millis TimeLeft(const GatewayRequest& aRequest) const;
 
   bool Start(GatewayRequest& aRequest);
