Idle connections to a server are dealt over the nodes

Cause: a server states how many connections it accepts from all callers together (342 to 822 here) and resets those beyond. The configuration was decoded, and nothing read it: each node kept up to 64 idle connections to a server, 4,032 at 63 nodes.

Ruled out: a limit on connections in use. Requests in flight are bounded by the server's slots, as far as loads are known; what grows with the nodes are the idle ones.

Change: SendToServer says how many idle connections to the server this node may keep: its part of half of what the server accepts. The client keeps no more; at 320 nodes some keep none.

--- a/briarglade/entry/gateway_relay.cc
+++ b/briarglade/entry/gateway_relay.cc
@@ -72,6 +72,7 @@
   if (aSend.m_needsFreshConnection) {
     spec.m_maxIdleAge = kFreshAge;
   }
+  spec.m_maxIdle = aSend.m_maxIdleConnections;
   spec.m_closeEndsAnswer = true;
   const std::shared_ptr<GatewayRelay> self = shared_from_this();
   spec.m_isOurs = [self](const HttpAnswerHead& aHead) {
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -274,6 +274,7 @@
   backend.m_endpoint = aServer.m_endpoint;
   backend.m_zone = aServer.m_zone;
   backend.m_slots = aServer.m_slots;
+  backend.m_maxConnections = aService.m_maxConnections;
   backend.m_coldRate = aService.m_coldRequestsPerSecond;
   backend.m_coldUntil = ColdUntil(aServer, aService);
   return backend;
--- a/briarglade/gateway/gateway.cc
+++ b/briarglade/gateway/gateway.cc
@@ -26,6 +26,10 @@
 // comes to a server twice by itself counts there, too.
 constexpr double kBudgetPart = 0.6;
 
+// One in so many of the connections that a server accepts may be idle ones; the
+// others are for requests.
+constexpr uint32_t kIdlePart = 2;
+
 } // namespace
 
 GatewayRequest* GatewayReduction::Find(RequestHandle aHandle)
@@ -140,6 +144,14 @@
   Forget(aRequest);
 }
 
+// Returns how many idle connections this node may keep to a server. An older
+// roster serves as well: only the server's own limit is at stake.
+uint32_t GatewayReduction::MaxIdleConnections(const Backend& aBackend) const
+{
+  const uint32_t idle = aBackend.m_maxConnections / kIdlePart;
+  return DealtTo(m_state.m_share->PlaceFor(aBackend.m_server.Value()), idle);
+}
+
 // Sends a request to the best backend with room. Returns false if none has.
 bool GatewayReduction::Start(GatewayRequest& aRequest)
 {
@@ -167,6 +179,7 @@
   send.m_deadline = aRequest.m_request.m_deadline;
   send.m_answerBy = aRequest.m_request.m_answerBy;
   send.m_needsFreshConnection = !aRequest.m_request.m_mayRepeat;
+  send.m_maxIdleConnections = MaxIdleConnections(chosen.m_backend);
   const Millis coldFor =
     std::max(Millis(), chosen.m_backend.m_coldUntil - m_now);
   LogRequest("request-sent",
--- a/briarglade/gateway/gateway_event.h
+++ b/briarglade/gateway/gateway_event.h
@@ -44,6 +44,8 @@
   // Requests a second that it bears until m_coldUntil, over all nodes.
   double m_coldRate = 0;
   Millis m_coldUntil;
+  // Connections that it accepts from all nodes together.
+  uint32_t m_maxConnections = 100;
   // The longest time for which a group at work is silent while all is well.
   Millis m_longestPass;
 };
@@ -176,6 +178,8 @@
   Millis m_answerBy;
   // A connection that has been idle for long might just have been closed.
   bool m_needsFreshConnection = false;
+  // Idle connections to the server that this node may keep.
+  uint32_t m_maxIdleConnections = 0;
 };
 
 // Give the exchange up; its end is reported as Cancelled.
--- a/briarglade/gateway/gateway_test.cc
+++ b/briarglade/gateway/gateway_test.cc
@@ -41,24 +41,28 @@
   return std::make_shared<const std::vector<NodeId>>(std::move(nodes));
 }
 
-GatewaySettings MakeSettings()
+GatewaySettings MakeSettings(const NodeId& aSelf)
 {
   GatewaySettings settings;
-  settings.m_node = kSelf;
+  settings.m_node = aSelf;
   return settings;
 }
 
 // A gateway, and what it asked for last.
 struct World
 {
-  World() { SetNodes(1); }
+  explicit World(const NodeId& aSelf = kSelf)
+    : m_state(MakeSettings(aSelf))
+  {
+    SetNodes(1);
+  }
 
   void SetNodes(uint32_t aNodes)
   {
     Do(RosterChanged{ MakeRoster(aNodes), Millis(1'000'000'000) });
   }
 
-  GatewayState m_state{ MakeSettings() };
+  GatewayState m_state;
   Millis m_now{ 10'000 };
   uint64_t m_handles = 0;
   std::map<RequestHandle, std::vector<SendToServer>> m_sent;
@@ -375,6 +379,26 @@
   CHECK(world.m_answered[again].m_code == ResultCode::HarmfulRequest);
 }
 
+TEST_CASE("all nodes together keep no more idle connections than a server "
+          "accepts")
+{
+  for (const uint32_t nodes : { 1U, 9U, 63U, 87U, 320U }) {
+    CAPTURE(nodes);
+    Backend server = MakeServer("s", 100);
+    server.m_maxConnections = 344;
+    uint32_t idle = 0;
+    for (const NodeId& node : *MakeRoster(nodes)) {
+      World world(node);
+      world.SetNodes(nodes);
+      world.Do(BackendsChanged{ { server } });
+      const RequestHandle request = world.Arrive(RouteKind::Idempotent);
+      REQUIRE(world.Sends(request) == 1);
+      idle += world.m_sent[request].back().m_maxIdleConnections;
+    }
+    CHECK(idle == server.m_maxConnections / 2);
+  }
+}
+
 TEST_CASE("repeats stay within the budget when every exchange fails")
 {
   World world;
--- a/briarglade/gateway/internal/gateway_reduction.h
+++ b/briarglade/gateway/internal/gateway_reduction.h
@@ -52,6 +52,7 @@
   Millis TimeLeft(const GatewayRequest& aRequest) const;
 
   bool Start(GatewayRequest& aRequest);
+  uint32_t MaxIdleConnections(const Backend& aBackend) const;
   void WaitOrRefuse(GatewayRequest& aRequest);
   void StopWaiting(GatewayRequest& aRequest);
   void StartWaiting();
--- a/briarglade/net/http_call.cc
+++ b/briarglade/net/http_call.cc
@@ -159,7 +159,7 @@
   if (m_connection) {
     m_connection->SetCall(nullptr);
     if (aKeepConnection) {
-      m_client.Keep(std::move(m_connection), KeepFor());
+      m_client.Keep(std::move(m_connection), m_spec, KeepFor());
     } else {
       m_client.Discard(std::move(m_connection));
     }
--- a/briarglade/net/http_client.cc
+++ b/briarglade/net/http_client.cc
@@ -57,10 +57,14 @@
 }
 
 void HttpClient::Keep(std::unique_ptr<PooledConnection> aConnection,
+                      const HttpCallSpec& aSpec,
                       Millis aLifetime)
 {
+  const size_t most =
+    std::min(m_limits.m_maxIdlePerEndpoint,
+             aSpec.m_maxIdle.value_or(m_limits.m_maxIdlePerEndpoint));
   auto& idle = m_idle[aConnection->Peer()];
-  if (idle.size() >= m_limits.m_maxIdlePerEndpoint || aLifetime == Millis()) {
+  if (idle.size() >= most || aLifetime == Millis()) {
     Discard(std::move(aConnection));
     return;
   }
--- a/briarglade/net/http_client.h
+++ b/briarglade/net/http_client.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_set>
@@ -72,6 +73,9 @@
   // Uses a kept connection only if it has been idle for less than this, so that
   // one that just died rarely leaves the outcome in doubt.
   Millis m_maxIdleAge = Millis(60'000);
+  // Keeps the connection for another call only while fewer than this are idle
+  // to the endpoint; nothing: as many as the client keeps.
+  std::optional<size_t> m_maxIdle;
   // An answer without a declared end is whole if its connection is closed in an
   // orderly way.
   bool m_closeEndsAnswer = false;
@@ -113,7 +117,9 @@
   friend class PooledConnection;
 
   std::unique_ptr<PooledConnection> Take(const HttpCallSpec& aSpec);
-  void Keep(std::unique_ptr<PooledConnection> aConnection, Millis aLifetime);
+  void Keep(std::unique_ptr<PooledConnection> aConnection,
+            const HttpCallSpec& aSpec,
+            Millis aLifetime);
   void Discard(std::unique_ptr<PooledConnection> aConnection);
   void DropIdle(PooledConnection* aConnection);
   void FreeDiscarded();
--- a/standin/http_client_test.cc
+++ b/standin/http_client_test.cc
@@ -23,10 +23,12 @@
 CallResult MakeCall(EventLoop& aLoop,
                     HttpClient& aClient,
                     uint16_t aPort,
-                    Millis aTimeout = Millis(5'000))
+                    Millis aTimeout = Millis(5'000),
+                    std::optional<size_t> aMaxIdle = std::nullopt)
 {
   CallResult result;
   HttpCallSpec spec;
+  spec.m_maxIdle = aMaxIdle;
   spec.m_endpoint = Endpoint{ "127.0.0.1", aPort };
   spec.m_body = "body";
   spec.m_timeout = aTimeout;
@@ -174,6 +176,20 @@
   CHECK(MakeCall(loop, client, 1).m_end.m_end == ExchangeEnd::ConnectRefused);
 }
 
+TEST_CASE("a connection is kept only while fewer are idle than a call allows")
+{
+  EventLoop loop;
+  RawServer server(
+    loop, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false);
+  HttpClient client(loop, HttpClientLimits());
+  MakeCall(loop, client, server.Port(), Millis(5'000), 0);
+  loop.Defer([&] { loop.Stop(); });
+  loop.Run();
+  CHECK(client.ConnectionCount() == 0);
+  MakeCall(loop, client, server.Port(), Millis(5'000), 1);
+  CHECK(client.ConnectionCount() == 1);
+}
+
 TEST_CASE("a cancelled call closes its connection and ends once")
 {
   EventLoop loop;
