A group that was opened is used only by nodes that know its members' entries

Cause: the holder's word that a group is open overtakes its leader's entry where the message with that entry was lost. A leader that has started anew under its old name is then taken for the warm server that it was.

Ruled out: the members' cold times in the holder's word, a second truth beside the entries.

Change: the word is taken only by a node that lacks no change of the servers' feed which the sender has.

Conclusion: what a node does on a word goes by all that the word rests on.

--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -83,6 +83,7 @@
   void HandOn(Feed aFeed, RowVersion aAfter);
   void AnswerWithRows(const NodeNews& aNews);
   void TakeHanded(const NodeNews& aNews);
+  bool IsBehind(const NodeNews& aNews, Feed aFeed) const;
   void AskIfBehind(const NodeNews& aNews);
   void UpdateRoster();
   void TakeRosterKnowledge(const NodeNews& aNews);
--- a/briarglade/entry/internal/peer_news.cc
+++ b/briarglade/entry/internal/peer_news.cc
@@ -100,7 +100,8 @@
       m_state.m_storeClock.At(m_now) - m_state.m_roster.KnownUpTo();
     Log(LogLevel::Info,
         hasShare ? "fleet-share-gained" : "fleet-share-lost",
-        { { "nodes", std::to_string(roster.m_nodes->size()) },
+        { { "nodes",
+            std::to_string(roster.m_nodes ? roster.m_nodes->size() : 0) },
           { "roster-age-ms", std::to_string(age.Count()) } });
   }
   ToGateway(roster);
@@ -110,8 +111,7 @@
 void EntryReduction::TakeRosterKnowledge(const NodeNews& aNews)
 {
   m_state.m_storeClock.Note(m_now, aNews.m_rosterKnownUpTo);
-  const auto own = static_cast<size_t>(Feed::Own);
-  if (aNews.m_complete[own] <= m_state.m_rows.CompleteUpTo(Feed::Own)) {
+  if (!IsBehind(aNews, Feed::Own)) {
     m_state.m_roster.OnKnownUpTo(aNews.m_rosterKnownUpTo);
   }
 }
@@ -128,10 +128,14 @@
   for (const CrashNotice& notice : news.m_crashes) {
     ToGateway(notice);
   }
-  TakeOpened(news.m_opened);
   TakeEnded(news.m_ended);
   TakeHanded(news);
   TakeRosterKnowledge(news);
+  // The members may have been started anew, and be cold, by entries that the
+  // holder knows and this node doesn't.
+  if (!IsBehind(news, Feed::Servers)) {
+    TakeOpened(news.m_opened);
+  }
   AskIfBehind(news);
   if (news.m_wantsRows) {
     AnswerWithRows(news);
--- a/briarglade/entry/internal/row_sharing.cc
+++ b/briarglade/entry/internal/row_sharing.cc
@@ -107,13 +107,19 @@
   }
 }
 
+// Tells whether the sender knows changes of a feed that this node lacks.
+bool EntryReduction::IsBehind(const NodeNews& aNews, Feed aFeed) const
+{
+  return aNews.m_complete[static_cast<size_t>(aFeed)] >
+         m_state.m_rows.CompleteUpTo(aFeed);
+}
+
 // Asks a node that has changes which this one lacks, if they don't come.
 void EntryReduction::AskIfBehind(const NodeNews& aNews)
 {
   bool isBehind = false;
   for (const auto& [feed, follower] : m_state.m_feeds) {
-    isBehind = isBehind || aNews.m_complete[static_cast<size_t>(feed)] >
-                             m_state.m_rows.CompleteUpTo(feed);
+    isBehind = isBehind || IsBehind(aNews, feed);
   }
   const auto sender = m_state.m_directory.Others().find(aNews.m_node);
   if (!isBehind || sender == m_state.m_directory.Others().end()) {
--- a/briarglade/entry/reduce_entry_test.cc
+++ b/briarglade/entry/reduce_entry_test.cc
@@ -206,6 +206,27 @@
   CHECK(world.PhaseAt(0, "s2") == GroupPhase::Ready);
 }
 
+TEST_CASE("a group that was opened is not used by a node that lacks its "
+          "members' entries")
+{
+  World world;
+  world.AddServer("s1", "joining");
+  world.Run(Millis(500));
+  NodeNews news;
+  news.m_node = NodeId("n1");
+  news.m_complete.resize(kFeedCount);
+  news.m_opened = { OpenedGroup{
+    GroupId("m.2"), Generation(2), { HostId("s1") } } };
+  RowVersion& complete = news.m_complete[static_cast<size_t>(Feed::Servers)];
+  const RowVersion known = world.StateOf(0).m_rows.CompleteUpTo(Feed::Servers);
+  complete = RowVersion(known.Value() + 1);
+  world.Do(0, NewsReceived{ news });
+  CHECK(world.PhaseAt(0, "s1") == GroupPhase::Joining);
+  complete = known;
+  world.Do(0, NewsReceived{ news });
+  CHECK(world.PhaseAt(0, "s1") == GroupPhase::Open);
+}
+
 TEST_CASE("after the store was away from all nodes, changes are in force again")
 {
   World world;
