A node that has just started may repeat: the rest of the slack is for nodes without a valid share

Cause: repeats on top were tied to a valid share, as a cold server's limit is. A young node's successor and predecessor may both use their parts within a window; for repeats that is bounded.

Ruled out: one repeat for each node whatever their number, the floor that FAILBACK came from. Waiting in the test until the node has settled, which hides what callers get.

Change: nodes with a valid share deal 0.6 of the slack, the others 0.4 of it, by the rows that they have read; a restart of the whole fleet within a window stays within the slack. A test of gateway_test iterated over a list that was gone; it holds the list now.

--- a/briarglade/entry/fleet_bounds_test.cc
+++ b/briarglade/entry/fleet_bounds_test.cc
@@ -131,6 +131,30 @@
   }
 }
 
+TEST_CASE("a fleet that has just started anew repeats, within its budget")
+{
+  FleetOptions options = Busy(63);
+  BusyWorld world(options);
+  world.AddServerIn("other", 1, Millis());
+  world.AddServerIn("third", 2, Millis());
+  world.Run(kSettleTime);
+  const Millis from = world.Now();
+  const uint64_t asked = world.Asked();
+  world.SetFailing(true);
+  world.Run(Millis(3'000));
+  for (size_t node = 0; node < world.NodeCount(); ++node) {
+    world.Kill(node);
+    world.Start(node);
+  }
+  const Millis restarted = world.Now();
+  world.Run(options.m_bounds.m_retryWindow - Millis(3'000));
+  CHECK(world.RepeatsSince(restarted) > 0);
+  CHECK(static_cast<double>(world.RepeatsSince(from)) <=
+        static_cast<double>(world.Asked() - asked) *
+            options.m_bounds.m_retryShare +
+          options.m_bounds.m_retrySlack);
+}
+
 TEST_CASE("repeats stay within the budget of the fleet, whether or not its "
           "nodes hear of each other")
 {
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -52,6 +52,7 @@
     m_state.m_roster.OnKnownUpTo(aAnswer.m_storeTime);
     if (aAnswer.m_isWhole) {
       m_state.m_roster.OnWholeRead(m_now);
+      UpdateRoster();
     }
   }
   HandOn(aAnswer.m_feed, known);
--- a/briarglade/entry/node_roster.cc
+++ b/briarglade/entry/node_roster.cc
@@ -74,6 +74,9 @@
 
 std::shared_ptr<const std::vector<NodeId>> NodeRoster::Nodes(Millis aNow)
 {
+  if (!m_readAt) {
+    return nullptr;
+  }
   for (auto other = m_others.begin(); other != m_others.end();) {
     const bool isOver = other->second && aNow - *other->second >= SettleTime();
     m_isChanged = m_isChanged || isOver;
--- a/briarglade/entry/node_roster.h
+++ b/briarglade/entry/node_roster.h
@@ -60,7 +60,8 @@
 
   // Returns the time of the store's clock as of which every row is known.
   Millis KnownUpTo() const { return m_knownUpTo; }
-  // Returns the nodes that share the limits, this one included, in order.
+  // Returns the nodes that share the limits, this one included, in order;
+  // nothing before the rows have been read.
   std::shared_ptr<const std::vector<NodeId>> Nodes(Millis aNow);
   // Returns until when this node may use its part if it learns nothing more; a
   // time that is over if it may not.
--- a/briarglade/gateway/gateway.cc
+++ b/briarglade/gateway/gateway.cc
@@ -25,6 +25,9 @@
 // The part of the fleet's budget for repeats that its nodes use: a request that
 // comes to a server twice by itself counts there, too.
 constexpr double kBudgetPart = 0.6;
+// What is left of the slack is for nodes that have no valid share: those that
+// have just started after others of their name, and those that are cut off.
+constexpr double kReservePart = 0.4;
 
 // One in so many of the connections that a server accepts may be idle ones; the
 // others are for requests.
@@ -63,9 +66,11 @@
 // Draws on the budget for sending a request of the service once more.
 bool GatewayReduction::TakeRepeat(const ServiceId& aService)
 {
-  const double slack = m_state.m_settings.m_retrySlack * kBudgetPart;
-  const uint32_t part = m_state.m_share->PartOf(
-    m_now, aService.Value(), static_cast<uint32_t>(slack));
+  const FleetShare& share = *m_state.m_share;
+  const double slack = m_state.m_settings.m_retrySlack *
+                       (share.IsValid(m_now) ? kBudgetPart : kReservePart);
+  const uint32_t part =
+    DealtTo(share.PlaceFor(aService.Value()), static_cast<uint32_t>(slack));
   return BudgetOf(aService).Take(m_now, part);
 }
 
--- a/briarglade/gateway/gateway_test.cc
+++ b/briarglade/gateway/gateway_test.cc
@@ -387,7 +387,8 @@
     Backend server = MakeServer("s", 100);
     server.m_maxConnections = 344;
     uint32_t idle = 0;
-    for (const NodeId& node : *MakeRoster(nodes)) {
+    const NodeList roster = MakeRoster(nodes);
+    for (const NodeId& node : *roster) {
       World world(node);
       world.SetNodes(nodes);
       world.Do(BackendsChanged{ { server } });
