One roster for the tests of the fleet's limits

Ruled out: a roster in fleet_world_test.h, as tests of base/ and gateway/ don't include entry/.

Change: base/make_roster_test.h; the four tests use it. No test or check differs otherwise.

--- a/briarglade/base/roster_place_test.cc
+++ b/briarglade/base/roster_place_test.cc
@@ -3,27 +3,19 @@
 #include "briarglade/base/roster_place.h"
 
 #include <doctest/doctest.h>
-#include <string>
+
+#include "briarglade/base/make_roster_test.h"
 
 namespace briarglade {
 namespace {
 
-std::vector<NodeId> Roster(uint32_t aNodes)
-{
-  std::vector<NodeId> roster;
-  for (uint32_t i = 0; i < aNodes; ++i) {
-    roster.emplace_back("n" + std::to_string(i));
-  }
-  return roster;
-}
-
 TEST_CASE("the parts of all nodes add up to the limit, whatever its size")
 {
   for (const uint32_t nodes : { 1U, 9U, 63U, 87U, 320U }) {
     for (const uint32_t limit : { 0U, 1U, 27U, 62U, 500U }) {
       CAPTURE(nodes);
       CAPTURE(limit);
-      const std::vector<NodeId> roster = Roster(nodes);
+      const std::vector<NodeId> roster = MakeRoster(nodes);
       uint32_t sum = 0;
       for (const NodeId& node : roster) {
         sum += DealtTo(PlaceIn(roster, "server", node), limit);
@@ -35,7 +27,7 @@
 
 TEST_CASE("a longer roster gives no node more")
 {
-  const std::vector<NodeId> longer = Roster(40);
+  const std::vector<NodeId> longer = MakeRoster(40);
   std::vector<NodeId> shorter = longer;
   while (shorter.size() > 1) {
     shorter.erase(shorter.begin() + static_cast<long>(shorter.size() / 2));
@@ -48,7 +40,7 @@
 
 TEST_CASE("a node that isn't on the roster has no part")
 {
-  CHECK(DealtTo(PlaceIn(Roster(9), "server", NodeId("other")), 27) == 0);
+  CHECK(DealtTo(PlaceIn(MakeRoster(9), "server", NodeId("other")), 27) == 0);
   CHECK(DealtTo(PlaceIn({}, "server", NodeId("n0")), 27) == 0);
 }
 
--- a/briarglade/gateway/backend_book_test.cc
+++ b/briarglade/gateway/backend_book_test.cc
@@ -6,6 +6,8 @@
 #include <map>
 #include <memory>
 
+#include "briarglade/base/make_roster_test.h"
+
 namespace briarglade {
 namespace {
 
@@ -158,12 +160,8 @@
 {
   for (const uint32_t count : { 1U, 8U, 63U, 87U, 320U }) {
     CAPTURE(count);
-    std::vector<NodeId> roster;
-    for (uint32_t i = 0; i < count; ++i) {
-      roster.emplace_back("n" + std::to_string(i));
-    }
     const auto nodes =
-      std::make_shared<const std::vector<NodeId>>(std::move(roster));
+      std::make_shared<const std::vector<NodeId>>(MakeRoster(count));
     int sent = 0;
     for (const NodeId& id : *nodes) {
       World node(id.Value());
--- a/briarglade/gateway/gateway_test.cc
+++ b/briarglade/gateway/gateway_test.cc
@@ -5,8 +5,11 @@
 #include <algorithm>
 #include <doctest/doctest.h>
 #include <map>
+#include <memory>
 #include <random>
 
+#include "briarglade/base/make_roster_test.h"
+
 namespace briarglade {
 namespace {
 
@@ -29,18 +32,9 @@
   return backend;
 }
 
-// This node, and a roster of that many with it.
+// The first node of each roster.
 const NodeId kSelf("n0");
 
-NodeList MakeRoster(uint32_t aNodes)
-{
-  std::vector<NodeId> nodes;
-  for (uint32_t i = 0; i < aNodes; ++i) {
-    nodes.emplace_back("n" + std::to_string(i));
-  }
-  return std::make_shared<const std::vector<NodeId>>(std::move(nodes));
-}
-
 GatewaySettings MakeSettings(const NodeId& aSelf)
 {
   GatewaySettings settings;
@@ -59,7 +53,9 @@
 
   void SetNodes(uint32_t aNodes)
   {
-    Do(RosterChanged{ MakeRoster(aNodes), Millis(1'000'000'000) });
+    Do(RosterChanged{
+      std::make_shared<const std::vector<NodeId>>(MakeRoster(aNodes)),
+      Millis(1'000'000'000) });
   }
 
   GatewayState m_state;
@@ -387,8 +383,8 @@
     Backend server = MakeServer("s", 100);
     server.m_maxConnections = 344;
     uint32_t idle = 0;
-    const NodeList roster = MakeRoster(nodes);
-    for (const NodeId& node : *roster) {
+    const std::vector<NodeId> roster = MakeRoster(nodes);
+    for (const NodeId& node : roster) {
       World world(node);
       world.SetNodes(nodes);
       world.Do(BackendsChanged{ { server } });
--- a/briarglade/gateway/repeat_budget_test.cc
+++ b/briarglade/gateway/repeat_budget_test.cc
@@ -3,9 +3,10 @@
 #include "briarglade/gateway/repeat_budget.h"
 
 #include <doctest/doctest.h>
-#include <string>
+#include <memory>
 #include <vector>
 
+#include "briarglade/base/make_roster_test.h"
 #include "briarglade/gateway/fleet_share.h"
 
 namespace briarglade {
@@ -40,12 +41,8 @@
   constexpr uint32_t kRequestsPerNode = 7;
   for (const uint32_t count : { 1U, 9U, 63U, 87U, 320U }) {
     CAPTURE(count);
-    std::vector<NodeId> roster;
-    for (uint32_t i = 0; i < count; ++i) {
-      roster.emplace_back("n" + std::to_string(i));
-    }
     const auto nodes =
-      std::make_shared<const std::vector<NodeId>>(std::move(roster));
+      std::make_shared<const std::vector<NodeId>>(MakeRoster(count));
     uint32_t repeats = 0;
     for (const NodeId& node : *nodes) {
       FleetShare share(node);
