A node that shuts down doesn't take its own removed row for another process's

It did nothing on it, as only a serving node registers.

Change: only a serving node asks whether its row was overwritten; a test of both.

Conclusion: a misleading log line less.

--- a/briarglade/entry/fleet_world_test.h
+++ b/briarglade/entry/fleet_world_test.h
@@ -98,6 +98,12 @@
     Put(Feed::Servers, aHost, std::nullopt);
   }
 
+  // Overwrites one of the product's own rows.
+  void PutOwnRow(const RowKey& aKey, const std::string& aText)
+  {
+    Put(Feed::Own, aKey.Value(), aText);
+  }
+
   size_t AddNode()
   {
     const size_t index = m_nodes.size();
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -248,7 +248,8 @@
 {
   const bool isOurs =
     aContent && aContent->m_incarnation == m_state.m_incarnation;
-  if (isOurs || !m_state.m_roster.OnDisplaced(aRow.m_version)) {
+  const bool isLeaving = m_state.m_phase != EntryPhase::Serving;
+  if (isOurs || isLeaving || !m_state.m_roster.OnDisplaced(aRow.m_version)) {
     return;
   }
   Log(LogLevel::Warn,
--- a/briarglade/entry/reduce_entry_test.cc
+++ b/briarglade/entry/reduce_entry_test.cc
@@ -206,6 +206,24 @@
   CHECK(world.PhaseAt(0, "s2") == GroupPhase::Ready);
 }
 
+TEST_CASE("a node whose row another process has overwritten registers again, "
+          "and one that shuts down doesn't")
+{
+  World world;
+  const NodeId node("n1");
+  NodeRow content;
+  content.m_node = node;
+  content.m_incarnation = 99;
+  world.PutOwnRow(NodeRowKey(node), EncodeNodeRow(content));
+  world.Run(Millis(300));
+  CHECK(!world.StateOf(1).m_isRegistered);
+  world.Run(Millis(1'500));
+  CHECK(world.StateOf(1).m_isRegistered);
+  world.Stop(1);
+  world.Run(Millis(500));
+  CHECK(world.StateOf(1).m_isRegistered);
+}
+
 TEST_CASE("a group that was opened is not used by a node that lacks its "
           "members' entries")
 {
