Servers' own words in their answers: one that leaves, one that asks for a pause

Cause: the wire has two new words. A server that leaves says so in every answer (header decoded as AnswerFacts::m_isServerLeaving); a 503 may carry the time for which the server wants nothing from this node. Today's code knew leaving only from the store and cut every pause down to 1 s.

Ruled out: the pause as a property of a backend slot (a server's next group has another slot); leaving without the run (a new run under the same id would never be used again); the run known when the word comes instead of the one that was asked (an answer to the old run may come after the new one has registered).

Change: LeavingServers remembers runs that leave; the store's entries of such a run count as draining, also when they return after an outage; the word goes to the other nodes with the next news, at once. BackendBook::HoldOff leaves out a server until the time that it named; if all servers have asked for a pause, a caller is refused at once with the time that is left.

--- a/briarglade/entry/entry_event.h
+++ b/briarglade/entry/entry_event.h
@@ -60,6 +60,7 @@
                                 NewsReceived,
                                 RequestReceived,
                                 AnswerProgressed,
+                                ServerLeaves,
                                 ExchangeEnded,
                                 CallerLeft,
                                 StopRequested>;
--- a/briarglade/entry/entry_node.cc
+++ b/briarglade/entry/entry_node.cc
@@ -236,6 +236,9 @@
   hooks.m_onProgress = [this](const AnswerProgressed& aProgress) {
     Dispatch(aProgress);
   };
+  hooks.m_onServerLeaves = [this](const ServerLeaves& aLeaves) {
+    Dispatch(aLeaves);
+  };
   hooks.m_onEnded = [this](const ExchangeEnded& aEnded) { Dispatch(aEnded); };
   aExchange->OnClosed(
     [this, handle = received.m_handle] { Dispatch(CallerLeft{ handle }); });
--- a/briarglade/entry/fleet_bounds_test.cc
+++ b/briarglade/entry/fleet_bounds_test.cc
@@ -185,6 +185,36 @@
   }
 }
 
+TEST_CASE("a server that says it leaves gets nothing more from any node, "
+          "whatever the store says")
+{
+  for (const uint32_t nodes : { 9U, 63U }) {
+    CAPTURE(nodes);
+    BusyWorld world(Busy(nodes));
+    world.AddServerIn("leaving", 1, Millis());
+    world.Run(kSettleTime);
+    for (size_t node = 0; node < nodes; ++node) {
+      world.TurnAway(node, StoreStatus::Refused);
+    }
+    REQUIRE(!world.ServedBy("leaving").empty());
+    world.SayLeaving("leaving");
+    world.Run(Millis(1'000));
+    const Millis from = world.Now();
+    world.Run(Millis(3'000));
+    CHECK(world.MostServedWithin("leaving", kSecond, from, world.Now()) == 0);
+    // The store returns and still shows the entry.
+    for (size_t node = 0; node < nodes; ++node) {
+      world.TurnAway(node, StoreStatus::Ok);
+    }
+    world.Run(Millis(3'000));
+    CHECK(world.MostServedWithin("leaving", kSecond, from, world.Now()) == 0);
+    // The next run under the same id is used.
+    world.AddServerIn("leaving", 1, Millis());
+    world.Run(Millis(3'000));
+    CHECK(world.MostServedWithin("leaving", kSecond, from, world.Now()) > 0);
+  }
+}
+
 // Strikes the fleet with troubles that overlap: processes that end, stop, start
 // and freeze, nodes that are cut off or turned away by the store, new nodes.
 class TroubledWorld : public BusyWorld
--- a/briarglade/entry/fleet_world_test.h
+++ b/briarglade/entry/fleet_world_test.h
@@ -156,6 +156,8 @@
   }
   // Lets every exchange with a server fail.
   void SetFailing(bool aIsFailing) { m_isFailing = aIsFailing; }
+  // Lets a server say in every answer that it is shutting down.
+  void SayLeaving(const std::string& aHost) { m_leaving.insert(HostId(aHost)); }
   void Stop(size_t aNode) { Send(aNode, Millis(), StopRequested{}); }
 
   void Run(Millis aTime)
@@ -394,6 +396,9 @@
   {
     m_served[aSend.m_server].push_back(
       ServedRequest{ m_now, aSend.m_handle, aNode });
+    if (m_leaving.count(aSend.m_server) > 0) {
+      Send(aNode, kStep, ServerLeaves{ aSend.m_handle });
+    }
     ExchangeEnded ended;
     ended.m_handle = aSend.m_handle;
     ended.m_status = 200;
@@ -588,6 +593,7 @@
   std::deque<Watch> m_watches;
   std::priority_queue<Message> m_messages;
   std::map<HostId, std::vector<ServedRequest>> m_served;
+  std::set<HostId> m_leaving;
   bool m_isFailing = false;
   int m_calls = 0;
 };
--- a/briarglade/entry/gateway_relay.cc
+++ b/briarglade/entry/gateway_relay.cc
@@ -117,6 +117,10 @@
   } else {
     m_use = AnswerUse::Whole;
   }
+  // The rest of a long answer may come long after this.
+  if (m_facts.m_isServerLeaving) {
+    m_hooks.m_onServerLeaves(ServerLeaves{ m_handle });
+  }
 }
 
 void GatewayRelay::OnData(std::string_view aData)
--- a/briarglade/entry/gateway_relay.h
+++ b/briarglade/entry/gateway_relay.h
@@ -29,6 +29,7 @@
 struct GatewayRelayHooks
 {
   std::function<void(const AnswerProgressed&)> m_onProgress;
+  std::function<void(const ServerLeaves&)> m_onServerLeaves;
   std::function<void(const ExchangeEnded&)> m_onEnded;
 };
 
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -47,6 +47,7 @@
   void On(const NewsReceived& aReceived);
   void On(const RequestReceived& aReceived);
   void On(const AnswerProgressed& aProgress) { ToGateway(aProgress); }
+  void On(const ServerLeaves& aLeaves) { ToGateway(aLeaves); }
   void On(const ExchangeEnded& aEnded) { ToGateway(aEnded); }
   void On(const CallerLeft& aLeft) { ToGateway(aLeft); }
   void On(const StopRequested&);
@@ -79,6 +80,7 @@
   void RemoveServer(const HostId& aHost);
   void RemoveUnlisted();
   void TellLost(const ServerRecord& aServer);
+  bool TakeLeaving(const ServerRun& aServer);
   void ChooseFollowers();
   void HandOn(Feed aFeed, RowVersion aAfter);
   void AnswerWithRows(const NodeNews& aNews);
--- a/briarglade/entry/internal/peer_news.cc
+++ b/briarglade/entry/internal/peer_news.cc
@@ -70,6 +70,8 @@
   NodeNews news = MakeNews();
   news.m_crashes = std::move(m_state.m_crashNews);
   m_state.m_crashNews.clear();
+  news.m_leavingServers = std::move(m_state.m_leavingNews);
+  m_state.m_leavingNews.clear();
   news.m_handed = std::move(m_state.m_toHandOn);
   m_state.m_toHandOn.clear();
   for (const auto& [id, node] : m_state.m_directory.Others()) {
@@ -128,6 +130,9 @@
   for (const CrashNotice& notice : news.m_crashes) {
     ToGateway(notice);
   }
+  for (const ServerRun& server : news.m_leavingServers) {
+    TakeLeaving(server);
+  }
   TakeEnded(news.m_ended);
   TakeHanded(news);
   TakeRosterKnowledge(news);
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -21,6 +21,11 @@
            : aWord.m_sequence < aKnown.m_sequence;
 }
 
+BootId RunOf(const ServerRecord& aServer)
+{
+  return BootId(std::to_string(aServer.m_startedAt));
+}
+
 } // namespace
 
 void EntryReduction::On(const FeedAnswered& aAnswer)
@@ -110,6 +115,9 @@
   m_state.m_lapsed.erase(aRow.m_host);
   ServerRecord record = *aRow.m_record;
   record.m_coldUntil = m_now + record.m_coldFor;
+  record.m_isDraining =
+    record.m_isDraining || m_state.m_leavingServers.Contains(
+                             ServerRun{ record.m_host, RunOf(record) });
   const auto known = m_state.m_servers.find(aRow.m_host);
   const bool isNew = known == m_state.m_servers.end();
   if (!isNew && IsOlderWord(record, known->second)) {
@@ -177,6 +185,25 @@
   m_state.m_servers.erase(server);
 }
 
+// Learns that a run of a server is shutting down. Returns whether that is new.
+bool EntryReduction::TakeLeaving(const ServerRun& aServer)
+{
+  if (!m_state.m_leavingServers.Note(m_now, aServer)) {
+    return false;
+  }
+  Log(LogLevel::Info,
+      "server-leaving",
+      { { "server", aServer.m_server.Value() },
+        { "run", aServer.m_run.Value() } });
+  const auto known = m_state.m_servers.find(aServer.m_server);
+  if (known != m_state.m_servers.end() &&
+      RunOf(known->second) == aServer.m_run) {
+    known->second.m_isDraining = true;
+    m_state.m_isBackendsStale = true;
+  }
+  return true;
+}
+
 void EntryReduction::TellLost(const ServerRecord& aServer)
 {
   const auto inDomain =
@@ -186,7 +213,7 @@
                     return aEntry.second.m_domain == aServer.m_domain;
                   });
   ToGateway(ServerLost{ aServer.m_host,
-                        BootId(std::to_string(aServer.m_startedAt)),
+                        RunOf(aServer),
                         aServer.m_domain,
                         static_cast<uint32_t>(inDomain) });
 }
@@ -273,6 +300,7 @@
   Backend backend;
   backend.m_server = aServer.m_host;
   backend.m_service = aServer.m_service;
+  backend.m_run = RunOf(aServer);
   backend.m_endpoint = aServer.m_endpoint;
   backend.m_zone = aServer.m_zone;
   backend.m_slots = aServer.m_slots;
--- /dev/null
+++ b/briarglade/entry/leaving_servers.cc
@@ -0,0 +1,39 @@
+// Servers that are shutting down by their own word.
+
+#include "briarglade/entry/leaving_servers.h"
+
+#include <iterator>
+
+namespace briarglade {
+
+namespace {
+
+// Longer than a server takes to shut down.
+constexpr Millis kKeepTime = Millis(300'000);
+
+} // namespace
+
+bool LeavingServers::Note(Millis aNow, const ServerRun& aServer)
+{
+  if (Contains(aServer)) {
+    return false;
+  }
+  m_servers[aServer.m_server] = Entry{ aServer.m_run, aNow };
+  return true;
+}
+
+bool LeavingServers::Contains(const ServerRun& aServer) const
+{
+  const auto found = m_servers.find(aServer.m_server);
+  return found != m_servers.end() && found->second.m_run == aServer.m_run;
+}
+
+void LeavingServers::Forget(Millis aNow)
+{
+  for (auto server = m_servers.begin(); server != m_servers.end();) {
+    const bool isOver = aNow - server->second.m_since >= kKeepTime;
+    server = isOver ? m_servers.erase(server) : std::next(server);
+  }
+}
+
+} // namespace briarglade
--- a/briarglade/entry/node_news.capnp
+++ b/briarglade/entry/node_news.capnp
@@ -41,6 +41,12 @@
   refuseForMs @3 :Int64;
 }
 
+# A run of a server that is shutting down.
+struct LeavingServer {
+  server @0 :Text;
+  run @1 :Text;
+}
+
 struct NodeNews {
   node @0 :Text;
   incarnation @1 :UInt64;
@@ -67,4 +73,6 @@
   # The time of the store's clock, in milliseconds, as of which this node knows
   # every node's row.
   rosterKnownUpTo @15 :Int64;
+  # Servers that have said so since the last news.
+  leavingServers @16 :List(LeavingServer);
 }
--- a/briarglade/entry/node_news.capnp.h
+++ b/briarglade/entry/node_news.capnp.h
@@ -21,6 +21,7 @@
 CAPNP_DECLARE_SCHEMA(966b647b7cbdaa8d);
 CAPNP_DECLARE_SCHEMA(e7dc5e3612357b25);
 CAPNP_DECLARE_SCHEMA(ce0ae2a9d545a147);
+CAPNP_DECLARE_SCHEMA(d79d6512d41dc52f);
 CAPNP_DECLARE_SCHEMA(cedd4078abce72d1);
 
 } // namespace schemas
@@ -129,6 +130,26 @@
   };
 };
 
+struct LeavingServer
+{
+  LeavingServer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate
+  {
+    CAPNP_DECLARE_STRUCT_HEADER(d79d6512d41dc52f, 0, 2)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand()
+    {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
+  };
+};
+
 struct NodeNews
 {
   NodeNews() = delete;
@@ -139,7 +160,7 @@
 
   struct _capnpPrivate
   {
-    CAPNP_DECLARE_STRUCT_HEADER(cedd4078abce72d1, 3, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(cedd4078abce72d1, 3, 9)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand()
     {
@@ -761,6 +782,119 @@
 };
 #endif // !CAPNP_LITE
 
+class LeavingServer::Reader
+{
+public:
+  typedef LeavingServer Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base)
+    : _reader(base)
+  {
+  }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasServer() const;
+  inline ::capnp::Text::Reader getServer() const;
+
+  inline bool hasRun() const;
+  inline ::capnp::Text::Reader getRun() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LeavingServer::Builder
+{
+public:
+  typedef LeavingServer Builds;
+
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base)
+    : _builder(base)
+  {
+  }
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return asReader().totalSize();
+  }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return asReader().toString();
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasServer();
+  inline ::capnp::Text::Builder getServer();
+  inline void setServer(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownServer();
+
+  inline bool hasRun();
+  inline ::capnp::Text::Builder getRun();
+  inline void setRun(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initRun(unsigned int size);
+  inline void adoptRun(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownRun();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LeavingServer::Pipeline
+{
+public:
+  typedef LeavingServer Pipelines;
+
+  inline Pipeline(decltype(nullptr))
+    : _typeless(nullptr)
+  {
+  }
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+    : _typeless(kj::mv(typeless))
+  {
+  }
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
 class NodeNews::Reader
 {
 public:
@@ -835,6 +969,11 @@
 
   inline ::int64_t getRosterKnownUpTo() const;
 
+  inline bool hasLeavingServers() const;
+  inline ::capnp::List<::briarglade::wire::LeavingServer,
+                       ::capnp::Kind::STRUCT>::Reader
+  getLeavingServers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -1007,6 +1146,23 @@
   inline ::int64_t getRosterKnownUpTo();
   inline void setRosterKnownUpTo(::int64_t value);
 
+  inline bool hasLeavingServers();
+  inline ::capnp::List<::briarglade::wire::LeavingServer,
+                       ::capnp::Kind::STRUCT>::Builder
+  getLeavingServers();
+  inline void setLeavingServers(
+    ::capnp::List<::briarglade::wire::LeavingServer,
+                  ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::LeavingServer,
+                       ::capnp::Kind::STRUCT>::Builder
+  initLeavingServers(unsigned int size);
+  inline void adoptLeavingServers(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::LeavingServer,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>
+  disownLeavingServers();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -1587,6 +1743,93 @@
                                    value);
 }
 
+inline bool LeavingServer::Reader::hasServer() const
+{
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool LeavingServer::Builder::hasServer()
+{
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Text::Reader LeavingServer::Reader::getServer() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder LeavingServer::Builder::getServer()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LeavingServer::Builder::setServer(::capnp::Text::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder LeavingServer::Builder::initServer(
+  unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LeavingServer::Builder::adoptServer(
+  ::capnp::Orphan<::capnp::Text>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> LeavingServer::Builder::disownServer()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LeavingServer::Reader::hasRun() const
+{
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool LeavingServer::Builder::hasRun()
+{
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Text::Reader LeavingServer::Reader::getRun() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder LeavingServer::Builder::getRun()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LeavingServer::Builder::setRun(::capnp::Text::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder LeavingServer::Builder::initRun(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void LeavingServer::Builder::adoptRun(
+  ::capnp::Orphan<::capnp::Text>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> LeavingServer::Builder::disownRun()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool NodeNews::Reader::hasNode() const
 {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
@@ -2199,6 +2442,68 @@
                                    value);
 }
 
+inline bool NodeNews::Reader::hasLeavingServers() const
+{
+  return !_reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool NodeNews::Builder::hasLeavingServers()
+{
+  return !_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::List<::briarglade::wire::LeavingServer,
+                     ::capnp::Kind::STRUCT>::Reader
+NodeNews::Reader::getLeavingServers() const
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>::
+    get(_reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::briarglade::wire::LeavingServer,
+                     ::capnp::Kind::STRUCT>::Builder
+NodeNews::Builder::getLeavingServers()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>::
+    get(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void NodeNews::Builder::setLeavingServers(
+  ::capnp::List<::briarglade::wire::LeavingServer,
+                ::capnp::Kind::STRUCT>::Reader value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>::
+    set(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS),
+        value);
+}
+inline ::capnp::List<::briarglade::wire::LeavingServer,
+                     ::capnp::Kind::STRUCT>::Builder
+NodeNews::Builder::initLeavingServers(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>::
+    init(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS),
+         size);
+}
+inline void NodeNews::Builder::adoptLeavingServers(
+  ::capnp::Orphan<::capnp::List<::briarglade::wire::LeavingServer,
+                                ::capnp::Kind::STRUCT>>&& value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>::
+    adopt(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS),
+          kj::mv(value));
+}
+inline ::capnp::Orphan<
+  ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>
+NodeNews::Builder::disownLeavingServers()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>::
+    disown(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 } // namespace
 } // namespace
 
--- a/briarglade/entry/node_news.cc
+++ b/briarglade/entry/node_news.cc
@@ -65,6 +65,26 @@
   }
 }
 
+void WriteLeaving(const NodeNews& aNews, wire::NodeNews::Builder aMessage)
+{
+  auto servers = aMessage.initLeavingServers(
+    static_cast<unsigned>(aNews.m_leavingServers.size()));
+  unsigned index = 0;
+  for (const ServerRun& server : aNews.m_leavingServers) {
+    auto entry = servers[index++];
+    entry.setServer(server.m_server.Value());
+    entry.setRun(server.m_run.Value());
+  }
+}
+
+void ReadLeaving(wire::NodeNews::Reader aMessage, NodeNews& aNews)
+{
+  for (const auto entry : aMessage.getLeavingServers()) {
+    aNews.m_leavingServers.push_back(ServerRun{
+      HostId(ToText(entry.getServer())), BootId(ToText(entry.getRun())) });
+  }
+}
+
 void ReadCrashes(wire::NodeNews::Reader aMessage, NodeNews& aNews)
 {
   for (const auto entry : aMessage.getCrashes()) {
@@ -197,6 +217,7 @@
   news.m_rosterKnownUpTo = Millis(aMessage.getRosterKnownUpTo());
   ReadOpened(aMessage, news);
   ReadCrashes(aMessage, news);
+  ReadLeaving(aMessage, news);
   ReadHanded(aMessage, news);
   return news;
 }
@@ -219,6 +240,7 @@
   WriteLists(aNews, message);
   WriteOpened(aNews, message);
   WriteCrashes(aNews, message);
+  WriteLeaving(aNews, message);
   WriteHanded(aNews, message);
   kj::VectorOutputStream output;
   capnp::writePackedMessage(output, builder);
--- a/briarglade/entry/node_news.h
+++ b/briarglade/entry/node_news.h
@@ -45,6 +45,8 @@
   std::vector<OpenedGroup> m_opened;
   // Requests that take servers down, since the last news.
   std::vector<CrashNotice> m_crashes;
+  // Servers that have said since the last news that they are shutting down.
+  std::vector<ServerRun> m_leavingServers;
   // The store turns the node away.
   bool m_isStoreLost = false;
   // The node follows the store, and entries may be missing there that will be
--- a/briarglade/entry/reduce_entry.cc
+++ b/briarglade/entry/reduce_entry.cc
@@ -44,6 +44,12 @@
           m_state.m_crashNews.push_back(std::move(aTell.m_notice));
           m_state.m_hasUrgentNews = true;
         },
+        [this](TellLeaving& aTell) {
+          if (TakeLeaving(aTell.m_server)) {
+            m_state.m_leavingNews.push_back(aTell.m_server);
+            m_state.m_hasUrgentNews = true;
+          }
+        },
         [this](auto& aBody) { m_effects.emplace_back(std::move(aBody)); } },
       effect);
   }
@@ -57,6 +63,7 @@
   ChooseFollowers();
   FollowFeeds();
   RemoveLapsed();
+  m_state.m_leavingServers.Forget(m_now);
   Register();
   SendNews();
   UpdateRoster();
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -23,6 +23,7 @@
 #include "briarglade/entry/entry_event.h"
 #include "briarglade/entry/entry_settings.h"
 #include "briarglade/entry/feed_follower.h"
+#include "briarglade/entry/leaving_servers.h"
 #include "briarglade/entry/node_directory.h"
 #include "briarglade/entry/node_roster.h"
 #include "briarglade/entry/row_cache.h"
@@ -68,6 +69,7 @@
   // When zones that were out have returned.
   std::map<ZoneId, Millis> m_zonesReturnedAt;
   ServerMap m_servers;
+  LeavingServers m_leavingServers;
   // Servers whose entries are gone while the store was disturbed, and until
   // when that may be the reason.
   std::set<HostId> m_lapsed;
@@ -95,6 +97,7 @@
   // What other nodes should hear at once.
   bool m_hasUrgentNews = false;
   std::vector<CrashNotice> m_crashNews;
+  std::vector<ServerRun> m_leavingNews;
   // This node follows the store for the others; as the first of those that do,
   // it hands them the changes.
   bool m_isFollower = true;
--- a/briarglade/entry/wire_codec.h
+++ b/briarglade/entry/wire_codec.h
@@ -63,6 +63,8 @@
   Millis m_retryAfter;
   // Running and waiting requests, where the server tells them.
   std::optional<uint32_t> m_load;
+  // The server is shutting down and should get no new requests.
+  bool m_isServerLeaving = false;
   // The server that keeps a group from serving.
   HostId m_faultyServer;
 };
--- a/briarglade/gateway/backend_book.cc
+++ b/briarglade/gateway/backend_book.cc
@@ -82,6 +82,15 @@
   }
   UpdateOthers();
   m_coldStart.Forget(aNow);
+  ForgetPauses(aNow);
+}
+
+void BackendBook::ForgetPauses(Millis aNow)
+{
+  for (auto pause = m_heldOffUntil.begin(); pause != m_heldOffUntil.end();) {
+    pause =
+      pause->second <= aNow ? m_heldOffUntil.erase(pause) : std::next(pause);
+  }
 }
 
 void BackendBook::SetPeerLoad(const PeerLoad& aLoad)
@@ -174,7 +183,8 @@
       const bool isOthers = m_coldStart.IsCold(aNow, backend) &&
                             backend.m_coldUntil >= aBefore &&
                             !m_coldStart.HasPart(aNow, backend);
-      return Serves(aSlot, aWish) && !WasTried(aSlot, aWish) && !isOthers;
+      return Serves(aSlot, aWish) && !WasTried(aSlot, aWish) && !isOthers &&
+             HeldOffUntil(aSlot) < aBefore;
     });
 }
 
@@ -182,7 +192,8 @@
 {
   const double limit = aSlot.m_backend.m_slots * (1 + kOverbooking);
   return aSlot.m_suspectUntil <= aNow && aSlot.m_avoidUntil <= aNow &&
-         aSlot.Load() < limit && m_coldStart.MaySend(aNow, aSlot.m_backend);
+         HeldOffUntil(aSlot) <= aNow && aSlot.Load() < limit &&
+         m_coldStart.MaySend(aNow, aSlot.m_backend);
 }
 
 double BackendBook::Cost(const BackendSlot& aSlot) const
@@ -264,6 +275,30 @@
   m_slots[aSlot].m_avoidUntil = std::max(m_slots[aSlot].m_avoidUntil, aUntil);
 }
 
+void BackendBook::HoldOff(Millis aUntil, const HostId& aServer)
+{
+  Millis& until = m_heldOffUntil[aServer];
+  until = std::max(until, aUntil);
+}
+
+Millis BackendBook::HeldOffUntil(const BackendSlot& aSlot) const
+{
+  const auto found = m_heldOffUntil.find(aSlot.m_backend.m_server);
+  return found == m_heldOffUntil.end() ? Millis() : found->second;
+}
+
+Millis BackendBook::HeldOffFor(Millis aNow, const BackendWish& aWish) const
+{
+  std::optional<Millis> earliest;
+  for (const BackendSlot& slot : m_slots) {
+    if (Serves(slot, aWish) && !WasTried(slot, aWish)) {
+      const Millis until = HeldOffUntil(slot);
+      earliest = std::min(earliest.value_or(until), until);
+    }
+  }
+  return std::max(Millis(), earliest.value_or(aNow) - aNow);
+}
+
 void BackendBook::SuspectSilent(Millis aNow)
 {
   for (BackendSlot& slot : m_slots) {
--- a/briarglade/gateway/backend_book.h
+++ b/briarglade/gateway/backend_book.h
@@ -113,6 +113,11 @@
   void NoteResult(size_t aSlot, bool aIsGood);
   // Leaves the backend out of the choice for a while.
   void Avoid(Millis aUntil, size_t aSlot);
+  // Leaves out a server, whatever group it leads, as it has asked for.
+  void HoldOff(Millis aUntil, const HostId& aServer);
+  // Returns for how long every backend that serves the wish has asked to be
+  // left out; zero if some hasn't.
+  Millis HeldOffFor(Millis aNow, const BackendWish& aWish) const;
 
   // Suspects backends that are silent.
   void SuspectSilent(Millis aNow);
@@ -131,6 +136,7 @@
   using Key = std::pair<HostId, GroupId>;
 
   bool Serves(const BackendSlot& aSlot, const BackendWish& aWish) const;
+  Millis HeldOffUntil(const BackendSlot& aSlot) const;
   static bool WasTried(const BackendSlot& aSlot, const BackendWish& aWish);
   bool HasRoom(Millis aNow, const BackendSlot& aSlot);
   double Cost(const BackendSlot& aSlot) const;
@@ -140,6 +146,7 @@
   void AddOthers(const ServerLoad& aLoad);
   void SubtractOthers(const ServerLoad& aLoad);
   void UpdateOthers();
+  void ForgetPauses(Millis aNow);
 
   ZoneId m_zone;
   std::minstd_rand m_random;
@@ -148,6 +155,8 @@
   uint64_t m_lastSerial = 0;
   std::map<Key, size_t> m_byKey;
   std::map<NodeId, std::vector<ServerLoad>> m_peerLoads;
+  // Servers that have asked for a pause, and until when.
+  std::map<HostId, Millis> m_heldOffUntil;
 };
 
 } // namespace briarglade
--- a/briarglade/gateway/exchange_ends.cc
+++ b/briarglade/gateway/exchange_ends.cc
@@ -17,9 +17,9 @@
 constexpr Millis kUnreachableTime = Millis(1'000);
 constexpr Millis kRefusedTime = Millis(150);
 constexpr Millis kFailedTime = Millis(100);
-constexpr Millis kMaxRefusedTime = Millis(1'000);
 
 constexpr uint16_t kFirstServerError = 500;
+constexpr uint16_t kServiceUnavailable = 503;
 
 // Tells whether the server's status promises that the request didn't run, while
 // the server doesn't say so itself: it may have run.
@@ -37,13 +37,18 @@
                                   bool aIsServed)
 {
   const size_t slot = aRequest.m_slot;
+  const bool asksForPause =
+    aEnded.m_retryAfter > Millis() && (aEnd == ExchangeEnd::RefusedByServer ||
+                                       aEnded.m_status == kServiceUnavailable);
+  if (asksForPause) {
+    m_state.m_book.HoldOff(m_now + aEnded.m_retryAfter,
+                           aRequest.m_sentTo.m_server);
+  }
   if (aEnd == ExchangeEnd::Cancelled) {
     return;
   }
   if (aEnd == ExchangeEnd::RefusedByServer) {
-    const Millis time =
-      std::clamp(aEnded.m_retryAfter, kRefusedTime, kMaxRefusedTime);
-    m_state.m_book.Avoid(m_now + time, slot);
+    m_state.m_book.Avoid(m_now + kRefusedTime, slot);
     return;
   }
   m_state.m_book.NoteResult(slot, aIsServed);
@@ -93,6 +98,14 @@
          retryAfter);
 }
 
+void GatewayReduction::On(const ServerLeaves& aLeaves)
+{
+  const GatewayRequest* request = Find(aLeaves.m_handle);
+  if (request != nullptr && request->m_phase == GatewayPhase::Running) {
+    m_effects.emplace_back(TellLeaving{ request->m_sentTo });
+  }
+}
+
 void GatewayReduction::On(const ExchangeEnded& aEnded)
 {
   GatewayRequest* request = Find(aEnded.m_handle);
--- a/briarglade/gateway/gateway.cc
+++ b/briarglade/gateway/gateway.cc
@@ -174,6 +174,8 @@
   aRequest.m_isMoved = false;
   const BackendSlot& chosen = m_state.m_book.Slot(*slot);
   aRequest.m_tried.push_back(chosen.m_serial);
+  aRequest.m_sentTo =
+    ServerRun{ chosen.m_backend.m_server, chosen.m_backend.m_run };
   SendToServer send;
   send.m_handle = aRequest.m_request.m_handle;
   send.m_server = chosen.m_backend.m_server;
@@ -207,7 +209,10 @@
   // The caller of a stream that has begun can't be told to come back: it waits
   // for a group that takes the place of the lost one.
   if (!hasBackend && !aRequest.m_answerBegan) {
-    Finish(aRequest, ResultCode::NoCapacity, kNoBackendRetryAfter);
+    const Millis heldOff = m_state.m_book.HeldOffFor(m_now, WishOf(aRequest));
+    Finish(aRequest,
+           ResultCode::NoCapacity,
+           heldOff > Millis() ? heldOff : kNoBackendRetryAfter);
     return;
   }
   WaitQueue& queue = QueueOf(aRequest);
--- a/briarglade/gateway/gateway.h
+++ b/briarglade/gateway/gateway.h
@@ -55,6 +55,8 @@
   Waiting m_waiting;
   // The backend that it was sent to last.
   size_t m_slot = 0;
+  // The run of its server at that moment.
+  ServerRun m_sentTo;
   Millis m_sentAt;
   // Servers that it was sent to, and the number of those that may have run it.
   std::vector<BackendSerial> m_tried;
--- a/briarglade/gateway/gateway_event.h
+++ b/briarglade/gateway/gateway_event.h
@@ -28,6 +28,13 @@
 // This node's own name for a request that it serves.
 using RequestHandle = StrongCount<struct RequestHandleTag>;
 
+// One run of a server: another one under the same id knows nothing of it.
+struct ServerRun
+{
+  HostId m_server;
+  BootId m_run;
+};
+
 // A place that requests may be sent to: a server of a plain service, or the
 // leader of an open group.
 struct Backend
@@ -38,6 +45,8 @@
   ServiceId m_service;
   // Empty for a plain service.
   ModelId m_model;
+  // Tells two runs of the server apart.
+  BootId m_run;
   Endpoint m_endpoint;
   ZoneId m_zone;
   uint32_t m_slots = 1;
@@ -95,11 +104,18 @@
   uint16_t m_status = 0;
   // A part of the answer has been sent to the caller.
   bool m_answerBegan = false;
+  // What the server asked for before the next request; zero: nothing.
   Millis m_retryAfter;
   // The load that the server reported with its answer.
   std::optional<uint32_t> m_load;
 };
 
+// The answer under way to a request says that its server is shutting down.
+struct ServerLeaves
+{
+  RequestHandle m_handle;
+};
+
 struct CallerLeft
 {
   RequestHandle m_handle;
@@ -160,6 +176,7 @@
                                   RosterChanged,
                                   CallerRequestArrived,
                                   AnswerProgressed,
+                                  ServerLeaves,
                                   ExchangeEnded,
                                   CallerLeft>;
 
@@ -210,7 +227,14 @@
   CrashNotice m_notice;
 };
 
+// Stop the use of a server that is shutting down, here and on the other nodes.
+struct TellLeaving
+{
+  ServerRun m_server;
+};
+
 using GatewayEffect = std::variant<TellCrash,
+                                   TellLeaving,
                                    SendToServer,
                                    CancelExchange,
                                    PassAnswerOn,
--- a/briarglade/gateway/gateway_test.cc
+++ b/briarglade/gateway/gateway_test.cc
@@ -66,6 +66,7 @@
   std::map<RequestHandle, bool> m_passedOn;
   std::vector<RequestHandle> m_cancelled;
   std::vector<LogEvent> m_log;
+  std::vector<ServerRun> m_leaving;
 
   void Do(const GatewayEvent& aEvent)
   {
@@ -78,6 +79,8 @@
         m_passedOn[pass->m_handle] = true;
       } else if (const auto* cancel = std::get_if<CancelExchange>(&effect)) {
         m_cancelled.push_back(cancel->m_handle);
+      } else if (const auto* tell = std::get_if<TellLeaving>(&effect)) {
+        m_leaving.push_back(tell->m_server);
       } else if (const auto* event = std::get_if<LogEvent>(&effect)) {
         m_log.push_back(*event);
       }
@@ -116,6 +119,92 @@
   size_t Sends(RequestHandle aHandle) { return m_sent[aHandle].size(); }
 };
 
+TEST_CASE("a server that turns a request away and says for how long gets "
+          "nothing until then; others do at once")
+{
+  World world;
+  world.Do(BackendsChanged{ { MakeServer("x", 100), MakeServer("y", 100) } });
+  const Millis pause = Millis(4'000);
+  const RequestHandle first = world.Arrive(RouteKind::Idempotent, 1);
+  const HostId busy = world.m_sent[first][0].m_server;
+  ExchangeEnded ended;
+  ended.m_handle = first;
+  ended.m_end = ExchangeEnd::RefusedByServer;
+  ended.m_status = 503;
+  ended.m_retryAfter = pause;
+  world.Do(ended);
+  REQUIRE(world.Sends(first) == 2);
+  const Millis until = world.m_now + pause;
+  while (world.m_now + Millis(50) < until) {
+    world.Wait(Millis(50));
+    const RequestHandle next = world.Arrive(RouteKind::Idempotent, 1);
+    REQUIRE(world.Sends(next) == 1);
+    CHECK(world.m_sent[next][0].m_server != busy);
+    world.End(next, ExchangeEnd::Whole, 200);
+  }
+  world.Wait(Millis(100));
+  bool isUsedAgain = false;
+  for (int i = 0; i < 50; ++i) {
+    const RequestHandle next = world.Arrive(RouteKind::Idempotent, 1);
+    isUsedAgain = isUsedAgain || world.m_sent[next][0].m_server == busy;
+  }
+  CHECK(isUsedAgain);
+}
+
+TEST_CASE("while every server has asked for a pause, callers are told at once "
+          "when it ends")
+{
+  World world;
+  world.Do(BackendsChanged{ { MakeServer("x") } });
+  const RequestHandle first = world.Arrive(RouteKind::Idempotent, 1);
+  ExchangeEnded ended;
+  ended.m_handle = first;
+  ended.m_end = ExchangeEnd::RefusedByServer;
+  ended.m_status = 503;
+  ended.m_retryAfter = Millis(4'000);
+  world.Do(ended);
+  world.Wait(Millis(1'000));
+  const RequestHandle next = world.Arrive(RouteKind::Idempotent, 1);
+  CHECK(world.Sends(next) == 0);
+  REQUIRE(world.m_answered.count(next) == 1);
+  CHECK(world.m_answered[next].m_code == ResultCode::NoCapacity);
+  CHECK(world.m_answered[next].m_retryAfter == Millis(3'000));
+}
+
+TEST_CASE("a pause that a server asked for holds also for the next group that "
+          "it leads")
+{
+  World world;
+  world.Do(BackendsChanged{ { MakeGroupLeader("x") } });
+  const RequestHandle first = world.Arrive(RouteKind::Stream, 1);
+  ExchangeEnded ended;
+  ended.m_handle = first;
+  ended.m_end = ExchangeEnd::RefusedByServer;
+  ended.m_status = 503;
+  ended.m_retryAfter = Millis(2'000);
+  world.Do(ended);
+  Backend next = MakeGroupLeader("x");
+  next.m_group = GroupId("another");
+  world.Do(BackendsChanged{ { next } });
+  world.Wait(Millis(1'000));
+  CHECK(world.Sends(world.Arrive(RouteKind::Stream, 1)) == 0);
+}
+
+TEST_CASE("a server's word that it leaves is told with the run that was asked")
+{
+  World world;
+  Backend server = MakeServer("x");
+  server.m_run = BootId("1");
+  world.Do(BackendsChanged{ { server } });
+  const RequestHandle request = world.Arrive(RouteKind::Idempotent, 1);
+  server.m_run = BootId("2");
+  world.Do(BackendsChanged{ { server } });
+  world.Do(ServerLeaves{ request });
+  REQUIRE(world.m_leaving.size() == 1);
+  CHECK(world.m_leaving[0].m_server == HostId("x"));
+  CHECK(world.m_leaving[0].m_run == BootId("1"));
+}
+
 TEST_CASE("a request is sent, and its whole answer passed on")
 {
   World world;
--- a/briarglade/gateway/internal/gateway_reduction.h
+++ b/briarglade/gateway/internal/gateway_reduction.h
@@ -40,6 +40,7 @@
   void On(const RosterChanged& aChange);
   void On(const CallerRequestArrived& aRequest);
   void On(const AnswerProgressed& aProgress);
+  void On(const ServerLeaves& aLeaves);
   void On(const ExchangeEnded& aEnded);
   void On(const CallerLeft& aLeft);
 
--- a/standin/platform_role.cc
+++ b/standin/platform_role.cc
@@ -119,6 +119,8 @@
     faults.m_fails = aCall.value("fails", false);
     faults.m_cutAfterRun = aCall.value("cut_after_run", false);
     faults.m_cutAfterEvents = aCall.value("cut_after_events", 0U);
+    faults.m_pause = Millis(aCall.value("pause_ms", int64_t{ 0 }));
+    faults.m_saysLeaving = aCall.value("says_leaving", false);
     faults.m_wrongAttempt = aCall.value("wrong_attempt", false);
     faults.m_delay = Millis(aCall.value("delay_ms", int64_t{ 0 }));
     faults.m_orderLag = Millis(aCall.value("order_lag_ms", int64_t{ 0 }));
--- a/standin/platform_server.cc
+++ b/standin/platform_server.cc
@@ -172,13 +172,28 @@
   return m_faults.m_wrongAttempt ? attempt + "-other" : attempt;
 }
 
+// Returns the headers that every answer to a request bears.
+HttpHeaders PlatformServer::OwnHeaders(const Exchange& aExchange) const
+{
+  HttpHeaders headers{ { kAttemptHeader, AnsweredAttempt(aExchange) } };
+  if (m_isDraining || m_faults.m_saysLeaving) {
+    headers.push_back({ kLeavingHeader, "1" });
+  }
+  return headers;
+}
+
 void PlatformServer::Refuse(const Exchange& aExchange, uint16_t aStatus)
 {
-  aExchange->Respond(aStatus,
-                     { { kNotRunHeader, "1" },
-                       { kAttemptHeader, AnsweredAttempt(aExchange) },
-                       { kServerHeader, m_id } },
-                     {});
+  HttpHeaders headers = OwnHeaders(aExchange);
+  headers.push_back({ kNotRunHeader, "1" });
+  headers.push_back({ kServerHeader, m_id });
+  if (m_faults.m_pause > Millis()) {
+    constexpr int64_t kMillisPerSecond = 1'000;
+    headers.push_back(
+      { "Retry-After",
+        std::to_string(m_faults.m_pause.Count() / kMillisPerSecond) });
+  }
+  aExchange->Respond(aStatus, headers, {});
 }
 
 void PlatformServer::Handle(const Exchange& aExchange)
@@ -215,7 +230,7 @@
     status = kBadRequest;
   } else if (m_member && !m_member->IsHead()) {
     status = kMisdirected;
-  } else if (!serves || isFull) {
+  } else if (!serves || isFull || m_faults.m_pause > Millis()) {
     status = kUnavailable;
   }
   if (status != 0) {
@@ -285,10 +300,10 @@
       aExchange->Abort();
       return;
     }
-    aExchange->Respond(m_faults.m_fails ? kServerError : kOk,
-                       { { kAttemptHeader, AnsweredAttempt(aExchange) },
-                         { kSignatureHeader, SignedBy() } },
-                       aExchange->Body());
+    HttpHeaders headers = OwnHeaders(aExchange);
+    headers.push_back({ kSignatureHeader, SignedBy() });
+    aExchange->Respond(
+      m_faults.m_fails ? kServerError : kOk, headers, aExchange->Body());
   });
 }
 
@@ -368,11 +383,10 @@
   }
   if (!aStream.m_hasBegun) {
     aStream.m_hasBegun = true;
-    aStream.m_exchange->StartStream(
-      kOk,
-      { { "Content-Type", "text/event-stream" },
-        { kAttemptHeader, AnsweredAttempt(aStream.m_exchange) },
-        { kSignatureHeader, SignedBy() } });
+    HttpHeaders headers = OwnHeaders(aStream.m_exchange);
+    headers.push_back({ "Content-Type", "text/event-stream" });
+    headers.push_back({ kSignatureHeader, SignedBy() });
+    aStream.m_exchange->StartStream(kOk, headers);
   }
   if (aStream.m_last >= aStream.m_total) {
     aStream.m_exchange->EndStream();
--- a/standin/platform_server.h
+++ b/standin/platform_server.h
@@ -21,6 +21,7 @@
 #include <string>
 
 #include "briarglade/base/millis.h"
+#include "briarglade/net/http_headers.h"
 #include "standin/delayed_calls.h"
 #include "standin/platform_member.h"
 
@@ -63,6 +64,10 @@
   bool m_cutAfterRun = false;
   // Cuts each stream after so many events; zero: never.
   uint32_t m_cutAfterEvents = 0;
+  // Not zero: turns every request away and asks for a pause of this time.
+  Millis m_pause;
+  // Says in every answer that it is leaving, whatever the store shows.
+  bool m_saysLeaving = false;
   // Answers with another attempt's id.
   bool m_wrongAttempt = false;
   // Added to the time of each run.
@@ -130,6 +135,7 @@
   void StepStreams();
   bool Advance(Stream& aStream);
   void FailStreams();
+  HttpHeaders OwnHeaders(const Exchange& aExchange) const;
   std::string SignedBy() const;
   std::string AnsweredAttempt(const Exchange& aExchange) const;
 
