Bytes without end are read no further than a bound

Cause: a server, or a stranger in its place, may send bytes without end. Tests of a whole node before a raw server that does so in 13 places of an answer: trailers, answers to other requests and interim answers were read for as long as the call lasted (339 MB and 357 MB within a call), a body without a length up to 64 MB; interim answers were read by recursion.

Ruled out: a timeout alone (a call may last 8 s at full link speed).

Change: what stands between two parts of a body may be as long as a head; so may all interim answers together; passed-over answers together as long as a body; a body is at most 8 MB, of which several fit on a small host. Reading loops in place of recursing. The stand-in's servers say that they leave and ask for pauses; whole-node tests of both.

Conclusion: the connection is closed and the caller answered in every case.

--- a/briarglade/net/http_call.cc
+++ b/briarglade/net/http_call.cc
@@ -224,10 +224,15 @@
 
 void HttpCall::OnReadable()
 {
-  if (m_ended || m_ending) {
-    return;
-  }
   const std::shared_ptr<HttpCall> self = shared_from_this();
+  while (!m_ended && !m_ending && ReadAnswer()) {
+  }
+}
+
+// Reads what has come of one answer. Returns whether another one may follow it
+// in what has come.
+bool HttpCall::ReadAnswer()
+{
   evbuffer* input = bufferevent_get_input(m_connection->Raw());
   const size_t length = evbuffer_get_length(input);
   const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
@@ -236,28 +241,33 @@
     m_parser->Feed(std::string_view(bytes, length),
                    [this](std::string_view aPart) { TellData(aPart); });
   if (m_ended) {
-    return;
+    return false;
   }
   evbuffer_drain(input, taken);
   if (m_parser->Failure() != internal::HttpParseFailure::None) {
     Cancel(m_headTold ? ExchangeEnd::Truncated : ExchangeEnd::WrongAnswer);
-    return;
+    return false;
   }
   const bool isInterim =
     m_parser->IsDone() && !m_headTold && m_parser->Status() < kFirstFinalStatus;
   if (!isInterim) {
     TellHead();
   }
+  m_interimBytes += isInterim ? taken : 0;
+  m_passedOverBytes += m_isPassedOver ? taken : 0;
+  if (m_interimBytes > m_client.m_limits.m_maxHeaderBytes ||
+      m_passedOverBytes > m_client.m_limits.m_maxBodyBytes) {
+    Cancel(ExchangeEnd::WrongAnswer);
+    return false;
+  }
   if (isInterim || (m_isPassedOver && m_parser->IsDone() && !m_ending)) {
     ExpectAnswer();
-    if (taken < length) {
-      OnReadable();
-    }
-    return;
+    return taken < length;
   }
   if (m_parser->IsDone() && !m_ending) {
     FinishWhole();
   }
+  return false;
 }
 
 void HttpCall::FinishWhole()
--- a/briarglade/net/http_call.h
+++ b/briarglade/net/http_call.h
@@ -54,6 +54,7 @@
   // From the connection.
   void OnConnected();
   void OnReadable();
+  bool ReadAnswer();
   void OnClosed(bool aOrderly);
 
   HttpClient& m_client;
@@ -66,6 +67,9 @@
   Millis m_lastDataAt;
   bool m_isNewConnection = false;
   bool m_headTold = false;
+  // Bytes of interim answers, and of answers to other requests.
+  size_t m_interimBytes = 0;
+  size_t m_passedOverBytes = 0;
   // The answer that is being read belongs to another request.
   bool m_isPassedOver = false;
   bool m_isPaused = false;
--- a/briarglade/net/http_client.h
+++ b/briarglade/net/http_client.h
@@ -93,7 +93,8 @@
   size_t m_maxIdlePerEndpoint = 64;
   size_t m_maxConnections = 8192;
   size_t m_maxHeaderBytes = 32 * 1024;
-  size_t m_maxBodyBytes = 64 * 1024 * 1024;
+  // Several answers of this size must fit on a small host.
+  size_t m_maxBodyBytes = 8 * 1024 * 1024;
   // How long a connection is kept where the server doesn't say.
   Millis m_idleLifetime = Millis(60'000);
 };
--- a/briarglade/net/internal/http_message_parser.cc
+++ b/briarglade/net/internal/http_message_parser.cc
@@ -75,6 +75,23 @@
   }
 }
 
+// Lets the library read once, and counts what isn't a part of the body.
+template<bool isRequest>
+size_t HttpMessageParser<isRequest>::Step(std::string_view aBytes,
+                                          ErrorCode& aError)
+{
+  const bool hadHead = HasHead();
+  const size_t bodyBefore = m_bodyBytes;
+  const size_t step =
+    Base::put(boost::asio::const_buffer(aBytes.data(), aBytes.size()), aError);
+  if (m_bodyBytes > bodyBefore) {
+    m_framingBytes = 0;
+  } else if (hadHead) {
+    m_framingBytes += step;
+  }
+  return step;
+}
+
 template<bool isRequest>
 size_t HttpMessageParser<isRequest>::Feed(std::string_view aBytes,
                                           const BodySink& aSink)
@@ -91,9 +108,7 @@
   size_t taken = 0;
   ErrorCode error;
   while (taken < aBytes.size() && !error && !(HasHead() && Base::is_done())) {
-    const std::string_view rest = aBytes.substr(taken);
-    const size_t step =
-      Base::put(boost::asio::const_buffer(rest.data(), rest.size()), error);
+    const size_t step = Step(aBytes.substr(taken), error);
     taken += step;
     if (step == 0) {
       break;
@@ -101,8 +116,9 @@
   }
   m_sink = nullptr;
   const bool isUndecided = !error || error == http::error::need_more;
-  const bool isEndless =
-    isUndecided && !HasHead() && aBytes.size() > m_limits.m_maxHeaderBytes;
+  const size_t untaken = aBytes.size() - taken;
+  const bool isEndless = isUndecided && !IsDone() &&
+                         m_framingBytes + untaken > m_limits.m_maxHeaderBytes;
   if (error == http::error::header_limit || isEndless) {
     Fail(HttpParseFailure::HeaderTooLarge);
   } else if (error == http::error::body_limit) {
@@ -187,6 +203,7 @@
   if (m_sink != nullptr && *m_sink) {
     (*m_sink)(std::string_view(aBody.data(), aBody.size()));
   }
+  m_bodyBytes += aBody.size();
   return aBody.size();
 }
 
--- a/briarglade/net/internal/http_message_parser.h
+++ b/briarglade/net/internal/http_message_parser.h
@@ -3,7 +3,8 @@
 // Stricter than the library where two readers could disagree on where a message
 // ends: line ends without a carriage return, folded headers, control bytes, and
 // transfer codings other than "chunked" are errors. Chunk extensions and
-// trailers are read and dropped.
+// trailers are read and dropped; what stands between two parts of a body may be
+// as long as a head.
 //
 // Example:
 //   HttpMessageParser<true> parser(limits);
@@ -72,6 +73,7 @@
 
 private:
   bool IsHeadAcceptable(std::string_view aBytes);
+  size_t Step(std::string_view aBytes, ErrorCode& aError);
   void Fail(HttpParseFailure aFailure);
 
   void on_request_impl(boost::beast::http::verb,
@@ -103,6 +105,10 @@
 
   HttpParseLimits m_limits;
   HttpParseFailure m_failure = HttpParseFailure::None;
+  // Bytes of the body so far, and bytes between two parts of it: chunk heads,
+  // their extensions, trailers.
+  size_t m_bodyBytes = 0;
+  size_t m_framingBytes = 0;
   // Bytes of the head that were looked at before.
   size_t m_scanned = 0;
   uint16_t m_status = 0;
--- a/standin/platform_node_test.cc
+++ b/standin/platform_node_test.cc
@@ -7,10 +7,12 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "standin/group_audit.h"
 #include "standin/platform_server.h"
 #include "standin/platform_world_test.h"
+#include "standin/raw_server.h"
 
 namespace briarglade::standin {
 namespace {
@@ -57,25 +59,33 @@
 public:
   DeskWorld()
     : NodeWorld(Configuration(1))
+  {
+    AddDesk("desk-1");
+    WaitFor(Booking("warm-up", "{}"), "200");
+  }
+
+  // Adds a server of the service.
+  PlatformServer& AddDesk(const std::string& aHost)
   {
     PlatformServerOptions options;
-    options.m_host = "desk-1";
+    options.m_host = aHost;
     options.m_service = "desk";
     options.m_zone = "zone-a";
-    m_server =
-      std::make_unique<PlatformServer>(Loop(), Store(), m_audit, options);
-    WaitFor(Booking("warm-up", "{}"), "200");
+    m_servers.push_back(
+      std::make_unique<PlatformServer>(Loop(), Store(), m_audit, options));
+    return *m_servers.back();
   }
 
-  uint64_t Served() const { return m_server->ServedCount(); }
+  PlatformServer& First() { return *m_servers.front(); }
+  uint64_t Served() const { return m_servers.front()->ServedCount(); }
   const std::map<std::string, uint32_t>& Runs() const
   {
-    return m_server->Runs();
+    return m_servers.front()->Runs();
   }
 
 private:
   GroupAudit m_audit;
-  std::unique_ptr<PlatformServer> m_server;
+  std::vector<std::unique_ptr<PlatformServer>> m_servers;
 };
 
 TEST_CASE("what can't be served gets its final answer, a closed connection and "
@@ -183,6 +193,120 @@
   CHECK(world.Runs().at("chunked") == 1);
 }
 
+TEST_CASE("a server that says it leaves finishes its answers and gets no more "
+          "requests, whatever the store shows")
+{
+  DeskWorld world;
+  PlatformServer& other = world.AddDesk("desk-2");
+  for (int i = 0; other.ServedCount() == 0; ++i) {
+    world.Exchange(Booking("meet-" + std::to_string(i), "{}"));
+  }
+  PlatformServerFaults leaving;
+  leaving.m_saysLeaving = true;
+  world.First().SetFaults(leaving);
+  // Both are used until the first one is asked.
+  const uint64_t before = world.First().ServedCount();
+  for (int i = 0; world.First().ServedCount() == before; ++i) {
+    CHECK(world.Exchange(Booking("find-" + std::to_string(i), "{}"))
+            .find(" 200 ") != std::string::npos);
+  }
+  const uint64_t last = world.First().ServedCount();
+  const uint64_t others = other.ServedCount();
+  constexpr int kRequests = 20;
+  for (int i = 0; i < kRequests; ++i) {
+    CHECK(world.Exchange(Booking("after-" + std::to_string(i), "{}"))
+            .find(" 200 ") != std::string::npos);
+  }
+  CHECK(world.First().ServedCount() == last);
+  CHECK(other.ServedCount() == others + kRequests);
+}
+
+TEST_CASE("while the only server asks for a pause, a booking is refused at "
+          "once, with the time that is left")
+{
+  DeskWorld world;
+  PlatformServerFaults busy;
+  busy.m_pause = Millis(30'000);
+  world.First().SetFaults(busy);
+  CHECK(world.Exchange(Booking("first", "{}")).find(" 503 ") !=
+        std::string::npos);
+  world.First().SetFaults(PlatformServerFaults());
+  const uint64_t served = world.First().ServedCount();
+  const std::string answer = world.Exchange(Booking("second", "{}"));
+  CAPTURE(answer);
+  CHECK(answer.find(" 503 ") != std::string::npos);
+  const size_t at = answer.find("Retry-After: ");
+  REQUIRE(at != std::string::npos);
+  const double seconds = std::stod(answer.substr(at + 13));
+  CHECK(seconds > 25);
+  CHECK(seconds <= 30);
+  CHECK(world.First().ServedCount() == served);
+}
+
+TEST_CASE("bytes without end, wherever in an answer, are read no further than "
+          "a bound, and the caller is answered")
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: endless\r\n"
+                           "Response-Signature: sig\r\n";
+  struct Case
+  {
+    const char* m_name;
+    std::string m_answer;
+    std::string m_endless;
+  };
+  const std::string letters(4'096, 'x');
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const Case cases[] = {
+    { "no answer", "", letters },
+    { "in the status line", "HTTP/1.1 200 ", letters },
+    { "in a header's value", head + "X-Long: ", letters },
+    { "in headers without end", head, "X-Next: more\r\n" },
+    { "interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    { "in a body without a length", head + "\r\n", letters },
+    { "in a body that is too long",
+      head + "Content-Length: 99999999999\r\n\r\n",
+      letters },
+    { "in chunks without end", chunked, "5\r\nabcde\r\n" },
+    { "in a chunk's extension", chunked + "5;note=", letters },
+    { "in a trailer", chunked + "0\r\nX-Trailer: ", letters },
+    { "in trailers without end", chunked + "0\r\n", "X-Next: more\r\n" },
+    { "answers to another request",
+      "",
+      "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nResponse-Signature: sig\r\n"
+      "Content-Length: 2\r\n\r\nno" },
+    { "behind the whole answer",
+      head + "Content-Length: 2\r\n\r\nok",
+      letters },
+  };
+  for (const Case& entry : cases) {
+    CAPTURE(std::string(entry.m_name));
+    NodeWorld world(Configuration(1));
+    bool isEndless = false;
+    bool isClosed = false;
+    RawServer server(world.Loop(), [&](const std::string&) {
+      if (isEndless) {
+        return RawAnswer{ entry.m_answer, RawEnd::Keep, entry.m_endless };
+      }
+      return RawAnswer{ "HTTP/1.1 200 OK\r\nAttempt-Id: warm-up\r\n"
+                        "Response-Signature: sig\r\n"
+                        "Content-Length: 2\r\n\r\nok" };
+    });
+    world.AddServer("desk-1", "desk", server.Port());
+    world.WaitFor(Booking("warm-up", "body"), "200");
+    isEndless = true;
+    server.OnClosed([&] { isClosed = true; });
+    const std::string answer = world.Exchange(Booking("endless", "body"));
+    CHECK(answer.compare(0, 9, "HTTP/1.1 ") == 0);
+    for (int i = 0; i < 100 && !isClosed; ++i) {
+      world.Pause();
+    }
+    CHECK(isClosed);
+    // The bound on an answer's body, and what the sockets hold.
+    constexpr uint64_t kMostBytes = 24 * 1024 * 1024;
+    CHECK(server.EndlessBytes() < kMostBytes);
+  }
+}
+
 TEST_CASE(
   "a configuration that can't be read leaves the last good one in force")
 {
--- a/standin/raw_server.cc
+++ b/standin/raw_server.cc
@@ -69,13 +69,19 @@
   auto onRead = [](bufferevent* aConnection, void* aSelf) {
     static_cast<RawServer*>(aSelf)->Answer(aConnection);
   };
-  auto onEvent = [](bufferevent*, short, void* aSelf) {
+  auto onWritten = [](bufferevent* aConnection, void* aSelf) {
+    static_cast<RawServer*>(aSelf)->SendEndless(aConnection);
+  };
+  auto onEvent = [](bufferevent* aConnection, short, void* aSelf) {
     auto* self = static_cast<RawServer*>(aSelf);
+    if (self->m_endless.erase(aConnection) > 0) {
+      self->Drop(aConnection);
+    }
     if (self->m_onClosed) {
       self->m_onClosed();
     }
   };
-  bufferevent_setcb(connection, onRead, nullptr, onEvent, this);
+  bufferevent_setcb(connection, onRead, onWritten, onEvent, this);
   bufferevent_enable(connection, EV_READ | EV_WRITE);
 }
 
@@ -106,12 +112,29 @@
     // A close with this setting resets the connection.
     const linger atOnce{ 1, 0 };
     setsockopt(socket, SOL_SOCKET, SO_LINGER, &atOnce, sizeof(atOnce));
-    m_connections.erase(
-      std::find(m_connections.begin(), m_connections.end(), aConnection));
-    bufferevent_free(aConnection);
+    Drop(aConnection);
+  } else if (!answer.m_endless.empty()) {
+    m_endless[aConnection] = answer.m_endless;
+    SendEndless(aConnection);
   }
 }
 
+void RawServer::SendEndless(bufferevent* aConnection)
+{
+  const auto found = m_endless.find(aConnection);
+  if (found != m_endless.end()) {
+    m_endlessBytes += found->second.size();
+    bufferevent_write(aConnection, found->second.data(), found->second.size());
+  }
+}
+
+void RawServer::Drop(bufferevent* aConnection)
+{
+  m_connections.erase(
+    std::find(m_connections.begin(), m_connections.end(), aConnection));
+  bufferevent_free(aConnection);
+}
+
 void RawServer::OnRequest(std::function<void()> aCallback)
 {
   m_onRequest = std::move(aCallback);
--- a/standin/raw_server.h
+++ b/standin/raw_server.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -31,6 +32,9 @@
 {
   std::string m_bytes;
   RawEnd m_end = RawEnd::Keep;
+  // Sent again and again behind the answer until the client closes, if not
+  // empty.
+  std::string m_endless = {};
 };
 
 class RawServer
@@ -50,6 +54,8 @@
 
   uint16_t Port() const { return m_port; }
   int AcceptedCount() const { return m_accepted; }
+  // Returns the bytes that were sent without end so far.
+  uint64_t EndlessBytes() const { return m_endlessBytes; }
   // Calls back for each request.
   void OnRequest(std::function<void()> aCallback);
   // Calls back when a client has closed its connection.
@@ -58,6 +64,8 @@
 private:
   void Accept(int aSocket);
   void Answer(bufferevent* aConnection);
+  void SendEndless(bufferevent* aConnection);
+  void Drop(bufferevent* aConnection);
 
   EventLoop& m_loop;
   Script m_script;
@@ -65,6 +73,9 @@
   uint16_t m_port = 0;
   int m_accepted = 0;
   std::vector<bufferevent*> m_connections;
+  // What is sent without end, by connection.
+  std::map<bufferevent*, std::string> m_endless;
+  uint64_t m_endlessBytes = 0;
   std::function<void()> m_onRequest;
   std::function<void()> m_onClosed;
 };
