A suspicion that nodes tell each other ends with the one that began it

Cause: a node passed on as its own finding what another node had told it, and each word renewed the other's for 250 ms or more, every 150 ms. Only bytes under way at the group refuted it, and nobody sent it anything.

Ruled out: a longer period of news (it only hides it).

Change: what others tell is kept apart from what a node finds itself, and only the latter is passed on.

--- a/briarglade/entry/internal/peer_news.cc
+++ b/briarglade/entry/internal/peer_news.cc
@@ -16,18 +16,9 @@
 
 } // namespace
 
-// Returns the groups that this node itself finds silent.
 std::vector<GroupId> EntryReduction::OwnSuspects() const
 {
-  std::vector<GroupId> suspects;
-  const BackendBook& book = m_state.m_gateway.m_book;
-  for (size_t slot = 0; slot < book.SlotCount(); ++slot) {
-    const GroupId& group = book.Slot(slot).m_backend.m_group;
-    if (!group.IsEmpty() && book.IsSuspect(m_now, slot)) {
-      suspects.push_back(group);
-    }
-  }
-  return suspects;
+  return m_state.m_gateway.m_book.OwnSuspects(m_now);
 }
 
 NodeNews EntryReduction::MakeNews() const
--- a/briarglade/gateway/backend_book.cc
+++ b/briarglade/gateway/backend_book.cc
@@ -191,7 +191,7 @@
 bool BackendBook::HasRoom(Millis aNow, const BackendSlot& aSlot)
 {
   const double limit = aSlot.m_backend.m_slots * (1 + kOverbooking);
-  return aSlot.m_suspectUntil <= aNow && aSlot.m_avoidUntil <= aNow &&
+  return !aSlot.IsSuspect(aNow) && aSlot.m_avoidUntil <= aNow &&
          HeldOffUntil(aSlot) <= aNow && aSlot.Load() < limit &&
          m_coldStart.MaySend(aNow, aSlot.m_backend);
 }
@@ -249,6 +249,7 @@
 {
   m_slots[aSlot].m_lastBytesAt = aNow;
   m_slots[aSlot].m_suspectUntil = Millis();
+  m_slots[aSlot].m_toldSuspectUntil = Millis();
 }
 
 void BackendBook::NoteEnded(size_t aSlot,
@@ -322,15 +323,27 @@
     const bool isRefuted =
       slot.m_inFlight > 0 && aNow - slot.m_lastBytesAt < kRefutingTime;
     if (isNamed && !isRefuted) {
-      slot.m_suspectUntil =
-        std::max(slot.m_suspectUntil, aNow + slot.SuspectAfter());
+      slot.m_toldSuspectUntil =
+        std::max(slot.m_toldSuspectUntil, aNow + slot.SuspectAfter());
     }
   }
 }
 
 bool BackendBook::IsSuspect(Millis aNow, size_t aSlot) const
 {
-  return m_slots[aSlot].m_suspectUntil > aNow;
+  return m_slots[aSlot].IsSuspect(aNow);
+}
+
+std::vector<GroupId> BackendBook::OwnSuspects(Millis aNow) const
+{
+  std::vector<GroupId> suspects;
+  for (size_t slot = 0; slot < m_slots.size(); ++slot) {
+    const GroupId& group = m_slots[slot].m_backend.m_group;
+    if (!group.IsEmpty() && m_slots[slot].m_suspectUntil > aNow) {
+      suspects.push_back(group);
+    }
+  }
+  return suspects;
 }
 
 bool BackendBook::ShouldMoveFrom(Millis aNow, size_t aSlot) const
--- a/briarglade/gateway/backend_book.h
+++ b/briarglade/gateway/backend_book.h
@@ -16,6 +16,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -66,12 +67,19 @@
   // Nothing has come for too long although answers are under way: not to be
   // chosen until then, unless bytes come.
   Millis m_suspectUntil;
+  // The same by other nodes' word, which is not passed on: two nodes that told
+  // each other would never end it.
+  Millis m_toldSuspectUntil;
   // Not to be chosen until then.
   Millis m_avoidUntil;
   // Moving average of failed exchanges, 0 to 1.
   double m_failureShare = 0;
 
   uint32_t Load() const { return m_inFlight + m_othersInFlight; }
+  bool IsSuspect(Millis aNow) const
+  {
+    return std::max(m_suspectUntil, m_toldSuspectUntil) > aNow;
+  }
   // How long the backend may be silent while it writes.
   Millis SuspectAfter() const;
 };
@@ -124,6 +132,8 @@
   // Another node finds these groups silent.
   void NotePeerSuspects(Millis aNow, const std::vector<GroupId>& aGroups);
   bool IsSuspect(Millis aNow, size_t aSlot) const;
+  // Returns the groups that this node itself finds silent, for the others.
+  std::vector<GroupId> OwnSuspects(Millis aNow) const;
   // Tells whether what runs at the backend should go on elsewhere.
   bool ShouldMoveFrom(Millis aNow, size_t aSlot) const;
 
--- a/briarglade/gateway/backend_book_test.cc
+++ b/briarglade/gateway/backend_book_test.cc
@@ -156,6 +156,40 @@
   CHECK(world.Choose() == "none");
 }
 
+TEST_CASE("a suspicion that nodes tell each other ends with the one that began "
+          "it")
+{
+  // The load pattern: a node stands still for a moment, finds silent what was
+  // at work, and tells the others, who have nothing under way there.
+  constexpr Millis kNewsPeriod = Millis(150);
+  World nodes[] = { World("n0"), World("n1"), World("n2") };
+  for (World& node : nodes) {
+    node.m_book.SetBackends(node.m_now, { Make("x") });
+  }
+  World& first = nodes[0];
+  const size_t slot = first.Start();
+  first.m_book.NoteAnswerBegan(first.m_now, slot, 0);
+  Millis now = first.m_now + Millis(500);
+  first.m_book.SuspectSilent(now);
+  first.m_book.NoteEnded(slot, true, 0);
+  REQUIRE(first.m_book.OwnSuspects(now).size() == 1);
+  bool isToldOn = false;
+  for (; now < Millis(10'000); now += kNewsPeriod) {
+    for (World& from : nodes) {
+      for (World& to : nodes) {
+        if (&from != &to) {
+          to.m_book.NotePeerSuspects(now, from.m_book.OwnSuspects(now));
+        }
+      }
+    }
+    isToldOn = isToldOn || nodes[2].m_book.IsSuspect(now, 0);
+  }
+  CHECK(isToldOn);
+  for (World& node : nodes) {
+    CHECK(!node.m_book.IsSuspect(now, 0));
+  }
+}
+
 TEST_CASE("all nodes together send a cold server no more than it bears")
 {
   for (const uint32_t count : { 1U, 8U, 63U, 87U, 320U }) {
