--- a/briarglade/entry/internal/peer_news.cc
+++ b/briarglade/entry/internal/peer_news.cc
@@ -16,18 +16,9 @@
 
 } // namespace
 
-// Returns the groups that this node itself finds silent.
 std::vector<GroupId> EntryReduction::OwnSuspects() const
 {
-  std::vector<GroupId> suspects;
-  const BackendBook& book = m_state.m_gateway.m_book;
-  for (size_t slot = 0; slot < book.SlotCount(); ++slot) {
-    const GroupId& group = book.Slot(slot).m_backend.m_group;
-    if (!group.IsEmpty() && book.IsSuspect(m_now, slot)) {
-      suspects.push_back(group);
-    }
-  }
-  return suspects;
+  return m_state.m_gateway.m_book.OwnSuspects(m_now);
 }
 
 NodeNews EntryReduction::MakeNews() const
@@ -70,6 +61,8 @@
   NodeNews news = MakeNews();
   news.m_crashes = std::move(m_state.m_crashNews);
   m_state.m_crashNews.clear();
+  news.m_leavingServers = std::move(m_state.m_leavingNews);
+  m_state.m_leavingNews.clear();
   news.m_handed = std::move(m_state.m_toHandOn);
   m_state.m_toHandOn.clear();
   for (const auto& [id, node] : m_state.m_directory.Others()) {
@@ -128,6 +121,9 @@
   for (const CrashNotice& notice : news.m_crashes) {
     ToGateway(notice);
   }
+  for (const ServerRun& server : news.m_leavingServers) {
+    TakeLeaving(server);
+  }
   TakeEnded(news.m_ended);
   TakeHanded(news);
   TakeRosterKnowledge(news);
--- a/briarglade/gateway/backend_book.cc
+++ b/briarglade/gateway/backend_book.cc
@@ -82,6 +82,15 @@
   }
   UpdateOthers();
   m_coldStart.Forget(aNow);
+  ForgetPauses(aNow);
+}
+
+void BackendBook::ForgetPauses(Millis aNow)
+{
+  for (auto pause = m_heldOffUntil.begin(); pause != m_heldOffUntil.end();) {
+    pause =
+      pause->second <= aNow ? m_heldOffUntil.erase(pause) : std::next(pause);
+  }
 }
 
 void BackendBook::SetPeerLoad(const PeerLoad& aLoad)
@@ -174,15 +183,17 @@
       const bool isOthers = m_coldStart.IsCold(aNow, backend) &&
                             backend.m_coldUntil >= aBefore &&
                             !m_coldStart.HasPart(aNow, backend);
-      return Serves(aSlot, aWish) && !WasTried(aSlot, aWish) && !isOthers;
+      return Serves(aSlot, aWish) && !WasTried(aSlot, aWish) && !isOthers &&
+             HeldOffUntil(aSlot) < aBefore;
     });
 }
 
 bool BackendBook::HasRoom(Millis aNow, const BackendSlot& aSlot)
 {
   const double limit = aSlot.m_backend.m_slots * (1 + kOverbooking);
-  return aSlot.m_suspectUntil <= aNow && aSlot.m_avoidUntil <= aNow &&
-         aSlot.Load() < limit && m_coldStart.MaySend(aNow, aSlot.m_backend);
+  return !aSlot.IsSuspect(aNow) && aSlot.m_avoidUntil <= aNow &&
+         HeldOffUntil(aSlot) <= aNow && aSlot.Load() < limit &&
+         m_coldStart.MaySend(aNow, aSlot.m_backend);
 }
 
 double BackendBook::Cost(const BackendSlot& aSlot) const
@@ -238,6 +249,7 @@
 {
   m_slots[aSlot].m_lastBytesAt = aNow;
   m_slots[aSlot].m_suspectUntil = Millis();
+  m_slots[aSlot].m_toldSuspectUntil = Millis();
 }
 
 void BackendBook::NoteEnded(size_t aSlot,
@@ -264,6 +276,30 @@
   m_slots[aSlot].m_avoidUntil = std::max(m_slots[aSlot].m_avoidUntil, aUntil);
 }
 
+void BackendBook::HoldOff(Millis aUntil, const HostId& aServer)
+{
+  Millis& until = m_heldOffUntil[aServer];
+  until = std::max(until, aUntil);
+}
+
+Millis BackendBook::HeldOffUntil(const BackendSlot& aSlot) const
+{
+  const auto found = m_heldOffUntil.find(aSlot.m_backend.m_server);
+  return found == m_heldOffUntil.end() ? Millis() : found->second;
+}
+
+Millis BackendBook::HeldOffFor(Millis aNow, const BackendWish& aWish) const
+{
+  std::optional<Millis> earliest;
+  for (const BackendSlot& slot : m_slots) {
+    if (Serves(slot, aWish) && !WasTried(slot, aWish)) {
+      const Millis until = HeldOffUntil(slot);
+      earliest = std::min(earliest.value_or(until), until);
+    }
+  }
+  return std::max(Millis(), earliest.value_or(aNow) - aNow);
+}
+
 void BackendBook::SuspectSilent(Millis aNow)
 {
   for (BackendSlot& slot : m_slots) {
@@ -287,15 +323,27 @@
     const bool isRefuted =
       slot.m_inFlight > 0 && aNow - slot.m_lastBytesAt < kRefutingTime;
     if (isNamed && !isRefuted) {
-      slot.m_suspectUntil =
-        std::max(slot.m_suspectUntil, aNow + slot.SuspectAfter());
+      slot.m_toldSuspectUntil =
+        std::max(slot.m_toldSuspectUntil, aNow + slot.SuspectAfter());
     }
   }
 }
 
 bool BackendBook::IsSuspect(Millis aNow, size_t aSlot) const
 {
-  return m_slots[aSlot].m_suspectUntil > aNow;
+  return m_slots[aSlot].IsSuspect(aNow);
+}
+
+std::vector<GroupId> BackendBook::OwnSuspects(Millis aNow) const
+{
+  std::vector<GroupId> suspects;
+  for (size_t slot = 0; slot < m_slots.size(); ++slot) {
+    const GroupId& group = m_slots[slot].m_backend.m_group;
+    if (!group.IsEmpty() && m_slots[slot].m_suspectUntil > aNow) {
+      suspects.push_back(group);
+    }
+  }
+  return suspects;
 }
 
 bool BackendBook::ShouldMoveFrom(Millis aNow, size_t aSlot) const
--- a/briarglade/gateway/backend_book.h
+++ b/briarglade/gateway/backend_book.h
@@ -16,6 +16,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -66,12 +67,19 @@
   // Nothing has come for too long although answers are under way: not to be
   // chosen until then, unless bytes come.
   Millis m_suspectUntil;
+  // The same by other nodes' word, which is not passed on: two nodes that told
+  // each other would never end it.
+  Millis m_toldSuspectUntil;
   // Not to be chosen until then.
   Millis m_avoidUntil;
   // Moving average of failed exchanges, 0 to 1.
   double m_failureShare = 0;
 
   uint32_t Load() const { return m_inFlight + m_othersInFlight; }
+  bool IsSuspect(Millis aNow) const
+  {
+    return std::max(m_suspectUntil, m_toldSuspectUntil) > aNow;
+  }
   // How long the backend may be silent while it writes.
   Millis SuspectAfter() const;
 };
@@ -113,12 +121,19 @@
   void NoteResult(size_t aSlot, bool aIsGood);
   // Leaves the backend out of the choice for a while.
   void Avoid(Millis aUntil, size_t aSlot);
+  // Leaves out a server, whatever group it leads, as it has asked for.
+  void HoldOff(Millis aUntil, const HostId& aServer);
+  // Returns for how long every backend that serves the wish has asked to be
+  // left out; zero if some hasn't.
+  Millis HeldOffFor(Millis aNow, const BackendWish& aWish) const;
 
   // Suspects backends that are silent.
   void SuspectSilent(Millis aNow);
   // Another node finds these groups silent.
   void NotePeerSuspects(Millis aNow, const std::vector<GroupId>& aGroups);
   bool IsSuspect(Millis aNow, size_t aSlot) const;
+  // Returns the groups that this node itself finds silent, for the others.
+  std::vector<GroupId> OwnSuspects(Millis aNow) const;
   // Tells whether what runs at the backend should go on elsewhere.
   bool ShouldMoveFrom(Millis aNow, size_t aSlot) const;
 
@@ -131,6 +146,7 @@
   using Key = std::pair<HostId, GroupId>;
 
   bool Serves(const BackendSlot& aSlot, const BackendWish& aWish) const;
+  Millis HeldOffUntil(const BackendSlot& aSlot) const;
   static bool WasTried(const BackendSlot& aSlot, const BackendWish& aWish);
   bool HasRoom(Millis aNow, const BackendSlot& aSlot);
   double Cost(const BackendSlot& aSlot) const;
@@ -140,6 +156,7 @@
   void AddOthers(const ServerLoad& aLoad);
   void SubtractOthers(const ServerLoad& aLoad);
   void UpdateOthers();
+  void ForgetPauses(Millis aNow);
 
   ZoneId m_zone;
   std::minstd_rand m_random;
@@ -148,6 +165,8 @@
   uint64_t m_lastSerial = 0;
   std::map<Key, size_t> m_byKey;
   std::map<NodeId, std::vector<ServerLoad>> m_peerLoads;
+  // Servers that have asked for a pause, and until when.
+  std::map<HostId, Millis> m_heldOffUntil;
 };
 
 } // namespace briarglade
