--- a/briarglade/entry/entry_event.h
+++ b/briarglade/entry/entry_event.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <variant>
 #include <vector>
@@ -71,12 +72,11 @@
   ServerRecord m_server;
 };
 
-// Tell another node; what came of it doesn't matter.
+// Tell other nodes, the same to all of them; what came of it doesn't matter.
 struct SendNodeNews
 {
-  NodeId m_node;
-  Endpoint m_endpoint;
-  NodeNews m_news;
+  std::vector<Endpoint> m_receivers;
+  std::shared_ptr<const NodeNews> m_news;
 };
 
 // New limits for callers' requests are in force.
--- a/briarglade/entry/entry_node.cc
+++ b/briarglade/entry/entry_node.cc
@@ -208,10 +208,11 @@
   Envelope envelope;
   envelope.m_sender = m_settings.m_node;
   envelope.m_incarnation = m_incarnation;
-  envelope.m_receiver = aSend.m_node;
-  envelope.m_payload = EncodeNodeNews(aSend.m_news);
-  // A node that can't be reached is noticed by its own silence.
-  m_peers.Send(aSend.m_endpoint, envelope, [](bool) {});
+  envelope.m_payload = EncodeNodeNews(*aSend.m_news);
+  for (const Endpoint& receiver : aSend.m_receivers) {
+    // A node that can't be reached is noticed by its own silence.
+    m_peers.Send(receiver, envelope, [](bool) {});
+  }
 }
 
 void EntryNode::HandleCaller(const std::shared_ptr<HttpExchange>& aExchange)
--- a/briarglade/entry/entry_settings.h
+++ b/briarglade/entry/entry_settings.h
@@ -64,6 +64,8 @@
   Millis m_serverHeartbeat = Millis(1'200);
   EntryBounds m_bounds;
   uint32_t m_fileDescriptors = 4'096;
+  // Thousandths of a core that the node may use.
+  uint32_t m_processorShare = 1'000;
 };
 
 } // namespace briarglade
--- /dev/null
+++ b/briarglade/entry/fleet_loads.cc
@@ -0,0 +1,148 @@
+// Sums of loads.
+
+#include "briarglade/entry/fleet_loads.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace briarglade {
+
+namespace {
+
+// Loads that nobody has confirmed for this long say nothing any more.
+constexpr Millis kLoadLifetime = Millis(2'000);
+// Reports under way to a relay and back in its digest.
+constexpr size_t kKeptReports = 32;
+
+using Sums = std::map<HostId, ServerLoad>;
+
+void Add(Sums& aSums, const std::vector<ServerLoad>& aLoads)
+{
+  for (const ServerLoad& load : aLoads) {
+    ServerLoad& sum = aSums[load.m_server];
+    sum.m_inFlight += load.m_inFlight;
+    sum.m_unreadTokens += load.m_unreadTokens;
+  }
+}
+
+void Subtract(Sums& aSums, const std::vector<ServerLoad>& aLoads)
+{
+  for (const ServerLoad& load : aLoads) {
+    const auto sum = aSums.find(load.m_server);
+    if (sum == aSums.end()) {
+      continue;
+    }
+    ServerLoad& rest = sum->second;
+    rest.m_inFlight -= std::min(rest.m_inFlight, load.m_inFlight);
+    rest.m_unreadTokens -= std::min(rest.m_unreadTokens, load.m_unreadTokens);
+  }
+}
+
+std::vector<ServerLoad> ToList(const Sums& aSums)
+{
+  std::vector<ServerLoad> list;
+  list.reserve(aSums.size());
+  for (const auto& [server, sum] : aSums) {
+    if (sum.m_inFlight > 0) {
+      list.push_back(ServerLoad{ server, sum.m_inFlight, sum.m_unreadTokens });
+    }
+  }
+  return list;
+}
+
+template<typename Parts>
+void ExpireParts(Parts& aParts, Millis aNow)
+{
+  for (auto part = aParts.begin(); part != aParts.end();) {
+    const bool isOld = aNow - part->second.m_at > kLoadLifetime;
+    part = isOld ? aParts.erase(part) : std::next(part);
+  }
+}
+
+} // namespace
+
+void FleetLoads::NoteOwn(uint16_t aNumber, std::vector<ServerLoad> aLoads)
+{
+  m_own.push_back(OwnReport{ aNumber, std::move(aLoads) });
+  if (m_own.size() > kKeptReports) {
+    m_own.pop_front();
+  }
+}
+
+void FleetLoads::OnReport(Millis aNow,
+                          const NodeId& aNode,
+                          uint16_t aNumber,
+                          std::vector<ServerLoad> aLoads)
+{
+  m_reports[aNode] = Part{ aNow, aNumber, std::move(aLoads) };
+}
+
+void FleetLoads::OnZone(Millis aAsOf,
+                        const ZoneId& aZone,
+                        std::vector<ServerLoad> aLoads)
+{
+  m_zones[aZone] = Part{ aAsOf, 0, std::move(aLoads) };
+}
+
+void FleetLoads::OnFleet(Millis aNow,
+                         const std::vector<ServerLoad>& aLoads,
+                         std::optional<uint16_t> aOwnNumber)
+{
+  Sums sums;
+  Add(sums, aLoads);
+  for (const OwnReport& own : m_own) {
+    if (aOwnNumber == own.m_number) {
+      Subtract(sums, own.m_loads);
+    }
+  }
+  m_told = ToList(sums);
+  m_toldAt = aNow;
+}
+
+bool FleetLoads::Expire(Millis aNow)
+{
+  ExpireParts(m_reports, aNow);
+  ExpireParts(m_zones, aNow);
+  const bool isOver = !m_told.empty() && aNow - m_toldAt > kLoadLifetime;
+  if (isOver) {
+    m_told.clear();
+  }
+  return isOver;
+}
+
+uint16_t FleetLoads::ReportNumber(const NodeId& aNode) const
+{
+  const auto report = m_reports.find(aNode);
+  return report == m_reports.end() ? uint16_t{ 0 } : report->second.m_number;
+}
+
+std::vector<ServerLoad> FleetLoads::OfReports() const
+{
+  Sums sums;
+  for (const auto& [node, part] : m_reports) {
+    Add(sums, part.m_loads);
+  }
+  return ToList(sums);
+}
+
+std::vector<ServerLoad> FleetLoads::OfZone(const ZoneId& aZone) const
+{
+  const auto zone = m_zones.find(aZone);
+  return zone == m_zones.end() ? std::vector<ServerLoad>()
+                               : zone->second.m_loads;
+}
+
+std::vector<ServerLoad> FleetLoads::OfReportsAndZones() const
+{
+  Sums sums;
+  for (const auto& [node, part] : m_reports) {
+    Add(sums, part.m_loads);
+  }
+  for (const auto& [zone, part] : m_zones) {
+    Add(sums, part.m_loads);
+  }
+  return ToList(sums);
+}
+
+} // namespace briarglade
--- /dev/null
+++ b/briarglade/entry/fleet_loads_test.cc
@@ -0,0 +1,64 @@
+// Tests of sums of loads.
+
+#include "briarglade/entry/fleet_loads.h"
+
+#include <doctest/doctest.h>
+
+namespace briarglade {
+namespace {
+
+std::vector<ServerLoad> Load(uint32_t aInFlight, uint32_t aTokens = 0)
+{
+  return { ServerLoad{ HostId("s"), aInFlight, aTokens } };
+}
+
+uint32_t InFlight(const std::vector<ServerLoad>& aLoads)
+{
+  return aLoads.empty() ? 0 : aLoads.front().m_inFlight;
+}
+
+TEST_CASE("the sum that a relay tells is taken without this node's own part in "
+          "it")
+{
+  FleetLoads loads;
+  loads.NoteOwn(1, Load(2, 100));
+  loads.NoteOwn(2, Load(5, 300));
+  loads.OnFleet(Millis(1'000), Load(9, 700), 1);
+  CHECK(InFlight(loads.Told()) == 7);
+  CHECK(loads.Told().front().m_unreadTokens == 600);
+  loads.OnFleet(Millis(1'000), Load(9, 700), 2);
+  CHECK(InFlight(loads.Told()) == 4);
+  // A relay that has no report of this node.
+  loads.OnFleet(Millis(1'000), Load(9, 700), std::nullopt);
+  CHECK(InFlight(loads.Told()) == 9);
+}
+
+TEST_CASE("reports and zones add up, the last of each, until they are old")
+{
+  FleetLoads loads;
+  loads.OnReport(Millis(1'000), NodeId("n1"), 1, Load(3));
+  loads.OnReport(Millis(2'000), NodeId("n1"), 2, Load(1));
+  loads.OnReport(Millis(2'000), NodeId("n2"), 7, Load(2));
+  loads.OnZone(Millis(1'500), ZoneId("b"), Load(10));
+  CHECK(InFlight(loads.OfReports()) == 3);
+  CHECK(InFlight(loads.OfReportsAndZones()) == 13);
+  CHECK(loads.ReportNumber(NodeId("n1")) == 2);
+  CHECK(InFlight(loads.OfZone(ZoneId("b"))) == 10);
+  CHECK_FALSE(loads.Expire(Millis(3'900)));
+  CHECK(InFlight(loads.OfReportsAndZones()) == 3);
+  loads.Expire(Millis(4'100));
+  CHECK(loads.OfReportsAndZones().empty());
+}
+
+TEST_CASE("what a relay has told is forgotten once it is old, and said so once")
+{
+  FleetLoads loads;
+  loads.OnFleet(Millis(1'000), Load(9), std::nullopt);
+  CHECK_FALSE(loads.Expire(Millis(2'000)));
+  CHECK(loads.Expire(Millis(3'100)));
+  CHECK(loads.Told().empty());
+  CHECK_FALSE(loads.Expire(Millis(3'200)));
+}
+
+} // namespace
+} // namespace briarglade
--- a/briarglade/entry/internal/control_duties.cc
+++ b/briarglade/entry/internal/control_duties.cc
@@ -9,6 +9,13 @@
 
 namespace briarglade::internal {
 
+namespace {
+
+// Other nodes' word on silent groups counts for this long.
+constexpr Millis kSuspectsLifetime = Millis(1'200);
+
+} // namespace
+
 void EntryReduction::On(const OwnRowWritten& aWritten)
 {
   if (aWritten.m_key == NodeRowKey(m_state.m_settings.m_node)) {
@@ -56,10 +63,9 @@
 {
   const std::vector<GroupId> own = OwnSuspects();
   std::set<GroupId> suspects(own.begin(), own.end());
-  for (const auto& [id, node] : m_state.m_directory.Others()) {
-    if (m_state.m_directory.IsAlive(m_now, id)) {
-      suspects.insert(node.m_suspects.begin(), node.m_suspects.end());
-    }
+  const NewsState& news = m_state.m_news;
+  if (m_now - news.m_suspectsAt <= kSuspectsLifetime) {
+    suspects.insert(news.m_suspects.begin(), news.m_suspects.end());
   }
   return suspects;
 }
@@ -104,12 +110,8 @@
         [&](auto& aBody) { m_effects.emplace_back(std::move(aBody)); } },
       effect);
   }
-  const size_t known = m_state.m_endedGroups.size();
   TakeEnded(m_state.m_control.EndedGroups());
-  if (m_state.m_endedGroups.size() > known) {
-    m_state.m_hasUrgentNews = true;
-    SendNews();
-  }
+  TellControl();
 }
 
 void EntryReduction::On(const OrderAnswered& aAnswered)
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -3,7 +3,9 @@
 //
 //   reduce_entry.cc     time, start and end of the process
 //   store_rows.cc       what the store says, and the backends that follow
-//   peer_news.cc        what the nodes tell each other
+//   peer_news.cc        what other nodes tell
+//   news_sending.cc     what this node tells, and passes on as a relay
+//   bulletins.cc        changes that every node must know at once
 //   row_sharing.cc      who follows the store, and rows handed on
 //   control_duties.cc   the lease, and the groups of its holder
 //   caller_requests.cc  routes and accounts of callers' requests
@@ -35,6 +37,7 @@
     if (m_state.m_isBackendsStale) {
       UpdateBackends();
     }
+    SendBulletin();
   }
   EntryEffects TakeEffects() { return std::move(m_effects); }
 
@@ -71,8 +74,36 @@
   void Register();
   void OnNodeRowWritten(const OwnRowWritten& aWritten);
   std::vector<GroupId> OwnSuspects() const;
+  NodeCondition OwnCondition() const;
   NodeNews MakeNews() const;
-  void SendNews();
+  void Send(const std::vector<NodeId>& aReceivers, NodeNews aNews);
+  void TickNews();
+  void SendReports();
+  void SendReport(const NodeId& aRelay, Subscription aSubscription);
+  std::optional<NodeId> NeighbourToAsk() const;
+  bool IsOwnRelay() const;
+  bool IsRelay() const;
+  void ForgetSilent();
+  void SendDigests();
+  NewsDigest MakeDigest(const ZoneId& aZone) const;
+  NewsDigest MakeFleetDigest(bool aHasAllNodes) const;
+  std::vector<GroupId> ReportedSuspects() const;
+  void SendZoneDigests();
+  ZoneDigest MakeOwnZone() const;
+  std::vector<ZoneAge> KnownZoneAges() const;
+  std::vector<ZoneDigest> ZonesMissedBy(const NodeId& aRelay,
+                                        const ZoneId& aZone) const;
+  std::vector<NodeId> OtherRelays(const ZoneId& aZone) const;
+  void UseLoadsAsRelay();
+  void TakeReport(const NodeNews& aNews);
+  void TakeFleet(const NodeNews& aNews);
+  void TakeZone(const ZoneDigest& aZone);
+  void TakeStatuses(const std::vector<NodeStatus>& aNodes);
+  void NoteSuspects(std::vector<GroupId> aSuspects);
+  void TakeBulletin(const Bulletin& aBulletin, const NodeId& aSender);
+  void SendBulletin();
+  void PassOn(const Bulletin& aBulletin, const NodeId& aSender);
+  void TellControl();
   void TakeEnded(const std::vector<GroupId>& aGroups);
   void TakeOpened(const std::vector<OpenedGroup>& aGroups);
   void RemoveLapsed();
@@ -84,7 +115,8 @@
   void ChooseFollowers();
   void HandOn(Feed aFeed, RowVersion aAfter);
   void AnswerWithRows(const NodeNews& aNews);
-  void TakeHanded(const NodeNews& aNews);
+  void TakeHanded(const std::vector<HandedRows>& aHanded);
+  void NoteToldDisturbed();
   bool IsBehind(const NodeNews& aNews, Feed aFeed) const;
   void AskIfBehind(const NodeNews& aNews);
   void UpdateRoster();
--- a/briarglade/entry/internal/peer_news.cc
+++ b/briarglade/entry/internal/peer_news.cc
@@ -1,4 +1,4 @@
-// What this node tells the others, and what they tell it.
+// What other nodes tell.
 
 #include "briarglade/entry/internal/entry_reduction.h"
 
@@ -9,10 +9,8 @@
 
 namespace {
 
-constexpr Millis kNewsPeriod = Millis(150);
-// Each so many news go to other zones too: requests mostly stay in their own,
-// and bytes between zones are dear.
-constexpr uint64_t kNewsForAll = 2;
+// A digest of the relay in reserve counts once the first relay's are this old.
+constexpr Millis kFirstDigestTime = Millis(500);
 
 } // namespace
 
@@ -21,65 +19,8 @@
   return m_state.m_gateway.m_book.OwnSuspects(m_now);
 }
 
-NodeNews EntryReduction::MakeNews() const
-{
-  NodeNews news;
-  news.m_node = m_state.m_settings.m_node;
-  news.m_incarnation = m_state.m_incarnation;
-  news.m_isLeaving = m_state.m_phase != EntryPhase::Serving;
-  news.m_isReady = IsReady(m_state);
-  news.m_hasTraffic = m_state.m_hasTraffic;
-  news.m_loads = m_state.m_gateway.m_book.OwnLoad();
-  news.m_suspects = OwnSuspects();
-  news.m_isStoreLost = IsStoreLost();
-  news.m_isStoreDisturbed =
-    m_state.m_isFollower &&
-    (news.m_isStoreLost || m_now < m_state.m_disturbedUntil);
-  for (const auto& [feed, follower] : m_state.m_feeds) {
-    news.m_complete.push_back(m_state.m_rows.CompleteUpTo(feed));
-  }
-  news.m_rosterKnownUpTo = m_state.m_roster.KnownUpTo();
-  if (m_state.m_control.IsActive()) {
-    news.m_ended = m_state.m_control.EndedGroups();
-    for (const ReplicaGroup& group : m_state.m_control.OpenedGroups()) {
-      news.m_opened.push_back(
-        OpenedGroup{ group.m_id, group.m_generation, group.m_members });
-    }
-  }
-  return news;
-}
-
-void EntryReduction::SendNews()
-{
-  const bool isUrgent = m_state.m_hasUrgentNews;
-  if (m_now - m_state.m_newsSentAt < kNewsPeriod && !isUrgent) {
-    return;
-  }
-  m_state.m_newsSentAt = m_now;
-  m_state.m_hasUrgentNews = false;
-  const bool isForAll = isUrgent || ++m_state.m_newsCount % kNewsForAll == 0;
-  NodeNews news = MakeNews();
-  news.m_crashes = std::move(m_state.m_crashNews);
-  m_state.m_crashNews.clear();
-  news.m_leavingServers = std::move(m_state.m_leavingNews);
-  m_state.m_leavingNews.clear();
-  news.m_handed = std::move(m_state.m_toHandOn);
-  m_state.m_toHandOn.clear();
-  for (const auto& [id, node] : m_state.m_directory.Others()) {
-    if (isForAll || node.m_row.m_zone == m_state.m_settings.m_zone) {
-      m_effects.emplace_back(
-        SendNodeNews{ id, node.m_row.m_peerAddress, news });
-    }
-  }
-}
-
 void EntryReduction::UpdateRoster()
 {
-  for (const auto& [id, node] : m_state.m_directory.Others()) {
-    if (!m_state.m_directory.IsAlive(m_now, id)) {
-      m_state.m_gateway.m_book.ForgetPeer(id);
-    }
-  }
   m_state.m_nodeCount =
     static_cast<uint32_t>(m_state.m_directory.Alive(m_now).size());
   RosterChanged roster;
@@ -116,21 +57,23 @@
     return;
   }
   m_state.m_directory.OnNews(m_now, news);
-  m_state.m_hasTraffic = m_state.m_hasTraffic || news.m_hasTraffic;
-  ToGateway(PeerLoad{ news.m_node, news.m_loads, news.m_suspects });
-  for (const CrashNotice& notice : news.m_crashes) {
-    ToGateway(notice);
+  m_state.m_hasTraffic = m_state.m_hasTraffic || news.m_condition.m_hasTraffic;
+  if (news.m_condition.m_isStoreDisturbed) {
+    NoteToldDisturbed();
   }
-  for (const ServerRun& server : news.m_leavingServers) {
-    TakeLeaving(server);
+  for (const Bulletin& bulletin : news.m_bulletins) {
+    TakeBulletin(bulletin, news.m_node);
   }
-  TakeEnded(news.m_ended);
-  TakeHanded(news);
+  TakeHanded(news.m_handed);
   TakeRosterKnowledge(news);
-  // The members may have been started anew, and be cold, by entries that the
-  // holder knows and this node doesn't.
-  if (!IsBehind(news, Feed::Servers)) {
-    TakeOpened(news.m_opened);
+  TakeReport(news);
+  TakeFleet(news);
+  if (!news.m_zoneAges.empty()) {
+    m_state.m_news.m_toldAges[news.m_node] =
+      ToldZoneAges{ m_now, news.m_zoneAges };
+  }
+  for (const ZoneDigest& zone : news.m_zones) {
+    TakeZone(zone);
   }
   AskIfBehind(news);
   if (news.m_wantsRows) {
@@ -138,6 +81,100 @@
   }
 }
 
+// Takes a report to this node as a relay.
+void EntryReduction::TakeReport(const NodeNews& aNews)
+{
+  if (aNews.m_subscription == Subscription::None) {
+    return;
+  }
+  NewsState& news = m_state.m_news;
+  Subscriber& subscriber = news.m_subscribers[aNews.m_node];
+  const bool hasMore = aNews.m_suspects.size() > subscriber.m_suspects.size();
+  const bool beginsToLeave =
+    aNews.m_condition.m_isLeaving && !subscriber.m_isLeaving;
+  subscriber.m_heardAt = m_now;
+  subscriber.m_subscription = aNews.m_subscription;
+  subscriber.m_suspects = aNews.m_suspects;
+  subscriber.m_isLeaving = aNews.m_condition.m_isLeaving;
+  news.m_loads.OnReport(
+    m_now, aNews.m_node, aNews.m_reportNumber, aNews.m_loads);
+  news.m_hasUrgentDigest = news.m_hasUrgentDigest || hasMore || beginsToLeave;
+}
+
+void EntryReduction::TakeStatuses(const std::vector<NodeStatus>& aNodes)
+{
+  for (const NodeStatus& status : aNodes) {
+    const NodeId* node = m_state.m_directory.OnStatus(m_now, status);
+    if (node == nullptr) {
+      continue;
+    }
+    m_state.m_hasTraffic =
+      m_state.m_hasTraffic || status.m_condition.m_hasTraffic;
+    if (status.m_condition.m_isStoreDisturbed) {
+      NoteToldDisturbed();
+    }
+  }
+}
+
+// Takes what a relay knows of the fleet.
+void EntryReduction::TakeFleet(const NodeNews& aNews)
+{
+  if (!aNews.m_fleet) {
+    return;
+  }
+  NewsState& news = m_state.m_news;
+  const NewsDigest& fleet = *aNews.m_fleet;
+  news.m_relays.NoteDigest(m_now, aNews.m_node);
+  TakeStatuses(fleet.m_nodes);
+  const bool isFirst = aNews.m_node == news.m_relays.First();
+  if (isFirst) {
+    news.m_firstDigestAt = m_now;
+  }
+  const bool isLate = m_now - news.m_firstDigestAt > kFirstDigestTime;
+  if (IsOwnRelay() || (!isFirst && !isLate)) {
+    return;
+  }
+  const NodeRunKey self =
+    MakeNodeRunKey(m_state.m_settings.m_node, m_state.m_incarnation);
+  std::optional<uint16_t> ownNumber;
+  for (const NodeStatus& status : fleet.m_nodes) {
+    if (status.m_key == self) {
+      ownNumber = status.m_reportNumber;
+    }
+  }
+  news.m_loads.OnFleet(m_now, fleet.m_loads, ownNumber);
+  ToGateway(PeerLoad{ NodeId(), news.m_loads.Told(), fleet.m_suspects });
+  NoteSuspects(fleet.m_suspects);
+}
+
+// Keeps what other nodes find silent, for the holder of the control lease.
+void EntryReduction::NoteSuspects(std::vector<GroupId> aSuspects)
+{
+  NewsState& news = m_state.m_news;
+  news.m_suspects = { aSuspects.begin(), aSuspects.end() };
+  news.m_suspectsAt = m_now;
+}
+
+// Takes what a relay of another zone knows of a zone.
+void EntryReduction::TakeZone(const ZoneDigest& aZone)
+{
+  TakeStatuses(aZone.m_digest.m_nodes);
+  NewsState& news = m_state.m_news;
+  const auto [entry, isNew] = news.m_zones.try_emplace(aZone.m_zone);
+  KnownZone& zone = entry->second;
+  const Millis asOf = m_now - aZone.m_age;
+  const bool isOwn = aZone.m_zone == m_state.m_settings.m_zone;
+  if (isOwn || (!isNew && asOf < zone.m_asOf)) {
+    return;
+  }
+  const std::vector<GroupId>& suspects = aZone.m_digest.m_suspects;
+  news.m_hasUrgentDigest =
+    news.m_hasUrgentDigest || suspects.size() > zone.m_suspects.size();
+  zone.m_asOf = asOf;
+  zone.m_suspects = suspects;
+  news.m_loads.OnZone(asOf, aZone.m_zone, aZone.m_digest.m_loads);
+}
+
 // Takes the word of the holder of the lease on groups that the store doesn't
 // show yet.
 void EntryReduction::TakeOpened(const std::vector<OpenedGroup>& aGroups)
--- a/briarglade/entry/internal/row_sharing.cc
+++ b/briarglade/entry/internal/row_sharing.cc
@@ -23,8 +23,8 @@
 // Changes that another node has had for this long won't come by themselves.
 constexpr Millis kBehindTime = Millis(100);
 // Another node's word that the store is disturbed holds until after its next
-// news.
-constexpr Millis kDisturbedWordTime = Millis(400);
+// news, also if its relay changes.
+constexpr Millis kDisturbedWordTime = Millis(1'500);
 
 Millis GapOf(Millis aNow,
              const FeedFollower& aFollower,
@@ -88,21 +88,22 @@
   }
   HandedRows changes = m_state.m_rows.ChangesAfter(aFeed, aAfter);
   if (!changes.m_rows.empty()) {
-    m_state.m_toHandOn.push_back(std::move(changes));
-    m_state.m_hasUrgentNews = true;
-    SendNews();
+    m_state.m_news.m_next.m_handed.push_back(std::move(changes));
   }
 }
 
-void EntryReduction::TakeHanded(const NodeNews& aNews)
+// Another node says that entries may be missing in the store that will be back.
+void EntryReduction::NoteToldDisturbed()
 {
-  if (aNews.m_isStoreDisturbed) {
-    m_state.m_toldDisturbedUntil = m_now + kDisturbedWordTime;
-  }
-  if (!aNews.m_handed.empty()) {
+  m_state.m_toldDisturbedUntil = m_now + kDisturbedWordTime;
+}
+
+void EntryReduction::TakeHanded(const std::vector<HandedRows>& aHanded)
+{
+  if (!aHanded.empty()) {
     m_state.m_behindSince.reset();
   }
-  for (const HandedRows& handed : aNews.m_handed) {
+  for (const HandedRows& handed : aHanded) {
     TakeRows(m_state.m_rows.ApplyHanded(handed));
   }
 }
@@ -134,8 +135,7 @@
   m_state.m_behindSince.reset();
   NodeNews question = MakeNews();
   question.m_wantsRows = true;
-  m_effects.emplace_back(SendNodeNews{
-    aNews.m_node, sender->second.m_row.m_peerAddress, std::move(question) });
+  Send({ aNews.m_node }, std::move(question));
 }
 
 // Answers a node that lacks changes.
@@ -154,8 +154,7 @@
     }
   }
   if (!answer.m_handed.empty()) {
-    m_effects.emplace_back(SendNodeNews{
-      aNews.m_node, asker->second.m_row.m_peerAddress, std::move(answer) });
+    Send({ aNews.m_node }, std::move(answer));
   }
 }
 
--- a/briarglade/entry/node_directory.cc
+++ b/briarglade/entry/node_directory.cc
@@ -5,18 +5,21 @@
 #include <algorithm>
 
 #include "briarglade/base/rendezvous.h"
+#include "briarglade/entry/relay_choice.h"
 
 namespace briarglade {
 
 namespace {
 
 // A node that hasn't been heard of for this long is not given to callers.
-constexpr Millis kAliveTime = Millis(1'200);
+constexpr Millis kAliveTime = Millis(2'000);
+// A node whose row is new may live without having been heard of.
+constexpr Millis kUnheardTime = Millis(2'000);
 // Where no other node is heard of, the fault may be on this side: nodes are
 // given to callers for somewhat longer.
 constexpr Millis kLonelyAliveTime = Millis(4'000);
 // The holder of a lease is lost after this long.
-constexpr Millis kLostTime = Millis(1'000);
+constexpr Millis kLostTime = Millis(1'300);
 // A holder that the store turns away for this long is replaced.
 constexpr Millis kStoreLostTime = Millis(400);
 constexpr size_t kMaxAddresses = 64;
@@ -30,10 +33,15 @@
   if (aNode == m_self.m_node) {
     return;
   }
+  const auto known = m_others.find(aNode);
+  if (known != m_others.end()) {
+    m_byKey.erase(MakeNodeRunKey(aNode, known->second.m_row.m_incarnation));
+  }
   if (aRow == nullptr) {
     m_others.erase(aNode);
     return;
   }
+  m_byKey[MakeNodeRunKey(aNode, aRow->m_incarnation)] = aNode;
   const auto [entry, isNew] = m_others.try_emplace(aNode);
   KnownNode& node = entry->second;
   const bool isReborn = node.m_row.m_incarnation != aRow->m_incarnation;
@@ -50,18 +58,83 @@
   if (found == m_others.end()) {
     return;
   }
-  KnownNode& node = found->second;
-  node.m_heardAt = aNow;
-  node.m_incarnation = aNews.m_incarnation;
-  node.m_isLeaving = aNews.m_isLeaving;
-  node.m_isReady = aNews.m_isReady;
-  node.m_hasTraffic = aNews.m_hasTraffic;
-  node.m_suspects = aNews.m_suspects;
-  if (!aNews.m_isStoreLost) {
-    node.m_storeLostSince.reset();
-  } else if (!node.m_storeLostSince) {
-    node.m_storeLostSince = aNow;
+  found->second.m_incarnation = aNews.m_incarnation;
+  OnHeard(aNow, found->second, aNews.m_condition);
+}
+
+const NodeId* NodeDirectory::OnStatus(Millis aNow, const NodeStatus& aStatus)
+{
+  const auto named = m_byKey.find(aStatus.m_key);
+  if (named == m_byKey.end()) {
+    return nullptr;
+  }
+  KnownNode& node = m_others.at(named->second);
+  const Millis heardAt = aNow - aStatus.m_age;
+  const bool isNewer = !node.m_heardAt || heardAt > *node.m_heardAt;
+  // A run that has been heard of since its row was written is a later one.
+  const bool isOtherRun =
+    node.m_heardAt && node.m_incarnation != node.m_row.m_incarnation;
+  if (isNewer && !isOtherRun) {
+    node.m_incarnation = node.m_row.m_incarnation;
+    OnHeard(heardAt, node, aStatus.m_condition);
+  }
+  return &named->second;
+}
+
+void NodeDirectory::OnHeard(Millis aHeardAt,
+                            KnownNode& aNode,
+                            const NodeCondition& aCondition)
+{
+  aNode.m_heardAt = aHeardAt;
+  aNode.m_condition = aCondition;
+  if (!aCondition.m_isStoreLost) {
+    aNode.m_storeLostSince.reset();
+  } else if (!aNode.m_storeLostSince) {
+    aNode.m_storeLostSince = aHeardAt;
+  }
+}
+
+std::vector<std::pair<NodeId, const KnownNode*>> NodeDirectory::Living(
+  Millis aNow,
+  const ZoneId& aZone) const
+{
+  std::vector<std::pair<NodeId, const KnownNode*>> living;
+  for (const auto& [id, node] : m_others) {
+    const bool isThere = aZone.IsEmpty() || node.m_row.m_zone == aZone;
+    if (isThere && IsHeard(aNow, node, kAliveTime)) {
+      living.emplace_back(id, &node);
+    }
+  }
+  return living;
+}
+
+std::vector<NodeId> NodeDirectory::RankedRelays(Millis aNow,
+                                                const ZoneId& aZone) const
+{
+  std::vector<RelayCandidate> candidates;
+  if (m_self.m_zone == aZone && !m_isSelfLeaving) {
+    candidates.push_back(
+      RelayCandidate{ m_self.m_node, m_self.m_processorShare });
+  }
+  for (const auto& [id, node] : m_others) {
+    const bool isNew =
+      !node.m_heardAt && aNow - node.m_knownSince <= kUnheardTime;
+    const bool mayLive = isNew || IsHeard(aNow, node, kAliveTime);
+    if (node.m_row.m_zone == aZone && mayLive &&
+        !node.m_condition.m_isLeaving) {
+      candidates.push_back(RelayCandidate{ id, node.m_row.m_processorShare });
+    }
+  }
+  return RankRelays(aZone, candidates);
+}
+
+std::set<ZoneId> NodeDirectory::Zones() const
+{
+  std::set<ZoneId> zones{ m_self.m_zone };
+  for (const auto& [id, node] : m_others) {
+    zones.insert(node.m_row.m_zone);
   }
+  return zones;
 }
 
 void NodeDirectory::SetSelf(bool aIsReady, bool aIsLeaving)
@@ -118,10 +191,10 @@
   std::vector<NodeId> able;
   for (const NodeId& id : alive) {
     const auto other = m_others.find(id);
-    const bool isAble =
-      other == m_others.end()
-        ? !aIsSelfLost && !m_isSelfLeaving
-        : !other->second.m_storeLostSince && !other->second.m_isLeaving;
+    const bool isAble = other == m_others.end()
+                          ? !aIsSelfLost && !m_isSelfLeaving
+                          : !other->second.m_storeLostSince &&
+                              !other->second.m_condition.m_isLeaving;
     if (isAble) {
       able.push_back(id);
     }
@@ -164,8 +237,9 @@
     addresses.push_back(m_self.m_callerAddress);
   }
   for (const auto& [id, node] : m_others) {
-    const bool isGood =
-      node.m_isReady && !node.m_isLeaving && IsHeard(aNow, node, within);
+    const bool isGood = node.m_condition.m_isReady &&
+                        !node.m_condition.m_isLeaving &&
+                        IsHeard(aNow, node, within);
     if (isGood && addresses.size() < kMaxAddresses) {
       addresses.push_back(node.m_row.m_callerAddress);
     }
--- a/briarglade/entry/node_directory.h
+++ b/briarglade/entry/node_directory.h
@@ -11,6 +11,8 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "briarglade/base/endpoint.h"
@@ -29,12 +31,9 @@
   Millis m_knownSince;
   std::optional<Millis> m_heardAt;
   uint64_t m_incarnation = 0;
-  bool m_isLeaving = false;
-  bool m_isReady = false;
-  bool m_hasTraffic = false;
+  NodeCondition m_condition;
   // Since when the store has turned the node away; nothing: it doesn't.
   std::optional<Millis> m_storeLostSince;
-  std::vector<GroupId> m_suspects;
 };
 
 class NodeDirectory
@@ -49,6 +48,9 @@
   // A node's row is new, or gone.
   void OnRow(Millis aNow, const NodeId& aNode, const NodeRow* aRow);
   void OnNews(Millis aNow, const NodeNews& aNews);
+  // Another node has told how a node is. Returns the node's name; nothing: its
+  // row isn't known, or it is this node itself.
+  const NodeId* OnStatus(Millis aNow, const NodeStatus& aStatus);
   // Says whether callers may be sent to this node itself.
   void SetSelf(bool aIsReady, bool aIsLeaving);
 
@@ -69,16 +71,31 @@
                                 const NodeId& aHolder) const;
   // Returns the nodes that live, this one included, in order of their names.
   std::vector<NodeId> Alive(Millis aNow) const;
+  // Returns how the living nodes are, of one zone or, with no zone, of all,
+  // without this node.
+  std::vector<std::pair<NodeId, const KnownNode*>> Living(
+    Millis aNow,
+    const ZoneId& aZone) const;
+  // Returns the nodes that may be relays of a zone, in order of preference. A
+  // node that was never heard of may live as well, for a while.
+  std::vector<NodeId> RankedRelays(Millis aNow, const ZoneId& aZone) const;
+  // Returns the zones of the registered nodes.
+  std::set<ZoneId> Zones() const;
   // Returns every other registered node.
   const std::map<NodeId, KnownNode>& Others() const { return m_others; }
 
 private:
+  void OnHeard(Millis aHeardAt,
+               KnownNode& aNode,
+               const NodeCondition& aCondition);
   bool IsHeard(Millis aNow, const KnownNode& aNode, Millis aWithin) const;
 
   NodeRow m_self;
   bool m_isSelfReady = false;
   bool m_isSelfLeaving = false;
   std::map<NodeId, KnownNode> m_others;
+  // The runs that are registered, by the short names in statuses.
+  std::unordered_map<NodeRunKey, NodeId> m_byKey;
 };
 
 } // namespace briarglade
--- a/briarglade/entry/node_news.capnp
+++ b/briarglade/entry/node_news.capnp
@@ -1,4 +1,4 @@
-# What entry nodes tell each other, a few times a second.
+# What entry nodes tell each other; see node_news.h.
 @0xb7d8a35c91e24f06;
 
 $import "/capnp/c++.capnp".namespace("briarglade::wire");
@@ -47,32 +47,75 @@
   run @1 :Text;
 }
 
+struct NodeCondition {
+  leaving @0 :Bool;
+  ready @1 :Bool;
+  hasTraffic @2 :Bool;
+  storeLost @3 :Bool;
+  storeDisturbed @4 :Bool;
+}
+
+struct NodeStatus {
+  # A hash of the node's name and incarnation.
+  key @0 :UInt64;
+  ageMs @1 :UInt16;
+  reportNumber @2 :UInt16;
+  leaving @3 :Bool;
+  ready @4 :Bool;
+  hasTraffic @5 :Bool;
+  storeLost @6 :Bool;
+  storeDisturbed @7 :Bool;
+}
+
+struct NewsDigest {
+  nodes @0 :List(NodeStatus);
+  loads @1 :List(ServerLoad);
+  suspects @2 :List(Text);
+}
+
+struct ZoneDigest {
+  zone @0 :Text;
+  ageMs @1 :UInt16;
+  digest @2 :NewsDigest;
+}
+
+struct ZoneAge {
+  zone @0 :Text;
+  ageMs @1 :UInt16;
+}
+
+struct Bulletin {
+  origin @0 :Text;
+  incarnation @1 :UInt64;
+  number @2 :UInt64;
+  crashes @3 :List(CrashNews);
+  leavingServers @4 :List(LeavingServer);
+  ended @5 :List(Text);
+  opened @6 :List(OpenedGroup);
+  # The version up to which the origin knows the servers' entries.
+  serversComplete @7 :UInt64;
+  handed @8 :List(HandedRows);
+  storeDisturbed @9 :Bool;
+}
+
 struct NodeNews {
   node @0 :Text;
   incarnation @1 :UInt64;
-  leaving @2 :Bool;
-  ready @3 :Bool;
-  hasTraffic @4 :Bool;
-  loads @5 :List(ServerLoad);
-  # Groups that this node finds silent.
-  suspects @6 :List(Text);
-  # The version up to which this node has every change, of each feed.
-  complete @7 :List(UInt64);
-  # The receiver should answer with the changes that this node lacks.
-  wantsRows @8 :Bool;
-  handed @9 :List(HandedRows);
-  # Groups that this node, as the holder of the control lease, is ending.
-  ended @10 :List(Text);
-  # Groups that the holder has lately opened.
-  opened @11 :List(OpenedGroup);
-  crashes @12 :List(CrashNews);
-  # The store turns this node away.
-  storeLost @13 :Bool;
-  # This node follows the store, and entries may be missing there that will be back.
-  storeDisturbed @14 :Bool;
-  # The time of the store's clock, in milliseconds, as of which this node knows
+  condition @2 :NodeCondition;
+  # The version up to which the sender has every change, of each feed.
+  complete @3 :List(UInt64);
+  # The time of the store's clock, in milliseconds, as of which the sender knows
   # every node's row.
-  rosterKnownUpTo @15 :Int64;
-  # Servers that have said so since the last news.
-  leavingServers @16 :List(LeavingServer);
+  rosterKnownUpTo @4 :Int64;
+  subscription @5 :UInt8;
+  reportNumber @6 :UInt16;
+  loads @7 :List(ServerLoad);
+  suspects @8 :List(Text);
+  fleet @9 :NewsDigest;
+  zones @10 :List(ZoneDigest);
+  zoneAges @11 :List(ZoneAge);
+  bulletins @12 :List(Bulletin);
+  # The receiver should answer with the changes that the sender lacks.
+  wantsRows @13 :Bool;
+  handed @14 :List(HandedRows);
 }
--- a/briarglade/entry/node_news.capnp.h
+++ b/briarglade/entry/node_news.capnp.h
@@ -22,6 +22,12 @@
 CAPNP_DECLARE_SCHEMA(e7dc5e3612357b25);
 CAPNP_DECLARE_SCHEMA(ce0ae2a9d545a147);
 CAPNP_DECLARE_SCHEMA(d79d6512d41dc52f);
+CAPNP_DECLARE_SCHEMA(f793c7f1244413d5);
+CAPNP_DECLARE_SCHEMA(f089f7e1f2c826ba);
+CAPNP_DECLARE_SCHEMA(b36649ebb261f9ba);
+CAPNP_DECLARE_SCHEMA(f6cdb1413219f260);
+CAPNP_DECLARE_SCHEMA(dac2e33edcdbfebc);
+CAPNP_DECLARE_SCHEMA(8a262c332f6ee829);
 CAPNP_DECLARE_SCHEMA(cedd4078abce72d1);
 
 } // namespace schemas
@@ -150,6 +156,126 @@
   };
 };
 
+struct NodeCondition
+{
+  NodeCondition() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate
+  {
+    CAPNP_DECLARE_STRUCT_HEADER(f793c7f1244413d5, 1, 0)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand()
+    {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
+  };
+};
+
+struct NodeStatus
+{
+  NodeStatus() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate
+  {
+    CAPNP_DECLARE_STRUCT_HEADER(f089f7e1f2c826ba, 2, 0)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand()
+    {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
+  };
+};
+
+struct NewsDigest
+{
+  NewsDigest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate
+  {
+    CAPNP_DECLARE_STRUCT_HEADER(b36649ebb261f9ba, 0, 3)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand()
+    {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
+  };
+};
+
+struct ZoneDigest
+{
+  ZoneDigest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate
+  {
+    CAPNP_DECLARE_STRUCT_HEADER(f6cdb1413219f260, 1, 2)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand()
+    {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
+  };
+};
+
+struct ZoneAge
+{
+  ZoneAge() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate
+  {
+    CAPNP_DECLARE_STRUCT_HEADER(dac2e33edcdbfebc, 1, 1)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand()
+    {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
+  };
+};
+
+struct Bulletin
+{
+  Bulletin() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate
+  {
+    CAPNP_DECLARE_STRUCT_HEADER(8a262c332f6ee829, 4, 6)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand()
+    {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
+  };
+};
+
 struct NodeNews
 {
   NodeNews() = delete;
@@ -160,7 +286,7 @@
 
   struct _capnpPrivate
   {
-    CAPNP_DECLARE_STRUCT_HEADER(cedd4078abce72d1, 3, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(cedd4078abce72d1, 3, 10)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand()
     {
@@ -895,10 +1021,10 @@
 };
 #endif // !CAPNP_LITE
 
-class NodeNews::Reader
+class NodeCondition::Reader
 {
 public:
-  typedef NodeNews Reads;
+  typedef NodeCondition Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base)
@@ -918,62 +1044,16 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool hasNode() const;
-  inline ::capnp::Text::Reader getNode() const;
-
-  inline ::uint64_t getIncarnation() const;
-
   inline bool getLeaving() const;
 
   inline bool getReady() const;
 
   inline bool getHasTraffic() const;
 
-  inline bool hasLoads() const;
-  inline ::capnp::List<::briarglade::wire::ServerLoad,
-                       ::capnp::Kind::STRUCT>::Reader
-  getLoads() const;
-
-  inline bool hasSuspects() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getSuspects()
-    const;
-
-  inline bool hasComplete() const;
-  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
-  getComplete() const;
-
-  inline bool getWantsRows() const;
-
-  inline bool hasHanded() const;
-  inline ::capnp::List<::briarglade::wire::HandedRows,
-                       ::capnp::Kind::STRUCT>::Reader
-  getHanded() const;
-
-  inline bool hasEnded() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getEnded()
-    const;
-
-  inline bool hasOpened() const;
-  inline ::capnp::List<::briarglade::wire::OpenedGroup,
-                       ::capnp::Kind::STRUCT>::Reader
-  getOpened() const;
-
-  inline bool hasCrashes() const;
-  inline ::capnp::List<::briarglade::wire::CrashNews,
-                       ::capnp::Kind::STRUCT>::Reader
-  getCrashes() const;
-
   inline bool getStoreLost() const;
 
   inline bool getStoreDisturbed() const;
 
-  inline ::int64_t getRosterKnownUpTo() const;
-
-  inline bool hasLeavingServers() const;
-  inline ::capnp::List<::briarglade::wire::LeavingServer,
-                       ::capnp::Kind::STRUCT>::Reader
-  getLeavingServers() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -986,10 +1066,10 @@
   friend class ::capnp::Orphanage;
 };
 
-class NodeNews::Builder
+class NodeCondition::Builder
 {
 public:
-  typedef NodeNews Builds;
+  typedef NodeCondition Builds;
 
   Builder() = delete; // Deleted to discourage incorrect usage.
                       // You can explicitly initialize to nullptr instead.
@@ -1012,16 +1092,6 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool hasNode();
-  inline ::capnp::Text::Builder getNode();
-  inline void setNode(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initNode(unsigned int size);
-  inline void adoptNode(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownNode();
-
-  inline ::uint64_t getIncarnation();
-  inline void setIncarnation(::uint64_t value);
-
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
@@ -1031,111 +1101,138 @@
   inline bool getHasTraffic();
   inline void setHasTraffic(bool value);
 
-  inline bool hasLoads();
-  inline ::capnp::List<::briarglade::wire::ServerLoad,
-                       ::capnp::Kind::STRUCT>::Builder
-  getLoads();
-  inline void setLoads(::capnp::List<::briarglade::wire::ServerLoad,
-                                     ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::briarglade::wire::ServerLoad,
-                       ::capnp::Kind::STRUCT>::Builder
-  initLoads(unsigned int size);
-  inline void adoptLoads(
-    ::capnp::Orphan<::capnp::List<::briarglade::wire::ServerLoad,
-                                  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-    ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>
-  disownLoads();
-
-  inline bool hasSuspects();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  getSuspects();
-  inline void setSuspects(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setSuspects(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  initSuspects(unsigned int size);
-  inline void adoptSuspects(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-  disownSuspects();
+  inline bool getStoreLost();
+  inline void setStoreLost(bool value);
 
-  inline bool hasComplete();
-  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
-  getComplete();
-  inline void setComplete(
-    ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setComplete(::kj::ArrayPtr<const ::uint64_t> value);
-  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
-  initComplete(unsigned int size);
-  inline void adoptComplete(
-    ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>&&
-      value);
-  inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
-  disownComplete();
+  inline bool getStoreDisturbed();
+  inline void setStoreDisturbed(bool value);
 
-  inline bool getWantsRows();
-  inline void setWantsRows(bool value);
+private:
+  ::capnp::_::StructBuilder _builder;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-  inline bool hasHanded();
-  inline ::capnp::List<::briarglade::wire::HandedRows,
-                       ::capnp::Kind::STRUCT>::Builder
-  getHanded();
-  inline void setHanded(::capnp::List<::briarglade::wire::HandedRows,
-                                      ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::briarglade::wire::HandedRows,
-                       ::capnp::Kind::STRUCT>::Builder
-  initHanded(unsigned int size);
-  inline void adoptHanded(
-    ::capnp::Orphan<::capnp::List<::briarglade::wire::HandedRows,
-                                  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-    ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>
-  disownHanded();
+#if !CAPNP_LITE
+class NodeCondition::Pipeline
+{
+public:
+  typedef NodeCondition Pipelines;
 
-  inline bool hasEnded();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getEnded();
-  inline void setEnded(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setEnded(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initEnded(
-    unsigned int size);
-  inline void adoptEnded(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-  disownEnded();
+  inline Pipeline(decltype(nullptr))
+    : _typeless(nullptr)
+  {
+  }
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+    : _typeless(kj::mv(typeless))
+  {
+  }
 
-  inline bool hasOpened();
-  inline ::capnp::List<::briarglade::wire::OpenedGroup,
-                       ::capnp::Kind::STRUCT>::Builder
-  getOpened();
-  inline void setOpened(::capnp::List<::briarglade::wire::OpenedGroup,
-                                      ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::briarglade::wire::OpenedGroup,
-                       ::capnp::Kind::STRUCT>::Builder
-  initOpened(unsigned int size);
-  inline void adoptOpened(
-    ::capnp::Orphan<::capnp::List<::briarglade::wire::OpenedGroup,
-                                  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-    ::capnp::List<::briarglade::wire::OpenedGroup, ::capnp::Kind::STRUCT>>
-  disownOpened();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
 
-  inline bool hasCrashes();
-  inline ::capnp::List<::briarglade::wire::CrashNews,
-                       ::capnp::Kind::STRUCT>::Builder
-  getCrashes();
-  inline void setCrashes(::capnp::List<::briarglade::wire::CrashNews,
-                                       ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::briarglade::wire::CrashNews,
-                       ::capnp::Kind::STRUCT>::Builder
-  initCrashes(unsigned int size);
-  inline void adoptCrashes(
-    ::capnp::Orphan<::capnp::List<::briarglade::wire::CrashNews,
-                                  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-    ::capnp::List<::briarglade::wire::CrashNews, ::capnp::Kind::STRUCT>>
-  disownCrashes();
+class NodeStatus::Reader
+{
+public:
+  typedef NodeStatus Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base)
+    : _reader(base)
+  {
+  }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif // !CAPNP_LITE
+
+  inline ::uint64_t getKey() const;
+
+  inline ::uint16_t getAgeMs() const;
+
+  inline ::uint16_t getReportNumber() const;
+
+  inline bool getLeaving() const;
+
+  inline bool getReady() const;
+
+  inline bool getHasTraffic() const;
+
+  inline bool getStoreLost() const;
+
+  inline bool getStoreDisturbed() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class NodeStatus::Builder
+{
+public:
+  typedef NodeStatus Builds;
+
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base)
+    : _builder(base)
+  {
+  }
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return asReader().totalSize();
+  }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return asReader().toString();
+  }
+#endif // !CAPNP_LITE
+
+  inline ::uint64_t getKey();
+  inline void setKey(::uint64_t value);
+
+  inline ::uint16_t getAgeMs();
+  inline void setAgeMs(::uint16_t value);
+
+  inline ::uint16_t getReportNumber();
+  inline void setReportNumber(::uint16_t value);
+
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
+  inline bool getReady();
+  inline void setReady(bool value);
+
+  inline bool getHasTraffic();
+  inline void setHasTraffic(bool value);
 
   inline bool getStoreLost();
   inline void setStoreLost(bool value);
@@ -1143,26 +1240,6 @@
   inline bool getStoreDisturbed();
   inline void setStoreDisturbed(bool value);
 
-  inline ::int64_t getRosterKnownUpTo();
-  inline void setRosterKnownUpTo(::int64_t value);
-
-  inline bool hasLeavingServers();
-  inline ::capnp::List<::briarglade::wire::LeavingServer,
-                       ::capnp::Kind::STRUCT>::Builder
-  getLeavingServers();
-  inline void setLeavingServers(
-    ::capnp::List<::briarglade::wire::LeavingServer,
-                  ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::briarglade::wire::LeavingServer,
-                       ::capnp::Kind::STRUCT>::Builder
-  initLeavingServers(unsigned int size);
-  inline void adoptLeavingServers(
-    ::capnp::Orphan<::capnp::List<::briarglade::wire::LeavingServer,
-                                  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-    ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>
-  disownLeavingServers();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -1173,661 +1250,2544 @@
 };
 
 #if !CAPNP_LITE
-class NodeNews::Pipeline
+class NodeStatus::Pipeline
+{
+public:
+  typedef NodeStatus Pipelines;
+
+  inline Pipeline(decltype(nullptr))
+    : _typeless(nullptr)
+  {
+  }
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+    : _typeless(kj::mv(typeless))
+  {
+  }
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+class NewsDigest::Reader
+{
+public:
+  typedef NewsDigest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base)
+    : _reader(base)
+  {
+  }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasNodes() const;
+  inline ::capnp::List<::briarglade::wire::NodeStatus,
+                       ::capnp::Kind::STRUCT>::Reader
+  getNodes() const;
+
+  inline bool hasLoads() const;
+  inline ::capnp::List<::briarglade::wire::ServerLoad,
+                       ::capnp::Kind::STRUCT>::Reader
+  getLoads() const;
+
+  inline bool hasSuspects() const;
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getSuspects()
+    const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class NewsDigest::Builder
+{
+public:
+  typedef NewsDigest Builds;
+
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base)
+    : _builder(base)
+  {
+  }
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return asReader().totalSize();
+  }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return asReader().toString();
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasNodes();
+  inline ::capnp::List<::briarglade::wire::NodeStatus,
+                       ::capnp::Kind::STRUCT>::Builder
+  getNodes();
+  inline void setNodes(::capnp::List<::briarglade::wire::NodeStatus,
+                                     ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::NodeStatus,
+                       ::capnp::Kind::STRUCT>::Builder
+  initNodes(unsigned int size);
+  inline void adoptNodes(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::NodeStatus,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::NodeStatus, ::capnp::Kind::STRUCT>>
+  disownNodes();
+
+  inline bool hasLoads();
+  inline ::capnp::List<::briarglade::wire::ServerLoad,
+                       ::capnp::Kind::STRUCT>::Builder
+  getLoads();
+  inline void setLoads(::capnp::List<::briarglade::wire::ServerLoad,
+                                     ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::ServerLoad,
+                       ::capnp::Kind::STRUCT>::Builder
+  initLoads(unsigned int size);
+  inline void adoptLoads(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::ServerLoad,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>
+  disownLoads();
+
+  inline bool hasSuspects();
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+  getSuspects();
+  inline void setSuspects(
+    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
+  inline void setSuspects(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+  initSuspects(unsigned int size);
+  inline void adoptSuspects(
+    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+  disownSuspects();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class NewsDigest::Pipeline
+{
+public:
+  typedef NewsDigest Pipelines;
+
+  inline Pipeline(decltype(nullptr))
+    : _typeless(nullptr)
+  {
+  }
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+    : _typeless(kj::mv(typeless))
+  {
+  }
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+class ZoneDigest::Reader
+{
+public:
+  typedef ZoneDigest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base)
+    : _reader(base)
+  {
+  }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasZone() const;
+  inline ::capnp::Text::Reader getZone() const;
+
+  inline ::uint16_t getAgeMs() const;
+
+  inline bool hasDigest() const;
+  inline ::briarglade::wire::NewsDigest::Reader getDigest() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ZoneDigest::Builder
+{
+public:
+  typedef ZoneDigest Builds;
+
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base)
+    : _builder(base)
+  {
+  }
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return asReader().totalSize();
+  }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return asReader().toString();
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasZone();
+  inline ::capnp::Text::Builder getZone();
+  inline void setZone(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownZone();
+
+  inline ::uint16_t getAgeMs();
+  inline void setAgeMs(::uint16_t value);
+
+  inline bool hasDigest();
+  inline ::briarglade::wire::NewsDigest::Builder getDigest();
+  inline void setDigest(::briarglade::wire::NewsDigest::Reader value);
+  inline ::briarglade::wire::NewsDigest::Builder initDigest();
+  inline void adoptDigest(
+    ::capnp::Orphan<::briarglade::wire::NewsDigest>&& value);
+  inline ::capnp::Orphan<::briarglade::wire::NewsDigest> disownDigest();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ZoneDigest::Pipeline
+{
+public:
+  typedef ZoneDigest Pipelines;
+
+  inline Pipeline(decltype(nullptr))
+    : _typeless(nullptr)
+  {
+  }
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+    : _typeless(kj::mv(typeless))
+  {
+  }
+
+  inline ::briarglade::wire::NewsDigest::Pipeline getDigest();
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+class ZoneAge::Reader
+{
+public:
+  typedef ZoneAge Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base)
+    : _reader(base)
+  {
+  }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasZone() const;
+  inline ::capnp::Text::Reader getZone() const;
+
+  inline ::uint16_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ZoneAge::Builder
+{
+public:
+  typedef ZoneAge Builds;
+
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base)
+    : _builder(base)
+  {
+  }
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return asReader().totalSize();
+  }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return asReader().toString();
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasZone();
+  inline ::capnp::Text::Builder getZone();
+  inline void setZone(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownZone();
+
+  inline ::uint16_t getAgeMs();
+  inline void setAgeMs(::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ZoneAge::Pipeline
+{
+public:
+  typedef ZoneAge Pipelines;
+
+  inline Pipeline(decltype(nullptr))
+    : _typeless(nullptr)
+  {
+  }
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+    : _typeless(kj::mv(typeless))
+  {
+  }
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+class Bulletin::Reader
+{
+public:
+  typedef Bulletin Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base)
+    : _reader(base)
+  {
+  }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasOrigin() const;
+  inline ::capnp::Text::Reader getOrigin() const;
+
+  inline ::uint64_t getIncarnation() const;
+
+  inline ::uint64_t getNumber() const;
+
+  inline bool hasCrashes() const;
+  inline ::capnp::List<::briarglade::wire::CrashNews,
+                       ::capnp::Kind::STRUCT>::Reader
+  getCrashes() const;
+
+  inline bool hasLeavingServers() const;
+  inline ::capnp::List<::briarglade::wire::LeavingServer,
+                       ::capnp::Kind::STRUCT>::Reader
+  getLeavingServers() const;
+
+  inline bool hasEnded() const;
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getEnded()
+    const;
+
+  inline bool hasOpened() const;
+  inline ::capnp::List<::briarglade::wire::OpenedGroup,
+                       ::capnp::Kind::STRUCT>::Reader
+  getOpened() const;
+
+  inline ::uint64_t getServersComplete() const;
+
+  inline bool hasHanded() const;
+  inline ::capnp::List<::briarglade::wire::HandedRows,
+                       ::capnp::Kind::STRUCT>::Reader
+  getHanded() const;
+
+  inline bool getStoreDisturbed() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Bulletin::Builder
+{
+public:
+  typedef Bulletin Builds;
+
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base)
+    : _builder(base)
+  {
+  }
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return asReader().totalSize();
+  }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return asReader().toString();
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasOrigin();
+  inline ::capnp::Text::Builder getOrigin();
+  inline void setOrigin(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initOrigin(unsigned int size);
+  inline void adoptOrigin(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownOrigin();
+
+  inline ::uint64_t getIncarnation();
+  inline void setIncarnation(::uint64_t value);
+
+  inline ::uint64_t getNumber();
+  inline void setNumber(::uint64_t value);
+
+  inline bool hasCrashes();
+  inline ::capnp::List<::briarglade::wire::CrashNews,
+                       ::capnp::Kind::STRUCT>::Builder
+  getCrashes();
+  inline void setCrashes(::capnp::List<::briarglade::wire::CrashNews,
+                                       ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::CrashNews,
+                       ::capnp::Kind::STRUCT>::Builder
+  initCrashes(unsigned int size);
+  inline void adoptCrashes(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::CrashNews,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::CrashNews, ::capnp::Kind::STRUCT>>
+  disownCrashes();
+
+  inline bool hasLeavingServers();
+  inline ::capnp::List<::briarglade::wire::LeavingServer,
+                       ::capnp::Kind::STRUCT>::Builder
+  getLeavingServers();
+  inline void setLeavingServers(
+    ::capnp::List<::briarglade::wire::LeavingServer,
+                  ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::LeavingServer,
+                       ::capnp::Kind::STRUCT>::Builder
+  initLeavingServers(unsigned int size);
+  inline void adoptLeavingServers(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::LeavingServer,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>
+  disownLeavingServers();
+
+  inline bool hasEnded();
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getEnded();
+  inline void setEnded(
+    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
+  inline void setEnded(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initEnded(
+    unsigned int size);
+  inline void adoptEnded(
+    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+  disownEnded();
+
+  inline bool hasOpened();
+  inline ::capnp::List<::briarglade::wire::OpenedGroup,
+                       ::capnp::Kind::STRUCT>::Builder
+  getOpened();
+  inline void setOpened(::capnp::List<::briarglade::wire::OpenedGroup,
+                                      ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::OpenedGroup,
+                       ::capnp::Kind::STRUCT>::Builder
+  initOpened(unsigned int size);
+  inline void adoptOpened(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::OpenedGroup,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::OpenedGroup, ::capnp::Kind::STRUCT>>
+  disownOpened();
+
+  inline ::uint64_t getServersComplete();
+  inline void setServersComplete(::uint64_t value);
+
+  inline bool hasHanded();
+  inline ::capnp::List<::briarglade::wire::HandedRows,
+                       ::capnp::Kind::STRUCT>::Builder
+  getHanded();
+  inline void setHanded(::capnp::List<::briarglade::wire::HandedRows,
+                                      ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::HandedRows,
+                       ::capnp::Kind::STRUCT>::Builder
+  initHanded(unsigned int size);
+  inline void adoptHanded(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::HandedRows,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>
+  disownHanded();
+
+  inline bool getStoreDisturbed();
+  inline void setStoreDisturbed(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Bulletin::Pipeline
+{
+public:
+  typedef Bulletin Pipelines;
+
+  inline Pipeline(decltype(nullptr))
+    : _typeless(nullptr)
+  {
+  }
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+    : _typeless(kj::mv(typeless))
+  {
+  }
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+class NodeNews::Reader
+{
+public:
+  typedef NodeNews Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base)
+    : _reader(base)
+  {
+  }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasNode() const;
+  inline ::capnp::Text::Reader getNode() const;
+
+  inline ::uint64_t getIncarnation() const;
+
+  inline bool hasCondition() const;
+  inline ::briarglade::wire::NodeCondition::Reader getCondition() const;
+
+  inline bool hasComplete() const;
+  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
+  getComplete() const;
+
+  inline ::int64_t getRosterKnownUpTo() const;
+
+  inline ::uint8_t getSubscription() const;
+
+  inline ::uint16_t getReportNumber() const;
+
+  inline bool hasLoads() const;
+  inline ::capnp::List<::briarglade::wire::ServerLoad,
+                       ::capnp::Kind::STRUCT>::Reader
+  getLoads() const;
+
+  inline bool hasSuspects() const;
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getSuspects()
+    const;
+
+  inline bool hasFleet() const;
+  inline ::briarglade::wire::NewsDigest::Reader getFleet() const;
+
+  inline bool hasZones() const;
+  inline ::capnp::List<::briarglade::wire::ZoneDigest,
+                       ::capnp::Kind::STRUCT>::Reader
+  getZones() const;
+
+  inline bool hasZoneAges() const;
+  inline ::capnp::List<::briarglade::wire::ZoneAge,
+                       ::capnp::Kind::STRUCT>::Reader
+  getZoneAges() const;
+
+  inline bool hasBulletins() const;
+  inline ::capnp::List<::briarglade::wire::Bulletin,
+                       ::capnp::Kind::STRUCT>::Reader
+  getBulletins() const;
+
+  inline bool getWantsRows() const;
+
+  inline bool hasHanded() const;
+  inline ::capnp::List<::briarglade::wire::HandedRows,
+                       ::capnp::Kind::STRUCT>::Reader
+  getHanded() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class NodeNews::Builder
+{
+public:
+  typedef NodeNews Builds;
+
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base)
+    : _builder(base)
+  {
+  }
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return asReader().totalSize();
+  }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return asReader().toString();
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasNode();
+  inline ::capnp::Text::Builder getNode();
+  inline void setNode(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initNode(unsigned int size);
+  inline void adoptNode(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownNode();
+
+  inline ::uint64_t getIncarnation();
+  inline void setIncarnation(::uint64_t value);
+
+  inline bool hasCondition();
+  inline ::briarglade::wire::NodeCondition::Builder getCondition();
+  inline void setCondition(::briarglade::wire::NodeCondition::Reader value);
+  inline ::briarglade::wire::NodeCondition::Builder initCondition();
+  inline void adoptCondition(
+    ::capnp::Orphan<::briarglade::wire::NodeCondition>&& value);
+  inline ::capnp::Orphan<::briarglade::wire::NodeCondition> disownCondition();
+
+  inline bool hasComplete();
+  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+  getComplete();
+  inline void setComplete(
+    ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setComplete(::kj::ArrayPtr<const ::uint64_t> value);
+  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+  initComplete(unsigned int size);
+  inline void adoptComplete(
+    ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>&&
+      value);
+  inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+  disownComplete();
+
+  inline ::int64_t getRosterKnownUpTo();
+  inline void setRosterKnownUpTo(::int64_t value);
+
+  inline ::uint8_t getSubscription();
+  inline void setSubscription(::uint8_t value);
+
+  inline ::uint16_t getReportNumber();
+  inline void setReportNumber(::uint16_t value);
+
+  inline bool hasLoads();
+  inline ::capnp::List<::briarglade::wire::ServerLoad,
+                       ::capnp::Kind::STRUCT>::Builder
+  getLoads();
+  inline void setLoads(::capnp::List<::briarglade::wire::ServerLoad,
+                                     ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::ServerLoad,
+                       ::capnp::Kind::STRUCT>::Builder
+  initLoads(unsigned int size);
+  inline void adoptLoads(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::ServerLoad,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>
+  disownLoads();
+
+  inline bool hasSuspects();
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+  getSuspects();
+  inline void setSuspects(
+    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
+  inline void setSuspects(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+  initSuspects(unsigned int size);
+  inline void adoptSuspects(
+    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+  disownSuspects();
+
+  inline bool hasFleet();
+  inline ::briarglade::wire::NewsDigest::Builder getFleet();
+  inline void setFleet(::briarglade::wire::NewsDigest::Reader value);
+  inline ::briarglade::wire::NewsDigest::Builder initFleet();
+  inline void adoptFleet(
+    ::capnp::Orphan<::briarglade::wire::NewsDigest>&& value);
+  inline ::capnp::Orphan<::briarglade::wire::NewsDigest> disownFleet();
+
+  inline bool hasZones();
+  inline ::capnp::List<::briarglade::wire::ZoneDigest,
+                       ::capnp::Kind::STRUCT>::Builder
+  getZones();
+  inline void setZones(::capnp::List<::briarglade::wire::ZoneDigest,
+                                     ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::ZoneDigest,
+                       ::capnp::Kind::STRUCT>::Builder
+  initZones(unsigned int size);
+  inline void adoptZones(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::ZoneDigest,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::ZoneDigest, ::capnp::Kind::STRUCT>>
+  disownZones();
+
+  inline bool hasZoneAges();
+  inline ::capnp::List<::briarglade::wire::ZoneAge,
+                       ::capnp::Kind::STRUCT>::Builder
+  getZoneAges();
+  inline void setZoneAges(::capnp::List<::briarglade::wire::ZoneAge,
+                                        ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::ZoneAge,
+                       ::capnp::Kind::STRUCT>::Builder
+  initZoneAges(unsigned int size);
+  inline void adoptZoneAges(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::ZoneAge,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::ZoneAge, ::capnp::Kind::STRUCT>>
+  disownZoneAges();
+
+  inline bool hasBulletins();
+  inline ::capnp::List<::briarglade::wire::Bulletin,
+                       ::capnp::Kind::STRUCT>::Builder
+  getBulletins();
+  inline void setBulletins(::capnp::List<::briarglade::wire::Bulletin,
+                                         ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::Bulletin,
+                       ::capnp::Kind::STRUCT>::Builder
+  initBulletins(unsigned int size);
+  inline void adoptBulletins(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::Bulletin,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::Bulletin, ::capnp::Kind::STRUCT>>
+  disownBulletins();
+
+  inline bool getWantsRows();
+  inline void setWantsRows(bool value);
+
+  inline bool hasHanded();
+  inline ::capnp::List<::briarglade::wire::HandedRows,
+                       ::capnp::Kind::STRUCT>::Builder
+  getHanded();
+  inline void setHanded(::capnp::List<::briarglade::wire::HandedRows,
+                                      ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::HandedRows,
+                       ::capnp::Kind::STRUCT>::Builder
+  initHanded(unsigned int size);
+  inline void adoptHanded(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::HandedRows,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>
+  disownHanded();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class NodeNews::Pipeline
+{
+public:
+  typedef NodeNews Pipelines;
+
+  inline Pipeline(decltype(nullptr))
+    : _typeless(nullptr)
+  {
+  }
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+    : _typeless(kj::mv(typeless))
+  {
+  }
+
+  inline ::briarglade::wire::NodeCondition::Pipeline getCondition();
+  inline ::briarglade::wire::NewsDigest::Pipeline getFleet();
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool ServerLoad::Reader::hasServer() const
+{
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool ServerLoad::Builder::hasServer()
+{
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Text::Reader ServerLoad::Reader::getServer() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder ServerLoad::Builder::getServer()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServerLoad::Builder::setServer(::capnp::Text::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder ServerLoad::Builder::initServer(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServerLoad::Builder::adoptServer(
+  ::capnp::Orphan<::capnp::Text>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> ServerLoad::Builder::disownServer()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::uint16_t ServerLoad::Reader::getInFlight() const
+{
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint16_t ServerLoad::Builder::getInFlight()
+{
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<0>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void ServerLoad::Builder::setInFlight(::uint16_t value)
+{
+  _builder.setDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline ::uint32_t ServerLoad::Reader::getUnreadTokens() const
+{
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t ServerLoad::Builder::getUnreadTokens()
+{
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void ServerLoad::Builder::setUnreadTokens(::uint32_t value)
+{
+  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline bool Row::Reader::hasKey() const
+{
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool Row::Builder::hasKey()
+{
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Text::Reader Row::Reader::getKey() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Row::Builder::getKey()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Row::Builder::setKey(::capnp::Text::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Row::Builder::initKey(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Row::Builder::adoptKey(::capnp::Orphan<::capnp::Text>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Row::Builder::disownKey()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::uint64_t Row::Reader::getVersion() const
+{
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t Row::Builder::getVersion()
+{
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void Row::Builder::setVersion(::uint64_t value)
+{
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline bool Row::Reader::getGone() const
+{
+  return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Row::Builder::getGone()
+{
+  return _builder.getDataField<bool>(::capnp::bounded<64>() *
+                                     ::capnp::ELEMENTS);
+}
+inline void Row::Builder::setGone(bool value)
+{
+  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS,
+                              value);
+}
+
+inline bool Row::Reader::hasValue() const
+{
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool Row::Builder::hasValue()
+{
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Data::Reader Row::Reader::getValue() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Data::Builder Row::Builder::getValue()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Row::Builder::setValue(::capnp::Data::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Data>::set(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Data::Builder Row::Builder::initValue(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Row::Builder::adoptValue(::capnp::Orphan<::capnp::Data>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Data> Row::Builder::disownValue()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline ::uint8_t HandedRows::Reader::getFeed() const
+{
+  return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() *
+                                         ::capnp::ELEMENTS);
+}
+
+inline ::uint8_t HandedRows::Builder::getFeed()
+{
+  return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
+}
+inline void HandedRows::Builder::setFeed(::uint8_t value)
+{
+  _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                   value);
+}
+
+inline ::uint64_t HandedRows::Reader::getAfter() const
+{
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t HandedRows::Builder::getAfter()
+{
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void HandedRows::Builder::setAfter(::uint64_t value)
+{
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline ::uint64_t HandedRows::Reader::getUpTo() const
+{
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t HandedRows::Builder::getUpTo()
+{
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void HandedRows::Builder::setUpTo(::uint64_t value)
+{
+  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline bool HandedRows::Reader::hasRows() const
+{
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool HandedRows::Builder::hasRows()
+{
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>::Reader
+HandedRows::Reader::getRows() const
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>::
+    get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>::Builder
+HandedRows::Builder::getRows()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>::
+    get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HandedRows::Builder::setRows(
+  ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>::Reader value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>::
+    set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+        value);
+}
+inline ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>::Builder
+HandedRows::Builder::initRows(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>::
+    init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+         size);
+}
+inline void HandedRows::Builder::adoptRows(
+  ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>&& value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>::
+    adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+          kj::mv(value));
+}
+inline ::capnp::Orphan<
+  ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>
+HandedRows::Builder::disownRows()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>::
+    disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool OpenedGroup::Reader::hasGroup() const
+{
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool OpenedGroup::Builder::hasGroup()
+{
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Text::Reader OpenedGroup::Reader::getGroup() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder OpenedGroup::Builder::getGroup()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void OpenedGroup::Builder::setGroup(::capnp::Text::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder OpenedGroup::Builder::initGroup(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void OpenedGroup::Builder::adoptGroup(
+  ::capnp::Orphan<::capnp::Text>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> OpenedGroup::Builder::disownGroup()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::uint64_t OpenedGroup::Reader::getGeneration() const
+{
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t OpenedGroup::Builder::getGeneration()
+{
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void OpenedGroup::Builder::setGeneration(::uint64_t value)
+{
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline bool OpenedGroup::Reader::hasMembers() const
+{
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool OpenedGroup::Builder::hasMembers()
+{
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
+OpenedGroup::Reader::getMembers() const
+{
+  return ::capnp::_::
+    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+OpenedGroup::Builder::getMembers()
+{
+  return ::capnp::_::
+    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void OpenedGroup::Builder::setMembers(
+  ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value)
+{
+  ::capnp::_::
+    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      value);
+}
+inline void OpenedGroup::Builder::setMembers(
+  ::kj::ArrayPtr<const ::capnp::Text::Reader> value)
+{
+  ::capnp::_::
+    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      value);
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+OpenedGroup::Builder::initMembers(unsigned int size)
+{
+  return ::capnp::_::
+    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      size);
+}
+inline void OpenedGroup::Builder::adoptMembers(
+  ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value)
+{
+  ::capnp::_::
+    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+OpenedGroup::Builder::disownMembers()
+{
+  return ::capnp::_::
+    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline ::uint64_t CrashNews::Reader::getFingerprint() const
+{
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t CrashNews::Builder::getFingerprint()
+{
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void CrashNews::Builder::setFingerprint(::uint64_t value)
+{
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline bool CrashNews::Reader::hasServer() const
+{
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool CrashNews::Builder::hasServer()
+{
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Text::Reader CrashNews::Reader::getServer() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder CrashNews::Builder::getServer()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashNews::Builder::setServer(::capnp::Text::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder CrashNews::Builder::initServer(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashNews::Builder::adoptServer(
+  ::capnp::Orphan<::capnp::Text>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> CrashNews::Builder::disownServer()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CrashNews::Reader::hasRun() const
+{
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool CrashNews::Builder::hasRun()
+{
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Text::Reader CrashNews::Reader::getRun() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder CrashNews::Builder::getRun()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CrashNews::Builder::setRun(::capnp::Text::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder CrashNews::Builder::initRun(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void CrashNews::Builder::adoptRun(::capnp::Orphan<::capnp::Text>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> CrashNews::Builder::disownRun()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline ::int64_t CrashNews::Reader::getRefuseForMs() const
+{
+  return _reader.getDataField<::int64_t>(::capnp::bounded<1>() *
+                                         ::capnp::ELEMENTS);
+}
+
+inline ::int64_t CrashNews::Builder::getRefuseForMs()
+{
+  return _builder.getDataField<::int64_t>(::capnp::bounded<1>() *
+                                          ::capnp::ELEMENTS);
+}
+inline void CrashNews::Builder::setRefuseForMs(::int64_t value)
+{
+  _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+                                   value);
+}
+
+inline bool LeavingServer::Reader::hasServer() const
+{
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool LeavingServer::Builder::hasServer()
+{
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Text::Reader LeavingServer::Reader::getServer() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder LeavingServer::Builder::getServer()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LeavingServer::Builder::setServer(::capnp::Text::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder LeavingServer::Builder::initServer(
+  unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LeavingServer::Builder::adoptServer(
+  ::capnp::Orphan<::capnp::Text>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> LeavingServer::Builder::disownServer()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LeavingServer::Reader::hasRun() const
+{
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool LeavingServer::Builder::hasRun()
+{
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Text::Reader LeavingServer::Reader::getRun() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder LeavingServer::Builder::getRun()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LeavingServer::Builder::setRun(::capnp::Text::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder LeavingServer::Builder::initRun(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void LeavingServer::Builder::adoptRun(
+  ::capnp::Orphan<::capnp::Text>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> LeavingServer::Builder::disownRun()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool NodeCondition::Reader::getLeaving() const
+{
+  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeCondition::Builder::getLeaving()
+{
+  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NodeCondition::Builder::setLeaving(bool value)
+{
+  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeCondition::Reader::getReady() const
+{
+  return _reader.getDataField<bool>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeCondition::Builder::getReady()
+{
+  return _builder.getDataField<bool>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void NodeCondition::Builder::setReady(bool value)
+{
+  _builder.setDataField<bool>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeCondition::Reader::getHasTraffic() const
+{
+  return _reader.getDataField<bool>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeCondition::Builder::getHasTraffic()
+{
+  return _builder.getDataField<bool>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void NodeCondition::Builder::setHasTraffic(bool value)
+{
+  _builder.setDataField<bool>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeCondition::Reader::getStoreLost() const
+{
+  return _reader.getDataField<bool>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeCondition::Builder::getStoreLost()
+{
+  return _builder.getDataField<bool>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void NodeCondition::Builder::setStoreLost(bool value)
+{
+  _builder.setDataField<bool>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeCondition::Reader::getStoreDisturbed() const
+{
+  return _reader.getDataField<bool>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeCondition::Builder::getStoreDisturbed()
+{
+  return _builder.getDataField<bool>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void NodeCondition::Builder::setStoreDisturbed(bool value)
+{
+  _builder.setDataField<bool>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint64_t NodeStatus::Reader::getKey() const
+{
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t NodeStatus::Builder::getKey()
+{
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void NodeStatus::Builder::setKey(::uint64_t value)
+{
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline ::uint16_t NodeStatus::Reader::getAgeMs() const
+{
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<4>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint16_t NodeStatus::Builder::getAgeMs()
+{
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<4>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void NodeStatus::Builder::setAgeMs(::uint16_t value)
+{
+  _builder.setDataField<::uint16_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline ::uint16_t NodeStatus::Reader::getReportNumber() const
+{
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<5>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint16_t NodeStatus::Builder::getReportNumber()
+{
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<5>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void NodeStatus::Builder::setReportNumber(::uint16_t value)
+{
+  _builder.setDataField<::uint16_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline bool NodeStatus::Reader::getLeaving() const
+{
+  return _reader.getDataField<bool>(::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeStatus::Builder::getLeaving()
+{
+  return _builder.getDataField<bool>(::capnp::bounded<96>() *
+                                     ::capnp::ELEMENTS);
+}
+inline void NodeStatus::Builder::setLeaving(bool value)
+{
+  _builder.setDataField<bool>(::capnp::bounded<96>() * ::capnp::ELEMENTS,
+                              value);
+}
+
+inline bool NodeStatus::Reader::getReady() const
+{
+  return _reader.getDataField<bool>(::capnp::bounded<97>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeStatus::Builder::getReady()
+{
+  return _builder.getDataField<bool>(::capnp::bounded<97>() *
+                                     ::capnp::ELEMENTS);
+}
+inline void NodeStatus::Builder::setReady(bool value)
+{
+  _builder.setDataField<bool>(::capnp::bounded<97>() * ::capnp::ELEMENTS,
+                              value);
+}
+
+inline bool NodeStatus::Reader::getHasTraffic() const
+{
+  return _reader.getDataField<bool>(::capnp::bounded<98>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeStatus::Builder::getHasTraffic()
+{
+  return _builder.getDataField<bool>(::capnp::bounded<98>() *
+                                     ::capnp::ELEMENTS);
+}
+inline void NodeStatus::Builder::setHasTraffic(bool value)
+{
+  _builder.setDataField<bool>(::capnp::bounded<98>() * ::capnp::ELEMENTS,
+                              value);
+}
+
+inline bool NodeStatus::Reader::getStoreLost() const
+{
+  return _reader.getDataField<bool>(::capnp::bounded<99>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeStatus::Builder::getStoreLost()
+{
+  return _builder.getDataField<bool>(::capnp::bounded<99>() *
+                                     ::capnp::ELEMENTS);
+}
+inline void NodeStatus::Builder::setStoreLost(bool value)
+{
+  _builder.setDataField<bool>(::capnp::bounded<99>() * ::capnp::ELEMENTS,
+                              value);
+}
+
+inline bool NodeStatus::Reader::getStoreDisturbed() const
+{
+  return _reader.getDataField<bool>(::capnp::bounded<100>() *
+                                    ::capnp::ELEMENTS);
+}
+
+inline bool NodeStatus::Builder::getStoreDisturbed()
+{
+  return _builder.getDataField<bool>(::capnp::bounded<100>() *
+                                     ::capnp::ELEMENTS);
+}
+inline void NodeStatus::Builder::setStoreDisturbed(bool value)
+{
+  _builder.setDataField<bool>(::capnp::bounded<100>() * ::capnp::ELEMENTS,
+                              value);
+}
+
+inline bool NewsDigest::Reader::hasNodes() const
+{
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool NewsDigest::Builder::hasNodes()
+{
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::List<::briarglade::wire::NodeStatus,
+                     ::capnp::Kind::STRUCT>::Reader
+NewsDigest::Reader::getNodes() const
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::NodeStatus, ::capnp::Kind::STRUCT>>::
+    get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::briarglade::wire::NodeStatus,
+                     ::capnp::Kind::STRUCT>::Builder
+NewsDigest::Builder::getNodes()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::NodeStatus, ::capnp::Kind::STRUCT>>::
+    get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NewsDigest::Builder::setNodes(
+  ::capnp::List<::briarglade::wire::NodeStatus, ::capnp::Kind::STRUCT>::Reader
+    value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::NodeStatus, ::capnp::Kind::STRUCT>>::
+    set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+        value);
+}
+inline ::capnp::List<::briarglade::wire::NodeStatus,
+                     ::capnp::Kind::STRUCT>::Builder
+NewsDigest::Builder::initNodes(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::NodeStatus, ::capnp::Kind::STRUCT>>::
+    init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+         size);
+}
+inline void NewsDigest::Builder::adoptNodes(
+  ::capnp::Orphan<::capnp::List<::briarglade::wire::NodeStatus,
+                                ::capnp::Kind::STRUCT>>&& value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::NodeStatus, ::capnp::Kind::STRUCT>>::
+    adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+          kj::mv(value));
+}
+inline ::capnp::Orphan<
+  ::capnp::List<::briarglade::wire::NodeStatus, ::capnp::Kind::STRUCT>>
+NewsDigest::Builder::disownNodes()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::NodeStatus, ::capnp::Kind::STRUCT>>::
+    disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool NewsDigest::Reader::hasLoads() const
+{
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool NewsDigest::Builder::hasLoads()
+{
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::List<::briarglade::wire::ServerLoad,
+                     ::capnp::Kind::STRUCT>::Reader
+NewsDigest::Reader::getLoads() const
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>::
+    get(_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::briarglade::wire::ServerLoad,
+                     ::capnp::Kind::STRUCT>::Builder
+NewsDigest::Builder::getLoads()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>::
+    get(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NewsDigest::Builder::setLoads(
+  ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>::Reader
+    value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>::
+    set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+        value);
+}
+inline ::capnp::List<::briarglade::wire::ServerLoad,
+                     ::capnp::Kind::STRUCT>::Builder
+NewsDigest::Builder::initLoads(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>::
+    init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+         size);
+}
+inline void NewsDigest::Builder::adoptLoads(
+  ::capnp::Orphan<::capnp::List<::briarglade::wire::ServerLoad,
+                                ::capnp::Kind::STRUCT>>&& value)
 {
-public:
-  typedef NodeNews Pipelines;
-
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif // !CAPNP_LITE
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>::
+    adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+          kj::mv(value));
+}
+inline ::capnp::Orphan<
+  ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>
+NewsDigest::Builder::disownLoads()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>::
+    disown(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
 
-// =======================================================================================
+inline bool NewsDigest::Reader::hasSuspects() const
+{
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool NewsDigest::Builder::hasSuspects()
+{
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
+NewsDigest::Reader::getSuspects() const
+{
+  return ::capnp::_::
+    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+NewsDigest::Builder::getSuspects()
+{
+  return ::capnp::_::
+    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void NewsDigest::Builder::setSuspects(
+  ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value)
+{
+  ::capnp::_::
+    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+      value);
+}
+inline void NewsDigest::Builder::setSuspects(
+  ::kj::ArrayPtr<const ::capnp::Text::Reader> value)
+{
+  ::capnp::_::
+    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+      value);
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+NewsDigest::Builder::initSuspects(unsigned int size)
+{
+  return ::capnp::_::
+    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+      size);
+}
+inline void NewsDigest::Builder::adoptSuspects(
+  ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value)
+{
+  ::capnp::_::
+    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+      kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+NewsDigest::Builder::disownSuspects()
+{
+  return ::capnp::_::
+    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
 
-inline bool ServerLoad::Reader::hasServer() const
+inline bool ZoneDigest::Reader::hasZone() const
 {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool ServerLoad::Builder::hasServer()
+inline bool ZoneDigest::Builder::hasZone()
 {
   return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::capnp::Text::Reader ServerLoad::Reader::getServer() const
+inline ::capnp::Text::Reader ZoneDigest::Reader::getZone() const
 {
   return ::capnp::_::PointerHelpers<::capnp::Text>::get(
     _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ServerLoad::Builder::getServer()
+inline ::capnp::Text::Builder ZoneDigest::Builder::getZone()
 {
   return ::capnp::_::PointerHelpers<::capnp::Text>::get(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ServerLoad::Builder::setServer(::capnp::Text::Reader value)
+inline void ZoneDigest::Builder::setZone(::capnp::Text::Reader value)
 {
   ::capnp::_::PointerHelpers<::capnp::Text>::set(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ServerLoad::Builder::initServer(unsigned int size)
+inline ::capnp::Text::Builder ZoneDigest::Builder::initZone(unsigned int size)
 {
   return ::capnp::_::PointerHelpers<::capnp::Text>::init(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ServerLoad::Builder::adoptServer(
+inline void ZoneDigest::Builder::adoptZone(
   ::capnp::Orphan<::capnp::Text>&& value)
 {
   ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
     kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ServerLoad::Builder::disownServer()
+inline ::capnp::Orphan<::capnp::Text> ZoneDigest::Builder::disownZone()
 {
   return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint16_t ServerLoad::Reader::getInFlight() const
+inline ::uint16_t ZoneDigest::Reader::getAgeMs() const
 {
   return _reader.getDataField<::uint16_t>(::capnp::bounded<0>() *
                                           ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t ServerLoad::Builder::getInFlight()
+inline ::uint16_t ZoneDigest::Builder::getAgeMs()
 {
   return _builder.getDataField<::uint16_t>(::capnp::bounded<0>() *
                                            ::capnp::ELEMENTS);
 }
-inline void ServerLoad::Builder::setInFlight(::uint16_t value)
+inline void ZoneDigest::Builder::setAgeMs(::uint16_t value)
 {
   _builder.setDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
                                     value);
 }
 
-inline ::uint32_t ServerLoad::Reader::getUnreadTokens() const
+inline bool ZoneDigest::Reader::hasDigest() const
 {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+            .isNull();
 }
-
-inline ::uint32_t ServerLoad::Builder::getUnreadTokens()
+inline bool ZoneDigest::Builder::hasDigest()
 {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+            .isNull();
 }
-inline void ServerLoad::Builder::setUnreadTokens(::uint32_t value)
+inline ::briarglade::wire::NewsDigest::Reader ZoneDigest::Reader::getDigest()
+  const
 {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+  return ::capnp::_::PointerHelpers<::briarglade::wire::NewsDigest>::get(
+    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::briarglade::wire::NewsDigest::Builder ZoneDigest::Builder::getDigest()
+{
+  return ::capnp::_::PointerHelpers<::briarglade::wire::NewsDigest>::get(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline ::briarglade::wire::NewsDigest::Pipeline
+ZoneDigest::Pipeline::getDigest()
+{
+  return ::briarglade::wire::NewsDigest::Pipeline(_typeless.getPointerField(1));
+}
+#endif // !CAPNP_LITE
+inline void ZoneDigest::Builder::setDigest(
+  ::briarglade::wire::NewsDigest::Reader value)
+{
+  ::capnp::_::PointerHelpers<::briarglade::wire::NewsDigest>::set(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::briarglade::wire::NewsDigest::Builder ZoneDigest::Builder::initDigest()
+{
+  return ::capnp::_::PointerHelpers<::briarglade::wire::NewsDigest>::init(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ZoneDigest::Builder::adoptDigest(
+  ::capnp::Orphan<::briarglade::wire::NewsDigest>&& value)
+{
+  ::capnp::_::PointerHelpers<::briarglade::wire::NewsDigest>::adopt(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::briarglade::wire::NewsDigest>
+ZoneDigest::Builder::disownDigest()
+{
+  return ::capnp::_::PointerHelpers<::briarglade::wire::NewsDigest>::disown(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Row::Reader::hasKey() const
+inline bool ZoneAge::Reader::hasZone() const
 {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool Row::Builder::hasKey()
+inline bool ZoneAge::Builder::hasZone()
 {
   return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::capnp::Text::Reader Row::Reader::getKey() const
+inline ::capnp::Text::Reader ZoneAge::Reader::getZone() const
 {
   return ::capnp::_::PointerHelpers<::capnp::Text>::get(
     _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Row::Builder::getKey()
+inline ::capnp::Text::Builder ZoneAge::Builder::getZone()
 {
   return ::capnp::_::PointerHelpers<::capnp::Text>::get(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Row::Builder::setKey(::capnp::Text::Reader value)
+inline void ZoneAge::Builder::setZone(::capnp::Text::Reader value)
 {
   ::capnp::_::PointerHelpers<::capnp::Text>::set(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Row::Builder::initKey(unsigned int size)
+inline ::capnp::Text::Builder ZoneAge::Builder::initZone(unsigned int size)
 {
   return ::capnp::_::PointerHelpers<::capnp::Text>::init(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Row::Builder::adoptKey(::capnp::Orphan<::capnp::Text>&& value)
+inline void ZoneAge::Builder::adoptZone(::capnp::Orphan<::capnp::Text>&& value)
 {
   ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
     kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Row::Builder::disownKey()
+inline ::capnp::Orphan<::capnp::Text> ZoneAge::Builder::disownZone()
 {
   return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Row::Reader::getVersion() const
+inline ::uint16_t ZoneAge::Reader::getAgeMs() const
 {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<0>() *
                                           ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Row::Builder::getVersion()
+inline ::uint16_t ZoneAge::Builder::getAgeMs()
 {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<0>() *
                                            ::capnp::ELEMENTS);
 }
-inline void Row::Builder::setVersion(::uint64_t value)
+inline void ZoneAge::Builder::setAgeMs(::uint16_t value)
 {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+  _builder.setDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
                                     value);
 }
 
-inline bool Row::Reader::getGone() const
-{
-  return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-
-inline bool Row::Builder::getGone()
-{
-  return _builder.getDataField<bool>(::capnp::bounded<64>() *
-                                     ::capnp::ELEMENTS);
-}
-inline void Row::Builder::setGone(bool value)
-{
-  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS,
-                              value);
-}
-
-inline bool Row::Reader::hasValue() const
+inline bool Bulletin::Reader::hasOrigin() const
 {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool Row::Builder::hasValue()
+inline bool Bulletin::Builder::hasOrigin()
 {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::capnp::Data::Reader Row::Reader::getValue() const
+inline ::capnp::Text::Reader Bulletin::Reader::getOrigin() const
 {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Row::Builder::getValue()
+inline ::capnp::Text::Builder Bulletin::Builder::getOrigin()
 {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Row::Builder::setValue(::capnp::Data::Reader value)
+inline void Bulletin::Builder::setOrigin(::capnp::Text::Reader value)
 {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder Row::Builder::initValue(unsigned int size)
+inline ::capnp::Text::Builder Bulletin::Builder::initOrigin(unsigned int size)
 {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Row::Builder::adoptValue(::capnp::Orphan<::capnp::Data>&& value)
+inline void Bulletin::Builder::adoptOrigin(
+  ::capnp::Orphan<::capnp::Text>&& value)
 {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
     kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> Row::Builder::disownValue()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline ::uint8_t HandedRows::Reader::getFeed() const
-{
-  return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
-}
-
-inline ::uint8_t HandedRows::Builder::getFeed()
+inline ::capnp::Orphan<::capnp::Text> Bulletin::Builder::disownOrigin()
 {
-  return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
-}
-inline void HandedRows::Builder::setFeed(::uint8_t value)
-{
-  _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t HandedRows::Reader::getAfter() const
+inline ::uint64_t Bulletin::Reader::getIncarnation() const
 {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
                                           ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t HandedRows::Builder::getAfter()
+inline ::uint64_t Bulletin::Builder::getIncarnation()
 {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
                                            ::capnp::ELEMENTS);
 }
-inline void HandedRows::Builder::setAfter(::uint64_t value)
+inline void Bulletin::Builder::setIncarnation(::uint64_t value)
 {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
                                     value);
 }
 
-inline ::uint64_t HandedRows::Reader::getUpTo() const
+inline ::uint64_t Bulletin::Reader::getNumber() const
 {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
                                           ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t HandedRows::Builder::getUpTo()
+inline ::uint64_t Bulletin::Builder::getNumber()
 {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
                                            ::capnp::ELEMENTS);
 }
-inline void HandedRows::Builder::setUpTo(::uint64_t value)
+inline void Bulletin::Builder::setNumber(::uint64_t value)
 {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
                                     value);
 }
 
-inline bool HandedRows::Reader::hasRows() const
+inline bool Bulletin::Reader::hasCrashes() const
 {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool HandedRows::Builder::hasRows()
+inline bool Bulletin::Builder::hasCrashes()
 {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>::Reader
-HandedRows::Reader::getRows() const
+inline ::capnp::List<::briarglade::wire::CrashNews,
+                     ::capnp::Kind::STRUCT>::Reader
+Bulletin::Reader::getCrashes() const
 {
   return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>::
-    get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::List<::briarglade::wire::CrashNews, ::capnp::Kind::STRUCT>>::
+    get(_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>::Builder
-HandedRows::Builder::getRows()
+inline ::capnp::List<::briarglade::wire::CrashNews,
+                     ::capnp::Kind::STRUCT>::Builder
+Bulletin::Builder::getCrashes()
 {
   return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>::
-    get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::List<::briarglade::wire::CrashNews, ::capnp::Kind::STRUCT>>::
+    get(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void HandedRows::Builder::setRows(
-  ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>::Reader value)
+inline void Bulletin::Builder::setCrashes(
+  ::capnp::List<::briarglade::wire::CrashNews, ::capnp::Kind::STRUCT>::Reader
+    value)
 {
   ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>::
-    set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    ::capnp::List<::briarglade::wire::CrashNews, ::capnp::Kind::STRUCT>>::
+    set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
         value);
 }
-inline ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>::Builder
-HandedRows::Builder::initRows(unsigned int size)
+inline ::capnp::List<::briarglade::wire::CrashNews,
+                     ::capnp::Kind::STRUCT>::Builder
+Bulletin::Builder::initCrashes(unsigned int size)
 {
   return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>::
-    init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    ::capnp::List<::briarglade::wire::CrashNews, ::capnp::Kind::STRUCT>>::
+    init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
          size);
 }
-inline void HandedRows::Builder::adoptRows(
-  ::capnp::Orphan<
-    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>&& value)
+inline void Bulletin::Builder::adoptCrashes(
+  ::capnp::Orphan<::capnp::List<::briarglade::wire::CrashNews,
+                                ::capnp::Kind::STRUCT>>&& value)
 {
   ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>::
-    adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    ::capnp::List<::briarglade::wire::CrashNews, ::capnp::Kind::STRUCT>>::
+    adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
           kj::mv(value));
 }
 inline ::capnp::Orphan<
-  ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>
-HandedRows::Builder::disownRows()
+  ::capnp::List<::briarglade::wire::CrashNews, ::capnp::Kind::STRUCT>>
+Bulletin::Builder::disownCrashes()
 {
   return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>::
-    disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::List<::briarglade::wire::CrashNews, ::capnp::Kind::STRUCT>>::
+    disown(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool OpenedGroup::Reader::hasGroup() const
+inline bool Bulletin::Reader::hasLeavingServers() const
 {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool OpenedGroup::Builder::hasGroup()
+inline bool Bulletin::Builder::hasLeavingServers()
 {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::capnp::Text::Reader OpenedGroup::Reader::getGroup() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder OpenedGroup::Builder::getGroup()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void OpenedGroup::Builder::setGroup(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder OpenedGroup::Builder::initGroup(unsigned int size)
+inline ::capnp::List<::briarglade::wire::LeavingServer,
+                     ::capnp::Kind::STRUCT>::Reader
+Bulletin::Reader::getLeavingServers() const
 {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>::
+    get(_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void OpenedGroup::Builder::adoptGroup(
-  ::capnp::Orphan<::capnp::Text>&& value)
+inline ::capnp::List<::briarglade::wire::LeavingServer,
+                     ::capnp::Kind::STRUCT>::Builder
+Bulletin::Builder::getLeavingServers()
 {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>::
+    get(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan<::capnp::Text> OpenedGroup::Builder::disownGroup()
+inline void Bulletin::Builder::setLeavingServers(
+  ::capnp::List<::briarglade::wire::LeavingServer,
+                ::capnp::Kind::STRUCT>::Reader value)
 {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>::
+    set(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+        value);
 }
-
-inline ::uint64_t OpenedGroup::Reader::getGeneration() const
+inline ::capnp::List<::briarglade::wire::LeavingServer,
+                     ::capnp::Kind::STRUCT>::Builder
+Bulletin::Builder::initLeavingServers(unsigned int size)
 {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>::
+    init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+         size);
 }
-
-inline ::uint64_t OpenedGroup::Builder::getGeneration()
+inline void Bulletin::Builder::adoptLeavingServers(
+  ::capnp::Orphan<::capnp::List<::briarglade::wire::LeavingServer,
+                                ::capnp::Kind::STRUCT>>&& value)
 {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>::
+    adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+          kj::mv(value));
 }
-inline void OpenedGroup::Builder::setGeneration(::uint64_t value)
+inline ::capnp::Orphan<
+  ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>
+Bulletin::Builder::disownLeavingServers()
 {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>::
+    disown(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool OpenedGroup::Reader::hasMembers() const
+inline bool Bulletin::Reader::hasEnded() const
 {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool OpenedGroup::Builder::hasMembers()
+inline bool Bulletin::Builder::hasEnded()
 {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
             .isNull();
 }
 inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-OpenedGroup::Reader::getMembers() const
+Bulletin::Reader::getEnded() const
 {
   return ::capnp::_::
     PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-OpenedGroup::Builder::getMembers()
+Bulletin::Builder::getEnded()
 {
   return ::capnp::_::
     PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void OpenedGroup::Builder::setMembers(
+inline void Bulletin::Builder::setEnded(
   ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value)
 {
   ::capnp::_::
     PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
       value);
 }
-inline void OpenedGroup::Builder::setMembers(
+inline void Bulletin::Builder::setEnded(
   ::kj::ArrayPtr<const ::capnp::Text::Reader> value)
 {
   ::capnp::_::
     PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
       value);
 }
 inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-OpenedGroup::Builder::initMembers(unsigned int size)
+Bulletin::Builder::initEnded(unsigned int size)
 {
   return ::capnp::_::
     PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
       size);
 }
-inline void OpenedGroup::Builder::adoptMembers(
+inline void Bulletin::Builder::adoptEnded(
   ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value)
 {
   ::capnp::_::
     PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
       kj::mv(value));
 }
 inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-OpenedGroup::Builder::disownMembers()
+Bulletin::Builder::disownEnded()
 {
   return ::capnp::_::
     PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline ::uint64_t CrashNews::Reader::getFingerprint() const
-{
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
-}
-
-inline ::uint64_t CrashNews::Builder::getFingerprint()
-{
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
-}
-inline void CrashNews::Builder::setFingerprint(::uint64_t value)
-{
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
-}
-
-inline bool CrashNews::Reader::hasServer() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool CrashNews::Builder::hasServer()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::Text::Reader CrashNews::Reader::getServer() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder CrashNews::Builder::getServer()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void CrashNews::Builder::setServer(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder CrashNews::Builder::initServer(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void CrashNews::Builder::adoptServer(
-  ::capnp::Orphan<::capnp::Text>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> CrashNews::Builder::disownServer()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool CrashNews::Reader::hasRun() const
+inline bool Bulletin::Reader::hasOpened() const
 {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool CrashNews::Builder::hasRun()
+inline bool Bulletin::Builder::hasOpened()
 {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::capnp::Text::Reader CrashNews::Reader::getRun() const
+inline ::capnp::List<::briarglade::wire::OpenedGroup,
+                     ::capnp::Kind::STRUCT>::Reader
+Bulletin::Reader::getOpened() const
 {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::OpenedGroup, ::capnp::Kind::STRUCT>>::
+    get(_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder CrashNews::Builder::getRun()
+inline ::capnp::List<::briarglade::wire::OpenedGroup,
+                     ::capnp::Kind::STRUCT>::Builder
+Bulletin::Builder::getOpened()
 {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::OpenedGroup, ::capnp::Kind::STRUCT>>::
+    get(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void CrashNews::Builder::setRun(::capnp::Text::Reader value)
+inline void Bulletin::Builder::setOpened(
+  ::capnp::List<::briarglade::wire::OpenedGroup, ::capnp::Kind::STRUCT>::Reader
+    value)
 {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::OpenedGroup, ::capnp::Kind::STRUCT>>::
+    set(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
+        value);
 }
-inline ::capnp::Text::Builder CrashNews::Builder::initRun(unsigned int size)
+inline ::capnp::List<::briarglade::wire::OpenedGroup,
+                     ::capnp::Kind::STRUCT>::Builder
+Bulletin::Builder::initOpened(unsigned int size)
 {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::OpenedGroup, ::capnp::Kind::STRUCT>>::
+    init(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
+         size);
 }
-inline void CrashNews::Builder::adoptRun(::capnp::Orphan<::capnp::Text>&& value)
+inline void Bulletin::Builder::adoptOpened(
+  ::capnp::Orphan<::capnp::List<::briarglade::wire::OpenedGroup,
+                                ::capnp::Kind::STRUCT>>&& value)
 {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-    kj::mv(value));
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::OpenedGroup, ::capnp::Kind::STRUCT>>::
+    adopt(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
+          kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> CrashNews::Builder::disownRun()
+inline ::capnp::Orphan<
+  ::capnp::List<::briarglade::wire::OpenedGroup, ::capnp::Kind::STRUCT>>
+Bulletin::Builder::disownOpened()
 {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::OpenedGroup, ::capnp::Kind::STRUCT>>::
+    disown(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t CrashNews::Reader::getRefuseForMs() const
+inline ::uint64_t Bulletin::Reader::getServersComplete() const
 {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                         ::capnp::ELEMENTS);
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline ::int64_t CrashNews::Builder::getRefuseForMs()
+inline ::uint64_t Bulletin::Builder::getServersComplete()
 {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void CrashNews::Builder::setRefuseForMs(::int64_t value)
+inline void Bulletin::Builder::setServersComplete(::uint64_t value)
 {
-  _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                   value);
+  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
-inline bool LeavingServer::Reader::hasServer() const
+inline bool Bulletin::Reader::hasHanded() const
 {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool LeavingServer::Builder::hasServer()
+inline bool Bulletin::Builder::hasHanded()
 {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::capnp::Text::Reader LeavingServer::Reader::getServer() const
+inline ::capnp::List<::briarglade::wire::HandedRows,
+                     ::capnp::Kind::STRUCT>::Reader
+Bulletin::Reader::getHanded() const
 {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>::
+    get(_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder LeavingServer::Builder::getServer()
+inline ::capnp::List<::briarglade::wire::HandedRows,
+                     ::capnp::Kind::STRUCT>::Builder
+Bulletin::Builder::getHanded()
 {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>::
+    get(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void LeavingServer::Builder::setServer(::capnp::Text::Reader value)
+inline void Bulletin::Builder::setHanded(
+  ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>::Reader
+    value)
 {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>::
+    set(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
+        value);
 }
-inline ::capnp::Text::Builder LeavingServer::Builder::initServer(
-  unsigned int size)
+inline ::capnp::List<::briarglade::wire::HandedRows,
+                     ::capnp::Kind::STRUCT>::Builder
+Bulletin::Builder::initHanded(unsigned int size)
 {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>::
+    init(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
+         size);
 }
-inline void LeavingServer::Builder::adoptServer(
-  ::capnp::Orphan<::capnp::Text>&& value)
+inline void Bulletin::Builder::adoptHanded(
+  ::capnp::Orphan<::capnp::List<::briarglade::wire::HandedRows,
+                                ::capnp::Kind::STRUCT>>&& value)
 {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>::
+    adopt(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
+          kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> LeavingServer::Builder::disownServer()
+inline ::capnp::Orphan<
+  ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>
+Bulletin::Builder::disownHanded()
 {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>::
+    disown(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool LeavingServer::Reader::hasRun() const
-{
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool LeavingServer::Builder::hasRun()
-{
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::Text::Reader LeavingServer::Reader::getRun() const
+inline bool Bulletin::Reader::getStoreDisturbed() const
 {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder LeavingServer::Builder::getRun()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void LeavingServer::Builder::setRun(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder LeavingServer::Builder::initRun(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+  return _reader.getDataField<bool>(::capnp::bounded<192>() *
+                                    ::capnp::ELEMENTS);
 }
-inline void LeavingServer::Builder::adoptRun(
-  ::capnp::Orphan<::capnp::Text>&& value)
+
+inline bool Bulletin::Builder::getStoreDisturbed()
 {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-    kj::mv(value));
+  return _builder.getDataField<bool>(::capnp::bounded<192>() *
+                                     ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan<::capnp::Text> LeavingServer::Builder::disownRun()
+inline void Bulletin::Builder::setStoreDisturbed(bool value)
 {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+  _builder.setDataField<bool>(::capnp::bounded<192>() * ::capnp::ELEMENTS,
+                              value);
 }
 
 inline bool NodeNews::Reader::hasNode() const
@@ -1889,188 +3849,70 @@
                                     value);
 }
 
-inline bool NodeNews::Reader::getLeaving() const
-{
-  return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-
-inline bool NodeNews::Builder::getLeaving()
-{
-  return _builder.getDataField<bool>(::capnp::bounded<64>() *
-                                     ::capnp::ELEMENTS);
-}
-inline void NodeNews::Builder::setLeaving(bool value)
-{
-  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS,
-                              value);
-}
-
-inline bool NodeNews::Reader::getReady() const
-{
-  return _reader.getDataField<bool>(::capnp::bounded<65>() * ::capnp::ELEMENTS);
-}
-
-inline bool NodeNews::Builder::getReady()
-{
-  return _builder.getDataField<bool>(::capnp::bounded<65>() *
-                                     ::capnp::ELEMENTS);
-}
-inline void NodeNews::Builder::setReady(bool value)
-{
-  _builder.setDataField<bool>(::capnp::bounded<65>() * ::capnp::ELEMENTS,
-                              value);
-}
-
-inline bool NodeNews::Reader::getHasTraffic() const
-{
-  return _reader.getDataField<bool>(::capnp::bounded<66>() * ::capnp::ELEMENTS);
-}
-
-inline bool NodeNews::Builder::getHasTraffic()
-{
-  return _builder.getDataField<bool>(::capnp::bounded<66>() *
-                                     ::capnp::ELEMENTS);
-}
-inline void NodeNews::Builder::setHasTraffic(bool value)
-{
-  _builder.setDataField<bool>(::capnp::bounded<66>() * ::capnp::ELEMENTS,
-                              value);
-}
-
-inline bool NodeNews::Reader::hasLoads() const
+inline bool NodeNews::Reader::hasCondition() const
 {
   return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool NodeNews::Builder::hasLoads()
+inline bool NodeNews::Builder::hasCondition()
 {
   return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::capnp::List<::briarglade::wire::ServerLoad,
-                     ::capnp::Kind::STRUCT>::Reader
-NodeNews::Reader::getLoads() const
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>::
-    get(_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::briarglade::wire::ServerLoad,
-                     ::capnp::Kind::STRUCT>::Builder
-NodeNews::Builder::getLoads()
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>::
-    get(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void NodeNews::Builder::setLoads(
-  ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>::Reader
-    value)
-{
-  ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>::
-    set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-        value);
-}
-inline ::capnp::List<::briarglade::wire::ServerLoad,
-                     ::capnp::Kind::STRUCT>::Builder
-NodeNews::Builder::initLoads(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>::
-    init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-         size);
-}
-inline void NodeNews::Builder::adoptLoads(
-  ::capnp::Orphan<::capnp::List<::briarglade::wire::ServerLoad,
-                                ::capnp::Kind::STRUCT>>&& value)
-{
-  ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>::
-    adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-          kj::mv(value));
-}
-inline ::capnp::Orphan<
-  ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>
-NodeNews::Builder::disownLoads()
-{
-  return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>::
-    disown(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool NodeNews::Reader::hasSuspects() const
-{
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool NodeNews::Builder::hasSuspects()
-{
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-NodeNews::Reader::getSuspects() const
+inline ::briarglade::wire::NodeCondition::Reader
+NodeNews::Reader::getCondition() const
 {
-  return ::capnp::_::
-    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::briarglade::wire::NodeCondition>::get(
+    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-NodeNews::Builder::getSuspects()
+inline ::briarglade::wire::NodeCondition::Builder
+NodeNews::Builder::getCondition()
 {
-  return ::capnp::_::
-    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::briarglade::wire::NodeCondition>::get(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void NodeNews::Builder::setSuspects(
-  ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value)
+#if !CAPNP_LITE
+inline ::briarglade::wire::NodeCondition::Pipeline
+NodeNews::Pipeline::getCondition()
 {
-  ::capnp::_::
-    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      value);
+  return ::briarglade::wire::NodeCondition::Pipeline(
+    _typeless.getPointerField(1));
 }
-inline void NodeNews::Builder::setSuspects(
-  ::kj::ArrayPtr<const ::capnp::Text::Reader> value)
+#endif // !CAPNP_LITE
+inline void NodeNews::Builder::setCondition(
+  ::briarglade::wire::NodeCondition::Reader value)
 {
-  ::capnp::_::
-    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers<::briarglade::wire::NodeCondition>::set(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-NodeNews::Builder::initSuspects(unsigned int size)
+inline ::briarglade::wire::NodeCondition::Builder
+NodeNews::Builder::initCondition()
 {
-  return ::capnp::_::
-    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      size);
+  return ::capnp::_::PointerHelpers<::briarglade::wire::NodeCondition>::init(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void NodeNews::Builder::adoptSuspects(
-  ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value)
+inline void NodeNews::Builder::adoptCondition(
+  ::capnp::Orphan<::briarglade::wire::NodeCondition>&& value)
 {
-  ::capnp::_::
-    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers<::briarglade::wire::NodeCondition>::adopt(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+    kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-NodeNews::Builder::disownSuspects()
+inline ::capnp::Orphan<::briarglade::wire::NodeCondition>
+NodeNews::Builder::disownCondition()
 {
-  return ::capnp::_::
-    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::briarglade::wire::NodeCondition>::disown(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool NodeNews::Reader::hasComplete() const
 {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
             .isNull();
 }
 inline bool NodeNews::Builder::hasComplete()
 {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
             .isNull();
 }
 inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
@@ -2078,21 +3920,21 @@
 {
   return ::capnp::_::
     PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
-      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
 NodeNews::Builder::getComplete()
 {
   return ::capnp::_::
     PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void NodeNews::Builder::setComplete(
   ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value)
 {
   ::capnp::_::
     PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
       value);
 }
 inline void NodeNews::Builder::setComplete(
@@ -2100,7 +3942,7 @@
 {
   ::capnp::_::
     PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
       value);
 }
 inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
@@ -2108,7 +3950,7 @@
 {
   return ::capnp::_::
     PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::init(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
       size);
 }
 inline void NodeNews::Builder::adoptComplete(
@@ -2116,7 +3958,7 @@
 {
   ::capnp::_::
     PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::adopt(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
       kj::mv(value));
 }
 inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
