@@ -2124,384 +3966,499 @@
 {
   return ::capnp::_::
     PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::disown(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool NodeNews::Reader::getWantsRows() const
+inline ::int64_t NodeNews::Reader::getRosterKnownUpTo() const
 {
-  return _reader.getDataField<bool>(::capnp::bounded<67>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<::int64_t>(::capnp::bounded<1>() *
+                                         ::capnp::ELEMENTS);
 }
 
-inline bool NodeNews::Builder::getWantsRows()
+inline ::int64_t NodeNews::Builder::getRosterKnownUpTo()
 {
-  return _builder.getDataField<bool>(::capnp::bounded<67>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<::int64_t>(::capnp::bounded<1>() *
+                                          ::capnp::ELEMENTS);
 }
-inline void NodeNews::Builder::setWantsRows(bool value)
+inline void NodeNews::Builder::setRosterKnownUpTo(::int64_t value)
 {
-  _builder.setDataField<bool>(::capnp::bounded<67>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+                                   value);
 }
 
-inline bool NodeNews::Reader::hasHanded() const
+inline ::uint8_t NodeNews::Reader::getSubscription() const
 {
-  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
+  return _reader.getDataField<::uint8_t>(::capnp::bounded<16>() *
+                                         ::capnp::ELEMENTS);
+}
+
+inline ::uint8_t NodeNews::Builder::getSubscription()
+{
+  return _builder.getDataField<::uint8_t>(::capnp::bounded<16>() *
+                                          ::capnp::ELEMENTS);
+}
+inline void NodeNews::Builder::setSubscription(::uint8_t value)
+{
+  _builder.setDataField<::uint8_t>(::capnp::bounded<16>() * ::capnp::ELEMENTS,
+                                   value);
+}
+
+inline ::uint16_t NodeNews::Reader::getReportNumber() const
+{
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<9>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint16_t NodeNews::Builder::getReportNumber()
+{
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<9>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void NodeNews::Builder::setReportNumber(::uint16_t value)
+{
+  _builder.setDataField<::uint16_t>(::capnp::bounded<9>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline bool NodeNews::Reader::hasLoads() const
+{
+  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool NodeNews::Builder::hasHanded()
+inline bool NodeNews::Builder::hasLoads()
 {
-  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
+  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::capnp::List<::briarglade::wire::HandedRows,
+inline ::capnp::List<::briarglade::wire::ServerLoad,
                      ::capnp::Kind::STRUCT>::Reader
-NodeNews::Reader::getHanded() const
+NodeNews::Reader::getLoads() const
 {
   return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>::
-    get(_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+    ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>::
+    get(_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::briarglade::wire::HandedRows,
+inline ::capnp::List<::briarglade::wire::ServerLoad,
                      ::capnp::Kind::STRUCT>::Builder
-NodeNews::Builder::getHanded()
+NodeNews::Builder::getLoads()
 {
   return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>::
-    get(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+    ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>::
+    get(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void NodeNews::Builder::setHanded(
-  ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>::Reader
+inline void NodeNews::Builder::setLoads(
+  ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>::Reader
     value)
 {
   ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>::
-    set(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
+    ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>::
+    set(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
         value);
 }
-inline ::capnp::List<::briarglade::wire::HandedRows,
+inline ::capnp::List<::briarglade::wire::ServerLoad,
                      ::capnp::Kind::STRUCT>::Builder
-NodeNews::Builder::initHanded(unsigned int size)
+NodeNews::Builder::initLoads(unsigned int size)
 {
   return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>::
-    init(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
+    ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>::
+    init(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
          size);
 }
-inline void NodeNews::Builder::adoptHanded(
-  ::capnp::Orphan<::capnp::List<::briarglade::wire::HandedRows,
+inline void NodeNews::Builder::adoptLoads(
+  ::capnp::Orphan<::capnp::List<::briarglade::wire::ServerLoad,
                                 ::capnp::Kind::STRUCT>>&& value)
 {
   ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>::
-    adopt(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
+    ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>::
+    adopt(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
           kj::mv(value));
 }
 inline ::capnp::Orphan<
-  ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>
-NodeNews::Builder::disownHanded()
+  ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>
+NodeNews::Builder::disownLoads()
 {
   return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>::
-    disown(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+    ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>::
+    disown(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool NodeNews::Reader::hasEnded() const
+inline bool NodeNews::Reader::hasSuspects() const
 {
-  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
+  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool NodeNews::Builder::hasEnded()
+inline bool NodeNews::Builder::hasSuspects()
 {
-  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
+  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
             .isNull();
 }
 inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-NodeNews::Reader::getEnded() const
+NodeNews::Reader::getSuspects() const
 {
   return ::capnp::_::
     PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-      _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+      _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-NodeNews::Builder::getEnded()
+NodeNews::Builder::getSuspects()
 {
   return ::capnp::_::
     PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void NodeNews::Builder::setEnded(
+inline void NodeNews::Builder::setSuspects(
   ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value)
 {
   ::capnp::_::
     PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
       value);
 }
-inline void NodeNews::Builder::setEnded(
+inline void NodeNews::Builder::setSuspects(
   ::kj::ArrayPtr<const ::capnp::Text::Reader> value)
 {
   ::capnp::_::
     PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
       value);
 }
 inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-NodeNews::Builder::initEnded(unsigned int size)
+NodeNews::Builder::initSuspects(unsigned int size)
 {
   return ::capnp::_::
     PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
       size);
 }
-inline void NodeNews::Builder::adoptEnded(
+inline void NodeNews::Builder::adoptSuspects(
   ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value)
 {
   ::capnp::_::
     PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
       kj::mv(value));
 }
 inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-NodeNews::Builder::disownEnded()
+NodeNews::Builder::disownSuspects()
 {
   return ::capnp::_::
     PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool NodeNews::Reader::hasFleet() const
+{
+  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool NodeNews::Builder::hasFleet()
+{
+  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::briarglade::wire::NewsDigest::Reader NodeNews::Reader::getFleet() const
+{
+  return ::capnp::_::PointerHelpers<::briarglade::wire::NewsDigest>::get(
+    _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline ::briarglade::wire::NewsDigest::Builder NodeNews::Builder::getFleet()
+{
+  return ::capnp::_::PointerHelpers<::briarglade::wire::NewsDigest>::get(
+    _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline ::briarglade::wire::NewsDigest::Pipeline NodeNews::Pipeline::getFleet()
+{
+  return ::briarglade::wire::NewsDigest::Pipeline(_typeless.getPointerField(5));
+}
+#endif // !CAPNP_LITE
+inline void NodeNews::Builder::setFleet(
+  ::briarglade::wire::NewsDigest::Reader value)
+{
+  ::capnp::_::PointerHelpers<::briarglade::wire::NewsDigest>::set(
+    _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline ::briarglade::wire::NewsDigest::Builder NodeNews::Builder::initFleet()
+{
+  return ::capnp::_::PointerHelpers<::briarglade::wire::NewsDigest>::init(
+    _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void NodeNews::Builder::adoptFleet(
+  ::capnp::Orphan<::briarglade::wire::NewsDigest>&& value)
+{
+  ::capnp::_::PointerHelpers<::briarglade::wire::NewsDigest>::adopt(
+    _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::briarglade::wire::NewsDigest>
+NodeNews::Builder::disownFleet()
+{
+  return ::capnp::_::PointerHelpers<::briarglade::wire::NewsDigest>::disown(
+    _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool NodeNews::Reader::hasOpened() const
+inline bool NodeNews::Reader::hasZones() const
 {
   return !_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool NodeNews::Builder::hasOpened()
+inline bool NodeNews::Builder::hasZones()
 {
   return !_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::capnp::List<::briarglade::wire::OpenedGroup,
+inline ::capnp::List<::briarglade::wire::ZoneDigest,
                      ::capnp::Kind::STRUCT>::Reader
-NodeNews::Reader::getOpened() const
+NodeNews::Reader::getZones() const
 {
   return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::OpenedGroup, ::capnp::Kind::STRUCT>>::
+    ::capnp::List<::briarglade::wire::ZoneDigest, ::capnp::Kind::STRUCT>>::
     get(_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::briarglade::wire::OpenedGroup,
+inline ::capnp::List<::briarglade::wire::ZoneDigest,
                      ::capnp::Kind::STRUCT>::Builder
-NodeNews::Builder::getOpened()
+NodeNews::Builder::getZones()
 {
   return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::OpenedGroup, ::capnp::Kind::STRUCT>>::
+    ::capnp::List<::briarglade::wire::ZoneDigest, ::capnp::Kind::STRUCT>>::
     get(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void NodeNews::Builder::setOpened(
-  ::capnp::List<::briarglade::wire::OpenedGroup, ::capnp::Kind::STRUCT>::Reader
+inline void NodeNews::Builder::setZones(
+  ::capnp::List<::briarglade::wire::ZoneDigest, ::capnp::Kind::STRUCT>::Reader
     value)
 {
   ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::OpenedGroup, ::capnp::Kind::STRUCT>>::
+    ::capnp::List<::briarglade::wire::ZoneDigest, ::capnp::Kind::STRUCT>>::
     set(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
         value);
 }
-inline ::capnp::List<::briarglade::wire::OpenedGroup,
+inline ::capnp::List<::briarglade::wire::ZoneDigest,
                      ::capnp::Kind::STRUCT>::Builder
-NodeNews::Builder::initOpened(unsigned int size)
+NodeNews::Builder::initZones(unsigned int size)
 {
   return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::OpenedGroup, ::capnp::Kind::STRUCT>>::
+    ::capnp::List<::briarglade::wire::ZoneDigest, ::capnp::Kind::STRUCT>>::
     init(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
          size);
 }
-inline void NodeNews::Builder::adoptOpened(
-  ::capnp::Orphan<::capnp::List<::briarglade::wire::OpenedGroup,
+inline void NodeNews::Builder::adoptZones(
+  ::capnp::Orphan<::capnp::List<::briarglade::wire::ZoneDigest,
                                 ::capnp::Kind::STRUCT>>&& value)
 {
   ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::OpenedGroup, ::capnp::Kind::STRUCT>>::
+    ::capnp::List<::briarglade::wire::ZoneDigest, ::capnp::Kind::STRUCT>>::
     adopt(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
           kj::mv(value));
 }
 inline ::capnp::Orphan<
-  ::capnp::List<::briarglade::wire::OpenedGroup, ::capnp::Kind::STRUCT>>
-NodeNews::Builder::disownOpened()
+  ::capnp::List<::briarglade::wire::ZoneDigest, ::capnp::Kind::STRUCT>>
+NodeNews::Builder::disownZones()
 {
   return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::OpenedGroup, ::capnp::Kind::STRUCT>>::
+    ::capnp::List<::briarglade::wire::ZoneDigest, ::capnp::Kind::STRUCT>>::
     disown(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline bool NodeNews::Reader::hasCrashes() const
+inline bool NodeNews::Reader::hasZoneAges() const
 {
   return !_reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool NodeNews::Builder::hasCrashes()
+inline bool NodeNews::Builder::hasZoneAges()
 {
   return !_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::capnp::List<::briarglade::wire::CrashNews,
-                     ::capnp::Kind::STRUCT>::Reader
-NodeNews::Reader::getCrashes() const
+inline ::capnp::List<::briarglade::wire::ZoneAge, ::capnp::Kind::STRUCT>::Reader
+NodeNews::Reader::getZoneAges() const
 {
   return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::CrashNews, ::capnp::Kind::STRUCT>>::
+    ::capnp::List<::briarglade::wire::ZoneAge, ::capnp::Kind::STRUCT>>::
     get(_reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::briarglade::wire::CrashNews,
+inline ::capnp::List<::briarglade::wire::ZoneAge,
                      ::capnp::Kind::STRUCT>::Builder
-NodeNews::Builder::getCrashes()
+NodeNews::Builder::getZoneAges()
 {
   return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::CrashNews, ::capnp::Kind::STRUCT>>::
+    ::capnp::List<::briarglade::wire::ZoneAge, ::capnp::Kind::STRUCT>>::
     get(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline void NodeNews::Builder::setCrashes(
-  ::capnp::List<::briarglade::wire::CrashNews, ::capnp::Kind::STRUCT>::Reader
+inline void NodeNews::Builder::setZoneAges(
+  ::capnp::List<::briarglade::wire::ZoneAge, ::capnp::Kind::STRUCT>::Reader
     value)
 {
   ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::CrashNews, ::capnp::Kind::STRUCT>>::
+    ::capnp::List<::briarglade::wire::ZoneAge, ::capnp::Kind::STRUCT>>::
     set(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS),
         value);
 }
-inline ::capnp::List<::briarglade::wire::CrashNews,
+inline ::capnp::List<::briarglade::wire::ZoneAge,
                      ::capnp::Kind::STRUCT>::Builder
-NodeNews::Builder::initCrashes(unsigned int size)
+NodeNews::Builder::initZoneAges(unsigned int size)
 {
   return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::CrashNews, ::capnp::Kind::STRUCT>>::
+    ::capnp::List<::briarglade::wire::ZoneAge, ::capnp::Kind::STRUCT>>::
     init(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS),
          size);
 }
-inline void NodeNews::Builder::adoptCrashes(
-  ::capnp::Orphan<::capnp::List<::briarglade::wire::CrashNews,
-                                ::capnp::Kind::STRUCT>>&& value)
+inline void NodeNews::Builder::adoptZoneAges(
+  ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::ZoneAge, ::capnp::Kind::STRUCT>>&& value)
 {
   ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::CrashNews, ::capnp::Kind::STRUCT>>::
+    ::capnp::List<::briarglade::wire::ZoneAge, ::capnp::Kind::STRUCT>>::
     adopt(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS),
           kj::mv(value));
 }
 inline ::capnp::Orphan<
-  ::capnp::List<::briarglade::wire::CrashNews, ::capnp::Kind::STRUCT>>
-NodeNews::Builder::disownCrashes()
+  ::capnp::List<::briarglade::wire::ZoneAge, ::capnp::Kind::STRUCT>>
+NodeNews::Builder::disownZoneAges()
 {
   return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::CrashNews, ::capnp::Kind::STRUCT>>::
+    ::capnp::List<::briarglade::wire::ZoneAge, ::capnp::Kind::STRUCT>>::
     disown(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline bool NodeNews::Reader::getStoreLost() const
+inline bool NodeNews::Reader::hasBulletins() const
 {
-  return _reader.getDataField<bool>(::capnp::bounded<68>() * ::capnp::ELEMENTS);
+  return !_reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS)
+            .isNull();
 }
-
-inline bool NodeNews::Builder::getStoreLost()
+inline bool NodeNews::Builder::hasBulletins()
 {
-  return _builder.getDataField<bool>(::capnp::bounded<68>() *
-                                     ::capnp::ELEMENTS);
+  return !_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS)
+            .isNull();
 }
-inline void NodeNews::Builder::setStoreLost(bool value)
+inline ::capnp::List<::briarglade::wire::Bulletin,
+                     ::capnp::Kind::STRUCT>::Reader
+NodeNews::Reader::getBulletins() const
 {
-  _builder.setDataField<bool>(::capnp::bounded<68>() * ::capnp::ELEMENTS,
-                              value);
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::Bulletin, ::capnp::Kind::STRUCT>>::
+    get(_reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-
-inline bool NodeNews::Reader::getStoreDisturbed() const
+inline ::capnp::List<::briarglade::wire::Bulletin,
+                     ::capnp::Kind::STRUCT>::Builder
+NodeNews::Builder::getBulletins()
 {
-  return _reader.getDataField<bool>(::capnp::bounded<69>() * ::capnp::ELEMENTS);
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::Bulletin, ::capnp::Kind::STRUCT>>::
+    get(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-
-inline bool NodeNews::Builder::getStoreDisturbed()
+inline void NodeNews::Builder::setBulletins(
+  ::capnp::List<::briarglade::wire::Bulletin, ::capnp::Kind::STRUCT>::Reader
+    value)
 {
-  return _builder.getDataField<bool>(::capnp::bounded<69>() *
-                                     ::capnp::ELEMENTS);
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::Bulletin, ::capnp::Kind::STRUCT>>::
+    set(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS),
+        value);
 }
-inline void NodeNews::Builder::setStoreDisturbed(bool value)
+inline ::capnp::List<::briarglade::wire::Bulletin,
+                     ::capnp::Kind::STRUCT>::Builder
+NodeNews::Builder::initBulletins(unsigned int size)
 {
-  _builder.setDataField<bool>(::capnp::bounded<69>() * ::capnp::ELEMENTS,
-                              value);
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::Bulletin, ::capnp::Kind::STRUCT>>::
+    init(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS),
+         size);
+}
+inline void NodeNews::Builder::adoptBulletins(
+  ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::Bulletin, ::capnp::Kind::STRUCT>>&& value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::Bulletin, ::capnp::Kind::STRUCT>>::
+    adopt(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS),
+          kj::mv(value));
+}
+inline ::capnp::Orphan<
+  ::capnp::List<::briarglade::wire::Bulletin, ::capnp::Kind::STRUCT>>
+NodeNews::Builder::disownBulletins()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::Bulletin, ::capnp::Kind::STRUCT>>::
+    disown(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t NodeNews::Reader::getRosterKnownUpTo() const
+inline bool NodeNews::Reader::getWantsRows() const
 {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<2>() *
-                                         ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<136>() *
+                                    ::capnp::ELEMENTS);
 }
 
-inline ::int64_t NodeNews::Builder::getRosterKnownUpTo()
+inline bool NodeNews::Builder::getWantsRows()
 {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<136>() *
+                                     ::capnp::ELEMENTS);
 }
-inline void NodeNews::Builder::setRosterKnownUpTo(::int64_t value)
+inline void NodeNews::Builder::setWantsRows(bool value)
 {
-  _builder.setDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                   value);
+  _builder.setDataField<bool>(::capnp::bounded<136>() * ::capnp::ELEMENTS,
+                              value);
 }
 
-inline bool NodeNews::Reader::hasLeavingServers() const
+inline bool NodeNews::Reader::hasHanded() const
 {
-  return !_reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS)
+  return !_reader.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool NodeNews::Builder::hasLeavingServers()
+inline bool NodeNews::Builder::hasHanded()
 {
-  return !_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS)
+  return !_builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::capnp::List<::briarglade::wire::LeavingServer,
+inline ::capnp::List<::briarglade::wire::HandedRows,
                      ::capnp::Kind::STRUCT>::Reader
-NodeNews::Reader::getLeavingServers() const
+NodeNews::Reader::getHanded() const
 {
   return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>::
-    get(_reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+    ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>::
+    get(_reader.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::briarglade::wire::LeavingServer,
+inline ::capnp::List<::briarglade::wire::HandedRows,
                      ::capnp::Kind::STRUCT>::Builder
-NodeNews::Builder::getLeavingServers()
+NodeNews::Builder::getHanded()
 {
   return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>::
-    get(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+    ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>::
+    get(_builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS));
 }
-inline void NodeNews::Builder::setLeavingServers(
-  ::capnp::List<::briarglade::wire::LeavingServer,
-                ::capnp::Kind::STRUCT>::Reader value)
+inline void NodeNews::Builder::setHanded(
+  ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>::Reader
+    value)
 {
   ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>::
-    set(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS),
+    ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>::
+    set(_builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS),
         value);
 }
-inline ::capnp::List<::briarglade::wire::LeavingServer,
+inline ::capnp::List<::briarglade::wire::HandedRows,
                      ::capnp::Kind::STRUCT>::Builder
-NodeNews::Builder::initLeavingServers(unsigned int size)
+NodeNews::Builder::initHanded(unsigned int size)
 {
   return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>::
-    init(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS),
+    ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>::
+    init(_builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS),
          size);
 }
-inline void NodeNews::Builder::adoptLeavingServers(
-  ::capnp::Orphan<::capnp::List<::briarglade::wire::LeavingServer,
+inline void NodeNews::Builder::adoptHanded(
+  ::capnp::Orphan<::capnp::List<::briarglade::wire::HandedRows,
                                 ::capnp::Kind::STRUCT>>&& value)
 {
   ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>::
-    adopt(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS),
+    ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>::
+    adopt(_builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS),
           kj::mv(value));
 }
 inline ::capnp::Orphan<
-  ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>
-NodeNews::Builder::disownLeavingServers()
+  ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>
+NodeNews::Builder::disownHanded()
 {
   return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>::
-    disown(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+    ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>::
+    disown(_builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
 } // namespace
--- a/briarglade/entry/node_news.cc
+++ b/briarglade/entry/node_news.cc
@@ -8,6 +8,7 @@
 #include <capnp/serialize.h>
 #include <kj/exception.h>
 #include <kj/io.h>
+#include <xxhash.h>
 
 #include "briarglade/entry/node_news.capnp.h"
 #include "briarglade/entry/row_cache.h"
@@ -17,6 +18,7 @@
 namespace {
 
 constexpr uint32_t kMaxInFlight = 0xffff;
+constexpr int64_t kMaxAge = 0xffff;
 
 kj::ArrayPtr<const kj::byte> BytesOf(const std::string& aText)
 {
@@ -33,140 +35,179 @@
   return { aData.asChars().begin(), aData.size() };
 }
 
-void WriteOpened(const NodeNews& aNews, wire::NodeNews::Builder aMessage)
+uint16_t ToAge(Millis aAge)
 {
-  auto opened =
-    aMessage.initOpened(static_cast<unsigned>(aNews.m_opened.size()));
-  unsigned index = 0;
-  for (const OpenedGroup& group : aNews.m_opened) {
-    auto entry = opened[index++];
-    entry.setGroup(group.m_group.Value());
-    entry.setGeneration(group.m_generation.Value());
-    auto members =
-      entry.initMembers(static_cast<unsigned>(group.m_members.size()));
-    unsigned rank = 0;
-    for (const HostId& member : group.m_members) {
-      members.set(rank++, member.Value());
-    }
-  }
+  return static_cast<uint16_t>(std::clamp(aAge.Count(), int64_t{ 0 }, kMaxAge));
 }
 
-void WriteCrashes(const NodeNews& aNews, wire::NodeNews::Builder aMessage)
+// Writes the entries of a list one by one.
+template<typename Builder, typename Entries, typename Writer>
+void WriteList(Builder aList, const Entries& aEntries, const Writer& aWrite)
 {
-  auto crashes =
-    aMessage.initCrashes(static_cast<unsigned>(aNews.m_crashes.size()));
   unsigned index = 0;
-  for (const CrashNotice& notice : aNews.m_crashes) {
-    auto entry = crashes[index++];
-    entry.setFingerprint(notice.m_fingerprint.Value());
-    entry.setServer(notice.m_group.Value());
-    entry.setRun(notice.m_boot.Value());
-    entry.setRefuseForMs(notice.m_refuseFor.Count());
+  for (const auto& entry : aEntries) {
+    aWrite(aList[index++], entry);
   }
 }
 
-void WriteLeaving(const NodeNews& aNews, wire::NodeNews::Builder aMessage)
+template<typename Entries>
+unsigned SizeOf(const Entries& aEntries)
+{
+  return static_cast<unsigned>(aEntries.size());
+}
+
+template<typename Builder, typename Ids>
+void WriteIds(Builder aList, const Ids& aIds)
 {
-  auto servers = aMessage.initLeavingServers(
-    static_cast<unsigned>(aNews.m_leavingServers.size()));
   unsigned index = 0;
-  for (const ServerRun& server : aNews.m_leavingServers) {
-    auto entry = servers[index++];
-    entry.setServer(server.m_server.Value());
-    entry.setRun(server.m_run.Value());
+  for (const auto& id : aIds) {
+    aList.set(index++, id.Value());
   }
 }
 
-void ReadLeaving(wire::NodeNews::Reader aMessage, NodeNews& aNews)
+template<typename Id>
+std::vector<Id> ReadIds(capnp::List<capnp::Text>::Reader aList)
 {
-  for (const auto entry : aMessage.getLeavingServers()) {
-    aNews.m_leavingServers.push_back(ServerRun{
-      HostId(ToText(entry.getServer())), BootId(ToText(entry.getRun())) });
+  std::vector<Id> ids;
+  ids.reserve(aList.size());
+  for (const auto id : aList) {
+    ids.emplace_back(ToText(id));
   }
+  return ids;
 }
 
-void ReadCrashes(wire::NodeNews::Reader aMessage, NodeNews& aNews)
+// Conditions stand alike in two messages.
+template<typename Builder>
+void WriteCondition(Builder aMessage, const NodeCondition& aCondition)
 {
-  for (const auto entry : aMessage.getCrashes()) {
-    CrashNotice notice;
-    notice.m_node = aNews.m_node;
-    notice.m_fingerprint = Fingerprint(entry.getFingerprint());
-    notice.m_group = GroupId(ToText(entry.getServer()));
-    notice.m_boot = BootId(ToText(entry.getRun()));
-    notice.m_refuseFor = Millis(entry.getRefuseForMs());
-    aNews.m_crashes.push_back(std::move(notice));
-  }
+  aMessage.setLeaving(aCondition.m_isLeaving);
+  aMessage.setReady(aCondition.m_isReady);
+  aMessage.setHasTraffic(aCondition.m_hasTraffic);
+  aMessage.setStoreLost(aCondition.m_isStoreLost);
+  aMessage.setStoreDisturbed(aCondition.m_isStoreDisturbed);
 }
 
-void ReadOpened(wire::NodeNews::Reader aMessage, NodeNews& aNews)
+template<typename Reader>
+NodeCondition ReadCondition(Reader aMessage)
 {
-  for (const auto entry : aMessage.getOpened()) {
-    OpenedGroup group;
-    group.m_group = GroupId(ToText(entry.getGroup()));
-    group.m_generation = Generation(entry.getGeneration());
-    for (const auto member : entry.getMembers()) {
-      group.m_members.emplace_back(ToText(member));
-    }
-    aNews.m_opened.push_back(std::move(group));
-  }
+  NodeCondition condition;
+  condition.m_isLeaving = aMessage.getLeaving();
+  condition.m_isReady = aMessage.getReady();
+  condition.m_hasTraffic = aMessage.getHasTraffic();
+  condition.m_isStoreLost = aMessage.getStoreLost();
+  condition.m_isStoreDisturbed = aMessage.getStoreDisturbed();
+  return condition;
 }
 
-void WriteHanded(const NodeNews& aNews, wire::NodeNews::Builder aMessage)
+void WriteLoad(wire::ServerLoad::Builder aEntry, const ServerLoad& aLoad)
 {
-  auto list = aMessage.initHanded(static_cast<unsigned>(aNews.m_handed.size()));
-  unsigned index = 0;
-  for (const HandedRows& handed : aNews.m_handed) {
-    auto entry = list[index++];
-    entry.setFeed(static_cast<uint8_t>(handed.m_feed));
-    entry.setAfter(handed.m_after.Value());
-    entry.setUpTo(handed.m_upTo.Value());
-    auto rows = entry.initRows(static_cast<unsigned>(handed.m_rows.size()));
-    unsigned place = 0;
-    for (const StoredRow& row : handed.m_rows) {
-      auto written = rows[place++];
-      written.setKey(row.m_key);
-      written.setVersion(row.m_version.Value());
-      written.setGone(!row.m_value.has_value());
-      if (row.m_value) {
-        written.setValue(BytesOf(*row.m_value));
-      }
-    }
-  }
+  aEntry.setServer(aLoad.m_server.Value());
+  aEntry.setInFlight(
+    static_cast<uint16_t>(std::min(aLoad.m_inFlight, kMaxInFlight)));
+  aEntry.setUnreadTokens(aLoad.m_unreadTokens);
 }
 
-void WriteLists(const NodeNews& aNews, wire::NodeNews::Builder aMessage)
+std::vector<ServerLoad> ReadLoads(capnp::List<wire::ServerLoad>::Reader aList)
 {
-  auto loads = aMessage.initLoads(static_cast<unsigned>(aNews.m_loads.size()));
-  unsigned index = 0;
-  for (const ServerLoad& load : aNews.m_loads) {
-    auto entry = loads[index++];
-    entry.setServer(load.m_server.Value());
-    entry.setInFlight(
-      static_cast<uint16_t>(std::min(load.m_inFlight, kMaxInFlight)));
-    entry.setUnreadTokens(load.m_unreadTokens);
+  std::vector<ServerLoad> loads;
+  loads.reserve(aList.size());
+  for (const auto load : aList) {
+    loads.push_back(ServerLoad{ HostId(ToText(load.getServer())),
+                                load.getInFlight(),
+                                load.getUnreadTokens() });
   }
-  auto suspects =
-    aMessage.initSuspects(static_cast<unsigned>(aNews.m_suspects.size()));
-  index = 0;
-  for (const GroupId& group : aNews.m_suspects) {
-    suspects.set(index++, group.Value());
-  }
-  auto ended = aMessage.initEnded(static_cast<unsigned>(aNews.m_ended.size()));
-  index = 0;
-  for (const GroupId& group : aNews.m_ended) {
-    ended.set(index++, group.Value());
+  return loads;
+}
+
+void WriteStatus(wire::NodeStatus::Builder aEntry, const NodeStatus& aStatus)
+{
+  aEntry.setKey(aStatus.m_key.Value());
+  aEntry.setAgeMs(ToAge(aStatus.m_age));
+  aEntry.setReportNumber(aStatus.m_reportNumber);
+  WriteCondition(aEntry, aStatus.m_condition);
+}
+
+void WriteDigest(wire::NewsDigest::Builder aMessage, const NewsDigest& aDigest)
+{
+  WriteList(
+    aMessage.initNodes(SizeOf(aDigest.m_nodes)), aDigest.m_nodes, WriteStatus);
+  WriteList(
+    aMessage.initLoads(SizeOf(aDigest.m_loads)), aDigest.m_loads, WriteLoad);
+  WriteIds(aMessage.initSuspects(SizeOf(aDigest.m_suspects)),
+           aDigest.m_suspects);
+}
+
+NewsDigest ReadDigest(wire::NewsDigest::Reader aMessage)
+{
+  NewsDigest digest;
+  digest.m_nodes.reserve(aMessage.getNodes().size());
+  for (const auto node : aMessage.getNodes()) {
+    digest.m_nodes.push_back(NodeStatus{ NodeRunKey(node.getKey()),
+                                         Millis(node.getAgeMs()),
+                                         node.getReportNumber(),
+                                         ReadCondition(node) });
   }
-  auto complete =
-    aMessage.initComplete(static_cast<unsigned>(aNews.m_complete.size()));
-  index = 0;
-  for (const RowVersion version : aNews.m_complete) {
-    complete.set(index++, version.Value());
+  digest.m_loads = ReadLoads(aMessage.getLoads());
+  digest.m_suspects = ReadIds<GroupId>(aMessage.getSuspects());
+  return digest;
+}
+
+void WriteZone(wire::ZoneDigest::Builder aEntry, const ZoneDigest& aZone)
+{
+  aEntry.setZone(aZone.m_zone.Value());
+  aEntry.setAgeMs(ToAge(aZone.m_age));
+  WriteDigest(aEntry.initDigest(), aZone.m_digest);
+}
+
+void WriteZoneAge(wire::ZoneAge::Builder aEntry, const ZoneAge& aZone)
+{
+  aEntry.setZone(aZone.m_zone.Value());
+  aEntry.setAgeMs(ToAge(aZone.m_age));
+}
+
+void WriteOpened(wire::OpenedGroup::Builder aEntry, const OpenedGroup& aGroup)
+{
+  aEntry.setGroup(aGroup.m_group.Value());
+  aEntry.setGeneration(aGroup.m_generation.Value());
+  WriteIds(aEntry.initMembers(SizeOf(aGroup.m_members)), aGroup.m_members);
+}
+
+void WriteCrash(wire::CrashNews::Builder aEntry, const CrashNotice& aNotice)
+{
+  aEntry.setFingerprint(aNotice.m_fingerprint.Value());
+  aEntry.setServer(aNotice.m_group.Value());
+  aEntry.setRun(aNotice.m_boot.Value());
+  aEntry.setRefuseForMs(aNotice.m_refuseFor.Count());
+}
+
+void WriteLeaving(wire::LeavingServer::Builder aEntry, const ServerRun& aServer)
+{
+  aEntry.setServer(aServer.m_server.Value());
+  aEntry.setRun(aServer.m_run.Value());
+}
+
+void WriteRow(wire::Row::Builder aEntry, const StoredRow& aRow)
+{
+  aEntry.setKey(aRow.m_key);
+  aEntry.setVersion(aRow.m_version.Value());
+  aEntry.setGone(!aRow.m_value.has_value());
+  if (aRow.m_value) {
+    aEntry.setValue(BytesOf(*aRow.m_value));
   }
 }
 
-void ReadHanded(wire::NodeNews::Reader aMessage, NodeNews& aNews)
+void WriteHanded(wire::HandedRows::Builder aEntry, const HandedRows& aHanded)
+{
+  aEntry.setFeed(static_cast<uint8_t>(aHanded.m_feed));
+  aEntry.setAfter(aHanded.m_after.Value());
+  aEntry.setUpTo(aHanded.m_upTo.Value());
+  WriteList(aEntry.initRows(SizeOf(aHanded.m_rows)), aHanded.m_rows, WriteRow);
+}
+
+std::vector<HandedRows> ReadHanded(capnp::List<wire::HandedRows>::Reader aList)
 {
-  for (const auto entry : aMessage.getHanded()) {
+  std::vector<HandedRows> list;
+  for (const auto entry : aList) {
     if (entry.getFeed() >= kFeedCount) {
       continue;
     }
@@ -184,8 +225,101 @@
       }
       handed.m_rows.push_back(std::move(row));
     }
-    aNews.m_handed.push_back(std::move(handed));
+    list.push_back(std::move(handed));
+  }
+  return list;
+}
+
+void WriteBulletin(wire::Bulletin::Builder aEntry, const Bulletin& aBulletin)
+{
+  aEntry.setOrigin(aBulletin.m_origin.Value());
+  aEntry.setIncarnation(aBulletin.m_incarnation);
+  aEntry.setNumber(aBulletin.m_number);
+  aEntry.setServersComplete(aBulletin.m_serversComplete.Value());
+  aEntry.setStoreDisturbed(aBulletin.m_isStoreDisturbed);
+  WriteList(aEntry.initCrashes(SizeOf(aBulletin.m_crashes)),
+            aBulletin.m_crashes,
+            WriteCrash);
+  WriteList(aEntry.initLeavingServers(SizeOf(aBulletin.m_leavingServers)),
+            aBulletin.m_leavingServers,
+            WriteLeaving);
+  WriteIds(aEntry.initEnded(SizeOf(aBulletin.m_ended)), aBulletin.m_ended);
+  WriteList(aEntry.initOpened(SizeOf(aBulletin.m_opened)),
+            aBulletin.m_opened,
+            WriteOpened);
+  WriteList(aEntry.initHanded(SizeOf(aBulletin.m_handed)),
+            aBulletin.m_handed,
+            WriteHanded);
+}
+
+Bulletin ReadBulletin(wire::Bulletin::Reader aMessage)
+{
+  Bulletin bulletin;
+  bulletin.m_origin = NodeId(ToText(aMessage.getOrigin()));
+  bulletin.m_incarnation = aMessage.getIncarnation();
+  bulletin.m_number = aMessage.getNumber();
+  bulletin.m_serversComplete = RowVersion(aMessage.getServersComplete());
+  bulletin.m_isStoreDisturbed = aMessage.getStoreDisturbed();
+  for (const auto entry : aMessage.getCrashes()) {
+    CrashNotice notice;
+    notice.m_node = bulletin.m_origin;
+    notice.m_fingerprint = Fingerprint(entry.getFingerprint());
+    notice.m_group = GroupId(ToText(entry.getServer()));
+    notice.m_boot = BootId(ToText(entry.getRun()));
+    notice.m_refuseFor = Millis(entry.getRefuseForMs());
+    bulletin.m_crashes.push_back(std::move(notice));
+  }
+  for (const auto entry : aMessage.getLeavingServers()) {
+    bulletin.m_leavingServers.push_back(ServerRun{
+      HostId(ToText(entry.getServer())), BootId(ToText(entry.getRun())) });
+  }
+  bulletin.m_ended = ReadIds<GroupId>(aMessage.getEnded());
+  for (const auto entry : aMessage.getOpened()) {
+    bulletin.m_opened.push_back(
+      OpenedGroup{ GroupId(ToText(entry.getGroup())),
+                   Generation(entry.getGeneration()),
+                   ReadIds<HostId>(entry.getMembers()) });
+  }
+  bulletin.m_handed = ReadHanded(aMessage.getHanded());
+  return bulletin;
+}
+
+void WriteNews(wire::NodeNews::Builder aMessage, const NodeNews& aNews)
+{
+  aMessage.setNode(aNews.m_node.Value());
+  aMessage.setIncarnation(aNews.m_incarnation);
+  WriteCondition(aMessage.initCondition(), aNews.m_condition);
+  auto complete = aMessage.initComplete(SizeOf(aNews.m_complete));
+  for (unsigned index = 0; index < complete.size(); ++index) {
+    complete.set(index, aNews.m_complete[index].Value());
+  }
+  aMessage.setRosterKnownUpTo(aNews.m_rosterKnownUpTo.Count());
+  aMessage.setSubscription(static_cast<uint8_t>(aNews.m_subscription));
+  aMessage.setReportNumber(aNews.m_reportNumber);
+  aMessage.setWantsRows(aNews.m_wantsRows);
+  WriteList(
+    aMessage.initLoads(SizeOf(aNews.m_loads)), aNews.m_loads, WriteLoad);
+  WriteIds(aMessage.initSuspects(SizeOf(aNews.m_suspects)), aNews.m_suspects);
+  if (aNews.m_fleet) {
+    WriteDigest(aMessage.initFleet(), *aNews.m_fleet);
   }
+  WriteList(
+    aMessage.initZones(SizeOf(aNews.m_zones)), aNews.m_zones, WriteZone);
+  WriteList(aMessage.initZoneAges(SizeOf(aNews.m_zoneAges)),
+            aNews.m_zoneAges,
+            WriteZoneAge);
+  WriteList(aMessage.initBulletins(SizeOf(aNews.m_bulletins)),
+            aNews.m_bulletins,
+            WriteBulletin);
+  WriteList(
+    aMessage.initHanded(SizeOf(aNews.m_handed)), aNews.m_handed, WriteHanded);
+}
+
+Subscription ReadSubscription(uint8_t aValue)
+{
+  return aValue <= static_cast<uint8_t>(Subscription::All)
+           ? static_cast<Subscription>(aValue)
+           : Subscription::None;
 }
 
 NodeNews ReadNews(wire::NodeNews::Reader aMessage)
@@ -193,55 +327,52 @@
   NodeNews news;
   news.m_node = NodeId(ToText(aMessage.getNode()));
   news.m_incarnation = aMessage.getIncarnation();
-  news.m_isLeaving = aMessage.getLeaving();
-  news.m_isReady = aMessage.getReady();
-  news.m_hasTraffic = aMessage.getHasTraffic();
-  for (const auto load : aMessage.getLoads()) {
-    news.m_loads.push_back(ServerLoad{ HostId(ToText(load.getServer())),
-                                       load.getInFlight(),
-                                       load.getUnreadTokens() });
-  }
-  for (const auto group : aMessage.getSuspects()) {
-    news.m_suspects.emplace_back(ToText(group));
-  }
-  for (const auto group : aMessage.getEnded()) {
-    news.m_ended.emplace_back(ToText(group));
-  }
+  news.m_condition = ReadCondition(aMessage.getCondition());
   for (const uint64_t version : aMessage.getComplete()) {
     news.m_complete.emplace_back(version);
   }
   news.m_complete.resize(kFeedCount);
-  news.m_wantsRows = aMessage.getWantsRows();
-  news.m_isStoreLost = aMessage.getStoreLost();
-  news.m_isStoreDisturbed = aMessage.getStoreDisturbed();
   news.m_rosterKnownUpTo = Millis(aMessage.getRosterKnownUpTo());
-  ReadOpened(aMessage, news);
-  ReadCrashes(aMessage, news);
-  ReadLeaving(aMessage, news);
-  ReadHanded(aMessage, news);
+  news.m_subscription = ReadSubscription(aMessage.getSubscription());
+  news.m_reportNumber = aMessage.getReportNumber();
+  news.m_loads = ReadLoads(aMessage.getLoads());
+  news.m_suspects = ReadIds<GroupId>(aMessage.getSuspects());
+  if (aMessage.hasFleet()) {
+    news.m_fleet = ReadDigest(aMessage.getFleet());
+  }
+  for (const auto zone : aMessage.getZones()) {
+    news.m_zones.push_back(ZoneDigest{ ZoneId(ToText(zone.getZone())),
+                                       Millis(zone.getAgeMs()),
+                                       ReadDigest(zone.getDigest()) });
+  }
+  for (const auto zone : aMessage.getZoneAges()) {
+    news.m_zoneAges.push_back(
+      ZoneAge{ ZoneId(ToText(zone.getZone())), Millis(zone.getAgeMs()) });
+  }
+  for (const auto bulletin : aMessage.getBulletins()) {
+    news.m_bulletins.push_back(ReadBulletin(bulletin));
+  }
+  news.m_wantsRows = aMessage.getWantsRows();
+  news.m_handed = ReadHanded(aMessage.getHanded());
   return news;
 }
 
 } // namespace
 
+NodeRunKey MakeNodeRunKey(const NodeId& aNode, uint64_t aIncarnation)
+{
+  // Not the incarnation as the seed: for short names the two would mix by
+  // exclusive or.
+  const std::string& name = aNode.Value();
+  const uint64_t parts[] = { XXH3_64bits(name.data(), name.size()),
+                             aIncarnation };
+  return NodeRunKey(XXH3_64bits(parts, sizeof(parts)));
+}
+
 std::string EncodeNodeNews(const NodeNews& aNews)
 {
   capnp::MallocMessageBuilder builder;
-  auto message = builder.initRoot<wire::NodeNews>();
-  message.setNode(aNews.m_node.Value());
-  message.setIncarnation(aNews.m_incarnation);
-  message.setLeaving(aNews.m_isLeaving);
-  message.setReady(aNews.m_isReady);
-  message.setHasTraffic(aNews.m_hasTraffic);
-  message.setWantsRows(aNews.m_wantsRows);
-  message.setStoreLost(aNews.m_isStoreLost);
-  message.setStoreDisturbed(aNews.m_isStoreDisturbed);
-  message.setRosterKnownUpTo(aNews.m_rosterKnownUpTo.Count());
-  WriteLists(aNews, message);
-  WriteOpened(aNews, message);
-  WriteCrashes(aNews, message);
-  WriteLeaving(aNews, message);
-  WriteHanded(aNews, message);
+  WriteNews(builder.initRoot<wire::NodeNews>(), aNews);
   kj::VectorOutputStream output;
   capnp::writePackedMessage(output, builder);
   const auto bytes = output.getArray();
--- a/briarglade/entry/node_news_test.cc
+++ b/briarglade/entry/node_news_test.cc
@@ -7,67 +7,134 @@
 namespace briarglade {
 namespace {
 
-NodeNews MakeNews()
+Bulletin MakeBulletin()
 {
-  NodeNews news;
-  news.m_node = NodeId("n1");
-  news.m_incarnation = 77;
-  news.m_isReady = true;
-  news.m_hasTraffic = true;
-  news.m_loads = { { HostId("i-1"), 3, 4'000 }, { HostId("i-2"), 70'000, 0 } };
-  news.m_suspects = { GroupId("m.1") };
-  news.m_ended = { GroupId("m.2") };
-  news.m_opened = {
-    { GroupId("m.3"), Generation(3), { HostId("i-1"), HostId("i-2") } }
-  };
+  Bulletin bulletin;
+  bulletin.m_origin = NodeId("n7");
+  bulletin.m_incarnation = 78;
+  bulletin.m_number = 5;
   CrashNotice crash;
   crash.m_fingerprint = Fingerprint(99);
   crash.m_group = GroupId("i-1");
   crash.m_refuseFor = Millis(5'000);
-  news.m_crashes = { crash };
-  news.m_isStoreLost = true;
-  news.m_complete = { RowVersion(1), RowVersion(2), RowVersion(3) };
-  news.m_wantsRows = true;
-  news.m_handed = {
+  bulletin.m_crashes = { crash };
+  bulletin.m_leavingServers = { { HostId("i-3"), BootId("17") } };
+  bulletin.m_ended = { GroupId("m.2") };
+  bulletin.m_opened = {
+    { GroupId("m.3"), Generation(3), { HostId("i-1"), HostId("i-2") } }
+  };
+  bulletin.m_serversComplete = RowVersion(9);
+  bulletin.m_isStoreDisturbed = true;
+  bulletin.m_handed = {
     { Feed::Servers,
       RowVersion(7),
       RowVersion(9),
       { { Feed::Servers, "i-1", RowVersion(9), std::string("a\0b", 3) },
         { Feed::Servers, "i-2", RowVersion(8), std::nullopt } } }
   };
+  return bulletin;
+}
+
+NodeNews MakeNews()
+{
+  NodeNews news;
+  news.m_node = NodeId("n1");
+  news.m_incarnation = 77;
+  news.m_condition.m_isReady = true;
+  news.m_condition.m_hasTraffic = true;
+  news.m_condition.m_isStoreLost = true;
+  news.m_complete = { RowVersion(1), RowVersion(2), RowVersion(3) };
+  news.m_rosterKnownUpTo = Millis(4'711);
+  news.m_subscription = Subscription::All;
+  news.m_reportNumber = 12;
+  news.m_loads = { { HostId("i-1"), 3, 4'000 }, { HostId("i-2"), 70'000, 0 } };
+  news.m_suspects = { GroupId("m.1") };
+  NodeStatus status;
+  status.m_key = MakeNodeRunKey(NodeId("n2"), 5);
+  status.m_age = Millis(70'000);
+  status.m_reportNumber = 3;
+  status.m_condition.m_isLeaving = true;
+  news.m_fleet = NewsDigest{ { status }, news.m_loads, { GroupId("m.4") } };
+  news.m_zones = { { ZoneId("a"), Millis(20), *news.m_fleet } };
+  news.m_zoneAges = { { ZoneId("b"), Millis(900) } };
+  news.m_bulletins = { MakeBulletin() };
+  news.m_wantsRows = true;
+  news.m_handed = news.m_bulletins[0].m_handed;
   return news;
 }
 
-TEST_CASE("news come back as they were sent")
+void CheckRows(const std::vector<HandedRows>& aRead,
+               const std::vector<HandedRows>& aSent)
+{
+  REQUIRE(aRead.size() == 1);
+  const HandedRows& handed = aRead[0];
+  CHECK(handed.m_feed == Feed::Servers);
+  CHECK(handed.m_after == RowVersion(7));
+  CHECK(handed.m_upTo == RowVersion(9));
+  REQUIRE(handed.m_rows.size() == 2);
+  CHECK(handed.m_rows[0].m_value == aSent[0].m_rows[0].m_value);
+  CHECK_FALSE(handed.m_rows[1].m_value);
+}
+
+TEST_CASE("a report comes back as it was sent")
 {
   const NodeNews sent = MakeNews();
   const std::optional<NodeNews> read = DecodeNodeNews(EncodeNodeNews(sent));
   REQUIRE(read);
   CHECK(read->m_node == sent.m_node);
   CHECK(read->m_incarnation == 77);
-  CHECK(read->m_isReady);
-  CHECK_FALSE(read->m_isLeaving);
+  CHECK(read->m_condition.m_isReady);
+  CHECK(read->m_condition.m_isStoreLost);
+  CHECK_FALSE(read->m_condition.m_isLeaving);
+  CHECK_FALSE(read->m_condition.m_isStoreDisturbed);
+  CHECK(read->m_complete == sent.m_complete);
+  CHECK(read->m_rosterKnownUpTo == Millis(4'711));
+  CHECK(read->m_subscription == Subscription::All);
+  CHECK(read->m_reportNumber == 12);
   CHECK(read->m_loads[0].m_inFlight == 3);
   CHECK(read->m_loads[0].m_unreadTokens == 4'000);
   CHECK(read->m_loads[1].m_inFlight == 0xffff);
   CHECK(read->m_suspects == sent.m_suspects);
-  CHECK(read->m_ended == sent.m_ended);
-  CHECK(read->m_opened[0].m_members == sent.m_opened[0].m_members);
-  REQUIRE(read->m_crashes.size() == 1);
-  CHECK(read->m_crashes[0].m_fingerprint == Fingerprint(99));
-  CHECK(read->m_crashes[0].m_refuseFor == Millis(5'000));
-  CHECK(read->m_isStoreLost);
-  CHECK_FALSE(read->m_isStoreDisturbed);
   CHECK(read->m_wantsRows);
-  CHECK(read->m_complete == sent.m_complete);
-  REQUIRE(read->m_handed.size() == 1);
-  const HandedRows& handed = read->m_handed[0];
-  CHECK(handed.m_feed == Feed::Servers);
-  CHECK(handed.m_after == RowVersion(7));
-  CHECK(handed.m_upTo == RowVersion(9));
-  REQUIRE(handed.m_rows.size() == 2);
-  CHECK(handed.m_rows[0].m_value == sent.m_handed[0].m_rows[0].m_value);
-  CHECK_FALSE(handed.m_rows[1].m_value);
+  CheckRows(read->m_handed, sent.m_handed);
+}
+
+TEST_CASE("digests and bulletins come back as they were sent")
+{
+  const NodeNews sent = MakeNews();
+  const std::optional<NodeNews> read = DecodeNodeNews(EncodeNodeNews(sent));
+  REQUIRE(read);
+  REQUIRE(read->m_fleet);
+  REQUIRE(read->m_fleet->m_nodes.size() == 1);
+  const NodeStatus& status = read->m_fleet->m_nodes[0];
+  CHECK(status.m_key == MakeNodeRunKey(NodeId("n2"), 5));
+  // The longest age on the wire.
+  CHECK(status.m_age == Millis(0xffff));
+  CHECK(status.m_reportNumber == 3);
+  CHECK(status.m_condition.m_isLeaving);
+  CHECK(read->m_fleet->m_suspects == sent.m_fleet->m_suspects);
+  REQUIRE(read->m_zones.size() == 1);
+  CHECK(read->m_zones[0].m_zone == ZoneId("a"));
+  CHECK(read->m_zones[0].m_digest.m_loads.size() == 2);
+  REQUIRE(read->m_zoneAges.size() == 1);
+  CHECK(read->m_zoneAges[0].m_age == Millis(900));
+  REQUIRE(read->m_bulletins.size() == 1);
+  const Bulletin& bulletin = read->m_bulletins[0];
+  CHECK(bulletin.m_origin == NodeId("n7"));
+  CHECK(bulletin.m_incarnation == 78);
+  CHECK(bulletin.m_number == 5);
+  REQUIRE(bulletin.m_crashes.size() == 1);
+  CHECK(bulletin.m_crashes[0].m_fingerprint == Fingerprint(99));
+  CHECK(bulletin.m_crashes[0].m_refuseFor == Millis(5'000));
+  REQUIRE(bulletin.m_leavingServers.size() == 1);
+  CHECK(bulletin.m_leavingServers[0].m_run == BootId("17"));
+  CHECK(bulletin.m_ended == sent.m_bulletins[0].m_ended);
+  REQUIRE(bulletin.m_opened.size() == 1);
+  CHECK(bulletin.m_opened[0].m_members ==
+        sent.m_bulletins[0].m_opened[0].m_members);
+  CHECK(bulletin.m_serversComplete == RowVersion(9));
+  CHECK(bulletin.m_isStoreDisturbed);
+  CheckRows(bulletin.m_handed, sent.m_handed);
 }
 
 TEST_CASE("bytes that are cut or wrong are no news, and harm nothing")
--- a/briarglade/entry/own_rows.cc
+++ b/briarglade/entry/own_rows.cc
@@ -55,7 +55,8 @@
     { "zone", aRow.m_zone.Value() },
     { "callers", aRow.m_callerAddress.ToString() },
     { "peers", aRow.m_peerAddress.ToString() },
-    { "incarnation", aRow.m_incarnation }
+    { "incarnation", aRow.m_incarnation },
+    { "processor-share", aRow.m_processorShare }
   }.dump();
 }
 
@@ -79,12 +80,13 @@
   const auto callers = ReadEndpoint(object, "callers");
   const auto peers = ReadEndpoint(object, "peers");
   const auto incarnation = Read<uint64_t>(object, "incarnation");
+  // Rows of earlier versions lack it.
+  const auto share = Read<uint32_t>(object, "processor-share").value_or(0);
   if (!node || !zone || !callers || !peers || !incarnation) {
     return std::nullopt;
   }
-  return NodeRow{
-    NodeId(*node), ZoneId(*zone), *callers, *peers, *incarnation
-  };
+  return NodeRow{ NodeId(*node), ZoneId(*zone), *callers,
+                  *peers,        *incarnation,  share };
 }
 
 std::optional<LeaseRow> DecodeLeaseRow(const std::string& aText)
--- a/briarglade/entry/own_rows.h
+++ b/briarglade/entry/own_rows.h
@@ -23,6 +23,8 @@
   Endpoint m_peerAddress;
   // Differs between two runs of the process.
   uint64_t m_incarnation = 0;
+  // Thousandths of a core that the node may use.
+  uint32_t m_processorShare = 0;
 };
 
 // Who controls the groups, and until when on the store's clock.
--- a/briarglade/entry/reduce_entry.cc
+++ b/briarglade/entry/reduce_entry.cc
@@ -41,13 +41,11 @@
     std::visit(
       Overloaded{
         [this](TellCrash& aTell) {
-          m_state.m_crashNews.push_back(std::move(aTell.m_notice));
-          m_state.m_hasUrgentNews = true;
+          m_state.m_news.m_next.m_crashes.push_back(std::move(aTell.m_notice));
         },
         [this](TellLeaving& aTell) {
           if (TakeLeaving(aTell.m_server)) {
-            m_state.m_leavingNews.push_back(aTell.m_server);
-            m_state.m_hasUrgentNews = true;
+            m_state.m_news.m_next.m_leavingServers.push_back(aTell.m_server);
           }
         },
         [this](auto& aBody) { m_effects.emplace_back(std::move(aBody)); } },
@@ -65,7 +63,6 @@
   RemoveLapsed();
   m_state.m_leavingServers.Forget(m_now);
   Register();
-  SendNews();
   UpdateRoster();
   TickLease();
   TickControl();
@@ -73,11 +70,9 @@
   ToGateway(GatewayTick{});
   m_state.m_pressure.Note(
     m_now, RequestsByModel(m_state.m_gateway, m_state.m_nodeCount));
-  m_state.m_hasUrgentNews =
-    m_state.m_hasUrgentNews || OwnSuspects().size() > suspects;
-  if (m_state.m_hasUrgentNews) {
-    SendNews();
-  }
+  m_state.m_news.m_hasUrgentReport =
+    m_state.m_news.m_hasUrgentReport || OwnSuspects().size() > suspects;
+  TickNews();
   if (m_state.m_phase != EntryPhase::Serving) {
     ContinueLeaving();
   }
@@ -109,7 +104,8 @@
                                          m_state.m_settings.m_zone,
                                          m_state.m_settings.m_callerAddress,
                                          m_state.m_settings.m_peerAddress,
-                                         m_state.m_incarnation });
+                                         m_state.m_incarnation,
+                                         m_state.m_settings.m_processorShare });
   m_effects.emplace_back(std::move(write));
 }
 
@@ -126,8 +122,8 @@
   m_state.m_directory.SetSelf(false, true);
   m_state.m_roster.OnLeaving();
   UpdateRoster();
-  m_state.m_hasUrgentNews = true;
-  SendNews();
+  m_state.m_news.m_hasUrgentReport = true;
+  TickNews();
   WriteOwnRow remove;
   remove.m_operation = OperationId(m_state.m_ids.Next());
   remove.m_key = NodeRowKey(m_state.m_settings.m_node);
@@ -167,7 +163,6 @@
   state.m_incarnation = aIncarnation;
   state.m_decode = std::move(aDecode);
   state.m_registeredAt = Millis(-1'000'000);
-  state.m_newsSentAt = Millis(-1'000'000);
   for (const Feed feed : { Feed::Operator, Feed::Servers, Feed::Own }) {
     state.m_feeds.emplace(feed,
                           FeedFollower(FeedPace{ feed, kWatchTime, Millis() }));
@@ -178,7 +173,9 @@
   self.m_callerAddress = aSettings.m_callerAddress;
   self.m_peerAddress = aSettings.m_peerAddress;
   self.m_incarnation = aIncarnation;
+  self.m_processorShare = aSettings.m_processorShare;
   state.m_directory = NodeDirectory(self);
+  state.m_news.m_relays = RelayChoice(aSettings.m_node);
   state.m_roster =
     NodeRoster(aSettings.m_node, aSettings.m_bounds.m_retryWindow);
   state.m_ids = UniqueIds(aSettings.m_node, aIncarnation);
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -24,6 +24,7 @@
 #include "briarglade/entry/entry_settings.h"
 #include "briarglade/entry/feed_follower.h"
 #include "briarglade/entry/leaving_servers.h"
+#include "briarglade/entry/news_state.h"
 #include "briarglade/entry/node_directory.h"
 #include "briarglade/entry/node_roster.h"
 #include "briarglade/entry/row_cache.h"
@@ -91,18 +92,12 @@
   UniqueIds m_ids;
   bool m_isRegistered = false;
   Millis m_registeredAt;
-  Millis m_newsSentAt;
-  uint64_t m_newsCount = 0;
+  NewsState m_news;
 
-  // What other nodes should hear at once.
-  bool m_hasUrgentNews = false;
-  std::vector<CrashNotice> m_crashNews;
-  std::vector<ServerRun> m_leavingNews;
   // This node follows the store for the others; as the first of those that do,
   // it hands them the changes.
   bool m_isFollower = true;
   bool m_isFirstFollower = false;
-  std::vector<HandedRows> m_toHandOn;
   // Since when another node has had changes that this one lacks.
   std::optional<Millis> m_behindSince;
   bool m_hasTraffic = false;
--- a/briarglade/entry/reduce_entry_test.cc
+++ b/briarglade/entry/reduce_entry_test.cc
@@ -234,14 +234,19 @@
   NodeNews news;
   news.m_node = NodeId("n1");
   news.m_complete.resize(kFeedCount);
-  news.m_opened = { OpenedGroup{
+  Bulletin bulletin;
+  bulletin.m_origin = NodeId("n1");
+  bulletin.m_opened = { OpenedGroup{
     GroupId("m.2"), Generation(2), { HostId("s1") } } };
-  RowVersion& complete = news.m_complete[static_cast<size_t>(Feed::Servers)];
   const RowVersion known = world.StateOf(0).m_rows.CompleteUpTo(Feed::Servers);
-  complete = RowVersion(known.Value() + 1);
+  bulletin.m_number = 1;
+  bulletin.m_serversComplete = RowVersion(known.Value() + 1);
+  news.m_bulletins = { bulletin };
   world.Do(0, NewsReceived{ news });
   CHECK(world.PhaseAt(0, "s1") == GroupPhase::Joining);
-  complete = known;
+  bulletin.m_number = 2;
+  bulletin.m_serversComplete = known;
+  news.m_bulletins = { bulletin };
   world.Do(0, NewsReceived{ news });
   CHECK(world.PhaseAt(0, "s1") == GroupPhase::Open);
 }
--- /dev/null
+++ b/briarglade/entry/relay_choice.cc
@@ -0,0 +1,89 @@
+// The relays of a node's own zone.
+
+#include "briarglade/entry/relay_choice.h"
+
+#include <algorithm>
+#include <string>
+#include <tuple>
+#include <utility>
+
+#include "briarglade/base/rendezvous.h"
+
+namespace briarglade {
+
+namespace {
+
+// A relay whose digests stay away for longer is passed over: a few of its
+// periods, with a lost packet sent again.
+constexpr Millis kFirstSilence = Millis(700);
+constexpr Millis kReserveSilence = Millis(2'000);
+constexpr Millis kPassOverTime = Millis(5'000);
+
+} // namespace
+
+std::vector<NodeId> RankRelays(const ZoneId& aZone,
+                               const std::vector<RelayCandidate>& aCandidates)
+{
+  const std::string key = "relay/" + aZone.Value();
+  using Rank = std::tuple<uint32_t, uint64_t, NodeId>;
+  std::vector<Rank> ranks;
+  ranks.reserve(aCandidates.size());
+  for (const RelayCandidate& candidate : aCandidates) {
+    ranks.emplace_back(candidate.m_processorShare,
+                       RendezvousWeight(key, candidate.m_node.Value()),
+                       candidate.m_node);
+  }
+  std::sort(ranks.rbegin(), ranks.rend());
+  std::vector<NodeId> ranked;
+  ranked.reserve(ranks.size());
+  for (Rank& rank : ranks) {
+    ranked.push_back(std::move(std::get<NodeId>(rank)));
+  }
+  return ranked;
+}
+
+void RelayChoice::PassOverIfSilent(Millis aNow,
+                                   const NodeId& aChosen,
+                                   Millis aLongest)
+{
+  const auto awaited = m_awaitedSince.find(aChosen);
+  const bool isSilent = aChosen != m_self && awaited != m_awaitedSince.end() &&
+                        aNow - awaited->second > aLongest;
+  if (isSilent) {
+    m_passedOverUntil[aChosen] = aNow + kPassOverTime;
+  }
+}
+
+void RelayChoice::Update(Millis aNow, const std::vector<NodeId>& aRanked)
+{
+  PassOverIfSilent(aNow, m_first, kFirstSilence);
+  PassOverIfSilent(aNow, m_reserve, kReserveSilence);
+  std::vector<NodeId> able;
+  for (const NodeId& node : aRanked) {
+    const auto passedOver = m_passedOverUntil.find(node);
+    if (passedOver == m_passedOverUntil.end() || passedOver->second <= aNow) {
+      able.push_back(node);
+    }
+    if (able.size() == 2) {
+      break;
+    }
+  }
+  able.resize(2);
+  if (m_first == able[0] && m_reserve == able[1]) {
+    return;
+  }
+  // A relay whose role changes has its time to answer anew.
+  m_first = able[0];
+  m_reserve = able[1];
+  m_awaitedSince = { { m_first, aNow }, { m_reserve, aNow } };
+}
+
+void RelayChoice::NoteDigest(Millis aNow, const NodeId& aRelay)
+{
+  const auto awaited = m_awaitedSince.find(aRelay);
+  if (awaited != m_awaitedSince.end()) {
+    awaited->second = aNow;
+  }
+}
+
+} // namespace briarglade
--- /dev/null
+++ b/briarglade/entry/seen_bulletins.cc
@@ -0,0 +1,30 @@
+// Bulletins that have come.
+
+#include "briarglade/entry/seen_bulletins.h"
+
+#include "briarglade/entry/node_news.h"
+
+namespace briarglade {
+
+namespace {
+
+// Bulletins of one origin that may be under way at once.
+constexpr size_t kKeptNumbers = 256;
+
+} // namespace
+
+bool SeenBulletins::Note(const Bulletin& aBulletin)
+{
+  Origin& origin = m_origins[aBulletin.m_origin];
+  if (origin.m_incarnation != aBulletin.m_incarnation) {
+    origin = Origin();
+    origin.m_incarnation = aBulletin.m_incarnation;
+  }
+  const bool isNew = origin.m_numbers.insert(aBulletin.m_number).second;
+  if (origin.m_numbers.size() > kKeptNumbers) {
+    origin.m_numbers.erase(origin.m_numbers.begin());
+  }
+  return isNew;
+}
+
+} // namespace briarglade
