Callers of a large fleet are sent to their zone's nodes and, by turns, to all

Cause: an answer holds 64 addresses, and a node gave the first 64 by name: at 195 nodes the other 131 got no callers, and callers of three zones of five none of their own zone.

Ruled out: a random choice (some nodes are named far less often for a while).

Change: the question's zone is decoded; where there are more addresses than an answer holds, those of the zone come first and the others by turns.

Conclusion: fleets of up to 64 nodes are given whole, as before.

--- a/briarglade/entry/entry_node.cc
+++ b/briarglade/entry/entry_node.cc
@@ -254,12 +254,14 @@
 
 void EntryNode::HandleDirectory(const std::shared_ptr<HttpExchange>& aExchange)
 {
-  if (!m_binding.m_codec.m_asksAddresses(*aExchange)) {
+  const std::optional<AddressQuestion> question =
+    m_binding.m_codec.m_decodeAddressQuestion(*aExchange);
+  if (!question) {
     aExchange->Respond(kNotFound, {}, {});
     return;
   }
   const std::vector<Endpoint> addresses =
-    m_state.m_directory.Addresses(EventLoop::Now());
+    m_state.m_directory.Addresses(EventLoop::Now(), question->m_zone);
   if (addresses.empty()) {
     aExchange->Respond(kUnavailable, {}, {});
     return;
--- a/briarglade/entry/node_directory.cc
+++ b/briarglade/entry/node_directory.cc
@@ -228,23 +228,36 @@
   return alive;
 }
 
-std::vector<Endpoint> NodeDirectory::Addresses(Millis aNow) const
+std::vector<Endpoint> NodeDirectory::Addresses(Millis aNow, const ZoneId& aZone)
 {
   const bool isLonely = Alive(aNow).size() == 1;
   const Millis within = isLonely ? kLonelyAliveTime : kAliveTime;
-  std::vector<Endpoint> addresses;
+  std::vector<Endpoint> near;
+  std::vector<Endpoint> far;
+  const auto add = [&](const NodeRow& aRow) {
+    (aRow.m_zone == aZone ? near : far).push_back(aRow.m_callerAddress);
+  };
   if (m_isSelfReady && !m_isSelfLeaving) {
-    addresses.push_back(m_self.m_callerAddress);
+    add(m_self);
   }
   for (const auto& [id, node] : m_others) {
-    const bool isGood = node.m_condition.m_isReady &&
-                        !node.m_condition.m_isLeaving &&
-                        IsHeard(aNow, node, within);
-    if (isGood && addresses.size() < kMaxAddresses) {
-      addresses.push_back(node.m_row.m_callerAddress);
+    if (node.m_condition.m_isReady && !node.m_condition.m_isLeaving &&
+        IsHeard(aNow, node, within)) {
+      add(node.m_row);
     }
   }
-  return addresses;
+  if (near.size() + far.size() > kMaxAddresses) {
+    m_turn += kMaxAddresses;
+    for (std::vector<Endpoint>* list : { &near, &far }) {
+      const size_t begin = list->empty() ? 0 : m_turn % list->size();
+      std::rotate(list->begin(),
+                  list->begin() + static_cast<std::ptrdiff_t>(begin),
+                  list->end());
+    }
+  }
+  near.insert(near.end(), far.begin(), far.end());
+  near.resize(std::min(near.size(), kMaxAddresses));
+  return near;
 }
 
 } // namespace briarglade
--- a/briarglade/entry/node_directory.h
+++ b/briarglade/entry/node_directory.h
@@ -54,8 +54,10 @@
   // Says whether callers may be sent to this node itself.
   void SetSelf(bool aIsReady, bool aIsLeaving);
 
-  // Returns the addresses that callers should use.
-  std::vector<Endpoint> Addresses(Millis aNow) const;
+  // Returns the addresses that callers of a zone should use. Where there are
+  // more than an answer holds, those of the zone come first, the others by
+  // turns, so that all nodes together get callers.
+  std::vector<Endpoint> Addresses(Millis aNow, const ZoneId& aZone);
   // Tells whether a node has been heard of within the last moments.
   bool IsAlive(Millis aNow, const NodeId& aNode) const;
   // Tells whether a process has ended or hasn't been heard of for a while.
@@ -94,6 +96,8 @@
   bool m_isSelfReady = false;
   bool m_isSelfLeaving = false;
   std::map<NodeId, KnownNode> m_others;
+  // Moves on with each answer that doesn't hold all addresses.
+  size_t m_turn = 0;
   // The runs that are registered, by the short names in statuses.
   std::unordered_map<NodeRunKey, NodeId> m_byKey;
 };
--- a/briarglade/entry/node_directory_test.cc
+++ b/briarglade/entry/node_directory_test.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <map>
+#include <string>
 
 namespace briarglade {
 namespace {
@@ -41,7 +43,7 @@
       m_directory.OnNews(m_now, MakeNews(name));
     }
   }
-  size_t Count() const { return m_directory.Addresses(m_now).size(); }
+  size_t Count() { return m_directory.Addresses(m_now, ZoneId()).size(); }
 };
 
 TEST_CASE("callers are sent to nodes that live and are ready")
@@ -60,6 +62,42 @@
   CHECK(world.Count() == 0);
 }
 
+TEST_CASE("callers of a large fleet are sent to nodes of their zone and, by "
+          "turns, to all others")
+{
+  // Three zones of 40 nodes, told from each other by their ports.
+  constexpr uint16_t kZoneNodes = 40;
+  constexpr uint16_t kZones = 3;
+  NodeRow self = MakeRow("a0", 0);
+  self.m_zone = ZoneId("a");
+  NodeDirectory directory(self);
+  directory.SetSelf(true, false);
+  const Millis now(10'000);
+  for (uint16_t port = 1; port < kZones * kZoneNodes; ++port) {
+    const std::string zone(1, static_cast<char>('a' + port / kZoneNodes));
+    const std::string name = zone + std::to_string(port);
+    NodeRow row = MakeRow(name.c_str(), port);
+    row.m_zone = ZoneId(zone);
+    directory.OnRow(now, row.m_node, &row);
+    directory.OnNews(now, MakeNews(name.c_str()));
+  }
+  std::map<uint16_t, int> counts;
+  constexpr int kQuestions = 40;
+  for (int i = 0; i < kQuestions; ++i) {
+    const std::vector<Endpoint> addresses =
+      directory.Addresses(now, ZoneId("b"));
+    CHECK(addresses.size() == 64);
+    for (const Endpoint& address : addresses) {
+      ++counts[address.m_port];
+    }
+  }
+  for (uint16_t port = 0; port < kZones * kZoneNodes; ++port) {
+    CAPTURE(port);
+    const bool isNear = port / kZoneNodes == 1;
+    CHECK(counts[port] >= (isNear ? kQuestions : 1));
+  }
+}
+
 TEST_CASE("a node that falls silent is no longer given out")
 {
   World world;
--- a/briarglade/entry/wire_codec.h
+++ b/briarglade/entry/wire_codec.h
@@ -39,6 +39,13 @@
   std::optional<uint64_t> m_lastEvent;
 };
 
+// A caller asks which addresses to use.
+struct AddressQuestion
+{
+  // Where the caller is; empty: not said.
+  ZoneId m_zone;
+};
+
 // What this node adds to a request for one backend server.
 struct AttemptHead
 {
@@ -86,8 +93,11 @@
   // Returns the body of an address list.
   std::function<std::string(const std::vector<Endpoint>&, Millis aLifetime)>
     m_encodeAddresses;
-  // Tells a question for addresses, or for readiness, from other requests.
-  std::function<bool(const HttpExchange&)> m_asksAddresses;
+  // Returns a caller's question which addresses to use; nothing for other
+  // requests.
+  std::function<std::optional<AddressQuestion>(const HttpExchange&)>
+    m_decodeAddressQuestion;
+  // Tells a question for readiness from other requests.
   std::function<bool(const HttpExchange&)> m_asksReadiness;
 };
 
