The holder's step over thousands of servers: claimed hosts found once, steps bounded

Cause: the holder of the control lease went through all groups and all servers after each answer to an order or a probe, of which hundreds come at once; whether a host is free was looked up in the members of every group that forms or ends, for each host. It answered nothing else for seconds: its lease lapsed 6 times, answers came after their time, and the next holder began anew.

Change: the hosts that groups claim are found once a step; a step after an answer comes at most each 20 ms, backends are worked out anew as often, the tick of 50 ms does the rest. Members that load weights are asked each second until shortly before they should be ready.

--- a/briarglade/entry/fleet_news_test.cc
+++ b/briarglade/entry/fleet_news_test.cc
@@ -234,6 +234,63 @@
   CHECK(world.OldestAge() <= Millis(2'000));
 }
 
+// Returns how long a change of the configuration takes to be in force on every
+// running node.
+Millis TimeUntilInForce(FleetWorld& aWorld, uint64_t aVersion)
+{
+  const Millis began = aWorld.Now();
+  const auto lacksIt = [&](const EntryState& aState) {
+    return !aState.m_routes ||
+           aState.m_routes->Config().m_version != ConfigVersion(aVersion);
+  };
+  while (aWorld.Find(lacksIt) < aWorld.NodeCount() &&
+         aWorld.Now() - began < Millis(10'000)) {
+    aWorld.Run(FleetWorld::kStep);
+  }
+  return aWorld.Now() - began;
+}
+
+TEST_CASE("a change is in force on every node of a fleet with relays within "
+          "1.5 s, whoever has just been killed")
+{
+  enum class Victim
+  {
+    None,
+    FirstFollower,
+    FirstFollowerAndItsRelay,
+    RelayOfAnotherZone
+  };
+  for (const Victim victim : { Victim::None,
+                               Victim::FirstFollower,
+                               Victim::FirstFollowerAndItsRelay,
+                               Victim::RelayOfAnotherZone }) {
+    Millis longest;
+    for (uint32_t seed = 1; seed <= 6; ++seed) {
+      FleetOptions options = Fleet(30, seed);
+      options.m_zones = 3;
+      NewsWorld world(options);
+      world.Run(Millis(static_cast<int64_t>(world.Pick(1'000))));
+      const size_t follower = world.FirstFollower();
+      REQUIRE(follower < world.NodeCount());
+      const size_t zone = follower % options.m_zones;
+      if (victim == Victim::FirstFollowerAndItsRelay) {
+        world.Kill(world.RelayOf(zone));
+      }
+      if (victim == Victim::FirstFollower ||
+          victim == Victim::FirstFollowerAndItsRelay) {
+        world.Kill(follower);
+      }
+      if (victim == Victim::RelayOfAnotherZone) {
+        world.Kill(world.RelayOf((zone + 1) % options.m_zones));
+      }
+      world.Configure(2);
+      longest = std::max(longest, TimeUntilInForce(world, 2));
+    }
+    MESSAGE("victim ", static_cast<int>(victim), ": ", longest.Count(), " ms");
+    CHECK(longest <= Millis(1'500));
+  }
+}
+
 TEST_CASE("every node knows what all others have in flight")
 {
   FleetOptions options = Fleet(30);
--- a/briarglade/entry/internal/control_duties.cc
+++ b/briarglade/entry/internal/control_duties.cc
@@ -13,6 +13,8 @@
 
 // Other nodes' word on silent groups counts for this long.
 constexpr Millis kSuspectsLifetime = Millis(1'200);
+// The shortest time between two steps of the holder after answers.
+constexpr Millis kControlPeriod = Millis(20);
 
 } // namespace
 
@@ -72,6 +74,7 @@
 
 void EntryReduction::TickControl()
 {
+  m_state.m_controlTickedAt = m_now;
   if (m_state.m_lease.IsDoubted(m_now)) {
     // What is under way goes on once the lease is confirmed.
     return;
@@ -126,6 +129,20 @@
     m_state.m_lease.OnFenced();
     TickLease();
   }
+  TickControlSoon();
+}
+
+// Lets the holder go on after an answer. Hundreds of them may come at once, and
+// each step looks at every server: a step that comes too soon is left to the
+// next answer, or to the next tick.
+void EntryReduction::TickControlSoon()
+{
+  if (m_now - m_state.m_controlTickedAt < kControlPeriod) {
+    return;
+  }
+  if (m_state.m_isBackendsStale) {
+    UpdateBackends();
+  }
   TickControl();
 }
 
@@ -143,10 +160,9 @@
     known->second.m_staged = record->m_staged;
     known->second.m_slowdown = record->m_slowdown;
     m_state.m_isBackendsStale = true;
-    UpdateBackends();
   }
   m_state.m_control.OnProbed(m_now, aProbed.m_host, record);
-  TickControl();
+  TickControlSoon();
 }
 
 } // namespace briarglade::internal
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -21,6 +21,10 @@
 
 namespace briarglade::internal {
 
+// Backends are worked out anew at most this often: thousands of servers change
+// one by one.
+constexpr Millis kBackendsPeriod = Millis(20);
+
 // The reduction of one event.
 class EntryReduction
 {
@@ -34,7 +38,8 @@
   void Run(const EntryEvent& aEvent)
   {
     std::visit([this](const auto& aBody) { On(aBody); }, aEvent);
-    if (m_state.m_isBackendsStale) {
+    if (m_state.m_isBackendsStale &&
+        m_now - m_state.m_backendsUpdatedAt >= kBackendsPeriod) {
       UpdateBackends();
     }
     SendBulletin();
@@ -123,6 +128,7 @@
   void TakeRosterKnowledge(const NodeNews& aNews);
   void TickLease();
   void TickControl();
+  void TickControlSoon();
   void ContinueLeaving();
   void Refuse(const RequestReceived& aReceived,
               ResultCode aCode,
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -362,6 +362,7 @@
 void EntryReduction::UpdateBackends()
 {
   m_state.m_isBackendsStale = false;
+  m_state.m_backendsUpdatedAt = m_now;
   if (!m_state.m_routes) {
     return;
   }
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -83,6 +83,7 @@
   // Servers, groups, zones or configuration have changed since the backends
   // were worked out.
   bool m_isBackendsStale = false;
+  Millis m_backendsUpdatedAt;
 
   // Other nodes.
   NodeDirectory m_directory;
@@ -105,6 +106,7 @@
 
   ControlLease m_lease;
   GroupControl m_control;
+  Millis m_controlTickedAt;
   GatewayState m_gateway{ GatewaySettings() };
   uint32_t m_nodeCount = 1;
 };
--- a/briarglade/grouping/group_control.cc
+++ b/briarglade/grouping/group_control.cc
@@ -131,24 +131,30 @@
   return doubt != m_doubts.end() && doubt->second.m_isDead;
 }
 
-// Whether the host belongs to a group that serves, forms or isn't ended yet.
-bool GroupControl::IsTaken(const HostId& aHost) const
+// Notes which hosts belong to groups that form or aren't ended yet. Once for
+// all hosts: there are thousands of them, and hundreds of groups.
+void GroupControl::FindClaimed()
 {
-  const auto isMember = [&](const ReplicaGroup& aGroup) {
-    return std::find(aGroup.m_members.begin(), aGroup.m_members.end(), aHost) !=
-           aGroup.m_members.end();
-  };
+  m_claimed.clear();
   for (const auto& [id, forming] : m_forming) {
-    if (isMember(forming.m_group)) {
-      return true;
-    }
+    m_claimed.insert(forming.m_group.m_members.begin(),
+                     forming.m_group.m_members.end());
   }
   for (const auto& [id, ending] : m_endings) {
-    if (!ending.m_isEnded && ending.m_left.count(aHost) == 0 &&
-        isMember(ending.m_group)) {
-      return true;
+    for (const HostId& member : ending.m_group.m_members) {
+      if (!ending.m_isEnded && ending.m_left.count(member) == 0) {
+        m_claimed.insert(member);
+      }
     }
   }
+}
+
+// Whether the host belongs to a group that serves, forms or isn't ended yet.
+bool GroupControl::IsTaken(const HostId& aHost) const
+{
+  if (m_claimed.count(aHost) > 0) {
+    return true;
+  }
   const auto server = m_view->m_servers.find(aHost);
   if (server == m_view->m_servers.end() || !server->second.m_place) {
     return false;
@@ -342,11 +348,13 @@
   m_view = &aView;
   if (!SurveyServers()) {
     ForgetOpened();
+    FindClaimed();
     ProbeSuspects();
     AwaitForeign();
     EndBrokenGroups();
     ProgressEndings();
     ProgressForming();
+    FindClaimed();
     FormGroups();
   }
   m_view = nullptr;
--- a/briarglade/grouping/group_control.h
+++ b/briarglade/grouping/group_control.h
@@ -22,6 +22,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -97,6 +98,8 @@
   struct Forming
   {
     ReplicaGroup m_group;
+    // When its members should be ready.
+    Millis m_readyAt;
     // An earlier holder of the lease has formed it.
     bool m_isForeign = false;
     Millis m_since;
@@ -167,6 +170,7 @@
                     uint32_t aLoads);
 
   bool IsDead(const HostId& aHost) const;
+  void FindClaimed();
   bool IsTaken(const HostId& aHost) const;
   bool IsFree(const ServerRecord& aServer) const;
   FreeHost MakeFreeHost(const ServerRecord& aServer) const;
@@ -221,6 +225,7 @@
   // Set while Tick() runs.
   Millis m_now;
   const ControlView* m_view = nullptr;
+  std::unordered_set<HostId> m_claimed;
   ControlEffects m_effects;
 };
 
--- a/briarglade/grouping/group_forming.cc
+++ b/briarglade/grouping/group_forming.cc
@@ -21,6 +21,12 @@
 constexpr Millis kSlowReadyProbePeriod = Millis(200);
 // After this long a join is a slow one.
 constexpr Millis kQuickJoin = Millis(400);
+// Members that load weights are rarely asked until shortly before they should
+// be ready.
+constexpr Millis kLoadingProbePeriod = Millis(1'000);
+constexpr Millis kReadyMargin = Millis(200);
+// Before the first request loads take this part of their time.
+constexpr int64_t kLoadTimePartBeforeTraffic = 10;
 // A forming group that isn't ready this long after it should be is given up.
 constexpr Millis kFormingGrace = Millis(4'000);
 // Hosts that come back together come within this time; weights are loaded only
@@ -98,8 +104,9 @@
 bool GroupControl::IsProbeDue(const Forming& aForming) const
 {
   const Millis age = m_now - aForming.m_since;
-  const Millis period =
-    age > kQuickJoin ? kSlowReadyProbePeriod : kReadyProbePeriod;
+  const bool isLoading = m_now + kReadyMargin < aForming.m_readyAt;
+  const Millis slow = isLoading ? kLoadingProbePeriod : kSlowReadyProbePeriod;
+  const Millis period = age > kQuickJoin ? slow : kReadyProbePeriod;
   return age >= kShortestJoin && m_now - aForming.m_probedAt >= period;
 }
 
@@ -214,6 +221,14 @@
   forming.m_since = m_now;
   forming.m_openOrderedAt = m_now - kOrderRetryTime;
   forming.m_group = std::move(aGroup);
+  const ReplicaModel* model =
+    aService.m_engine->FindModel(forming.m_group.m_model);
+  if (model != nullptr) {
+    const Millis load = m_view->m_hasTraffic
+                          ? model->m_loadTime
+                          : model->m_loadTime / kLoadTimePartBeforeTraffic;
+    forming.m_readyAt = m_now + (aLoads > 0 ? load : model->m_warmTime);
+  }
   const GroupId id = forming.m_group.m_id;
   OrderJoins(m_forming.emplace(id, std::move(forming)).first->second);
 }
