Nodes that are told all changes don't look at the store themselves

Ruled out: a longer gap alone (the history would end first while nobody tells the node anything).

Change: a node that knows by news every row as of less than 3 s ago looks only each 5 minutes; once its knowledge grows older it looks at once. It asks other nodes for changes that it lacks, as before.

--- a/briarglade/entry/internal/row_sharing.cc
+++ b/briarglade/entry/internal/row_sharing.cc
@@ -18,6 +18,9 @@
 // The other nodes look themselves now and then, before the store's history
 // ends; more often while they don't know whether it turns them away.
 constexpr Millis kLookGap = Millis(15'000);
+// While other nodes tell a node all changes, it hardly needs to: it asks them
+// for those that it lacks.
+constexpr Millis kToldLookGap = Millis(300'000);
 constexpr Millis kDoubtTime = Millis(1'000);
 constexpr Millis kLostLookGap = Millis(2'000);
 // Changes that another node has had for this long won't come by themselves.
@@ -26,17 +29,25 @@
 // news, also if its relay changes.
 constexpr Millis kDisturbedWordTime = Millis(1'500);
 
+// What a node that doesn't follow the store goes by.
+struct OwnLooks
+{
+  bool m_isFollower = false;
+  // Other nodes' news say up to when this one knows all changes, and lately.
+  bool m_isToldLately = false;
+};
+
 Millis GapOf(Millis aNow,
              const FeedFollower& aFollower,
              Feed aFeed,
-             bool aIsFollowed)
+             const OwnLooks& aLooks)
 {
-  if (aIsFollowed) {
+  if (aLooks.m_isFollower) {
     return aFeed == Feed::Operator ? kOperatorGap : kOtherGap;
   }
   const std::optional<Millis> failingSince = aFollower.FailingSince();
   if (!failingSince) {
-    return kLookGap;
+    return aLooks.m_isToldLately ? kToldLookGap : kLookGap;
   }
   return aNow - *failingSince < kDoubtTime ? kOtherGap : kLostLookGap;
 }
@@ -74,8 +85,13 @@
         { { "first", followers.empty() ? "" : followers.front().Value() },
           { "nodes", std::to_string(m_state.m_nodeCount) } });
   }
+  const Millis knownAge =
+    m_state.m_storeClock.At(m_now) - m_state.m_roster.KnownUpTo();
+  const OwnLooks looks{ m_state.m_isFollower,
+                        m_state.m_storeClock.IsKnown() &&
+                          knownAge <= kRosterFreshTime };
   for (auto& [feed, follower] : m_state.m_feeds) {
-    follower.SetGap(GapOf(m_now, follower, feed, m_state.m_isFollower));
+    follower.SetGap(GapOf(m_now, follower, feed, looks));
   }
 }
 
--- a/briarglade/entry/reduce_entry_test.cc
+++ b/briarglade/entry/reduce_entry_test.cc
@@ -108,6 +108,21 @@
   CHECK(world.FirstFollower() == world.Holder());
 }
 
+TEST_CASE("in quiet times calls to the store don't grow with the nodes")
+{
+  const auto callsOf = [](uint32_t aNodes) {
+    FleetOptions options;
+    options.m_nodes = aNodes;
+    options.m_zones = 3;
+    FleetWorld world(options);
+    world.Run(Millis(20'000));
+    world.TakeCalls();
+    world.Run(Millis(30'000));
+    return world.TakeCalls();
+  };
+  CHECK(callsOf(60) <= callsOf(6) * 11 / 10);
+}
+
 TEST_CASE("a change is in force on every node a moment later")
 {
   World world;
