One call to the store that fails doesn't delay that a server is out of use

Ruled out: news (a change is in force on 30 nodes of 3 zones in 80 ms, 1,030 ms with the first follower and its relay killed); the store (its other calls were answered).

Change: entries can lapse only while the store is away: a feed's calls fail again for 700 ms, or the store answers no call of this node for as long.

--- a/briarglade/entry/feed_follower.h
+++ b/briarglade/entry/feed_follower.h
@@ -49,6 +49,8 @@
   StoreVersion Version() const { return m_version; }
   // When the store last answered.
   Millis AnsweredAt() const { return m_answeredAt; }
+  // Returns the number of calls in a row that have failed.
+  uint32_t Failures() const { return m_failures; }
   // Since when calls have failed; nothing if the last one did not.
   std::optional<Millis> FailingSince() const { return m_failingSince; }
 
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -13,6 +13,10 @@
 // are back, if their servers live.
 constexpr Millis kEntryReturnTime = Millis(2'300);
 
+// A feed that fails, or a store that answers nothing, for a shorter time lets
+// no entry lapse: that takes three heartbeats.
+constexpr Millis kLeastOutage = Millis(700);
+
 // Tells whether a server's word was said before the one that is known.
 bool IsOlderWord(const ServerRecord& aWord, const ServerRecord& aKnown)
 {
@@ -31,7 +35,9 @@
 void EntryReduction::On(const FeedAnswered& aAnswer)
 {
   FeedFollower& follower = m_state.m_feeds[aAnswer.m_feed];
-  const bool wasFailing = follower.FailingSince().has_value();
+  const std::optional<Millis> failingSince = follower.FailingSince();
+  const bool wasFailing = failingSince.has_value();
+  const uint32_t failures = follower.Failures();
   follower.OnAnswered(m_now, aAnswer);
   if (wasFailing != follower.FailingSince().has_value()) {
     Log(LogLevel::Info,
@@ -40,13 +46,20 @@
           { "status", StoreStatusName(aAnswer.m_status) },
           { "version", std::to_string(follower.Version().Value()) } });
   }
-  if (wasFailing || aAnswer.m_status == StoreStatus::Refused ||
-      aAnswer.m_status == StoreStatus::Unknown) {
+  const bool isFailing = follower.FailingSince().has_value();
+  const Millis failingFor =
+    m_now - failingSince.value_or(follower.FailingSince().value_or(m_now));
+  // Entries don't lapse for one call that fails or is lost on its way.
+  const bool isRepeated = std::max(failures, follower.Failures()) > 1;
+  const bool wasAway = (isRepeated && failingFor >= kLeastOutage) ||
+                       m_now - m_state.m_storeAnsweredAt >= kLeastOutage;
+  if ((wasFailing || isFailing) && wasAway) {
     m_state.m_disturbedUntil = m_now + kEntryReturnTime;
   }
   if (aAnswer.m_status != StoreStatus::Ok) {
     return;
   }
+  m_state.m_storeAnsweredAt = m_now;
   m_state.m_storeClock.Note(m_now, aAnswer.m_storeTime);
   if (aAnswer.m_feed == Feed::Own && aAnswer.m_isWhole) {
     m_state.m_lease.OnFeedKnown();
--- a/briarglade/entry/reduce_entry_test.cc
+++ b/briarglade/entry/reduce_entry_test.cc
@@ -200,6 +200,23 @@
   CHECK(world.NodesThatKnow("s2") == 0);
 }
 
+TEST_CASE("a call to the store that fails once doesn't delay that a server is "
+          "out of use")
+{
+  World world;
+  world.AddServer("s1");
+  world.Run(Millis(3'000));
+  const size_t first = world.FirstFollower();
+  world.TurnAway(first, StoreStatus::Refused);
+  world.Configure(2);
+  world.Run(Millis(100));
+  world.TurnAway(first, StoreStatus::Ok);
+  world.Run(Millis(500));
+  world.RemoveServer("s1");
+  world.Run(Millis(600));
+  CHECK(world.NodesThatKnow("s1") == 0);
+}
+
 TEST_CASE(
   "an older word on a server, by a probe or by the store, takes nothing back")
 {
