--- a/briarglade/entry/internal/news_sending.cc
+++ b/briarglade/entry/internal/news_sending.cc
@@ -324,7 +324,9 @@
   if (!isKnown) {
     return missed;
   }
-  for (const auto& [id, zone] : m_state.m_news.m_zones) {
+  for (const auto& known : m_state.m_news.m_zones) {
+    const ZoneId& id = known.first;
+    const KnownZone& zone = known.second;
     const auto theirs =
       std::find_if(told->second.m_ages.begin(),
                    told->second.m_ages.end(),
