A message's head is looked at byte by byte, in whatever pieces it comes

Cause: the check of a head remembers how many bytes it has seen; once the library had taken the first lines, the rest was offered again without them, and the check went on at the old number: it skipped bytes, or took a line's end for a stray one.

Ruled out: the platform's limits on heads (431, not 400); the keys (401).

Change: bytes that were taken are taken off the number; what the check needs of the bytes before is kept in three marks.

--- a/briarglade/net/internal/http_message_parser.cc
+++ b/briarglade/net/internal/http_message_parser.cc
@@ -37,32 +37,30 @@
   Base::body_limit(aLimits.m_maxBodyBytes);
 }
 
-// Looks at the head's bytes before the library does. Returns false once the
-// head is known to be wrong.
+// Looks at the head's bytes before the library does, each of them once. Returns
+// false once the head is known to be wrong.
 template<bool isRequest>
 bool HttpMessageParser<isRequest>::IsHeadAcceptable(std::string_view aBytes)
 {
-  for (; m_scanned < aBytes.size(); ++m_scanned) {
+  for (; m_scanned < aBytes.size() && !m_isHeadSeen; ++m_scanned) {
     const char byte = aBytes[m_scanned];
+    const char previous = m_lastScanned;
+    m_lastScanned = byte;
     const bool isLineEnd = byte == '\n';
-    const bool hasReturn = m_scanned > 0 && aBytes[m_scanned - 1] == '\r';
-    if (isLineEnd != hasReturn) {
+    if (isLineEnd != (previous == '\r')) {
       return false;
     }
     if (isLineEnd) {
-      const std::string_view line = aBytes.substr(0, m_scanned + 1);
-      constexpr std::string_view kHeadEnd = "\r\n\r\n";
-      if (line.size() >= kHeadEnd.size() &&
-          line.substr(line.size() - kHeadEnd.size()) == kHeadEnd) {
-        return true;
-      }
+      m_isHeadSeen = m_isLineEmpty && m_hasLine;
+      m_hasLine = true;
+      m_isLineEmpty = true;
       continue;
     }
-    const bool startsLine = m_scanned > 0 && aBytes[m_scanned - 1] == '\n';
-    const bool isFolded = startsLine && (byte == ' ' || byte == '\t');
+    const bool isFolded = previous == '\n' && (byte == ' ' || byte == '\t');
     if (isFolded || (byte != '\r' && IsControl(byte))) {
       return false;
     }
+    m_isLineEmpty = m_isLineEmpty && byte == '\r';
   }
   return true;
 }
@@ -114,6 +112,8 @@
       break;
     }
   }
+  // What was taken isn't offered again.
+  m_scanned -= std::min(m_scanned, taken);
   m_sink = nullptr;
   const bool isUndecided = !error || error == http::error::need_more;
   const size_t untaken = aBytes.size() - taken;
--- a/briarglade/net/internal/http_message_parser.h
+++ b/briarglade/net/internal/http_message_parser.h
@@ -109,8 +109,13 @@
   // their extensions, trailers.
   size_t m_bodyBytes = 0;
   size_t m_framingBytes = 0;
-  // Bytes of the head that were looked at before.
+  // Bytes of the head that were looked at before and not taken yet, the last
+  // one that was looked at, and where it stands.
   size_t m_scanned = 0;
+  char m_lastScanned = 0;
+  bool m_isLineEmpty = true;
+  bool m_hasLine = false;
+  bool m_isHeadSeen = false;
   uint16_t m_status = 0;
   std::string m_method;
   std::string m_target;
--- /dev/null
+++ b/briarglade/net/internal/http_message_parser_test.cc
@@ -0,0 +1,78 @@
+// Tests of the strict message parser.
+
+#include "briarglade/net/internal/http_message_parser.h"
+
+#include <doctest/doctest.h>
+#include <string>
+
+namespace briarglade::internal {
+namespace {
+
+constexpr HttpParseLimits kLimits{ 1'024, 1'024 };
+
+struct Parsed
+{
+  bool m_isDone = false;
+  HttpParseFailure m_failure = HttpParseFailure::None;
+  size_t m_taken = 0;
+  size_t m_headers = 0;
+};
+
+// Parses a request whose bytes come in pieces of one size.
+Parsed ParseInPieces(const std::string& aBytes, size_t aPiece)
+{
+  HttpMessageParser<true> parser(kLimits);
+  Parsed parsed;
+  std::string pending;
+  for (size_t at = 0; at < aBytes.size(); at += aPiece) {
+    pending += aBytes.substr(at, aPiece);
+    const size_t taken = parser.Feed(pending, [](std::string_view) {});
+    pending.erase(0, taken);
+    parsed.m_taken += taken;
+    if (parser.IsDone() || parser.Failure() != HttpParseFailure::None) {
+      break;
+    }
+  }
+  parsed.m_isDone = parser.IsDone();
+  parsed.m_failure = parser.Failure();
+  parsed.m_headers = parser.Headers().size();
+  return parsed;
+}
+
+const std::string kHead = "POST /a HTTP/1.1\r\nHost: x\r\n";
+
+TEST_CASE("a good request is taken in whatever pieces its head comes")
+{
+  const std::string request =
+    kHead + "X-Long: some value\r\nContent-Length: 3\r\n\r\nabc";
+  for (size_t piece = 1; piece <= request.size(); ++piece) {
+    CAPTURE(piece);
+    const Parsed parsed = ParseInPieces(request + "POST /next", piece);
+    CHECK(parsed.m_failure == HttpParseFailure::None);
+    CHECK(parsed.m_isDone);
+    CHECK(parsed.m_taken == request.size());
+    CHECK(parsed.m_headers == 3);
+  }
+}
+
+TEST_CASE("no byte of a head goes unseen in whatever pieces it comes")
+{
+  for (const std::string& line : { std::string("X-Note: a\x01z\r\n"),
+                                   std::string("X-Note: a\nX: b\r\n"),
+                                   std::string("X-Note: a\r\n b\r\n"),
+                                   std::string("X-Note: a\rb\r\n") }) {
+    std::string request = kHead + "X-First: 1\r\n";
+    request += line;
+    request += "Content-Length: 0\r\n\r\n";
+    for (size_t piece = 1; piece <= request.size(); ++piece) {
+      CAPTURE(line);
+      CAPTURE(piece);
+      const Parsed parsed = ParseInPieces(request, piece);
+      CHECK(parsed.m_failure == HttpParseFailure::Malformed);
+      CHECK_FALSE(parsed.m_isDone);
+    }
+  }
+}
+
+} // namespace
+} // namespace briarglade::internal
