A request that is read only after its caller has left is not sent on

Cause: a busy node reads a request, and with it nothing of the close that stands behind it; it sent the request on and learned of the close a turn of its loop later.

Ruled out: the wait queue (a caller that leaves takes its request out of it).

Change: when a request is whole, the node looks whether the connection has been closed behind it, and drops the request if so.

--- a/briarglade/net/internal/http_connection.cc
+++ b/briarglade/net/internal/http_connection.cc
@@ -220,6 +220,12 @@
     Reject(CodeOf(m_parser->Failure()));
     return false;
   }
+  if (m_parser->IsDone() &&
+      internal::HasPeerLeft(bufferevent_getfd(m_bufferevent))) {
+    // On a busy host a request may be read long after it came.
+    CutSoon();
+    return false;
+  }
   if (m_parser->IsDone()) {
     HandleRequest();
     return true;
--- a/briarglade/net/internal/socket_io.cc
+++ b/briarglade/net/internal/socket_io.cc
@@ -73,6 +73,15 @@
   return sent;
 }
 
+bool HasPeerLeft(int aSocket)
+{
+  char byte = 0;
+  const ssize_t got =
+    recv(aSocket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  const bool isQuiet = errno == EAGAIN || errno == EWOULDBLOCK;
+  return got == 0 || (got < 0 && !isQuiet && errno != EINTR);
+}
+
 size_t UnsentBytes(bufferevent* aConnection)
 {
   return evbuffer_get_length(bufferevent_get_output(aConnection));
--- a/briarglade/net/internal/socket_io.h
+++ b/briarglade/net/internal/socket_io.h
@@ -21,6 +21,10 @@
 size_t SendNow(bufferevent* aConnection,
                std::initializer_list<std::string_view> aPieces);
 
+// Tells whether the peer has closed or reset the connection and everything that
+// it sent before has been read.
+bool HasPeerLeft(int aSocket);
+
 // Returns the number of bytes that wait to be sent.
 size_t UnsentBytes(bufferevent* aConnection);
 
--- a/standin/platform_node_test.cc
+++ b/standin/platform_node_test.cc
@@ -3,10 +3,14 @@
 
 #include "briarglade/entry/entry_node.h"
 
+#include <arpa/inet.h>
 #include <doctest/doctest.h>
 #include <map>
 #include <memory>
+#include <netinet/in.h>
 #include <string>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <vector>
 
 #include "standin/group_audit.h"
@@ -221,6 +225,39 @@
   CHECK(other.ServedCount() == others + kRequests);
 }
 
+// Sends bytes to a port of this machine and closes the connection, all before
+// the loop turns again.
+void SendAndLeave(uint16_t aPort, const std::string& aBytes)
+{
+  const int client = socket(AF_INET, SOCK_STREAM, 0);
+  REQUIRE(client >= 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aPort);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  REQUIRE(connect(client,
+                  reinterpret_cast<const sockaddr*>(&address),
+                  sizeof(address)) == 0);
+  CHECK(send(client, aBytes.data(), aBytes.size(), MSG_NOSIGNAL) ==
+        static_cast<ssize_t>(aBytes.size()));
+  close(client);
+}
+
+TEST_CASE(
+  "a request that is read only after its caller has left is not sent on")
+{
+  DeskWorld world;
+  const uint64_t served = world.Served();
+  for (int i = 0; i < 5; ++i) {
+    SendAndLeave(world.CallerPort(),
+                 Booking("left-" + std::to_string(i), "{}"));
+  }
+  for (int i = 0; i < 5; ++i) {
+    world.Pause();
+  }
+  CHECK(world.Served() == served);
+}
+
 TEST_CASE("while the only server asks for a pause, a booking is refused at "
           "once, with the time that is left")
 {
--- a/standin/platform_world_test.h
+++ b/standin/platform_world_test.h
@@ -100,6 +100,7 @@
   }
 
   EventLoop& Loop() { return m_loop; }
+  uint16_t CallerPort() const { return m_node->CallerPort(); }
   PlatformStore& Store() { return m_store; }
 
 private:
