--- a/briarglade/gateway/gateway_test.cc
+++ b/briarglade/gateway/gateway_test.cc
@@ -116,6 +116,16 @@
     ended.m_status = aStatus;
     Do(ended);
   }
+  // Lets the server turn the request away and ask for a pause.
+  void RefuseFor(RequestHandle aHandle, Millis aPause)
+  {
+    ExchangeEnded ended;
+    ended.m_handle = aHandle;
+    ended.m_end = ExchangeEnd::RefusedByServer;
+    ended.m_status = 503;
+    ended.m_retryAfter = aPause;
+    Do(ended);
+  }
   size_t Sends(RequestHandle aHandle) { return m_sent[aHandle].size(); }
 };
 
@@ -127,12 +137,7 @@
   const Millis pause = Millis(4'000);
   const RequestHandle first = world.Arrive(RouteKind::Idempotent, 1);
   const HostId busy = world.m_sent[first][0].m_server;
-  ExchangeEnded ended;
-  ended.m_handle = first;
-  ended.m_end = ExchangeEnd::RefusedByServer;
-  ended.m_status = 503;
-  ended.m_retryAfter = pause;
-  world.Do(ended);
+  world.RefuseFor(first, pause);
   REQUIRE(world.Sends(first) == 2);
   const Millis until = world.m_now + pause;
   while (world.m_now + Millis(50) < until) {
@@ -157,12 +162,7 @@
   World world;
   world.Do(BackendsChanged{ { MakeServer("x") } });
   const RequestHandle first = world.Arrive(RouteKind::Idempotent, 1);
-  ExchangeEnded ended;
-  ended.m_handle = first;
-  ended.m_end = ExchangeEnd::RefusedByServer;
-  ended.m_status = 503;
-  ended.m_retryAfter = Millis(4'000);
-  world.Do(ended);
+  world.RefuseFor(first, Millis(4'000));
   world.Wait(Millis(1'000));
   const RequestHandle next = world.Arrive(RouteKind::Idempotent, 1);
   CHECK(world.Sends(next) == 0);
@@ -177,12 +177,7 @@
   World world;
   world.Do(BackendsChanged{ { MakeGroupLeader("x") } });
   const RequestHandle first = world.Arrive(RouteKind::Stream, 1);
-  ExchangeEnded ended;
-  ended.m_handle = first;
-  ended.m_end = ExchangeEnd::RefusedByServer;
-  ended.m_status = 503;
-  ended.m_retryAfter = Millis(2'000);
-  world.Do(ended);
+  world.RefuseFor(first, Millis(2'000));
   Backend next = MakeGroupLeader("x");
   next.m_group = GroupId("another");
   world.Do(BackendsChanged{ { next } });
