--- a/briarglade/entry/internal/bulletins.cc
+++ b/briarglade/entry/internal/bulletins.cc
@@ -86,7 +86,7 @@
   const bool isFirst = IsRelay();
   if (isOfZone && (isFirst || news.m_relays.Reserve() == self)) {
     for (const ZoneId& zone : m_state.m_directory.Zones()) {
-      const std::vector<NodeId> relays = OtherRelays(zone);
+      const std::vector<NodeId> relays = RelaysOfZone(zone);
       const size_t place = isFirst ? 0 : 1;
       if (zone != m_state.m_settings.m_zone && relays.size() > place) {
         receivers.insert(relays[place]);
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -98,7 +98,7 @@
   std::vector<ZoneAge> KnownZoneAges() const;
   std::vector<ZoneDigest> ZonesMissedBy(const NodeId& aRelay,
                                         const ZoneId& aZone) const;
-  std::vector<NodeId> OtherRelays(const ZoneId& aZone) const;
+  std::vector<NodeId> RelaysOfZone(const ZoneId& aZone) const;
   void UseLoadsAsRelay();
   void TakeReport(const NodeNews& aNews);
   void TakeFleet(const NodeNews& aNews);
--- a/briarglade/entry/internal/news_sending.cc
+++ b/briarglade/entry/internal/news_sending.cc
@@ -17,7 +17,7 @@
 constexpr Millis kReservePeriod = Millis(600);
 // How the nodes of other zones are is told this often.
 constexpr Millis kAllNodesPeriod = Millis(450);
-// Between zones.
+// Digests to the relays of other zones.
 constexpr Millis kZonePeriod = Millis(150);
 // A node that hasn't reported for this long gets no digests.
 constexpr Millis kSubscriptionTime = Millis(1'500);
@@ -362,7 +362,7 @@
     if (zone == m_state.m_settings.m_zone) {
       continue;
     }
-    for (const NodeId& relay : OtherRelays(zone)) {
+    for (const NodeId& relay : RelaysOfZone(zone)) {
       std::vector<ZoneDigest> missed = ZonesMissedBy(relay, zone);
       if (missed.empty()) {
         receivers.push_back(relay);
@@ -378,7 +378,7 @@
 
 // Returns the two relays of another zone that this node tells. If no node of
 // the zone has been heard of, any two of them, by turns.
-std::vector<NodeId> EntryReduction::OtherRelays(const ZoneId& aZone) const
+std::vector<NodeId> EntryReduction::RelaysOfZone(const ZoneId& aZone) const
 {
   constexpr size_t kRelays = 2;
   std::vector<NodeId> relays = m_state.m_directory.RankedRelays(m_now, aZone);
--- /dev/null
+++ b/briarglade/entry/leaving_servers_test.cc
@@ -0,0 +1,35 @@
+// Tests of servers that are shutting down by their own word.
+
+#include "briarglade/entry/leaving_servers.h"
+
+#include <doctest/doctest.h>
+
+namespace briarglade {
+namespace {
+
+const ServerRun kFirstRun{ HostId("s"), BootId("1") };
+const ServerRun kNextRun{ HostId("s"), BootId("2") };
+
+TEST_CASE("a server's word is news once, and holds for that run only")
+{
+  LeavingServers leaving;
+  CHECK(leaving.Note(Millis(1'000), kFirstRun));
+  CHECK_FALSE(leaving.Note(Millis(2'000), kFirstRun));
+  CHECK(leaving.Contains(kFirstRun));
+  CHECK_FALSE(leaving.Contains(kNextRun));
+  CHECK(leaving.Note(Millis(3'000), kNextRun));
+  CHECK(leaving.Contains(kNextRun));
+}
+
+TEST_CASE("servers that must have ended are forgotten")
+{
+  LeavingServers leaving;
+  leaving.Note(Millis(1'000), kFirstRun);
+  leaving.Forget(Millis(200'000));
+  CHECK(leaving.Contains(kFirstRun));
+  leaving.Forget(Millis(301'000));
+  CHECK_FALSE(leaving.Contains(kFirstRun));
+}
+
+} // namespace
+} // namespace briarglade
--- a/briarglade/gateway/gateway.h
+++ b/briarglade/gateway/gateway.h
@@ -55,7 +55,7 @@
   Waiting m_waiting;
   // The backend that it was sent to last.
   size_t m_slot = 0;
-  // The run of its server at that moment.
+  // That backend's server, as it was then.
   ServerRun m_sentTo;
   Millis m_sentAt;
   // Servers that it was sent to, and the number of those that may have run it.
