--- a/briarglade/entry/fleet_loads.cc
+++ b/briarglade/entry/fleet_loads.cc
@@ -3,9 +3,10 @@
 #include "briarglade/entry/fleet_loads.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
+#include "briarglade/base/erase_if.h"
+
 namespace briarglade {
 
 namespace {
@@ -52,16 +53,24 @@
 }
 
 template<typename Parts>
-void ExpireParts(Parts& aParts, Millis aNow)
+void AddParts(Sums& aSums, const Parts& aParts)
 {
-  for (auto part = aParts.begin(); part != aParts.end();) {
-    const bool isOld = aNow - part->second.m_at > kLoadLifetime;
-    part = isOld ? aParts.erase(part) : std::next(part);
+  for (const auto& [source, part] : aParts) {
+    Add(aSums, part.m_loads);
   }
 }
 
 } // namespace
 
+std::vector<ServerLoad> AddLoads(const std::vector<ServerLoad>& aOne,
+                                 const std::vector<ServerLoad>& aOther)
+{
+  Sums sums;
+  Add(sums, aOne);
+  Add(sums, aOther);
+  return ToList(sums);
+}
+
 void FleetLoads::NoteOwn(uint16_t aNumber, std::vector<ServerLoad> aLoads)
 {
   m_own.push_back(OwnReport{ aNumber, std::move(aLoads) });
@@ -102,8 +111,11 @@
 
 bool FleetLoads::Expire(Millis aNow)
 {
-  ExpireParts(m_reports, aNow);
-  ExpireParts(m_zones, aNow);
+  const auto isOld = [&](const auto& aEntry) {
+    return aNow - aEntry.second.m_at > kLoadLifetime;
+  };
+  EraseIf(m_reports, isOld);
+  EraseIf(m_zones, isOld);
   const bool isOver = !m_told.empty() && aNow - m_toldAt > kLoadLifetime;
   if (isOver) {
     m_told.clear();
@@ -120,9 +132,7 @@
 std::vector<ServerLoad> FleetLoads::OfReports() const
 {
   Sums sums;
-  for (const auto& [node, part] : m_reports) {
-    Add(sums, part.m_loads);
-  }
+  AddParts(sums, m_reports);
   return ToList(sums);
 }
 
@@ -136,12 +146,8 @@
 std::vector<ServerLoad> FleetLoads::OfReportsAndZones() const
 {
   Sums sums;
-  for (const auto& [node, part] : m_reports) {
-    Add(sums, part.m_loads);
-  }
-  for (const auto& [zone, part] : m_zones) {
-    Add(sums, part.m_loads);
-  }
+  AddParts(sums, m_reports);
+  AddParts(sums, m_zones);
   return ToList(sums);
 }
 
--- a/briarglade/entry/fleet_loads.h
+++ b/briarglade/entry/fleet_loads.h
@@ -5,7 +5,7 @@
 // Example:
 //   loads.NoteOwn(number, ownLoads);
 //   loads.OnFleet(now, digest.m_loads, numberInDigest);
-//   Use(loads.Others(now));
+//   Use(loads.Told());
 
 #pragma once
 
@@ -21,6 +21,10 @@
 
 namespace briarglade {
 
+// Returns the sum of two lists of loads, in order of the servers.
+std::vector<ServerLoad> AddLoads(const std::vector<ServerLoad>& aOne,
+                                 const std::vector<ServerLoad>& aOther);
+
 class FleetLoads
 {
 public:
--- a/briarglade/entry/fleet_news_test.cc
+++ b/briarglade/entry/fleet_news_test.cc
@@ -206,12 +206,6 @@
 TEST_CASE("zones that can't reach each other hear of each other over a third")
 {
   NewsWorld world(Fleet(30));
-  for (size_t one = 0; one < world.NodeCount(); ++one) {
-    for (size_t other = 0; other < world.NodeCount(); ++other) {
-      world.SetCutBetween(one, other, one % kZones == 0 && other % kZones == 1);
-    }
-  }
-  // The cut holds in both directions.
   for (size_t one = 0; one < world.NodeCount(); ++one) {
     for (size_t other = 0; other < world.NodeCount(); ++other) {
       if (one % kZones == 0 && other % kZones == 1) {
--- a/briarglade/entry/internal/bulletins.cc
+++ b/briarglade/entry/internal/bulletins.cc
@@ -96,6 +96,9 @@
   receivers.erase(self);
   receivers.erase(aSender);
   receivers.erase(aBulletin.m_origin);
+  if (receivers.empty()) {
+    return;
+  }
   NodeNews message = MakeNews();
   message.m_bulletins = { aBulletin };
   Send({ receivers.begin(), receivers.end() }, std::move(message));
--- a/briarglade/entry/internal/control_duties.cc
+++ b/briarglade/entry/internal/control_duties.cc
@@ -75,6 +75,9 @@
 void EntryReduction::TickControl()
 {
   m_state.m_controlTickedAt = m_now;
+  if (m_state.m_isBackendsStale) {
+    UpdateBackends();
+  }
   if (m_state.m_lease.IsDoubted(m_now)) {
     // What is under way goes on once the lease is confirmed.
     return;
@@ -140,9 +143,6 @@
   if (m_now - m_state.m_controlTickedAt < kControlPeriod) {
     return;
   }
-  if (m_state.m_isBackendsStale) {
-    UpdateBackends();
-  }
   TickControl();
 }
 
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -84,14 +84,18 @@
   void Send(const std::vector<NodeId>& aReceivers, NodeNews aNews);
   void TickNews();
   void SendReports();
-  void SendReport(const NodeId& aRelay, Subscription aSubscription);
+  void SendReport(const NodeId& aRelay,
+                  Subscription aSubscription,
+                  NodeNews aReport);
+  std::vector<NodeId> NodesByTurns(const ZoneId& aZone) const;
   std::optional<NodeId> NeighbourToAsk() const;
   bool IsOwnRelay() const;
   bool IsRelay() const;
   void ForgetSilent();
   void SendDigests();
   NewsDigest MakeDigest(const ZoneId& aZone) const;
-  NewsDigest MakeFleetDigest(bool aHasAllNodes) const;
+  NewsDigest MakeFleetDigest(const std::vector<ServerLoad>& aOthers,
+                             bool aHasAllNodes) const;
   std::vector<GroupId> ReportedSuspects() const;
   void SendZoneDigests();
   ZoneDigest MakeOwnZone() const;
@@ -99,12 +103,12 @@
   std::vector<ZoneDigest> ZonesMissedBy(const NodeId& aRelay,
                                         const ZoneId& aZone) const;
   std::vector<NodeId> RelaysOfZone(const ZoneId& aZone) const;
-  void UseLoadsAsRelay();
+  void UseLoads(std::vector<ServerLoad> aOthers,
+                const std::vector<GroupId>& aSuspects);
   void TakeReport(const NodeNews& aNews);
   void TakeFleet(const NodeNews& aNews);
   void TakeZone(const ZoneDigest& aZone);
   void TakeStatuses(const std::vector<NodeStatus>& aNodes);
-  void NoteSuspects(std::vector<GroupId> aSuspects);
   void TakeBulletin(const Bulletin& aBulletin, const NodeId& aSender);
   void SendBulletin();
   void PassOn(const Bulletin& aBulletin, const NodeId& aSender);
@@ -122,9 +126,14 @@
   void AnswerWithRows(const NodeNews& aNews);
   void TakeHanded(const std::vector<HandedRows>& aHanded);
   void NoteToldDisturbed();
+  void TakeCondition(const NodeCondition& aCondition);
   bool IsBehind(const NodeNews& aNews, Feed aFeed) const;
   void AskIfBehind(const NodeNews& aNews);
   void UpdateRoster();
+  Millis StoreAnsweredAt() const;
+  void NoteOutage(const FeedFollower& aBefore,
+                  const FeedFollower& aAfter,
+                  Millis aAnsweredBefore);
   void TakeRosterKnowledge(const NodeNews& aNews);
   void TickLease();
   void TickControl();
--- a/briarglade/entry/internal/news_sending.cc
+++ b/briarglade/entry/internal/news_sending.cc
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <memory>
 
+#include "briarglade/base/erase_if.h"
+
 namespace briarglade::internal {
 
 namespace {
@@ -28,6 +30,16 @@
 // What a relay said it knows holds for this long.
 constexpr Millis kToldAgesTime = Millis(2'000);
 
+// Adds the groups that each of the sources finds silent.
+template<typename Sources>
+void AppendSuspects(std::vector<GroupId>& aSuspects, const Sources& aSources)
+{
+  for (const auto& [id, source] : aSources) {
+    aSuspects.insert(
+      aSuspects.end(), source.m_suspects.begin(), source.m_suspects.end());
+  }
+}
+
 } // namespace
 
 NodeCondition EntryReduction::OwnCondition() const
@@ -106,37 +118,44 @@
            });
 }
 
-// A node that hears of no other one of its zone asks any of them, by turns.
-std::optional<NodeId> EntryReduction::NeighbourToAsk() const
+// Returns the other registered nodes of a zone, heard of or not, each of them
+// in front by turns.
+std::vector<NodeId> EntryReduction::NodesByTurns(const ZoneId& aZone) const
 {
-  if (!IsOwnRelay() || !m_state.m_news.m_relays.Reserve().IsEmpty()) {
-    return std::nullopt;
-  }
-  std::vector<NodeId> neighbours;
+  std::vector<NodeId> nodes;
   for (const auto& [id, node] : m_state.m_directory.Others()) {
-    if (node.m_row.m_zone == m_state.m_settings.m_zone) {
-      neighbours.push_back(id);
+    if (node.m_row.m_zone == aZone) {
+      nodes.push_back(id);
     }
   }
-  if (neighbours.empty()) {
+  if (!nodes.empty()) {
+    const int64_t turn = m_now.Count() / kReservePeriod.Count();
+    const auto size = static_cast<int64_t>(nodes.size());
+    std::rotate(nodes.begin(), nodes.begin() + turn % size, nodes.end());
+  }
+  return nodes;
+}
+
+// A node that hears of no other one of its zone asks any of them, by turns.
+std::optional<NodeId> EntryReduction::NeighbourToAsk() const
+{
+  if (!IsOwnRelay() || !m_state.m_news.m_relays.Reserve().IsEmpty()) {
     return std::nullopt;
   }
-  const auto turn = static_cast<size_t>(m_now.Count() / kReservePeriod.Count());
-  return neighbours[turn % neighbours.size()];
+  const std::vector<NodeId> neighbours =
+    NodesByTurns(m_state.m_settings.m_zone);
+  return neighbours.empty() ? std::nullopt
+                            : std::optional<NodeId>(neighbours.front());
 }
 
 void EntryReduction::SendReport(const NodeId& aRelay,
-                                Subscription aSubscription)
+                                Subscription aSubscription,
+                                NodeNews aReport)
 {
-  if (aRelay.IsEmpty() || aRelay == m_state.m_settings.m_node) {
-    return;
+  if (aRelay != m_state.m_settings.m_node) {
+    aReport.m_subscription = aSubscription;
+    Send({ aRelay }, std::move(aReport));
   }
-  NodeNews report = MakeNews();
-  report.m_subscription = aSubscription;
-  report.m_reportNumber = m_state.m_news.m_reportNumber;
-  report.m_loads = m_state.m_gateway.m_book.OwnLoad();
-  report.m_suspects = OwnSuspects();
-  Send({ aRelay }, std::move(report));
 }
 
 void EntryReduction::SendReports()
@@ -149,35 +168,40 @@
   if (!isDue && !isReserveDue) {
     return;
   }
-  ++news.m_reportNumber;
-  news.m_loads.NoteOwn(news.m_reportNumber, m_state.m_gateway.m_book.OwnLoad());
+  NodeNews report = MakeNews();
+  report.m_reportNumber = ++news.m_reportNumber;
+  report.m_loads = m_state.m_gateway.m_book.OwnLoad();
+  report.m_suspects = OwnSuspects();
+  news.m_loads.NoteOwn(report.m_reportNumber, report.m_loads);
   if (isDue) {
     news.m_reportedAt = m_now;
-    SendReport(news.m_relays.First(), Subscription::All);
+    SendReport(news.m_relays.First(), Subscription::All, report);
   }
   if (isReserveDue) {
     news.m_reserveReportedAt = m_now;
-    SendReport(news.m_relays.Reserve(), Subscription::Reserve);
-    SendReport(NeighbourToAsk().value_or(NodeId()), Subscription::Reserve);
+    SendReport(news.m_relays.Reserve(), Subscription::Reserve, report);
+    if (const std::optional<NodeId> neighbour = NeighbourToAsk()) {
+      SendReport(*neighbour, Subscription::Reserve, report);
+    }
   }
   // A relay's own report is its digest.
   news.m_hasUrgentDigest = news.m_hasUrgentDigest || isUrgent;
 }
 
-// Forgets nodes that don't report here any more, and zones that nobody tells
-// of.
+// Forgets nodes that don't report here any more, zones that nobody tells of,
+// and what relays said long ago.
 void EntryReduction::ForgetSilent()
 {
-  auto& subscribers = m_state.m_news.m_subscribers;
-  for (auto entry = subscribers.begin(); entry != subscribers.end();) {
-    const bool isOver = m_now - entry->second.m_heardAt > kSubscriptionTime;
-    entry = isOver ? subscribers.erase(entry) : std::next(entry);
-  }
-  auto& zones = m_state.m_news.m_zones;
-  for (auto entry = zones.begin(); entry != zones.end();) {
-    const bool isOver = m_now - entry->second.m_asOf > kZoneLifetime;
-    entry = isOver ? zones.erase(entry) : std::next(entry);
-  }
+  NewsState& news = m_state.m_news;
+  EraseIf(news.m_subscribers, [&](const auto& aEntry) {
+    return m_now - aEntry.second.m_heardAt > kSubscriptionTime;
+  });
+  EraseIf(news.m_zones, [&](const auto& aEntry) {
+    return m_now - aEntry.second.m_asOf > kZoneLifetime;
+  });
+  EraseIf(news.m_toldAges, [&](const auto& aEntry) {
+    return m_now - aEntry.second.m_at > kToldAgesTime;
+  });
 }
 
 // Returns how the nodes of a zone are, or with no zone all nodes, this one
@@ -206,35 +230,24 @@
 std::vector<GroupId> EntryReduction::ReportedSuspects() const
 {
   std::vector<GroupId> suspects = OwnSuspects();
-  for (const auto& [id, subscriber] : m_state.m_news.m_subscribers) {
-    suspects.insert(suspects.end(),
-                    subscriber.m_suspects.begin(),
-                    subscriber.m_suspects.end());
-  }
+  AppendSuspects(suspects, m_state.m_news.m_subscribers);
   std::sort(suspects.begin(), suspects.end());
   suspects.erase(std::unique(suspects.begin(), suspects.end()), suspects.end());
   return suspects;
 }
 
-// Returns what is known of the fleet. How the nodes of other zones are is said
-// now and then: they are most of the bytes.
-NewsDigest EntryReduction::MakeFleetDigest(bool aHasAllNodes) const
+// Returns what is known of the fleet, with the loads of all other nodes. How
+// the nodes of other zones are is said now and then: they are most of the
+// bytes.
+NewsDigest EntryReduction::MakeFleetDigest(
+  const std::vector<ServerLoad>& aOthers,
+  bool aHasAllNodes) const
 {
-  const NewsState& news = m_state.m_news;
   NewsDigest digest =
     MakeDigest(aHasAllNodes ? ZoneId() : m_state.m_settings.m_zone);
-  FleetLoads sums;
-  sums.OnZone(m_now, ZoneId("own"), m_state.m_gateway.m_book.OwnLoad());
-  sums.OnZone(m_now,
-              ZoneId("others"),
-              IsRelay() ? news.m_loads.OfReportsAndZones()
-                        : news.m_loads.Told());
-  digest.m_loads = sums.OfReportsAndZones();
+  digest.m_loads = AddLoads(m_state.m_gateway.m_book.OwnLoad(), aOthers);
   digest.m_suspects = ReportedSuspects();
-  for (const auto& [id, zone] : news.m_zones) {
-    digest.m_suspects.insert(
-      digest.m_suspects.end(), zone.m_suspects.begin(), zone.m_suspects.end());
-  }
+  AppendSuspects(digest.m_suspects, m_state.m_news.m_zones);
   return digest;
 }
 
@@ -258,6 +271,11 @@
       receivers.push_back(id);
     }
   }
+  if (receivers.empty() && !IsOwnRelay()) {
+    return;
+  }
+  std::vector<ServerLoad> others =
+    IsRelay() ? news.m_loads.OfReportsAndZones() : news.m_loads.Told();
   if (!receivers.empty()) {
     NodeNews digest = MakeNews();
     const bool hasAllNodes =
@@ -265,40 +283,23 @@
     if (hasAllNodes) {
       news.m_allNodesAt = m_now;
     }
-    digest.m_fleet = MakeFleetDigest(hasAllNodes);
+    digest.m_fleet = MakeFleetDigest(others, hasAllNodes);
     Send(receivers, std::move(digest));
   }
   if (IsOwnRelay()) {
-    UseLoadsAsRelay();
+    std::vector<GroupId> suspects;
+    AppendSuspects(suspects, news.m_subscribers);
+    AppendSuspects(suspects, news.m_zones);
+    UseLoads(std::move(others), suspects);
   }
 }
 
-// Uses what has been reported here and told by relays of other zones.
-void EntryReduction::UseLoadsAsRelay()
-{
-  const NewsState& news = m_state.m_news;
-  std::vector<GroupId> suspects;
-  for (const auto& [id, subscriber] : news.m_subscribers) {
-    suspects.insert(suspects.end(),
-                    subscriber.m_suspects.begin(),
-                    subscriber.m_suspects.end());
-  }
-  for (const auto& [id, zone] : news.m_zones) {
-    suspects.insert(
-      suspects.end(), zone.m_suspects.begin(), zone.m_suspects.end());
-  }
-  ToGateway(PeerLoad{ NodeId(), news.m_loads.OfReportsAndZones(), suspects });
-  NoteSuspects(std::move(suspects));
-}
-
 ZoneDigest EntryReduction::MakeOwnZone() const
 {
   const ZoneId& zone = m_state.m_settings.m_zone;
   ZoneDigest own{ zone, Millis(), MakeDigest(zone) };
-  FleetLoads sums;
-  sums.OnZone(m_now, ZoneId("own"), m_state.m_gateway.m_book.OwnLoad());
-  sums.OnZone(m_now, ZoneId("others"), m_state.m_news.m_loads.OfReports());
-  own.m_digest.m_loads = sums.OfReportsAndZones();
+  own.m_digest.m_loads = AddLoads(m_state.m_gateway.m_book.OwnLoad(),
+                                  m_state.m_news.m_loads.OfReports());
   own.m_digest.m_suspects = ReportedSuspects();
   return own;
 }
@@ -319,9 +320,7 @@
 {
   std::vector<ZoneDigest> missed;
   const auto told = m_state.m_news.m_toldAges.find(aRelay);
-  const bool isKnown = told != m_state.m_news.m_toldAges.end() &&
-                       m_now - told->second.m_at <= kToldAgesTime;
-  if (!isKnown) {
+  if (told == m_state.m_news.m_toldAges.end()) {
     return missed;
   }
   for (const auto& known : m_state.m_news.m_zones) {
@@ -382,20 +381,9 @@
 {
   constexpr size_t kRelays = 2;
   std::vector<NodeId> relays = m_state.m_directory.RankedRelays(m_now, aZone);
-  if (!relays.empty()) {
-    relays.resize(std::min(relays.size(), kRelays));
-    return relays;
-  }
-  for (const auto& [id, node] : m_state.m_directory.Others()) {
-    if (node.m_row.m_zone == aZone) {
-      relays.push_back(id);
-    }
+  if (relays.empty()) {
+    relays = NodesByTurns(aZone);
   }
-  const auto turn = static_cast<size_t>(m_now.Count() / kReservePeriod.Count());
-  std::rotate(relays.begin(),
-              relays.begin() + static_cast<std::ptrdiff_t>(
-                                 relays.empty() ? 0 : turn % relays.size()),
-              relays.end());
   relays.resize(std::min(relays.size(), kRelays));
   return relays;
 }
--- a/briarglade/entry/internal/peer_news.cc
+++ b/briarglade/entry/internal/peer_news.cc
@@ -31,7 +31,7 @@
   if (hasShare != m_state.m_hasFleetShare) {
     m_state.m_hasFleetShare = hasShare;
     const Millis age =
-      m_state.m_storeClock.At(m_now) - m_state.m_roster.KnownUpTo();
+      m_state.m_roster.KnowledgeAge(m_now, m_state.m_storeClock);
     Log(LogLevel::Info,
         hasShare ? "fleet-share-gained" : "fleet-share-lost",
         { { "nodes",
@@ -57,10 +57,7 @@
     return;
   }
   m_state.m_directory.OnNews(m_now, news);
-  m_state.m_hasTraffic = m_state.m_hasTraffic || news.m_condition.m_hasTraffic;
-  if (news.m_condition.m_isStoreDisturbed) {
-    NoteToldDisturbed();
-  }
+  TakeCondition(news.m_condition);
   for (const Bulletin& bulletin : news.m_bulletins) {
     TakeBulletin(bulletin, news.m_node);
   }
@@ -104,18 +101,21 @@
 void EntryReduction::TakeStatuses(const std::vector<NodeStatus>& aNodes)
 {
   for (const NodeStatus& status : aNodes) {
-    const NodeId* node = m_state.m_directory.OnStatus(m_now, status);
-    if (node == nullptr) {
-      continue;
-    }
-    m_state.m_hasTraffic =
-      m_state.m_hasTraffic || status.m_condition.m_hasTraffic;
-    if (status.m_condition.m_isStoreDisturbed) {
-      NoteToldDisturbed();
+    if (m_state.m_directory.OnStatus(m_now, status)) {
+      TakeCondition(status.m_condition);
     }
   }
 }
 
+// Takes what another node's condition says of the fleet.
+void EntryReduction::TakeCondition(const NodeCondition& aCondition)
+{
+  m_state.m_hasTraffic = m_state.m_hasTraffic || aCondition.m_hasTraffic;
+  if (aCondition.m_isStoreDisturbed) {
+    NoteToldDisturbed();
+  }
+}
+
 // Takes what a relay knows of the fleet.
 void EntryReduction::TakeFleet(const NodeNews& aNews)
 {
@@ -143,13 +143,15 @@
     }
   }
   news.m_loads.OnFleet(m_now, fleet.m_loads, ownNumber);
-  ToGateway(PeerLoad{ NodeId(), news.m_loads.Told(), fleet.m_suspects });
-  NoteSuspects(fleet.m_suspects);
+  UseLoads(news.m_loads.Told(), fleet.m_suspects);
 }
 
-// Keeps what other nodes find silent, for the holder of the control lease.
-void EntryReduction::NoteSuspects(std::vector<GroupId> aSuspects)
+// Goes by what all other nodes have in flight and find silent; the holder of
+// the control lease by the latter, too.
+void EntryReduction::UseLoads(std::vector<ServerLoad> aOthers,
+                              const std::vector<GroupId>& aSuspects)
 {
+  ToGateway(PeerLoad{ NodeId(), std::move(aOthers), aSuspects });
   NewsState& news = m_state.m_news;
   news.m_suspects = { aSuspects.begin(), aSuspects.end() };
   news.m_suspectsAt = m_now;
--- a/briarglade/entry/internal/row_sharing.cc
+++ b/briarglade/entry/internal/row_sharing.cc
@@ -85,11 +85,11 @@
         { { "first", followers.empty() ? "" : followers.front().Value() },
           { "nodes", std::to_string(m_state.m_nodeCount) } });
   }
-  const Millis knownAge =
-    m_state.m_storeClock.At(m_now) - m_state.m_roster.KnownUpTo();
-  const OwnLooks looks{ m_state.m_isFollower,
-                        m_state.m_storeClock.IsKnown() &&
-                          knownAge <= kRosterFreshTime };
+  const StoreClock& clock = m_state.m_storeClock;
+  const bool isToldLately =
+    clock.IsKnown() &&
+    m_state.m_roster.KnowledgeAge(m_now, clock) <= kRosterFreshTime;
+  const OwnLooks looks{ m_state.m_isFollower, isToldLately };
   for (auto& [feed, follower] : m_state.m_feeds) {
     follower.SetGap(GapOf(m_now, follower, feed, looks));
   }
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <string>
 
+#include "briarglade/base/erase_if.h"
+
 namespace briarglade::internal {
 
 namespace {
@@ -35,10 +37,10 @@
 void EntryReduction::On(const FeedAnswered& aAnswer)
 {
   FeedFollower& follower = m_state.m_feeds[aAnswer.m_feed];
-  const std::optional<Millis> failingSince = follower.FailingSince();
-  const bool wasFailing = failingSince.has_value();
-  const uint32_t failures = follower.Failures();
+  const FeedFollower before = follower;
+  const Millis answeredBefore = StoreAnsweredAt();
   follower.OnAnswered(m_now, aAnswer);
+  const bool wasFailing = before.FailingSince().has_value();
   if (wasFailing != follower.FailingSince().has_value()) {
     Log(LogLevel::Info,
         wasFailing ? "store-regained" : "store-lost",
@@ -46,20 +48,10 @@
           { "status", StoreStatusName(aAnswer.m_status) },
           { "version", std::to_string(follower.Version().Value()) } });
   }
-  const bool isFailing = follower.FailingSince().has_value();
-  const Millis failingFor =
-    m_now - failingSince.value_or(follower.FailingSince().value_or(m_now));
-  // Entries don't lapse for one call that fails or is lost on its way.
-  const bool isRepeated = std::max(failures, follower.Failures()) > 1;
-  const bool wasAway = (isRepeated && failingFor >= kLeastOutage) ||
-                       m_now - m_state.m_storeAnsweredAt >= kLeastOutage;
-  if ((wasFailing || isFailing) && wasAway) {
-    m_state.m_disturbedUntil = m_now + kEntryReturnTime;
-  }
+  NoteOutage(before, follower, answeredBefore);
   if (aAnswer.m_status != StoreStatus::Ok) {
     return;
   }
-  m_state.m_storeAnsweredAt = m_now;
   m_state.m_storeClock.Note(m_now, aAnswer.m_storeTime);
   if (aAnswer.m_feed == Feed::Own && aAnswer.m_isWhole) {
     m_state.m_lease.OnFeedKnown();
@@ -77,6 +69,36 @@
   FollowFeeds();
 }
 
+// Returns when the store last answered the call of any feed.
+Millis EntryReduction::StoreAnsweredAt() const
+{
+  Millis latest;
+  for (const auto& [feed, follower] : m_state.m_feeds) {
+    latest = std::max(latest, follower.AnsweredAt());
+  }
+  return latest;
+}
+
+// Notes whether entries may have lapsed while the store was away, from a feed
+// before and after the end of its call. They don't for one call that fails or
+// is lost on its way.
+void EntryReduction::NoteOutage(const FeedFollower& aBefore,
+                                const FeedFollower& aAfter,
+                                Millis aAnsweredBefore)
+{
+  const std::optional<Millis> failingSince =
+    aBefore.FailingSince() ? aBefore.FailingSince() : aAfter.FailingSince();
+  if (!failingSince) {
+    return;
+  }
+  const bool isRepeated = std::max(aBefore.Failures(), aAfter.Failures()) > 1;
+  const bool feedWasAway = isRepeated && m_now - *failingSince >= kLeastOutage;
+  const bool storeWasAway = m_now - aAnsweredBefore >= kLeastOutage;
+  if (feedWasAway || storeWasAway) {
+    m_state.m_disturbedUntil = m_now + kEntryReturnTime;
+  }
+}
+
 void EntryReduction::TakeRows(const std::vector<StoredRow>& aRows)
 {
   for (const StoredRow& row : aRows) {
@@ -380,11 +402,9 @@
     return;
   }
   m_state.m_groups = FindGroups(m_state.m_servers, m_state.m_routes->Config());
-  for (auto id = m_state.m_endedGroups.begin();
-       id != m_state.m_endedGroups.end();) {
-    id = m_state.m_groups.count(*id) == 0 ? m_state.m_endedGroups.erase(id)
-                                          : std::next(id);
-  }
+  EraseIf(m_state.m_endedGroups, [&](const GroupId& aGroup) {
+    return m_state.m_groups.count(aGroup) == 0;
+  });
   RemoveUnlisted();
   ToGateway(BackendsChanged{ MakeBackends() });
 }
--- a/briarglade/entry/leaving_servers.cc
+++ b/briarglade/entry/leaving_servers.cc
@@ -2,7 +2,7 @@
 
 #include "briarglade/entry/leaving_servers.h"
 
-#include <iterator>
+#include "briarglade/base/erase_if.h"
 
 namespace briarglade {
 
@@ -30,10 +30,9 @@
 
 void LeavingServers::Forget(Millis aNow)
 {
-  for (auto server = m_servers.begin(); server != m_servers.end();) {
-    const bool isOver = aNow - server->second.m_since >= kKeepTime;
-    server = isOver ? m_servers.erase(server) : std::next(server);
-  }
+  EraseIf(m_servers, [&](const auto& aEntry) {
+    return aNow - aEntry.second.m_since >= kKeepTime;
+  });
 }
 
 } // namespace briarglade
--- a/briarglade/entry/node_directory.cc
+++ b/briarglade/entry/node_directory.cc
@@ -62,11 +62,11 @@
   OnHeard(aNow, found->second, aNews.m_condition);
 }
 
-const NodeId* NodeDirectory::OnStatus(Millis aNow, const NodeStatus& aStatus)
+bool NodeDirectory::OnStatus(Millis aNow, const NodeStatus& aStatus)
 {
   const auto named = m_byKey.find(aStatus.m_key);
   if (named == m_byKey.end()) {
-    return nullptr;
+    return false;
   }
   KnownNode& node = m_others.at(named->second);
   const Millis heardAt = aNow - aStatus.m_age;
@@ -78,7 +78,7 @@
     node.m_incarnation = node.m_row.m_incarnation;
     OnHeard(heardAt, node, aStatus.m_condition);
   }
-  return &named->second;
+  return true;
 }
 
 void NodeDirectory::OnHeard(Millis aHeardAt,
@@ -150,13 +150,6 @@
   return aNode.m_heardAt && aNow - *aNode.m_heardAt <= aWithin;
 }
 
-bool NodeDirectory::IsAlive(Millis aNow, const NodeId& aNode) const
-{
-  const auto found = m_others.find(aNode);
-  return aNode == m_self.m_node ||
-         (found != m_others.end() && IsHeard(aNow, found->second, kAliveTime));
-}
-
 bool NodeDirectory::IsLost(Millis aNow,
                            const NodeId& aNode,
                            uint64_t aIncarnation) const
@@ -212,19 +205,11 @@
 std::vector<NodeId> NodeDirectory::Alive(Millis aNow) const
 {
   std::vector<NodeId> alive;
-  bool hasSelf = false;
-  for (const auto& [id, node] : m_others) {
-    if (!hasSelf && m_self.m_node < id) {
-      alive.push_back(m_self.m_node);
-      hasSelf = true;
-    }
-    if (IsHeard(aNow, node, kAliveTime)) {
-      alive.push_back(id);
-    }
-  }
-  if (!hasSelf) {
-    alive.push_back(m_self.m_node);
+  for (const auto& [id, node] : Living(aNow, ZoneId())) {
+    alive.push_back(id);
   }
+  alive.insert(std::lower_bound(alive.begin(), alive.end(), m_self.m_node),
+               m_self.m_node);
   return alive;
 }
 
--- a/briarglade/entry/node_directory.h
+++ b/briarglade/entry/node_directory.h
@@ -3,7 +3,7 @@
 //
 // Example:
 //   directory.OnNews(now, news);
-//   std::vector<Endpoint> addresses = directory.Addresses(now);
+//   std::vector<Endpoint> addresses = directory.Addresses(now, zone);
 
 #pragma once
 
@@ -48,9 +48,9 @@
   // A node's row is new, or gone.
   void OnRow(Millis aNow, const NodeId& aNode, const NodeRow* aRow);
   void OnNews(Millis aNow, const NodeNews& aNews);
-  // Another node has told how a node is. Returns the node's name; nothing: its
-  // row isn't known, or it is this node itself.
-  const NodeId* OnStatus(Millis aNow, const NodeStatus& aStatus);
+  // Another node has told how a node is. Returns whether it is another one
+  // whose row is known.
+  bool OnStatus(Millis aNow, const NodeStatus& aStatus);
   // Says whether callers may be sent to this node itself.
   void SetSelf(bool aIsReady, bool aIsLeaving);
 
@@ -58,8 +58,6 @@
   // more than an answer holds, those of the zone come first, the others by
   // turns, so that all nodes together get callers.
   std::vector<Endpoint> Addresses(Millis aNow, const ZoneId& aZone);
-  // Tells whether a node has been heard of within the last moments.
-  bool IsAlive(Millis aNow, const NodeId& aNode) const;
   // Tells whether a process has ended or hasn't been heard of for a while.
   bool IsLost(Millis aNow, const NodeId& aNode, uint64_t aIncarnation) const;
   // Tells whether the store has turned a node away for a while.
--- a/briarglade/entry/node_roster.cc
+++ b/briarglade/entry/node_roster.cc
@@ -101,8 +101,12 @@
       aNow < std::max(*m_registeredAt, *m_readAt) + SettleTime()) {
     return aNow;
   }
-  const Millis age = aClock.At(aNow) - m_knownUpTo;
-  return aNow + kRosterFreshTime - age;
+  return aNow + kRosterFreshTime - KnowledgeAge(aNow, aClock);
+}
+
+Millis NodeRoster::KnowledgeAge(Millis aNow, const StoreClock& aClock) const
+{
+  return aClock.At(aNow) - m_knownUpTo;
 }
 
 } // namespace briarglade
--- a/briarglade/entry/node_roster.h
+++ b/briarglade/entry/node_roster.h
@@ -60,6 +60,8 @@
 
   // Returns the time of the store's clock as of which every row is known.
   Millis KnownUpTo() const { return m_knownUpTo; }
+  // Returns how old that knowledge is; the clock must be known.
+  Millis KnowledgeAge(Millis aNow, const StoreClock& aClock) const;
   // Returns the nodes that share the limits, this one included, in order;
   // nothing before the rows have been read.
   std::shared_ptr<const std::vector<NodeId>> Nodes(Millis aNow);
--- a/briarglade/entry/reduce_entry.cc
+++ b/briarglade/entry/reduce_entry.cc
@@ -65,9 +65,6 @@
   Register();
   UpdateRoster();
   TickLease();
-  if (m_state.m_isBackendsStale) {
-    UpdateBackends();
-  }
   TickControl();
   const size_t suspects = OwnSuspects().size();
   ToGateway(GatewayTick{});
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -75,8 +75,6 @@
   // when that may be the reason.
   std::set<HostId> m_lapsed;
   Millis m_disturbedUntil;
-  // When the store last answered a feed's call.
-  Millis m_storeAnsweredAt;
   // The same by another node's word, which is not passed on.
   Millis m_toldDisturbedUntil;
   GroupMap m_groups;
--- a/briarglade/gateway/backend_book.cc
+++ b/briarglade/gateway/backend_book.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "briarglade/base/erase_if.h"
+
 namespace briarglade {
 
 namespace {
@@ -82,15 +84,8 @@
   }
   UpdateOthers();
   m_coldStart.Forget(aNow);
-  ForgetPauses(aNow);
-}
-
-void BackendBook::ForgetPauses(Millis aNow)
-{
-  for (auto pause = m_heldOffUntil.begin(); pause != m_heldOffUntil.end();) {
-    pause =
-      pause->second <= aNow ? m_heldOffUntil.erase(pause) : std::next(pause);
-  }
+  EraseIf(m_heldOffUntil,
+          [&](const auto& aEntry) { return aEntry.second <= aNow; });
 }
 
 void BackendBook::SetPeerLoad(const PeerLoad& aLoad)
@@ -105,18 +100,6 @@
   }
 }
 
-void BackendBook::ForgetPeer(const NodeId& aNode)
-{
-  const auto known = m_peerLoads.find(aNode);
-  if (known == m_peerLoads.end()) {
-    return;
-  }
-  for (const ServerLoad& load : known->second) {
-    SubtractOthers(load);
-  }
-  m_peerLoads.erase(known);
-}
-
 // Visits the slots of a server: one for each of its groups.
 template<typename Visitor>
 void BackendBook::VisitSlotsOf(const HostId& aServer, const Visitor& aVisitor)
--- a/briarglade/gateway/backend_book.h
+++ b/briarglade/gateway/backend_book.h
@@ -101,7 +101,6 @@
   // nothing is in flight there.
   void SetBackends(Millis aNow, const std::vector<Backend>& aBackends);
   void SetPeerLoad(const PeerLoad& aLoad);
-  void ForgetPeer(const NodeId& aNode);
   ColdStartLimit& ColdStart() { return m_coldStart; }
 
   // Returns the backend with room that is best for the request, or nothing.
@@ -156,7 +155,6 @@
   void AddOthers(const ServerLoad& aLoad);
   void SubtractOthers(const ServerLoad& aLoad);
   void UpdateOthers();
-  void ForgetPauses(Millis aNow);
 
   ZoneId m_zone;
   std::minstd_rand m_random;
--- a/briarglade/gateway/backend_book_test.cc
+++ b/briarglade/gateway/backend_book_test.cc
@@ -67,7 +67,7 @@
     ++placed[world.m_book.Slot(slot).m_backend.m_server.Value()];
   }
   CHECK(placed["y"] >= 5);
-  world.m_book.ForgetPeer(NodeId("n2"));
+  world.m_book.SetPeerLoad(PeerLoad{ NodeId("n2"), {}, {} });
   CHECK(world.Choose() == "x");
 }
 
--- a/briarglade/gateway/gateway_event.h
+++ b/briarglade/gateway/gateway_event.h
@@ -132,9 +132,10 @@
 };
 
 // What another node has under way at each server, and the groups that it finds
-// silent.
+// silent, in place of what was said of it before.
 struct PeerLoad
 {
+  // Empty: all other nodes together.
   NodeId m_node;
   std::vector<ServerLoad> m_loads;
   std::vector<GroupId> m_suspects;
--- a/briarglade/grouping/group_control.cc
+++ b/briarglade/grouping/group_control.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "briarglade/base/erase_if.h"
+
 namespace briarglade {
 
 namespace {
@@ -63,10 +65,9 @@
 
 void GroupControl::ForgetOpened()
 {
-  for (auto entry = m_opened.begin(); entry != m_opened.end();) {
-    const bool isOld = m_now - entry->second.m_since > kAnnounceTime;
-    entry = isOld ? m_opened.erase(entry) : std::next(entry);
-  }
+  EraseIf(m_opened, [&](const auto& aEntry) {
+    return m_now - aEntry.second.m_since > kAnnounceTime;
+  });
 }
 
 std::vector<GroupId> GroupControl::EndedGroups() const
--- a/briarglade/net/internal/http_connection.cc
+++ b/briarglade/net/internal/http_connection.cc
@@ -220,17 +220,16 @@
     Reject(CodeOf(m_parser->Failure()));
     return false;
   }
-  if (m_parser->IsDone() &&
-      internal::HasPeerLeft(bufferevent_getfd(m_bufferevent))) {
-    // On a busy host a request may be read long after it came.
+  if (!m_parser->IsDone()) {
+    return taken > 0 && taken < length;
+  }
+  // On a busy host a request may be read long after it came.
+  if (internal::HasPeerLeft(bufferevent_getfd(m_bufferevent))) {
     CutSoon();
     return false;
   }
-  if (m_parser->IsDone()) {
-    HandleRequest();
-    return true;
-  }
-  return taken > 0 && taken < length;
+  HandleRequest();
+  return true;
 }
 
 void HttpConnection::HandleRequest()
