--- a/briarglade/base/ids.h
+++ b/briarglade/base/ids.h
@@ -41,6 +41,8 @@
 using Generation = StrongCount<struct GenerationTag>;
 // The fencing token of a lease: raised each time the holder changes.
 using FencingToken = StrongCount<struct FencingTokenTag>;
+// A part of a prompt that several requests may share, such as a document.
+using PromptPartId = StrongCount<struct PromptPartIdTag>;
 // The xxhash of a request's route and body.
 using Fingerprint = StrongCount<struct FingerprintTag>;
 
--- a/briarglade/entry/internal/caller_requests.cc
+++ b/briarglade/entry/internal/caller_requests.cc
@@ -77,6 +77,7 @@
     request.m_maxWait ? m_now + *request.m_maxWait : arrived.m_answerBy;
   arrived.m_promptTokens = request.m_promptTokens;
   arrived.m_answerTokens = request.m_maxAnswerTokens;
+  arrived.m_sharedParts = request.m_sharedParts;
   arrived.m_fingerprint = aReceived.m_fingerprint;
   DispatchToGateway(arrived);
 }
--- a/briarglade/entry/wire_codec.h
+++ b/briarglade/entry/wire_codec.h
@@ -34,6 +34,8 @@
   uint32_t m_promptTokens = 0;
   uint32_t m_maxAnswerTokens = 0;
   uint32_t m_expectedAnswerTokens = 0;
+  // The parts of the prompt that other requests may share, in order.
+  std::vector<PromptPartId> m_sharedParts;
   // The maximum time that the caller waits for the answer.
   std::optional<Millis> m_maxWait;
   // The last event of a stream that the caller has received.
--- a/briarglade/gateway/backend_faults.cc
+++ b/briarglade/gateway/backend_faults.cc
@@ -38,9 +38,7 @@
     m_state.m_crashTracker.NoteSuccess(fingerprint);
     return;
   }
-  const bool isBroken =
-    aEnd == ExchangeEnd::ResetBeforeAnswer || aEnd == ExchangeEnd::Truncated;
-  if (isBroken && !aRequest.m_isMoved) {
+  if (IsBrokenConnection(aEnd) && !aRequest.m_isMoved) {
     const HostId& server =
       m_state.m_backendTable.Slot(aRequest.m_slot).m_backend.m_server;
     m_state.m_crashTracker.NoteBroken(
--- a/briarglade/gateway/exchange_ends.cc
+++ b/briarglade/gateway/exchange_ends.cc
@@ -4,6 +4,7 @@
 #include "briarglade/gateway/internal/gateway_reduction.h"
 
 #include <algorithm>
+#include <sstream>
 #include <string>
 
 namespace briarglade::internal {
@@ -30,6 +31,17 @@
   return aEnded.m_end == ExchangeEnd::Whole && ImpliesNotRun(aEnded.m_status);
 }
 
+// Returns the ids of prompt parts in hexadecimal, joined by commas.
+std::string PromptPartNames(const std::vector<PromptPartId>& aParts)
+{
+  std::ostringstream names;
+  names << std::hex;
+  for (const PromptPartId part : aParts) {
+    names << (names.tellp() > 0 ? "," : "") << part.Value();
+  }
+  return names.str();
+}
+
 } // namespace
 
 // Updates the backend's health from the end of an exchange.
@@ -74,6 +86,32 @@
          TimeLeft(aRequest) > kMinUsefulTime;
 }
 
+// Logs the end of an exchange without a usable answer. A broken one may be the
+// trace of a harmful request, so the line names the shared parts of its prompt.
+void GatewayReduction::LogExchangeFailed(const GatewayRequest& aRequest,
+                                         const ExchangeEnded& aEnded,
+                                         ExchangeEnd aEnd)
+{
+  const HostId& server =
+    m_state.m_backendTable.Slot(aRequest.m_slot).m_backend.m_server;
+  std::vector<LogField> fields = {
+    { "server", server.Value() },
+    { "end", ExchangeEndName(aEnd) },
+    { "status", std::to_string(aEnded.m_status) },
+    { "took-ms", std::to_string((m_now - aRequest.m_sentAt).Count()) }
+  };
+  if (IsBrokenConnection(aEnd)) {
+    const Millis answeredFor = m_now - aRequest.m_exchangeBeganAt;
+    fields.push_back({ "answered-ms",
+                       aRequest.m_exchangeBegan
+                         ? std::to_string(answeredFor.Count())
+                         : "none" });
+    fields.push_back(
+      { "parts", PromptPartNames(aRequest.m_request.m_sharedParts) });
+  }
+  LogRequest("exchange-failed", aRequest, std::move(fields));
+}
+
 void GatewayReduction::RetryOrFinish(
   GatewayRequest& aRequest,
   const ExchangeEnded& aEnded,
@@ -146,15 +184,7 @@
   if (isServed) {
     FinishWithAnswer(*request, aEnded);
   } else {
-    LogRequest(
-      "exchange-failed",
-      *request,
-      { { "server",
-          m_state.m_backendTable.Slot(request->m_slot)
-            .m_backend.m_server.Value() },
-        { "end", ExchangeEndName(end) },
-        { "status", std::to_string(aEnded.m_status) },
-        { "took-ms", std::to_string((m_now - request->m_sentAt).Count()) } });
+    LogExchangeFailed(*request, aEnded, end);
     RetryOrFinish(*request, aEnded, classification);
   }
   StartQueuedRequests();
--- a/briarglade/gateway/gateway.cc
+++ b/briarglade/gateway/gateway.cc
@@ -310,6 +310,7 @@
   }
   if (!request->m_exchangeBegan) {
     request->m_exchangeBegan = true;
+    request->m_exchangeBeganAt = m_now;
     QueueOf(*request).RecordTimeToFirstBytes(m_now - request->m_sentAt);
     m_state.m_backendTable.RecordAnswerStarted(
       m_now, request->m_slot, request->m_request.m_promptTokens);
--- a/briarglade/gateway/gateway.h
+++ b/briarglade/gateway/gateway.h
@@ -69,6 +69,8 @@
   // any exchange.
   bool m_exchangeBegan = false;
   bool m_answerBegan = false;
+  // When the answer of the current exchange began; valid if m_exchangeBegan.
+  Millis m_exchangeBeganAt;
   // When the first and the last part of the answer arrived, and the longest
   // time between two parts.
   Millis m_firstBytesAt;
--- a/briarglade/gateway/gateway_event.h
+++ b/briarglade/gateway/gateway_event.h
@@ -88,6 +88,8 @@
   // Number of prompt tokens, and the maximum number of answer tokens.
   uint32_t m_promptTokens = 0;
   uint32_t m_answerTokens = 0;
+  // The parts of the prompt that other requests may share, in order.
+  std::vector<PromptPartId> m_sharedParts;
   // xxhash of path, account and body: the same each time the request is sent.
   Fingerprint m_fingerprint;
 };
--- a/briarglade/gateway/internal/gateway_reduction.h
+++ b/briarglade/gateway/internal/gateway_reduction.h
@@ -78,6 +78,9 @@
                            const ExchangeEnded& aEnded,
                            ExchangeEnd aEnd,
                            bool aIsServed);
+  void LogExchangeFailed(const GatewayRequest& aRequest,
+                         const ExchangeEnded& aEnded,
+                         ExchangeEnd aEnd);
   bool MayRetry(const GatewayRequest& aRequest,
                 const ExchangeClassification& aClassification);
   // Retries the request if that is safe and within its limits; otherwise
--- a/briarglade/routing/internal/attempt_end.cc
+++ b/briarglade/routing/internal/attempt_end.cc
@@ -36,12 +36,6 @@
 constexpr uint32_t kSlowAnswersForColdSignal = 3;
 constexpr double kFirstByteSampleWeight = 1.0 / 32;
 
-bool IsBrokenConnection(ExchangeEnd aEnd)
-{
-  return aEnd == ExchangeEnd::ResetBeforeAnswer ||
-         aEnd == ExchangeEnd::Truncated;
-}
-
 void LogGroupEvent(const RouteSlot& aSlot,
                    const char* aEvent,
                    const char* aReason,
--- a/briarglade/routing/outcome.cc
+++ b/briarglade/routing/outcome.cc
@@ -105,6 +105,12 @@
          (aEnd == ExchangeEnd::RefusedByServer && IsCredibleRefusal(aStatus));
 }
 
+bool IsBrokenConnection(ExchangeEnd aEnd)
+{
+  return aEnd == ExchangeEnd::ResetBeforeAnswer ||
+         aEnd == ExchangeEnd::Truncated;
+}
+
 bool ImpliesNotRun(uint16_t aStatus)
 {
   return aStatus == kRequestTimeout || aStatus == kMisdirected ||
--- a/briarglade/routing/outcome.h
+++ b/briarglade/routing/outcome.h
@@ -48,6 +48,10 @@
 // Returns whether an exchange with this end certainly ran nothing.
 bool IsCertainlyNotRun(ExchangeEnd aEnd, uint16_t aStatus);
 
+// Returns whether the server broke the exchange off before its answer was
+// complete.
+bool IsBrokenConnection(ExchangeEnd aEnd);
+
 // Returns whether callers take this status as a guarantee that the request has
 // not run and never will.
 bool ImpliesNotRun(uint16_t aStatus);
