--- a/briarglade/entry/fleet_world_test.h
+++ b/briarglade/entry/fleet_world_test.h
@@ -15,6 +15,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -26,6 +27,7 @@
 #include <vector>
 
 #include "briarglade/base/overloaded.h"
+#include "briarglade/entry/crashing_servers_test.h"
 #include "briarglade/entry/own_rows.h"
 #include "briarglade/entry/reduce_entry.h"
 
@@ -168,6 +170,19 @@
   void SetFailing(bool aIsFailing) { m_isFailing = aIsFailing; }
   // Makes a server indicate in every answer that it is shutting down.
   void SetLeaving(const std::string& aHost) { m_leaving.insert(HostId(aHost)); }
+  // Lets the servers crash, answer probes and end for good instead of answering
+  // everything. A crashed server's entry is removed after kEntryLifetime, when
+  // aOnRestart is called to add the server's next run.
+  void UseCrashingServers(std::function<void(const HostId&)> aOnRestart)
+  {
+    m_onRestart = std::move(aOnRestart);
+  }
+  CrashingServers& Servers() { return m_crashingServers; }
+  // Sets a hook that completes each caller's request before it is submitted.
+  void SetRequestHook(std::function<void(RequestReceived&)> aHook)
+  {
+    m_requestHook = std::move(aHook);
+  }
   void Stop(size_t aNode) { Send(aNode, Millis(), StopRequested{}); }
 
   void Run(Millis aTime)
@@ -175,6 +190,7 @@
     const Millis end = m_now + aTime;
     for (; m_now < end; m_now += kStep) {
       WakeNodes();
+      StepServers();
       Deliver();
       AnswerWatches();
       for (size_t i = 0; i < m_nodes.size(); ++i) {
@@ -197,6 +213,10 @@
           [&](const WriteOwnRow& aCall) { Call(aNode, aCall); },
           [&](const SendPeerUpdate& aNews) { SendUpdate(aNode, aNews); },
           [&](const SendToServer& aSend) { Serve(aNode, aSend); },
+          [&](const CancelExchange& aCancel) {
+            m_crashingServers.Cancel(aCancel.m_handle);
+          },
+          [&](const ProbeServerNow& aProbe) { Probe(aNode, aProbe); },
           [&](const AnswerCaller&) { ++m_refused; },
           [&](const ForwardAnswer&) { ++m_answered; },
           [&](const ExitProcess&) { m_nodes[aNode].m_isUp = false; },
@@ -320,6 +340,8 @@
   static constexpr uint16_t kFirstPort = 9'000;
   static constexpr const char* kZonePrefix = "out/";
   static constexpr const char* kConfigKey = "config";
+  // Three heartbeats.
+  static constexpr Millis kEntryLifetime = Millis(3'000);
 
   struct Node
   {
@@ -417,6 +439,10 @@
     received.m_path = rule.m_prefix;
     received.m_request.m_host = rule.m_host;
     received.m_fingerprint = Fingerprint(m_lastHandle);
+    if (m_requestHook) {
+      m_requestHook(received);
+    }
+    m_sharedParts[received.m_handle] = received.m_request.m_sharedParts;
     Dispatch(aNode, received);
   }
 
@@ -424,6 +450,15 @@
   {
     m_served[aSend.m_server].push_back(
       ServedRequest{ m_now, aSend.m_handle, aNode });
+    if (m_onRestart) {
+      ServerExchange exchange;
+      exchange.m_node = aNode;
+      exchange.m_handle = aSend.m_handle;
+      exchange.m_server = aSend.m_server;
+      exchange.m_parts = m_sharedParts[aSend.m_handle];
+      m_crashingServers.Start(m_now, std::move(exchange));
+      return;
+    }
     if (m_leaving.count(aSend.m_server) > 0) {
       Send(aNode, kStep, ServerLeaving{ aSend.m_handle });
     }
@@ -437,6 +472,35 @@
     Send(aNode, m_options.m_answerTime, ended);
   }
 
+  // A server that is down refuses the connection.
+  void Probe(size_t aNode, const ProbeServerNow& aProbe)
+  {
+    if (!m_onRestart) {
+      return;
+    }
+    const HostId& host = aProbe.m_server.m_host;
+    Result<ServerRecord> result = aProbe.m_server;
+    if (m_crashingServers.IsDown(host)) {
+      result = Error{ ResultCode::BackendFailed, "refused" };
+    }
+    Send(aNode, kStep, ServerProbed{ host, std::move(result) });
+  }
+
+  void StepServers()
+  {
+    for (ServerEvent& event : m_crashingServers.Step(m_now)) {
+      Send(event.m_node, kStep, std::move(event.m_event));
+    }
+    const std::vector<ServerCrash>& crashes = m_crashingServers.Crashes();
+    while (m_restarted < crashes.size() &&
+           crashes[m_restarted].m_at + kEntryLifetime <= m_now) {
+      const HostId server = crashes[m_restarted].m_server;
+      ++m_restarted;
+      RemoveServer(server.Value());
+      m_onRestart(server);
+    }
+  }
+
   void Put(Feed aFeed,
            const std::string& aKey,
            std::optional<std::string> aText)
@@ -640,6 +704,12 @@
   bool m_countsUpdateBytes = false;
   uint64_t m_updateBytes = 0;
   bool m_isFailing = false;
+  CrashingServers m_crashingServers;
+  std::function<void(const HostId&)> m_onRestart;
+  std::function<void(RequestReceived&)> m_requestHook;
+  std::map<RequestHandle, std::vector<PromptPartId>> m_sharedParts;
+  // The number of crashes after which the server was started again.
+  size_t m_restarted = 0;
   int m_calls = 0;
 };
 
--- a/briarglade/gateway/gateway_test.cc
+++ b/briarglade/gateway/gateway_test.cc
@@ -60,6 +60,8 @@
 
   GatewayState m_state;
   Millis m_now{ 10'000 };
+  // The route's timeout.
+  Millis m_timeout{ 800 };
   uint64_t m_handles = 0;
   std::map<RequestHandle, std::vector<SendToServer>> m_sent;
   std::map<RequestHandle, AnswerCaller> m_answered;
@@ -104,7 +106,7 @@
     request.m_model = aKind == RouteKind::Stream ? ModelId("m") : ModelId();
     request.m_maxAttempts = aAttempts;
     request.m_deadline = m_now + Millis(1'500);
-    request.m_answerBy = m_now + Millis(800);
+    request.m_answerBy = m_now + m_timeout;
     Do(request);
     return request.m_handle;
   }
@@ -459,6 +461,34 @@
   CHECK(world.m_answered[again].m_code == ResultCode::HarmfulRequest);
 }
 
+TEST_CASE("LOST: a request that a server had long been answering when it "
+          "crashed is not blamed for the crash")
+{
+  World world;
+  std::vector<Backend> leaders;
+  for (int i = 0; i < 6; ++i) {
+    leaders.push_back(MakeGroupLeader("s" + std::to_string(i)));
+  }
+  world.Do(BackendsChanged{ leaders });
+  world.m_timeout = Millis(1'500);
+  // The same request comes three times and meets two crashes each time.
+  for (int turn = 0; turn < 3; ++turn) {
+    const RequestHandle request = world.Arrive(RouteKind::Stream, 3);
+    for (size_t crash = 1; crash <= 2; ++crash) {
+      REQUIRE(world.Sends(request) == crash);
+      const HostId server = world.m_sent[request].back().m_server;
+      world.Do(AnswerProgressed{ request });
+      world.m_now += Millis(510);
+      world.Do(AnswerProgressed{ request });
+      world.Do(ServerLost{ server, BootId("1"), DomainId(server.Value()), 11 });
+      world.End(request, ExchangeEnd::Truncated);
+    }
+    world.Do(CallerLeft{ request });
+    world.End(request, ExchangeEnd::Cancelled);
+    world.Wait(Millis(1'500)); // servers that failed are chosen again
+  }
+}
+
 TEST_CASE("all nodes together keep no more idle connections than a server "
           "accepts")
 {
