--- a/briarglade/entry/harmful_parts_test.cc
+++ b/briarglade/entry/harmful_parts_test.cc
@@ -205,5 +205,17 @@
   }
 }
 
+TEST_CASE("BUDGET: a harmful part is found while the store is unavailable")
+{
+  HarmfulWorld world(Traffic{});
+  for (size_t node = 0; node < world.NodeCount(); ++node) {
+    world.SetStoreStatus(node, StoreStatus::Unknown);
+  }
+  world.SendHarmful({ kHarmfulPart });
+  world.Run(Millis(15'000));
+  const Millis known = world.CrashTime(kCrashesToLearn) + kContactTime;
+  CHECK(world.SendsWith(kHarmfulPart, known) <= kMaxLateSends);
+}
+
 } // namespace
 } // namespace briarglade
--- a/briarglade/entry/internal/bulletins.cc
+++ b/briarglade/entry/internal/bulletins.cc
@@ -50,6 +50,17 @@
   }
 }
 
+void EntryReduction::PublishHarm(const HarmNotices& aNotices)
+{
+  HarmNotices& next = m_state.m_peerUpdates.m_nextBulletin.m_harm;
+  next.m_evidence.insert(next.m_evidence.end(),
+                         aNotices.m_evidence.begin(),
+                         aNotices.m_evidence.end());
+  next.m_clearances.insert(next.m_clearances.end(),
+                           aNotices.m_clearances.begin(),
+                           aNotices.m_clearances.end());
+}
+
 // Sends the changes that have accumulated since the last bulletin.
 void EntryReduction::SendBulletin()
 {
@@ -116,8 +127,11 @@
   }
   // Forwarded before it is applied, because other nodes wait for it.
   ForwardBulletin(aBulletin, aSender);
-  for (const CrashNotice& notice : aBulletin.m_crashes) {
-    DispatchToGateway(notice);
+  for (const CrashEvidence& evidence : aBulletin.m_harm.m_evidence) {
+    DispatchToGateway(evidence);
+  }
+  for (const TraitClearance& clearance : aBulletin.m_harm.m_clearances) {
+    DispatchToGateway(clearance);
   }
   for (const ServerRun& server : aBulletin.m_leavingServers) {
     RecordLeavingServer(server);
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -124,6 +124,7 @@
   void RemoveServer(const HostId& aHost);
   void RemoveUnlisted();
   void ReportServerLost(const ServerRecord& aServer);
+  void PublishHarm(const HarmNotices& aNotices);
   bool RecordLeavingServer(const ServerRun& aServer);
   void ChooseFollowers();
   void ForwardRowChanges(Feed aFeed, RowVersion aAfter);
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -247,16 +247,8 @@
 
 void EntryReduction::ReportServerLost(const ServerRecord& aServer)
 {
-  const auto serversInDomain =
-    std::count_if(m_state.m_servers.begin(),
-                  m_state.m_servers.end(),
-                  [&](const auto& aEntry) {
-                    return aEntry.second.m_domain == aServer.m_domain;
-                  });
-  DispatchToGateway(ServerLost{ aServer.m_host,
-                                RunOf(aServer),
-                                aServer.m_domain,
-                                static_cast<uint32_t>(serversInDomain) });
+  DispatchToGateway(ServerLost{ ServerRun{ aServer.m_host, RunOf(aServer) },
+                                aServer.m_domain });
 }
 
 // Removes unlisted servers whose groups no longer serve.
--- a/briarglade/entry/internal/update_receiving.cc
+++ b/briarglade/entry/internal/update_receiving.cc
@@ -63,6 +63,9 @@
   for (const Bulletin& bulletin : update.m_bulletins) {
     HandleBulletin(bulletin, update.m_node);
   }
+  for (const TraitRefusal& refusal : update.m_refusals) {
+    DispatchToGateway(refusal);
+  }
   ApplyRowChanges(update.m_rowChanges);
   UpdateRosterKnowledge(update);
   HandleReport(update);
--- a/briarglade/entry/node_news.capnp
+++ b/briarglade/entry/node_news.capnp
@@ -33,7 +33,7 @@
   members @2 :List(Text);
 }
 
-# A harmful request, which crashes servers.
+# Earlier versions report harmful requests by it; ignored.
 struct CrashNews {
   fingerprint @0 :UInt64;
   server @1 :Text;
@@ -41,6 +41,35 @@
   refuseForMs @3 :Int64;
 }
 
+# Something by which a harmful request can be recognized.
+struct RequestTrait {
+  kind @0 :UInt8;
+  value @1 :UInt64;
+}
+
+# A request whose exchange broke off at a crashed server.
+struct CrashEvidence {
+  server @0 :Text;
+  run @1 :Text;
+  domain @2 :Text;
+  ageMs @3 :UInt32;
+  traits @4 :List(RequestTrait);
+}
+
+# The trait is not the cause of the crashes up to a moment.
+struct TraitClearance {
+  trait @0 :RequestTrait;
+  ageMs @1 :UInt32;
+}
+
+# Requests that have the trait and all its companions are refused.
+struct TraitRefusal {
+  trait @0 :RequestTrait;
+  companions @1 :List(RequestTrait);
+  crashAgeMs @2 :UInt32;
+  remainingMs @3 :UInt32;
+}
+
 # A run of a server that is shutting down.
 struct LeavingServer {
   server @0 :Text;
@@ -96,6 +125,8 @@
   serversComplete @7 :UInt64;
   handed @8 :List(HandedRows);
   storeDisturbed @9 :Bool;
+  evidence @10 :List(CrashEvidence);
+  clearances @11 :List(TraitClearance);
 }
 
 struct NodeNews {
@@ -118,4 +149,5 @@
   # Requests the changes that the sender lacks from the receiver.
   wantsRows @13 :Bool;
   handed @14 :List(HandedRows);
+  refusals @15 :List(TraitRefusal);
 }
--- a/briarglade/entry/node_news.capnp.h
+++ b/briarglade/entry/node_news.capnp.h
@@ -21,6 +21,10 @@
 CAPNP_DECLARE_SCHEMA(966b647b7cbdaa8d);
 CAPNP_DECLARE_SCHEMA(e7dc5e3612357b25);
 CAPNP_DECLARE_SCHEMA(ce0ae2a9d545a147);
+CAPNP_DECLARE_SCHEMA(8813b8cbff63646d);
+CAPNP_DECLARE_SCHEMA(e7bd0d5135f66c68);
+CAPNP_DECLARE_SCHEMA(8fca73fac779ed31);
+CAPNP_DECLARE_SCHEMA(a29254e1d940b236);
 CAPNP_DECLARE_SCHEMA(d79d6512d41dc52f);
 CAPNP_DECLARE_SCHEMA(f793c7f1244413d5);
 CAPNP_DECLARE_SCHEMA(f089f7e1f2c826ba);
@@ -136,6 +140,86 @@
   };
 };
 
+struct RequestTrait
+{
+  RequestTrait() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate
+  {
+    CAPNP_DECLARE_STRUCT_HEADER(8813b8cbff63646d, 2, 0)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand()
+    {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
+  };
+};
+
+struct CrashEvidence
+{
+  CrashEvidence() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate
+  {
+    CAPNP_DECLARE_STRUCT_HEADER(e7bd0d5135f66c68, 1, 4)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand()
+    {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
+  };
+};
+
+struct TraitClearance
+{
+  TraitClearance() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate
+  {
+    CAPNP_DECLARE_STRUCT_HEADER(8fca73fac779ed31, 1, 1)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand()
+    {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
+  };
+};
+
+struct TraitRefusal
+{
+  TraitRefusal() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate
+  {
+    CAPNP_DECLARE_STRUCT_HEADER(a29254e1d940b236, 1, 2)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand()
+    {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
+  };
+};
+
 struct LeavingServer
 {
   LeavingServer() = delete;
@@ -266,7 +350,7 @@
 
   struct _capnpPrivate
   {
-    CAPNP_DECLARE_STRUCT_HEADER(8a262c332f6ee829, 4, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(8a262c332f6ee829, 4, 8)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand()
     {
@@ -286,7 +370,7 @@
 
   struct _capnpPrivate
   {
-    CAPNP_DECLARE_STRUCT_HEADER(cedd4078abce72d1, 3, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(cedd4078abce72d1, 3, 11)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand()
     {
@@ -908,10 +992,10 @@
 };
 #endif // !CAPNP_LITE
 
-class LeavingServer::Reader
+class RequestTrait::Reader
 {
 public:
-  typedef LeavingServer Reads;
+  typedef RequestTrait Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base)
@@ -931,11 +1015,9 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool hasServer() const;
-  inline ::capnp::Text::Reader getServer() const;
+  inline ::uint8_t getKind() const;
 
-  inline bool hasRun() const;
-  inline ::capnp::Text::Reader getRun() const;
+  inline ::uint64_t getValue() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -949,10 +1031,10 @@
   friend class ::capnp::Orphanage;
 };
 
-class LeavingServer::Builder
+class RequestTrait::Builder
 {
 public:
-  typedef LeavingServer Builds;
+  typedef RequestTrait Builds;
 
   Builder() = delete; // Deleted to discourage incorrect usage.
                       // You can explicitly initialize to nullptr instead.
@@ -975,19 +1057,11 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool hasServer();
-  inline ::capnp::Text::Builder getServer();
-  inline void setServer(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initServer(unsigned int size);
-  inline void adoptServer(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownServer();
+  inline ::uint8_t getKind();
+  inline void setKind(::uint8_t value);
 
-  inline bool hasRun();
-  inline ::capnp::Text::Builder getRun();
-  inline void setRun(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initRun(unsigned int size);
-  inline void adoptRun(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownRun();
+  inline ::uint64_t getValue();
+  inline void setValue(::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -999,10 +1073,10 @@
 };
 
 #if !CAPNP_LITE
-class LeavingServer::Pipeline
+class RequestTrait::Pipeline
 {
 public:
-  typedef LeavingServer Pipelines;
+  typedef RequestTrait Pipelines;
 
   inline Pipeline(decltype(nullptr))
     : _typeless(nullptr)
@@ -1021,10 +1095,10 @@
 };
 #endif // !CAPNP_LITE
 
-class NodeCondition::Reader
+class CrashEvidence::Reader
 {
 public:
-  typedef NodeCondition Reads;
+  typedef CrashEvidence Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base)
@@ -1044,15 +1118,21 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool getLeaving() const;
+  inline bool hasServer() const;
+  inline ::capnp::Text::Reader getServer() const;
 
-  inline bool getReady() const;
+  inline bool hasRun() const;
+  inline ::capnp::Text::Reader getRun() const;
 
-  inline bool getHasTraffic() const;
+  inline bool hasDomain() const;
+  inline ::capnp::Text::Reader getDomain() const;
 
-  inline bool getStoreLost() const;
+  inline ::uint32_t getAgeMs() const;
 
-  inline bool getStoreDisturbed() const;
+  inline bool hasTraits() const;
+  inline ::capnp::List<::briarglade::wire::RequestTrait,
+                       ::capnp::Kind::STRUCT>::Reader
+  getTraits() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1066,10 +1146,10 @@
   friend class ::capnp::Orphanage;
 };
 
-class NodeCondition::Builder
+class CrashEvidence::Builder
 {
 public:
-  typedef NodeCondition Builds;
+  typedef CrashEvidence Builds;
 
   Builder() = delete; // Deleted to discourage incorrect usage.
                       // You can explicitly initialize to nullptr instead.
@@ -1092,20 +1172,45 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool getLeaving();
-  inline void setLeaving(bool value);
+  inline bool hasServer();
+  inline ::capnp::Text::Builder getServer();
+  inline void setServer(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownServer();
 
-  inline bool getReady();
-  inline void setReady(bool value);
+  inline bool hasRun();
+  inline ::capnp::Text::Builder getRun();
+  inline void setRun(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initRun(unsigned int size);
+  inline void adoptRun(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownRun();
 
-  inline bool getHasTraffic();
-  inline void setHasTraffic(bool value);
+  inline bool hasDomain();
+  inline ::capnp::Text::Builder getDomain();
+  inline void setDomain(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownDomain();
 
-  inline bool getStoreLost();
-  inline void setStoreLost(bool value);
+  inline ::uint32_t getAgeMs();
+  inline void setAgeMs(::uint32_t value);
 
-  inline bool getStoreDisturbed();
-  inline void setStoreDisturbed(bool value);
+  inline bool hasTraits();
+  inline ::capnp::List<::briarglade::wire::RequestTrait,
+                       ::capnp::Kind::STRUCT>::Builder
+  getTraits();
+  inline void setTraits(::capnp::List<::briarglade::wire::RequestTrait,
+                                      ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::RequestTrait,
+                       ::capnp::Kind::STRUCT>::Builder
+  initTraits(unsigned int size);
+  inline void adoptTraits(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::RequestTrait,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::RequestTrait, ::capnp::Kind::STRUCT>>
+  disownTraits();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1117,10 +1222,10 @@
 };
 
 #if !CAPNP_LITE
-class NodeCondition::Pipeline
+class CrashEvidence::Pipeline
 {
 public:
-  typedef NodeCondition Pipelines;
+  typedef CrashEvidence Pipelines;
 
   inline Pipeline(decltype(nullptr))
     : _typeless(nullptr)
@@ -1139,10 +1244,10 @@
 };
 #endif // !CAPNP_LITE
 
-class NodeStatus::Reader
+class TraitClearance::Reader
 {
 public:
-  typedef NodeStatus Reads;
+  typedef TraitClearance Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base)
@@ -1162,21 +1267,10 @@
   }
 #endif // !CAPNP_LITE
 
-  inline ::uint64_t getKey() const;
-
-  inline ::uint16_t getAgeMs() const;
-
-  inline ::uint16_t getReportNumber() const;
-
-  inline bool getLeaving() const;
-
-  inline bool getReady() const;
-
-  inline bool getHasTraffic() const;
-
-  inline bool getStoreLost() const;
+  inline bool hasTrait() const;
+  inline ::briarglade::wire::RequestTrait::Reader getTrait() const;
 
-  inline bool getStoreDisturbed() const;
+  inline ::uint32_t getAgeMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1190,10 +1284,10 @@
   friend class ::capnp::Orphanage;
 };
 
-class NodeStatus::Builder
+class TraitClearance::Builder
 {
 public:
-  typedef NodeStatus Builds;
+  typedef TraitClearance Builds;
 
   Builder() = delete; // Deleted to discourage incorrect usage.
                       // You can explicitly initialize to nullptr instead.
@@ -1216,29 +1310,16 @@
   }
 #endif // !CAPNP_LITE
 
-  inline ::uint64_t getKey();
-  inline void setKey(::uint64_t value);
-
-  inline ::uint16_t getAgeMs();
-  inline void setAgeMs(::uint16_t value);
-
-  inline ::uint16_t getReportNumber();
-  inline void setReportNumber(::uint16_t value);
-
-  inline bool getLeaving();
-  inline void setLeaving(bool value);
-
-  inline bool getReady();
-  inline void setReady(bool value);
-
-  inline bool getHasTraffic();
-  inline void setHasTraffic(bool value);
+  inline bool hasTrait();
+  inline ::briarglade::wire::RequestTrait::Builder getTrait();
+  inline void setTrait(::briarglade::wire::RequestTrait::Reader value);
+  inline ::briarglade::wire::RequestTrait::Builder initTrait();
+  inline void adoptTrait(
+    ::capnp::Orphan<::briarglade::wire::RequestTrait>&& value);
+  inline ::capnp::Orphan<::briarglade::wire::RequestTrait> disownTrait();
 
-  inline bool getStoreLost();
-  inline void setStoreLost(bool value);
-
-  inline bool getStoreDisturbed();
-  inline void setStoreDisturbed(bool value);
+  inline ::uint32_t getAgeMs();
+  inline void setAgeMs(::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1250,10 +1331,10 @@
 };
 
 #if !CAPNP_LITE
-class NodeStatus::Pipeline
+class TraitClearance::Pipeline
 {
 public:
-  typedef NodeStatus Pipelines;
+  typedef TraitClearance Pipelines;
 
   inline Pipeline(decltype(nullptr))
     : _typeless(nullptr)
@@ -1264,6 +1345,8 @@
   {
   }
 
+  inline ::briarglade::wire::RequestTrait::Pipeline getTrait();
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1272,10 +1355,10 @@
 };
 #endif // !CAPNP_LITE
 
-class NewsDigest::Reader
+class TraitRefusal::Reader
 {
 public:
-  typedef NewsDigest Reads;
+  typedef TraitRefusal Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base)
@@ -1295,19 +1378,17 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool hasNodes() const;
-  inline ::capnp::List<::briarglade::wire::NodeStatus,
-                       ::capnp::Kind::STRUCT>::Reader
-  getNodes() const;
+  inline bool hasTrait() const;
+  inline ::briarglade::wire::RequestTrait::Reader getTrait() const;
 
-  inline bool hasLoads() const;
-  inline ::capnp::List<::briarglade::wire::ServerLoad,
+  inline bool hasCompanions() const;
+  inline ::capnp::List<::briarglade::wire::RequestTrait,
                        ::capnp::Kind::STRUCT>::Reader
-  getLoads() const;
+  getCompanions() const;
 
-  inline bool hasSuspects() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getSuspects()
-    const;
+  inline ::uint32_t getCrashAgeMs() const;
+
+  inline ::uint32_t getRemainingMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1321,10 +1402,10 @@
   friend class ::capnp::Orphanage;
 };
 
-class NewsDigest::Builder
+class TraitRefusal::Builder
 {
 public:
-  typedef NewsDigest Builds;
+  typedef TraitRefusal Builds;
 
   Builder() = delete; // Deleted to discourage incorrect usage.
                       // You can explicitly initialize to nullptr instead.
@@ -1347,50 +1428,35 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool hasNodes();
-  inline ::capnp::List<::briarglade::wire::NodeStatus,
-                       ::capnp::Kind::STRUCT>::Builder
-  getNodes();
-  inline void setNodes(::capnp::List<::briarglade::wire::NodeStatus,
-                                     ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::briarglade::wire::NodeStatus,
-                       ::capnp::Kind::STRUCT>::Builder
-  initNodes(unsigned int size);
-  inline void adoptNodes(
-    ::capnp::Orphan<::capnp::List<::briarglade::wire::NodeStatus,
-                                  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-    ::capnp::List<::briarglade::wire::NodeStatus, ::capnp::Kind::STRUCT>>
-  disownNodes();
+  inline bool hasTrait();
+  inline ::briarglade::wire::RequestTrait::Builder getTrait();
+  inline void setTrait(::briarglade::wire::RequestTrait::Reader value);
+  inline ::briarglade::wire::RequestTrait::Builder initTrait();
+  inline void adoptTrait(
+    ::capnp::Orphan<::briarglade::wire::RequestTrait>&& value);
+  inline ::capnp::Orphan<::briarglade::wire::RequestTrait> disownTrait();
 
-  inline bool hasLoads();
-  inline ::capnp::List<::briarglade::wire::ServerLoad,
+  inline bool hasCompanions();
+  inline ::capnp::List<::briarglade::wire::RequestTrait,
                        ::capnp::Kind::STRUCT>::Builder
-  getLoads();
-  inline void setLoads(::capnp::List<::briarglade::wire::ServerLoad,
-                                     ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::briarglade::wire::ServerLoad,
+  getCompanions();
+  inline void setCompanions(::capnp::List<::briarglade::wire::RequestTrait,
+                                          ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::RequestTrait,
                        ::capnp::Kind::STRUCT>::Builder
-  initLoads(unsigned int size);
-  inline void adoptLoads(
-    ::capnp::Orphan<::capnp::List<::briarglade::wire::ServerLoad,
+  initCompanions(unsigned int size);
+  inline void adoptCompanions(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::RequestTrait,
                                   ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan<
-    ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>
-  disownLoads();
+    ::capnp::List<::briarglade::wire::RequestTrait, ::capnp::Kind::STRUCT>>
+  disownCompanions();
 
-  inline bool hasSuspects();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  getSuspects();
-  inline void setSuspects(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setSuspects(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  initSuspects(unsigned int size);
-  inline void adoptSuspects(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-  disownSuspects();
+  inline ::uint32_t getCrashAgeMs();
+  inline void setCrashAgeMs(::uint32_t value);
+
+  inline ::uint32_t getRemainingMs();
+  inline void setRemainingMs(::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1402,10 +1468,10 @@
 };
 
 #if !CAPNP_LITE
-class NewsDigest::Pipeline
+class TraitRefusal::Pipeline
 {
 public:
-  typedef NewsDigest Pipelines;
+  typedef TraitRefusal Pipelines;
 
   inline Pipeline(decltype(nullptr))
     : _typeless(nullptr)
@@ -1416,6 +1482,8 @@
   {
   }
 
+  inline ::briarglade::wire::RequestTrait::Pipeline getTrait();
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1424,10 +1492,10 @@
 };
 #endif // !CAPNP_LITE
 
-class ZoneDigest::Reader
+class LeavingServer::Reader
 {
 public:
-  typedef ZoneDigest Reads;
+  typedef LeavingServer Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base)
@@ -1447,13 +1515,11 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool hasZone() const;
-  inline ::capnp::Text::Reader getZone() const;
-
-  inline ::uint16_t getAgeMs() const;
+  inline bool hasServer() const;
+  inline ::capnp::Text::Reader getServer() const;
 
-  inline bool hasDigest() const;
-  inline ::briarglade::wire::NewsDigest::Reader getDigest() const;
+  inline bool hasRun() const;
+  inline ::capnp::Text::Reader getRun() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1467,10 +1533,10 @@
   friend class ::capnp::Orphanage;
 };
 
-class ZoneDigest::Builder
+class LeavingServer::Builder
 {
 public:
-  typedef ZoneDigest Builds;
+  typedef LeavingServer Builds;
 
   Builder() = delete; // Deleted to discourage incorrect usage.
                       // You can explicitly initialize to nullptr instead.
@@ -1493,23 +1559,19 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool hasZone();
-  inline ::capnp::Text::Builder getZone();
-  inline void setZone(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initZone(unsigned int size);
-  inline void adoptZone(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownZone();
-
-  inline ::uint16_t getAgeMs();
-  inline void setAgeMs(::uint16_t value);
+  inline bool hasServer();
+  inline ::capnp::Text::Builder getServer();
+  inline void setServer(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownServer();
 
-  inline bool hasDigest();
-  inline ::briarglade::wire::NewsDigest::Builder getDigest();
-  inline void setDigest(::briarglade::wire::NewsDigest::Reader value);
-  inline ::briarglade::wire::NewsDigest::Builder initDigest();
-  inline void adoptDigest(
-    ::capnp::Orphan<::briarglade::wire::NewsDigest>&& value);
-  inline ::capnp::Orphan<::briarglade::wire::NewsDigest> disownDigest();
+  inline bool hasRun();
+  inline ::capnp::Text::Builder getRun();
+  inline void setRun(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initRun(unsigned int size);
+  inline void adoptRun(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownRun();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1521,10 +1583,10 @@
 };
 
 #if !CAPNP_LITE
-class ZoneDigest::Pipeline
+class LeavingServer::Pipeline
 {
 public:
-  typedef ZoneDigest Pipelines;
+  typedef LeavingServer Pipelines;
 
   inline Pipeline(decltype(nullptr))
     : _typeless(nullptr)
@@ -1535,8 +1597,6 @@
   {
   }
 
-  inline ::briarglade::wire::NewsDigest::Pipeline getDigest();
-
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1545,10 +1605,10 @@
 };
 #endif // !CAPNP_LITE
 
-class ZoneAge::Reader
+class NodeCondition::Reader
 {
 public:
-  typedef ZoneAge Reads;
+  typedef NodeCondition Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base)
@@ -1568,10 +1628,15 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool hasZone() const;
-  inline ::capnp::Text::Reader getZone() const;
+  inline bool getLeaving() const;
 
-  inline ::uint16_t getAgeMs() const;
+  inline bool getReady() const;
+
+  inline bool getHasTraffic() const;
+
+  inline bool getStoreLost() const;
+
+  inline bool getStoreDisturbed() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1585,10 +1650,10 @@
   friend class ::capnp::Orphanage;
 };
 
-class ZoneAge::Builder
+class NodeCondition::Builder
 {
 public:
-  typedef ZoneAge Builds;
+  typedef NodeCondition Builds;
 
   Builder() = delete; // Deleted to discourage incorrect usage.
                       // You can explicitly initialize to nullptr instead.
@@ -1611,15 +1676,20 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool hasZone();
-  inline ::capnp::Text::Builder getZone();
-  inline void setZone(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initZone(unsigned int size);
-  inline void adoptZone(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownZone();
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
 
-  inline ::uint16_t getAgeMs();
-  inline void setAgeMs(::uint16_t value);
+  inline bool getReady();
+  inline void setReady(bool value);
+
+  inline bool getHasTraffic();
+  inline void setHasTraffic(bool value);
+
+  inline bool getStoreLost();
+  inline void setStoreLost(bool value);
+
+  inline bool getStoreDisturbed();
+  inline void setStoreDisturbed(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1631,10 +1701,10 @@
 };
 
 #if !CAPNP_LITE
-class ZoneAge::Pipeline
+class NodeCondition::Pipeline
 {
 public:
-  typedef ZoneAge Pipelines;
+  typedef NodeCondition Pipelines;
 
   inline Pipeline(decltype(nullptr))
     : _typeless(nullptr)
@@ -1653,10 +1723,10 @@
 };
 #endif // !CAPNP_LITE
 
-class Bulletin::Reader
+class NodeStatus::Reader
 {
 public:
-  typedef Bulletin Reads;
+  typedef NodeStatus Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base)
@@ -1676,38 +1746,19 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool hasOrigin() const;
-  inline ::capnp::Text::Reader getOrigin() const;
-
-  inline ::uint64_t getIncarnation() const;
-
-  inline ::uint64_t getNumber() const;
+  inline ::uint64_t getKey() const;
 
-  inline bool hasCrashes() const;
-  inline ::capnp::List<::briarglade::wire::CrashNews,
-                       ::capnp::Kind::STRUCT>::Reader
-  getCrashes() const;
+  inline ::uint16_t getAgeMs() const;
 
-  inline bool hasLeavingServers() const;
-  inline ::capnp::List<::briarglade::wire::LeavingServer,
-                       ::capnp::Kind::STRUCT>::Reader
-  getLeavingServers() const;
+  inline ::uint16_t getReportNumber() const;
 
-  inline bool hasEnded() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getEnded()
-    const;
+  inline bool getLeaving() const;
 
-  inline bool hasOpened() const;
-  inline ::capnp::List<::briarglade::wire::OpenedGroup,
-                       ::capnp::Kind::STRUCT>::Reader
-  getOpened() const;
+  inline bool getReady() const;
 
-  inline ::uint64_t getServersComplete() const;
+  inline bool getHasTraffic() const;
 
-  inline bool hasHanded() const;
-  inline ::capnp::List<::briarglade::wire::HandedRows,
-                       ::capnp::Kind::STRUCT>::Reader
-  getHanded() const;
+  inline bool getStoreLost() const;
 
   inline bool getStoreDisturbed() const;
 
@@ -1723,10 +1774,10 @@
   friend class ::capnp::Orphanage;
 };
 
-class Bulletin::Builder
+class NodeStatus::Builder
 {
 public:
-  typedef Bulletin Builds;
+  typedef NodeStatus Builds;
 
   Builder() = delete; // Deleted to discourage incorrect usage.
                       // You can explicitly initialize to nullptr instead.
@@ -1749,98 +1800,26 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool hasOrigin();
-  inline ::capnp::Text::Builder getOrigin();
-  inline void setOrigin(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initOrigin(unsigned int size);
-  inline void adoptOrigin(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownOrigin();
-
-  inline ::uint64_t getIncarnation();
-  inline void setIncarnation(::uint64_t value);
-
-  inline ::uint64_t getNumber();
-  inline void setNumber(::uint64_t value);
+  inline ::uint64_t getKey();
+  inline void setKey(::uint64_t value);
 
-  inline bool hasCrashes();
-  inline ::capnp::List<::briarglade::wire::CrashNews,
-                       ::capnp::Kind::STRUCT>::Builder
-  getCrashes();
-  inline void setCrashes(::capnp::List<::briarglade::wire::CrashNews,
-                                       ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::briarglade::wire::CrashNews,
-                       ::capnp::Kind::STRUCT>::Builder
-  initCrashes(unsigned int size);
-  inline void adoptCrashes(
-    ::capnp::Orphan<::capnp::List<::briarglade::wire::CrashNews,
-                                  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-    ::capnp::List<::briarglade::wire::CrashNews, ::capnp::Kind::STRUCT>>
-  disownCrashes();
+  inline ::uint16_t getAgeMs();
+  inline void setAgeMs(::uint16_t value);
 
-  inline bool hasLeavingServers();
-  inline ::capnp::List<::briarglade::wire::LeavingServer,
-                       ::capnp::Kind::STRUCT>::Builder
-  getLeavingServers();
-  inline void setLeavingServers(
-    ::capnp::List<::briarglade::wire::LeavingServer,
-                  ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::briarglade::wire::LeavingServer,
-                       ::capnp::Kind::STRUCT>::Builder
-  initLeavingServers(unsigned int size);
-  inline void adoptLeavingServers(
-    ::capnp::Orphan<::capnp::List<::briarglade::wire::LeavingServer,
-                                  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-    ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>
-  disownLeavingServers();
+  inline ::uint16_t getReportNumber();
+  inline void setReportNumber(::uint16_t value);
 
-  inline bool hasEnded();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getEnded();
-  inline void setEnded(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setEnded(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initEnded(
-    unsigned int size);
-  inline void adoptEnded(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-  disownEnded();
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
 
-  inline bool hasOpened();
-  inline ::capnp::List<::briarglade::wire::OpenedGroup,
-                       ::capnp::Kind::STRUCT>::Builder
-  getOpened();
-  inline void setOpened(::capnp::List<::briarglade::wire::OpenedGroup,
-                                      ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::briarglade::wire::OpenedGroup,
-                       ::capnp::Kind::STRUCT>::Builder
-  initOpened(unsigned int size);
-  inline void adoptOpened(
-    ::capnp::Orphan<::capnp::List<::briarglade::wire::OpenedGroup,
-                                  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-    ::capnp::List<::briarglade::wire::OpenedGroup, ::capnp::Kind::STRUCT>>
-  disownOpened();
+  inline bool getReady();
+  inline void setReady(bool value);
 
-  inline ::uint64_t getServersComplete();
-  inline void setServersComplete(::uint64_t value);
+  inline bool getHasTraffic();
+  inline void setHasTraffic(bool value);
 
-  inline bool hasHanded();
-  inline ::capnp::List<::briarglade::wire::HandedRows,
-                       ::capnp::Kind::STRUCT>::Builder
-  getHanded();
-  inline void setHanded(::capnp::List<::briarglade::wire::HandedRows,
-                                      ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::briarglade::wire::HandedRows,
-                       ::capnp::Kind::STRUCT>::Builder
-  initHanded(unsigned int size);
-  inline void adoptHanded(
-    ::capnp::Orphan<::capnp::List<::briarglade::wire::HandedRows,
-                                  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-    ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>
-  disownHanded();
+  inline bool getStoreLost();
+  inline void setStoreLost(bool value);
 
   inline bool getStoreDisturbed();
   inline void setStoreDisturbed(bool value);
@@ -1855,10 +1834,10 @@
 };
 
 #if !CAPNP_LITE
-class Bulletin::Pipeline
+class NodeStatus::Pipeline
 {
 public:
-  typedef Bulletin Pipelines;
+  typedef NodeStatus Pipelines;
 
   inline Pipeline(decltype(nullptr))
     : _typeless(nullptr)
@@ -1877,10 +1856,10 @@
 };
 #endif // !CAPNP_LITE
 
-class NodeNews::Reader
+class NewsDigest::Reader
 {
 public:
-  typedef NodeNews Reads;
+  typedef NewsDigest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base)
@@ -1900,23 +1879,10 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool hasNode() const;
-  inline ::capnp::Text::Reader getNode() const;
-
-  inline ::uint64_t getIncarnation() const;
-
-  inline bool hasCondition() const;
-  inline ::briarglade::wire::NodeCondition::Reader getCondition() const;
-
-  inline bool hasComplete() const;
-  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
-  getComplete() const;
-
-  inline ::int64_t getRosterKnownUpTo() const;
-
-  inline ::uint8_t getSubscription() const;
-
-  inline ::uint16_t getReportNumber() const;
+  inline bool hasNodes() const;
+  inline ::capnp::List<::briarglade::wire::NodeStatus,
+                       ::capnp::Kind::STRUCT>::Reader
+  getNodes() const;
 
   inline bool hasLoads() const;
   inline ::capnp::List<::briarglade::wire::ServerLoad,
@@ -1927,47 +1893,22 @@
   inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getSuspects()
     const;
 
-  inline bool hasFleet() const;
-  inline ::briarglade::wire::NewsDigest::Reader getFleet() const;
+private:
+  ::capnp::_::StructReader _reader;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-  inline bool hasZones() const;
-  inline ::capnp::List<::briarglade::wire::ZoneDigest,
-                       ::capnp::Kind::STRUCT>::Reader
-  getZones() const;
-
-  inline bool hasZoneAges() const;
-  inline ::capnp::List<::briarglade::wire::ZoneAge,
-                       ::capnp::Kind::STRUCT>::Reader
-  getZoneAges() const;
-
-  inline bool hasBulletins() const;
-  inline ::capnp::List<::briarglade::wire::Bulletin,
-                       ::capnp::Kind::STRUCT>::Reader
-  getBulletins() const;
-
-  inline bool getWantsRows() const;
-
-  inline bool hasHanded() const;
-  inline ::capnp::List<::briarglade::wire::HandedRows,
-                       ::capnp::Kind::STRUCT>::Reader
-  getHanded() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class NodeNews::Builder
+class NewsDigest::Builder
 {
 public:
-  typedef NodeNews Builds;
+  typedef NewsDigest Builds;
 
   Builder() = delete; // Deleted to discourage incorrect usage.
                       // You can explicitly initialize to nullptr instead.
@@ -1990,46 +1931,21 @@
   }
 #endif // !CAPNP_LITE
 
-  inline bool hasNode();
-  inline ::capnp::Text::Builder getNode();
-  inline void setNode(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initNode(unsigned int size);
-  inline void adoptNode(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownNode();
-
-  inline ::uint64_t getIncarnation();
-  inline void setIncarnation(::uint64_t value);
-
-  inline bool hasCondition();
-  inline ::briarglade::wire::NodeCondition::Builder getCondition();
-  inline void setCondition(::briarglade::wire::NodeCondition::Reader value);
-  inline ::briarglade::wire::NodeCondition::Builder initCondition();
-  inline void adoptCondition(
-    ::capnp::Orphan<::briarglade::wire::NodeCondition>&& value);
-  inline ::capnp::Orphan<::briarglade::wire::NodeCondition> disownCondition();
-
-  inline bool hasComplete();
-  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
-  getComplete();
-  inline void setComplete(
-    ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setComplete(::kj::ArrayPtr<const ::uint64_t> value);
-  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
-  initComplete(unsigned int size);
-  inline void adoptComplete(
-    ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>&&
-      value);
-  inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
-  disownComplete();
-
-  inline ::int64_t getRosterKnownUpTo();
-  inline void setRosterKnownUpTo(::int64_t value);
-
-  inline ::uint8_t getSubscription();
-  inline void setSubscription(::uint8_t value);
-
-  inline ::uint16_t getReportNumber();
-  inline void setReportNumber(::uint16_t value);
+  inline bool hasNodes();
+  inline ::capnp::List<::briarglade::wire::NodeStatus,
+                       ::capnp::Kind::STRUCT>::Builder
+  getNodes();
+  inline void setNodes(::capnp::List<::briarglade::wire::NodeStatus,
+                                     ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::NodeStatus,
+                       ::capnp::Kind::STRUCT>::Builder
+  initNodes(unsigned int size);
+  inline void adoptNodes(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::NodeStatus,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::NodeStatus, ::capnp::Kind::STRUCT>>
+  disownNodes();
 
   inline bool hasLoads();
   inline ::capnp::List<::briarglade::wire::ServerLoad,
@@ -2060,81 +1976,6 @@
   inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
   disownSuspects();
 
-  inline bool hasFleet();
-  inline ::briarglade::wire::NewsDigest::Builder getFleet();
-  inline void setFleet(::briarglade::wire::NewsDigest::Reader value);
-  inline ::briarglade::wire::NewsDigest::Builder initFleet();
-  inline void adoptFleet(
-    ::capnp::Orphan<::briarglade::wire::NewsDigest>&& value);
-  inline ::capnp::Orphan<::briarglade::wire::NewsDigest> disownFleet();
-
-  inline bool hasZones();
-  inline ::capnp::List<::briarglade::wire::ZoneDigest,
-                       ::capnp::Kind::STRUCT>::Builder
-  getZones();
-  inline void setZones(::capnp::List<::briarglade::wire::ZoneDigest,
-                                     ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::briarglade::wire::ZoneDigest,
-                       ::capnp::Kind::STRUCT>::Builder
-  initZones(unsigned int size);
-  inline void adoptZones(
-    ::capnp::Orphan<::capnp::List<::briarglade::wire::ZoneDigest,
-                                  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-    ::capnp::List<::briarglade::wire::ZoneDigest, ::capnp::Kind::STRUCT>>
-  disownZones();
-
-  inline bool hasZoneAges();
-  inline ::capnp::List<::briarglade::wire::ZoneAge,
-                       ::capnp::Kind::STRUCT>::Builder
-  getZoneAges();
-  inline void setZoneAges(::capnp::List<::briarglade::wire::ZoneAge,
-                                        ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::briarglade::wire::ZoneAge,
-                       ::capnp::Kind::STRUCT>::Builder
-  initZoneAges(unsigned int size);
-  inline void adoptZoneAges(
-    ::capnp::Orphan<::capnp::List<::briarglade::wire::ZoneAge,
-                                  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-    ::capnp::List<::briarglade::wire::ZoneAge, ::capnp::Kind::STRUCT>>
-  disownZoneAges();
-
-  inline bool hasBulletins();
-  inline ::capnp::List<::briarglade::wire::Bulletin,
-                       ::capnp::Kind::STRUCT>::Builder
-  getBulletins();
-  inline void setBulletins(::capnp::List<::briarglade::wire::Bulletin,
-                                         ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::briarglade::wire::Bulletin,
-                       ::capnp::Kind::STRUCT>::Builder
-  initBulletins(unsigned int size);
-  inline void adoptBulletins(
-    ::capnp::Orphan<::capnp::List<::briarglade::wire::Bulletin,
-                                  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-    ::capnp::List<::briarglade::wire::Bulletin, ::capnp::Kind::STRUCT>>
-  disownBulletins();
-
-  inline bool getWantsRows();
-  inline void setWantsRows(bool value);
-
-  inline bool hasHanded();
-  inline ::capnp::List<::briarglade::wire::HandedRows,
-                       ::capnp::Kind::STRUCT>::Builder
-  getHanded();
-  inline void setHanded(::capnp::List<::briarglade::wire::HandedRows,
-                                      ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::briarglade::wire::HandedRows,
-                       ::capnp::Kind::STRUCT>::Builder
-  initHanded(unsigned int size);
-  inline void adoptHanded(
-    ::capnp::Orphan<::capnp::List<::briarglade::wire::HandedRows,
-                                  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-    ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>
-  disownHanded();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -2145,10 +1986,10 @@
 };
 
 #if !CAPNP_LITE
-class NodeNews::Pipeline
+class NewsDigest::Pipeline
 {
 public:
-  typedef NodeNews Pipelines;
+  typedef NewsDigest Pipelines;
 
   inline Pipeline(decltype(nullptr))
     : _typeless(nullptr)
@@ -2159,9 +2000,6 @@
   {
   }
 
-  inline ::briarglade::wire::NodeCondition::Pipeline getCondition();
-  inline ::briarglade::wire::NewsDigest::Pipeline getFleet();
-
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2170,552 +2008,1830 @@
 };
 #endif // !CAPNP_LITE
 
-// =======================================================================================
-
-inline bool ServerLoad::Reader::hasServer() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool ServerLoad::Builder::hasServer()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::Text::Reader ServerLoad::Reader::getServer() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder ServerLoad::Builder::getServer()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void ServerLoad::Builder::setServer(::capnp::Text::Reader value)
+class ZoneDigest::Reader
 {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder ServerLoad::Builder::initServer(unsigned int size)
+public:
+  typedef ZoneDigest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base)
+    : _reader(base)
+  {
+  }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasZone() const;
+  inline ::capnp::Text::Reader getZone() const;
+
+  inline ::uint16_t getAgeMs() const;
+
+  inline bool hasDigest() const;
+  inline ::briarglade::wire::NewsDigest::Reader getDigest() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ZoneDigest::Builder
 {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void ServerLoad::Builder::adoptServer(
-  ::capnp::Orphan<::capnp::Text>&& value)
+public:
+  typedef ZoneDigest Builds;
+
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base)
+    : _builder(base)
+  {
+  }
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return asReader().totalSize();
+  }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return asReader().toString();
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasZone();
+  inline ::capnp::Text::Builder getZone();
+  inline void setZone(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownZone();
+
+  inline ::uint16_t getAgeMs();
+  inline void setAgeMs(::uint16_t value);
+
+  inline bool hasDigest();
+  inline ::briarglade::wire::NewsDigest::Builder getDigest();
+  inline void setDigest(::briarglade::wire::NewsDigest::Reader value);
+  inline ::briarglade::wire::NewsDigest::Builder initDigest();
+  inline void adoptDigest(
+    ::capnp::Orphan<::briarglade::wire::NewsDigest>&& value);
+  inline ::capnp::Orphan<::briarglade::wire::NewsDigest> disownDigest();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ZoneDigest::Pipeline
+{
+public:
+  typedef ZoneDigest Pipelines;
+
+  inline Pipeline(decltype(nullptr))
+    : _typeless(nullptr)
+  {
+  }
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+    : _typeless(kj::mv(typeless))
+  {
+  }
+
+  inline ::briarglade::wire::NewsDigest::Pipeline getDigest();
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+class ZoneAge::Reader
+{
+public:
+  typedef ZoneAge Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base)
+    : _reader(base)
+  {
+  }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasZone() const;
+  inline ::capnp::Text::Reader getZone() const;
+
+  inline ::uint16_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ZoneAge::Builder
+{
+public:
+  typedef ZoneAge Builds;
+
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base)
+    : _builder(base)
+  {
+  }
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return asReader().totalSize();
+  }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return asReader().toString();
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasZone();
+  inline ::capnp::Text::Builder getZone();
+  inline void setZone(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownZone();
+
+  inline ::uint16_t getAgeMs();
+  inline void setAgeMs(::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ZoneAge::Pipeline
+{
+public:
+  typedef ZoneAge Pipelines;
+
+  inline Pipeline(decltype(nullptr))
+    : _typeless(nullptr)
+  {
+  }
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+    : _typeless(kj::mv(typeless))
+  {
+  }
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+class Bulletin::Reader
+{
+public:
+  typedef Bulletin Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base)
+    : _reader(base)
+  {
+  }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasOrigin() const;
+  inline ::capnp::Text::Reader getOrigin() const;
+
+  inline ::uint64_t getIncarnation() const;
+
+  inline ::uint64_t getNumber() const;
+
+  inline bool hasCrashes() const;
+  inline ::capnp::List<::briarglade::wire::CrashNews,
+                       ::capnp::Kind::STRUCT>::Reader
+  getCrashes() const;
+
+  inline bool hasLeavingServers() const;
+  inline ::capnp::List<::briarglade::wire::LeavingServer,
+                       ::capnp::Kind::STRUCT>::Reader
+  getLeavingServers() const;
+
+  inline bool hasEnded() const;
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getEnded()
+    const;
+
+  inline bool hasOpened() const;
+  inline ::capnp::List<::briarglade::wire::OpenedGroup,
+                       ::capnp::Kind::STRUCT>::Reader
+  getOpened() const;
+
+  inline ::uint64_t getServersComplete() const;
+
+  inline bool hasHanded() const;
+  inline ::capnp::List<::briarglade::wire::HandedRows,
+                       ::capnp::Kind::STRUCT>::Reader
+  getHanded() const;
+
+  inline bool getStoreDisturbed() const;
+
+  inline bool hasEvidence() const;
+  inline ::capnp::List<::briarglade::wire::CrashEvidence,
+                       ::capnp::Kind::STRUCT>::Reader
+  getEvidence() const;
+
+  inline bool hasClearances() const;
+  inline ::capnp::List<::briarglade::wire::TraitClearance,
+                       ::capnp::Kind::STRUCT>::Reader
+  getClearances() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Bulletin::Builder
+{
+public:
+  typedef Bulletin Builds;
+
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base)
+    : _builder(base)
+  {
+  }
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return asReader().totalSize();
+  }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return asReader().toString();
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasOrigin();
+  inline ::capnp::Text::Builder getOrigin();
+  inline void setOrigin(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initOrigin(unsigned int size);
+  inline void adoptOrigin(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownOrigin();
+
+  inline ::uint64_t getIncarnation();
+  inline void setIncarnation(::uint64_t value);
+
+  inline ::uint64_t getNumber();
+  inline void setNumber(::uint64_t value);
+
+  inline bool hasCrashes();
+  inline ::capnp::List<::briarglade::wire::CrashNews,
+                       ::capnp::Kind::STRUCT>::Builder
+  getCrashes();
+  inline void setCrashes(::capnp::List<::briarglade::wire::CrashNews,
+                                       ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::CrashNews,
+                       ::capnp::Kind::STRUCT>::Builder
+  initCrashes(unsigned int size);
+  inline void adoptCrashes(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::CrashNews,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::CrashNews, ::capnp::Kind::STRUCT>>
+  disownCrashes();
+
+  inline bool hasLeavingServers();
+  inline ::capnp::List<::briarglade::wire::LeavingServer,
+                       ::capnp::Kind::STRUCT>::Builder
+  getLeavingServers();
+  inline void setLeavingServers(
+    ::capnp::List<::briarglade::wire::LeavingServer,
+                  ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::LeavingServer,
+                       ::capnp::Kind::STRUCT>::Builder
+  initLeavingServers(unsigned int size);
+  inline void adoptLeavingServers(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::LeavingServer,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::LeavingServer, ::capnp::Kind::STRUCT>>
+  disownLeavingServers();
+
+  inline bool hasEnded();
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getEnded();
+  inline void setEnded(
+    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
+  inline void setEnded(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initEnded(
+    unsigned int size);
+  inline void adoptEnded(
+    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+  disownEnded();
+
+  inline bool hasOpened();
+  inline ::capnp::List<::briarglade::wire::OpenedGroup,
+                       ::capnp::Kind::STRUCT>::Builder
+  getOpened();
+  inline void setOpened(::capnp::List<::briarglade::wire::OpenedGroup,
+                                      ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::OpenedGroup,
+                       ::capnp::Kind::STRUCT>::Builder
+  initOpened(unsigned int size);
+  inline void adoptOpened(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::OpenedGroup,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::OpenedGroup, ::capnp::Kind::STRUCT>>
+  disownOpened();
+
+  inline ::uint64_t getServersComplete();
+  inline void setServersComplete(::uint64_t value);
+
+  inline bool hasHanded();
+  inline ::capnp::List<::briarglade::wire::HandedRows,
+                       ::capnp::Kind::STRUCT>::Builder
+  getHanded();
+  inline void setHanded(::capnp::List<::briarglade::wire::HandedRows,
+                                      ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::HandedRows,
+                       ::capnp::Kind::STRUCT>::Builder
+  initHanded(unsigned int size);
+  inline void adoptHanded(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::HandedRows,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>
+  disownHanded();
+
+  inline bool getStoreDisturbed();
+  inline void setStoreDisturbed(bool value);
+
+  inline bool hasEvidence();
+  inline ::capnp::List<::briarglade::wire::CrashEvidence,
+                       ::capnp::Kind::STRUCT>::Builder
+  getEvidence();
+  inline void setEvidence(::capnp::List<::briarglade::wire::CrashEvidence,
+                                        ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::CrashEvidence,
+                       ::capnp::Kind::STRUCT>::Builder
+  initEvidence(unsigned int size);
+  inline void adoptEvidence(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::CrashEvidence,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::CrashEvidence, ::capnp::Kind::STRUCT>>
+  disownEvidence();
+
+  inline bool hasClearances();
+  inline ::capnp::List<::briarglade::wire::TraitClearance,
+                       ::capnp::Kind::STRUCT>::Builder
+  getClearances();
+  inline void setClearances(::capnp::List<::briarglade::wire::TraitClearance,
+                                          ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::TraitClearance,
+                       ::capnp::Kind::STRUCT>::Builder
+  initClearances(unsigned int size);
+  inline void adoptClearances(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::TraitClearance,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::TraitClearance, ::capnp::Kind::STRUCT>>
+  disownClearances();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Bulletin::Pipeline
+{
+public:
+  typedef Bulletin Pipelines;
+
+  inline Pipeline(decltype(nullptr))
+    : _typeless(nullptr)
+  {
+  }
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+    : _typeless(kj::mv(typeless))
+  {
+  }
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+class NodeNews::Reader
+{
+public:
+  typedef NodeNews Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base)
+    : _reader(base)
+  {
+  }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasNode() const;
+  inline ::capnp::Text::Reader getNode() const;
+
+  inline ::uint64_t getIncarnation() const;
+
+  inline bool hasCondition() const;
+  inline ::briarglade::wire::NodeCondition::Reader getCondition() const;
+
+  inline bool hasComplete() const;
+  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
+  getComplete() const;
+
+  inline ::int64_t getRosterKnownUpTo() const;
+
+  inline ::uint8_t getSubscription() const;
+
+  inline ::uint16_t getReportNumber() const;
+
+  inline bool hasLoads() const;
+  inline ::capnp::List<::briarglade::wire::ServerLoad,
+                       ::capnp::Kind::STRUCT>::Reader
+  getLoads() const;
+
+  inline bool hasSuspects() const;
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getSuspects()
+    const;
+
+  inline bool hasFleet() const;
+  inline ::briarglade::wire::NewsDigest::Reader getFleet() const;
+
+  inline bool hasZones() const;
+  inline ::capnp::List<::briarglade::wire::ZoneDigest,
+                       ::capnp::Kind::STRUCT>::Reader
+  getZones() const;
+
+  inline bool hasZoneAges() const;
+  inline ::capnp::List<::briarglade::wire::ZoneAge,
+                       ::capnp::Kind::STRUCT>::Reader
+  getZoneAges() const;
+
+  inline bool hasBulletins() const;
+  inline ::capnp::List<::briarglade::wire::Bulletin,
+                       ::capnp::Kind::STRUCT>::Reader
+  getBulletins() const;
+
+  inline bool getWantsRows() const;
+
+  inline bool hasHanded() const;
+  inline ::capnp::List<::briarglade::wire::HandedRows,
+                       ::capnp::Kind::STRUCT>::Reader
+  getHanded() const;
+
+  inline bool hasRefusals() const;
+  inline ::capnp::List<::briarglade::wire::TraitRefusal,
+                       ::capnp::Kind::STRUCT>::Reader
+  getRefusals() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class NodeNews::Builder
+{
+public:
+  typedef NodeNews Builds;
+
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base)
+    : _builder(base)
+  {
+  }
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return asReader().totalSize();
+  }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return asReader().toString();
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasNode();
+  inline ::capnp::Text::Builder getNode();
+  inline void setNode(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initNode(unsigned int size);
+  inline void adoptNode(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownNode();
+
+  inline ::uint64_t getIncarnation();
+  inline void setIncarnation(::uint64_t value);
+
+  inline bool hasCondition();
+  inline ::briarglade::wire::NodeCondition::Builder getCondition();
+  inline void setCondition(::briarglade::wire::NodeCondition::Reader value);
+  inline ::briarglade::wire::NodeCondition::Builder initCondition();
+  inline void adoptCondition(
+    ::capnp::Orphan<::briarglade::wire::NodeCondition>&& value);
+  inline ::capnp::Orphan<::briarglade::wire::NodeCondition> disownCondition();
+
+  inline bool hasComplete();
+  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+  getComplete();
+  inline void setComplete(
+    ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setComplete(::kj::ArrayPtr<const ::uint64_t> value);
+  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+  initComplete(unsigned int size);
+  inline void adoptComplete(
+    ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>&&
+      value);
+  inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+  disownComplete();
+
+  inline ::int64_t getRosterKnownUpTo();
+  inline void setRosterKnownUpTo(::int64_t value);
+
+  inline ::uint8_t getSubscription();
+  inline void setSubscription(::uint8_t value);
+
+  inline ::uint16_t getReportNumber();
+  inline void setReportNumber(::uint16_t value);
+
+  inline bool hasLoads();
+  inline ::capnp::List<::briarglade::wire::ServerLoad,
+                       ::capnp::Kind::STRUCT>::Builder
+  getLoads();
+  inline void setLoads(::capnp::List<::briarglade::wire::ServerLoad,
+                                     ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::ServerLoad,
+                       ::capnp::Kind::STRUCT>::Builder
+  initLoads(unsigned int size);
+  inline void adoptLoads(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::ServerLoad,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::ServerLoad, ::capnp::Kind::STRUCT>>
+  disownLoads();
+
+  inline bool hasSuspects();
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+  getSuspects();
+  inline void setSuspects(
+    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
+  inline void setSuspects(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+  initSuspects(unsigned int size);
+  inline void adoptSuspects(
+    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+  disownSuspects();
+
+  inline bool hasFleet();
+  inline ::briarglade::wire::NewsDigest::Builder getFleet();
+  inline void setFleet(::briarglade::wire::NewsDigest::Reader value);
+  inline ::briarglade::wire::NewsDigest::Builder initFleet();
+  inline void adoptFleet(
+    ::capnp::Orphan<::briarglade::wire::NewsDigest>&& value);
+  inline ::capnp::Orphan<::briarglade::wire::NewsDigest> disownFleet();
+
+  inline bool hasZones();
+  inline ::capnp::List<::briarglade::wire::ZoneDigest,
+                       ::capnp::Kind::STRUCT>::Builder
+  getZones();
+  inline void setZones(::capnp::List<::briarglade::wire::ZoneDigest,
+                                     ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::ZoneDigest,
+                       ::capnp::Kind::STRUCT>::Builder
+  initZones(unsigned int size);
+  inline void adoptZones(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::ZoneDigest,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::ZoneDigest, ::capnp::Kind::STRUCT>>
+  disownZones();
+
+  inline bool hasZoneAges();
+  inline ::capnp::List<::briarglade::wire::ZoneAge,
+                       ::capnp::Kind::STRUCT>::Builder
+  getZoneAges();
+  inline void setZoneAges(::capnp::List<::briarglade::wire::ZoneAge,
+                                        ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::ZoneAge,
+                       ::capnp::Kind::STRUCT>::Builder
+  initZoneAges(unsigned int size);
+  inline void adoptZoneAges(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::ZoneAge,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::ZoneAge, ::capnp::Kind::STRUCT>>
+  disownZoneAges();
+
+  inline bool hasBulletins();
+  inline ::capnp::List<::briarglade::wire::Bulletin,
+                       ::capnp::Kind::STRUCT>::Builder
+  getBulletins();
+  inline void setBulletins(::capnp::List<::briarglade::wire::Bulletin,
+                                         ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::Bulletin,
+                       ::capnp::Kind::STRUCT>::Builder
+  initBulletins(unsigned int size);
+  inline void adoptBulletins(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::Bulletin,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::Bulletin, ::capnp::Kind::STRUCT>>
+  disownBulletins();
+
+  inline bool getWantsRows();
+  inline void setWantsRows(bool value);
+
+  inline bool hasHanded();
+  inline ::capnp::List<::briarglade::wire::HandedRows,
+                       ::capnp::Kind::STRUCT>::Builder
+  getHanded();
+  inline void setHanded(::capnp::List<::briarglade::wire::HandedRows,
+                                      ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::HandedRows,
+                       ::capnp::Kind::STRUCT>::Builder
+  initHanded(unsigned int size);
+  inline void adoptHanded(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::HandedRows,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::HandedRows, ::capnp::Kind::STRUCT>>
+  disownHanded();
+
+  inline bool hasRefusals();
+  inline ::capnp::List<::briarglade::wire::TraitRefusal,
+                       ::capnp::Kind::STRUCT>::Builder
+  getRefusals();
+  inline void setRefusals(::capnp::List<::briarglade::wire::TraitRefusal,
+                                        ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::TraitRefusal,
+                       ::capnp::Kind::STRUCT>::Builder
+  initRefusals(unsigned int size);
+  inline void adoptRefusals(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::TraitRefusal,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::TraitRefusal, ::capnp::Kind::STRUCT>>
+  disownRefusals();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class NodeNews::Pipeline
+{
+public:
+  typedef NodeNews Pipelines;
+
+  inline Pipeline(decltype(nullptr))
+    : _typeless(nullptr)
+  {
+  }
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+    : _typeless(kj::mv(typeless))
+  {
+  }
+
+  inline ::briarglade::wire::NodeCondition::Pipeline getCondition();
+  inline ::briarglade::wire::NewsDigest::Pipeline getFleet();
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool ServerLoad::Reader::hasServer() const
+{
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool ServerLoad::Builder::hasServer()
+{
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Text::Reader ServerLoad::Reader::getServer() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder ServerLoad::Builder::getServer()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServerLoad::Builder::setServer(::capnp::Text::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder ServerLoad::Builder::initServer(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServerLoad::Builder::adoptServer(
+  ::capnp::Orphan<::capnp::Text>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> ServerLoad::Builder::disownServer()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::uint16_t ServerLoad::Reader::getInFlight() const
+{
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint16_t ServerLoad::Builder::getInFlight()
+{
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<0>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void ServerLoad::Builder::setInFlight(::uint16_t value)
+{
+  _builder.setDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline ::uint32_t ServerLoad::Reader::getUnreadTokens() const
+{
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t ServerLoad::Builder::getUnreadTokens()
+{
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void ServerLoad::Builder::setUnreadTokens(::uint32_t value)
+{
+  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline bool Row::Reader::hasKey() const
+{
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool Row::Builder::hasKey()
+{
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Text::Reader Row::Reader::getKey() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Row::Builder::getKey()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Row::Builder::setKey(::capnp::Text::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Row::Builder::initKey(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Row::Builder::adoptKey(::capnp::Orphan<::capnp::Text>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Row::Builder::disownKey()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::uint64_t Row::Reader::getVersion() const
+{
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t Row::Builder::getVersion()
+{
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void Row::Builder::setVersion(::uint64_t value)
+{
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline bool Row::Reader::getGone() const
+{
+  return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Row::Builder::getGone()
+{
+  return _builder.getDataField<bool>(::capnp::bounded<64>() *
+                                     ::capnp::ELEMENTS);
+}
+inline void Row::Builder::setGone(bool value)
+{
+  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS,
+                              value);
+}
+
+inline bool Row::Reader::hasValue() const
+{
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool Row::Builder::hasValue()
+{
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Data::Reader Row::Reader::getValue() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Data::Builder Row::Builder::getValue()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Row::Builder::setValue(::capnp::Data::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Data>::set(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Data::Builder Row::Builder::initValue(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Row::Builder::adoptValue(::capnp::Orphan<::capnp::Data>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Data> Row::Builder::disownValue()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline ::uint8_t HandedRows::Reader::getFeed() const
+{
+  return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() *
+                                         ::capnp::ELEMENTS);
+}
+
+inline ::uint8_t HandedRows::Builder::getFeed()
+{
+  return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
+}
+inline void HandedRows::Builder::setFeed(::uint8_t value)
+{
+  _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                   value);
+}
+
+inline ::uint64_t HandedRows::Reader::getAfter() const
+{
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t HandedRows::Builder::getAfter()
+{
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void HandedRows::Builder::setAfter(::uint64_t value)
+{
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline ::uint64_t HandedRows::Reader::getUpTo() const
+{
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t HandedRows::Builder::getUpTo()
+{
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void HandedRows::Builder::setUpTo(::uint64_t value)
+{
+  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline bool HandedRows::Reader::hasRows() const
+{
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool HandedRows::Builder::hasRows()
+{
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>::Reader
+HandedRows::Reader::getRows() const
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>::
+    get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>::Builder
+HandedRows::Builder::getRows()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>::
+    get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HandedRows::Builder::setRows(
+  ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>::Reader value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>::
+    set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+        value);
+}
+inline ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>::Builder
+HandedRows::Builder::initRows(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>::
+    init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+         size);
+}
+inline void HandedRows::Builder::adoptRows(
+  ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>&& value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>::
+    adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+          kj::mv(value));
+}
+inline ::capnp::Orphan<
+  ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>
+HandedRows::Builder::disownRows()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>::
+    disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool OpenedGroup::Reader::hasGroup() const
+{
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool OpenedGroup::Builder::hasGroup()
+{
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Text::Reader OpenedGroup::Reader::getGroup() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder OpenedGroup::Builder::getGroup()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void OpenedGroup::Builder::setGroup(::capnp::Text::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder OpenedGroup::Builder::initGroup(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void OpenedGroup::Builder::adoptGroup(
+  ::capnp::Orphan<::capnp::Text>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> OpenedGroup::Builder::disownGroup()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::uint64_t OpenedGroup::Reader::getGeneration() const
+{
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t OpenedGroup::Builder::getGeneration()
+{
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void OpenedGroup::Builder::setGeneration(::uint64_t value)
+{
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline bool OpenedGroup::Reader::hasMembers() const
+{
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool OpenedGroup::Builder::hasMembers()
+{
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
+OpenedGroup::Reader::getMembers() const
+{
+  return ::capnp::_::
+    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+OpenedGroup::Builder::getMembers()
+{
+  return ::capnp::_::
+    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void OpenedGroup::Builder::setMembers(
+  ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value)
+{
+  ::capnp::_::
+    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      value);
+}
+inline void OpenedGroup::Builder::setMembers(
+  ::kj::ArrayPtr<const ::capnp::Text::Reader> value)
+{
+  ::capnp::_::
+    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      value);
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+OpenedGroup::Builder::initMembers(unsigned int size)
+{
+  return ::capnp::_::
+    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      size);
+}
+inline void OpenedGroup::Builder::adoptMembers(
+  ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value)
+{
+  ::capnp::_::
+    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+OpenedGroup::Builder::disownMembers()
+{
+  return ::capnp::_::
+    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline ::uint64_t CrashNews::Reader::getFingerprint() const
+{
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t CrashNews::Builder::getFingerprint()
+{
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void CrashNews::Builder::setFingerprint(::uint64_t value)
+{
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline bool CrashNews::Reader::hasServer() const
+{
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool CrashNews::Builder::hasServer()
+{
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Text::Reader CrashNews::Reader::getServer() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder CrashNews::Builder::getServer()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashNews::Builder::setServer(::capnp::Text::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder CrashNews::Builder::initServer(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashNews::Builder::adoptServer(
+  ::capnp::Orphan<::capnp::Text>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> CrashNews::Builder::disownServer()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CrashNews::Reader::hasRun() const
+{
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool CrashNews::Builder::hasRun()
+{
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Text::Reader CrashNews::Reader::getRun() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder CrashNews::Builder::getRun()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CrashNews::Builder::setRun(::capnp::Text::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder CrashNews::Builder::initRun(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void CrashNews::Builder::adoptRun(::capnp::Orphan<::capnp::Text>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> CrashNews::Builder::disownRun()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline ::int64_t CrashNews::Reader::getRefuseForMs() const
+{
+  return _reader.getDataField<::int64_t>(::capnp::bounded<1>() *
+                                         ::capnp::ELEMENTS);
+}
+
+inline ::int64_t CrashNews::Builder::getRefuseForMs()
 {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
+  return _builder.getDataField<::int64_t>(::capnp::bounded<1>() *
+                                          ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan<::capnp::Text> ServerLoad::Builder::disownServer()
+inline void CrashNews::Builder::setRefuseForMs(::int64_t value)
 {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+                                   value);
 }
 
-inline ::uint16_t ServerLoad::Reader::getInFlight() const
+inline ::uint8_t RequestTrait::Reader::getKind() const
 {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+  return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() *
+                                         ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t ServerLoad::Builder::getInFlight()
+inline ::uint8_t RequestTrait::Builder::getKind()
 {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+  return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
 }
-inline void ServerLoad::Builder::setInFlight(::uint16_t value)
+inline void RequestTrait::Builder::setKind(::uint8_t value)
 {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+  _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                   value);
 }
 
-inline ::uint32_t ServerLoad::Reader::getUnreadTokens() const
+inline ::uint64_t RequestTrait::Reader::getValue() const
 {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() *
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
                                           ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t ServerLoad::Builder::getUnreadTokens()
+inline ::uint64_t RequestTrait::Builder::getValue()
 {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() *
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
                                            ::capnp::ELEMENTS);
 }
-inline void ServerLoad::Builder::setUnreadTokens(::uint32_t value)
+inline void RequestTrait::Builder::setValue(::uint64_t value)
 {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
                                     value);
 }
 
-inline bool Row::Reader::hasKey() const
+inline bool CrashEvidence::Reader::hasServer() const
 {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool Row::Builder::hasKey()
+inline bool CrashEvidence::Builder::hasServer()
 {
   return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::capnp::Text::Reader Row::Reader::getKey() const
+inline ::capnp::Text::Reader CrashEvidence::Reader::getServer() const
 {
   return ::capnp::_::PointerHelpers<::capnp::Text>::get(
     _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Row::Builder::getKey()
+inline ::capnp::Text::Builder CrashEvidence::Builder::getServer()
 {
   return ::capnp::_::PointerHelpers<::capnp::Text>::get(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Row::Builder::setKey(::capnp::Text::Reader value)
+inline void CrashEvidence::Builder::setServer(::capnp::Text::Reader value)
 {
   ::capnp::_::PointerHelpers<::capnp::Text>::set(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Row::Builder::initKey(unsigned int size)
+inline ::capnp::Text::Builder CrashEvidence::Builder::initServer(
+  unsigned int size)
 {
   return ::capnp::_::PointerHelpers<::capnp::Text>::init(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Row::Builder::adoptKey(::capnp::Orphan<::capnp::Text>&& value)
+inline void CrashEvidence::Builder::adoptServer(
+  ::capnp::Orphan<::capnp::Text>&& value)
 {
   ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
     kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Row::Builder::disownKey()
+inline ::capnp::Orphan<::capnp::Text> CrashEvidence::Builder::disownServer()
 {
   return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Row::Reader::getVersion() const
-{
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
-}
-
-inline ::uint64_t Row::Builder::getVersion()
-{
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
-}
-inline void Row::Builder::setVersion(::uint64_t value)
-{
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
-}
-
-inline bool Row::Reader::getGone() const
-{
-  return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-
-inline bool Row::Builder::getGone()
-{
-  return _builder.getDataField<bool>(::capnp::bounded<64>() *
-                                     ::capnp::ELEMENTS);
-}
-inline void Row::Builder::setGone(bool value)
-{
-  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS,
-                              value);
-}
-
-inline bool Row::Reader::hasValue() const
+inline bool CrashEvidence::Reader::hasRun() const
 {
   return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool Row::Builder::hasValue()
+inline bool CrashEvidence::Builder::hasRun()
 {
   return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::capnp::Data::Reader Row::Reader::getValue() const
+inline ::capnp::Text::Reader CrashEvidence::Reader::getRun() const
 {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
     _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Row::Builder::getValue()
+inline ::capnp::Text::Builder CrashEvidence::Builder::getRun()
 {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
     _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Row::Builder::setValue(::capnp::Data::Reader value)
+inline void CrashEvidence::Builder::setRun(::capnp::Text::Reader value)
 {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
     _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder Row::Builder::initValue(unsigned int size)
+inline ::capnp::Text::Builder CrashEvidence::Builder::initRun(unsigned int size)
 {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
     _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Row::Builder::adoptValue(::capnp::Orphan<::capnp::Data>&& value)
+inline void CrashEvidence::Builder::adoptRun(
+  ::capnp::Orphan<::capnp::Text>&& value)
 {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
     _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
     kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> Row::Builder::disownValue()
+inline ::capnp::Orphan<::capnp::Text> CrashEvidence::Builder::disownRun()
 {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
     _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint8_t HandedRows::Reader::getFeed() const
+inline bool CrashEvidence::Reader::hasDomain() const
 {
-  return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+            .isNull();
 }
-
-inline ::uint8_t HandedRows::Builder::getFeed()
+inline bool CrashEvidence::Builder::hasDomain()
 {
-  return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+            .isNull();
 }
-inline void HandedRows::Builder::setFeed(::uint8_t value)
+inline ::capnp::Text::Reader CrashEvidence::Reader::getDomain() const
 {
-  _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline ::uint64_t HandedRows::Reader::getAfter() const
+inline ::capnp::Text::Builder CrashEvidence::Builder::getDomain()
 {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline ::uint64_t HandedRows::Builder::getAfter()
+inline void CrashEvidence::Builder::setDomain(::capnp::Text::Reader value)
 {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void HandedRows::Builder::setAfter(::uint64_t value)
+inline ::capnp::Text::Builder CrashEvidence::Builder::initDomain(
+  unsigned int size)
 {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void CrashEvidence::Builder::adoptDomain(
+  ::capnp::Orphan<::capnp::Text>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> CrashEvidence::Builder::disownDomain()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t HandedRows::Reader::getUpTo() const
+inline ::uint32_t CrashEvidence::Reader::getAgeMs() const
 {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() *
                                           ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t HandedRows::Builder::getUpTo()
+inline ::uint32_t CrashEvidence::Builder::getAgeMs()
 {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() *
                                            ::capnp::ELEMENTS);
 }
-inline void HandedRows::Builder::setUpTo(::uint64_t value)
+inline void CrashEvidence::Builder::setAgeMs(::uint32_t value)
 {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
+  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
                                     value);
 }
 
-inline bool HandedRows::Reader::hasRows() const
+inline bool CrashEvidence::Reader::hasTraits() const
 {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool HandedRows::Builder::hasRows()
+inline bool CrashEvidence::Builder::hasTraits()
 {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>::Reader
-HandedRows::Reader::getRows() const
+inline ::capnp::List<::briarglade::wire::RequestTrait,
+                     ::capnp::Kind::STRUCT>::Reader
+CrashEvidence::Reader::getTraits() const
 {
   return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>::
-    get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::List<::briarglade::wire::RequestTrait, ::capnp::Kind::STRUCT>>::
+    get(_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>::Builder
-HandedRows::Builder::getRows()
+inline ::capnp::List<::briarglade::wire::RequestTrait,
+                     ::capnp::Kind::STRUCT>::Builder
+CrashEvidence::Builder::getTraits()
 {
   return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>::
-    get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::List<::briarglade::wire::RequestTrait, ::capnp::Kind::STRUCT>>::
+    get(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void HandedRows::Builder::setRows(
-  ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>::Reader value)
+inline void CrashEvidence::Builder::setTraits(
+  ::capnp::List<::briarglade::wire::RequestTrait, ::capnp::Kind::STRUCT>::Reader
+    value)
 {
   ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>::
-    set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    ::capnp::List<::briarglade::wire::RequestTrait, ::capnp::Kind::STRUCT>>::
+    set(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
         value);
 }
-inline ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>::Builder
-HandedRows::Builder::initRows(unsigned int size)
+inline ::capnp::List<::briarglade::wire::RequestTrait,
+                     ::capnp::Kind::STRUCT>::Builder
+CrashEvidence::Builder::initTraits(unsigned int size)
 {
   return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>::
-    init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    ::capnp::List<::briarglade::wire::RequestTrait, ::capnp::Kind::STRUCT>>::
+    init(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
          size);
 }
-inline void HandedRows::Builder::adoptRows(
-  ::capnp::Orphan<
-    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>&& value)
+inline void CrashEvidence::Builder::adoptTraits(
+  ::capnp::Orphan<::capnp::List<::briarglade::wire::RequestTrait,
+                                ::capnp::Kind::STRUCT>>&& value)
 {
   ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>::
-    adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    ::capnp::List<::briarglade::wire::RequestTrait, ::capnp::Kind::STRUCT>>::
+    adopt(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
           kj::mv(value));
 }
 inline ::capnp::Orphan<
-  ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>
-HandedRows::Builder::disownRows()
+  ::capnp::List<::briarglade::wire::RequestTrait, ::capnp::Kind::STRUCT>>
+CrashEvidence::Builder::disownTraits()
 {
   return ::capnp::_::PointerHelpers<
-    ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>::
-    disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::List<::briarglade::wire::RequestTrait, ::capnp::Kind::STRUCT>>::
+    disown(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool OpenedGroup::Reader::hasGroup() const
+inline bool TraitClearance::Reader::hasTrait() const
 {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool OpenedGroup::Builder::hasGroup()
+inline bool TraitClearance::Builder::hasTrait()
 {
   return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::capnp::Text::Reader OpenedGroup::Reader::getGroup() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder OpenedGroup::Builder::getGroup()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void OpenedGroup::Builder::setGroup(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder OpenedGroup::Builder::initGroup(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void OpenedGroup::Builder::adoptGroup(
-  ::capnp::Orphan<::capnp::Text>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-    kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> OpenedGroup::Builder::disownGroup()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline ::uint64_t OpenedGroup::Reader::getGeneration() const
-{
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
-}
-
-inline ::uint64_t OpenedGroup::Builder::getGeneration()
-{
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
-}
-inline void OpenedGroup::Builder::setGeneration(::uint64_t value)
-{
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
-}
-
-inline bool OpenedGroup::Reader::hasMembers() const
-{
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline bool OpenedGroup::Builder::hasMembers()
-{
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-            .isNull();
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-OpenedGroup::Reader::getMembers() const
-{
-  return ::capnp::_::
-    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::briarglade::wire::RequestTrait::Reader
+TraitClearance::Reader::getTrait() const
+{
+  return ::capnp::_::PointerHelpers<::briarglade::wire::RequestTrait>::get(
+    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-OpenedGroup::Builder::getMembers()
+inline ::briarglade::wire::RequestTrait::Builder
+TraitClearance::Builder::getTrait()
 {
-  return ::capnp::_::
-    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::briarglade::wire::RequestTrait>::get(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void OpenedGroup::Builder::setMembers(
-  ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value)
+#if !CAPNP_LITE
+inline ::briarglade::wire::RequestTrait::Pipeline
+TraitClearance::Pipeline::getTrait()
 {
-  ::capnp::_::
-    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+  return ::briarglade::wire::RequestTrait::Pipeline(
+    _typeless.getPointerField(0));
 }
-inline void OpenedGroup::Builder::setMembers(
-  ::kj::ArrayPtr<const ::capnp::Text::Reader> value)
+#endif // !CAPNP_LITE
+inline void TraitClearance::Builder::setTrait(
+  ::briarglade::wire::RequestTrait::Reader value)
 {
-  ::capnp::_::
-    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers<::briarglade::wire::RequestTrait>::set(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-OpenedGroup::Builder::initMembers(unsigned int size)
+inline ::briarglade::wire::RequestTrait::Builder
+TraitClearance::Builder::initTrait()
 {
-  return ::capnp::_::
-    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+  return ::capnp::_::PointerHelpers<::briarglade::wire::RequestTrait>::init(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void OpenedGroup::Builder::adoptMembers(
-  ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value)
+inline void TraitClearance::Builder::adoptTrait(
+  ::capnp::Orphan<::briarglade::wire::RequestTrait>&& value)
 {
-  ::capnp::_::
-    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers<::briarglade::wire::RequestTrait>::adopt(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-OpenedGroup::Builder::disownMembers()
+inline ::capnp::Orphan<::briarglade::wire::RequestTrait>
+TraitClearance::Builder::disownTrait()
 {
-  return ::capnp::_::
-    PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::briarglade::wire::RequestTrait>::disown(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t CrashNews::Reader::getFingerprint() const
+inline ::uint32_t TraitClearance::Reader::getAgeMs() const
 {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() *
                                           ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t CrashNews::Builder::getFingerprint()
+inline ::uint32_t TraitClearance::Builder::getAgeMs()
 {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() *
                                            ::capnp::ELEMENTS);
 }
-inline void CrashNews::Builder::setFingerprint(::uint64_t value)
+inline void TraitClearance::Builder::setAgeMs(::uint32_t value)
 {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
                                     value);
 }
 
-inline bool CrashNews::Reader::hasServer() const
+inline bool TraitRefusal::Reader::hasTrait() const
 {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool CrashNews::Builder::hasServer()
+inline bool TraitRefusal::Builder::hasTrait()
 {
   return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::capnp::Text::Reader CrashNews::Reader::getServer() const
+inline ::briarglade::wire::RequestTrait::Reader TraitRefusal::Reader::getTrait()
+  const
 {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+  return ::capnp::_::PointerHelpers<::briarglade::wire::RequestTrait>::get(
     _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder CrashNews::Builder::getServer()
+inline ::briarglade::wire::RequestTrait::Builder
+TraitRefusal::Builder::getTrait()
 {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+  return ::capnp::_::PointerHelpers<::briarglade::wire::RequestTrait>::get(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CrashNews::Builder::setServer(::capnp::Text::Reader value)
+#if !CAPNP_LITE
+inline ::briarglade::wire::RequestTrait::Pipeline
+TraitRefusal::Pipeline::getTrait()
 {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+  return ::briarglade::wire::RequestTrait::Pipeline(
+    _typeless.getPointerField(0));
+}
+#endif // !CAPNP_LITE
+inline void TraitRefusal::Builder::setTrait(
+  ::briarglade::wire::RequestTrait::Reader value)
+{
+  ::capnp::_::PointerHelpers<::briarglade::wire::RequestTrait>::set(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder CrashNews::Builder::initServer(unsigned int size)
+inline ::briarglade::wire::RequestTrait::Builder
+TraitRefusal::Builder::initTrait()
 {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+  return ::capnp::_::PointerHelpers<::briarglade::wire::RequestTrait>::init(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CrashNews::Builder::adoptServer(
-  ::capnp::Orphan<::capnp::Text>&& value)
+inline void TraitRefusal::Builder::adoptTrait(
+  ::capnp::Orphan<::briarglade::wire::RequestTrait>&& value)
 {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+  ::capnp::_::PointerHelpers<::briarglade::wire::RequestTrait>::adopt(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
     kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> CrashNews::Builder::disownServer()
+inline ::capnp::Orphan<::briarglade::wire::RequestTrait>
+TraitRefusal::Builder::disownTrait()
 {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+  return ::capnp::_::PointerHelpers<::briarglade::wire::RequestTrait>::disown(
     _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool CrashNews::Reader::hasRun() const
+inline bool TraitRefusal::Reader::hasCompanions() const
 {
   return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
             .isNull();
 }
-inline bool CrashNews::Builder::hasRun()
+inline bool TraitRefusal::Builder::hasCompanions()
 {
   return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
             .isNull();
 }
-inline ::capnp::Text::Reader CrashNews::Reader::getRun() const
+inline ::capnp::List<::briarglade::wire::RequestTrait,
+                     ::capnp::Kind::STRUCT>::Reader
+TraitRefusal::Reader::getCompanions() const
 {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::RequestTrait, ::capnp::Kind::STRUCT>>::
+    get(_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder CrashNews::Builder::getRun()
+inline ::capnp::List<::briarglade::wire::RequestTrait,
+                     ::capnp::Kind::STRUCT>::Builder
+TraitRefusal::Builder::getCompanions()
 {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::RequestTrait, ::capnp::Kind::STRUCT>>::
+    get(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void CrashNews::Builder::setRun(::capnp::Text::Reader value)
+inline void TraitRefusal::Builder::setCompanions(
+  ::capnp::List<::briarglade::wire::RequestTrait, ::capnp::Kind::STRUCT>::Reader
+    value)
 {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::RequestTrait, ::capnp::Kind::STRUCT>>::
+    set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+        value);
 }
-inline ::capnp::Text::Builder CrashNews::Builder::initRun(unsigned int size)
+inline ::capnp::List<::briarglade::wire::RequestTrait,
+                     ::capnp::Kind::STRUCT>::Builder
+TraitRefusal::Builder::initCompanions(unsigned int size)
 {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::RequestTrait, ::capnp::Kind::STRUCT>>::
+    init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+         size);
 }
-inline void CrashNews::Builder::adoptRun(::capnp::Orphan<::capnp::Text>&& value)
+inline void TraitRefusal::Builder::adoptCompanions(
+  ::capnp::Orphan<::capnp::List<::briarglade::wire::RequestTrait,
+                                ::capnp::Kind::STRUCT>>&& value)
 {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-    kj::mv(value));
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::RequestTrait, ::capnp::Kind::STRUCT>>::
+    adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+          kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> CrashNews::Builder::disownRun()
+inline ::capnp::Orphan<
+  ::capnp::List<::briarglade::wire::RequestTrait, ::capnp::Kind::STRUCT>>
+TraitRefusal::Builder::disownCompanions()
 {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::RequestTrait, ::capnp::Kind::STRUCT>>::
+    disown(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t CrashNews::Reader::getRefuseForMs() const
+inline ::uint32_t TraitRefusal::Reader::getCrashAgeMs() const
 {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                         ::capnp::ELEMENTS);
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline ::int64_t CrashNews::Builder::getRefuseForMs()
+inline ::uint32_t TraitRefusal::Builder::getCrashAgeMs()
 {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<1>() *
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void TraitRefusal::Builder::setCrashAgeMs(::uint32_t value)
+{
+  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline ::uint32_t TraitRefusal::Reader::getRemainingMs() const
+{
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() *
                                           ::capnp::ELEMENTS);
 }
-inline void CrashNews::Builder::setRefuseForMs(::int64_t value)
+
+inline ::uint32_t TraitRefusal::Builder::getRemainingMs()
 {
-  _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                   value);
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void TraitRefusal::Builder::setRemainingMs(::uint32_t value)
+{
+  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
 inline bool LeavingServer::Reader::hasServer() const
@@ -3790,6 +4906,130 @@
                               value);
 }
 
+inline bool Bulletin::Reader::hasEvidence() const
+{
+  return !_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool Bulletin::Builder::hasEvidence()
+{
+  return !_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::List<::briarglade::wire::CrashEvidence,
+                     ::capnp::Kind::STRUCT>::Reader
+Bulletin::Reader::getEvidence() const
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::CrashEvidence, ::capnp::Kind::STRUCT>>::
+    get(_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::briarglade::wire::CrashEvidence,
+                     ::capnp::Kind::STRUCT>::Builder
+Bulletin::Builder::getEvidence()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::CrashEvidence, ::capnp::Kind::STRUCT>>::
+    get(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Bulletin::Builder::setEvidence(
+  ::capnp::List<::briarglade::wire::CrashEvidence,
+                ::capnp::Kind::STRUCT>::Reader value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::CrashEvidence, ::capnp::Kind::STRUCT>>::
+    set(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
+        value);
+}
+inline ::capnp::List<::briarglade::wire::CrashEvidence,
+                     ::capnp::Kind::STRUCT>::Builder
+Bulletin::Builder::initEvidence(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::CrashEvidence, ::capnp::Kind::STRUCT>>::
+    init(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
+         size);
+}
+inline void Bulletin::Builder::adoptEvidence(
+  ::capnp::Orphan<::capnp::List<::briarglade::wire::CrashEvidence,
+                                ::capnp::Kind::STRUCT>>&& value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::CrashEvidence, ::capnp::Kind::STRUCT>>::
+    adopt(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
+          kj::mv(value));
+}
+inline ::capnp::Orphan<
+  ::capnp::List<::briarglade::wire::CrashEvidence, ::capnp::Kind::STRUCT>>
+Bulletin::Builder::disownEvidence()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::CrashEvidence, ::capnp::Kind::STRUCT>>::
+    disown(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool Bulletin::Reader::hasClearances() const
+{
+  return !_reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool Bulletin::Builder::hasClearances()
+{
+  return !_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::List<::briarglade::wire::TraitClearance,
+                     ::capnp::Kind::STRUCT>::Reader
+Bulletin::Reader::getClearances() const
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::TraitClearance, ::capnp::Kind::STRUCT>>::
+    get(_reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::briarglade::wire::TraitClearance,
+                     ::capnp::Kind::STRUCT>::Builder
+Bulletin::Builder::getClearances()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::TraitClearance, ::capnp::Kind::STRUCT>>::
+    get(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void Bulletin::Builder::setClearances(
+  ::capnp::List<::briarglade::wire::TraitClearance,
+                ::capnp::Kind::STRUCT>::Reader value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::TraitClearance, ::capnp::Kind::STRUCT>>::
+    set(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS),
+        value);
+}
+inline ::capnp::List<::briarglade::wire::TraitClearance,
+                     ::capnp::Kind::STRUCT>::Builder
+Bulletin::Builder::initClearances(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::TraitClearance, ::capnp::Kind::STRUCT>>::
+    init(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS),
+         size);
+}
+inline void Bulletin::Builder::adoptClearances(
+  ::capnp::Orphan<::capnp::List<::briarglade::wire::TraitClearance,
+                                ::capnp::Kind::STRUCT>>&& value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::TraitClearance, ::capnp::Kind::STRUCT>>::
+    adopt(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS),
+          kj::mv(value));
+}
+inline ::capnp::Orphan<
+  ::capnp::List<::briarglade::wire::TraitClearance, ::capnp::Kind::STRUCT>>
+Bulletin::Builder::disownClearances()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::TraitClearance, ::capnp::Kind::STRUCT>>::
+    disown(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline bool NodeNews::Reader::hasNode() const
 {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
@@ -4461,6 +5701,69 @@
     disown(_builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline bool NodeNews::Reader::hasRefusals() const
+{
+  return !_reader.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool NodeNews::Builder::hasRefusals()
+{
+  return !_builder.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::List<::briarglade::wire::TraitRefusal,
+                     ::capnp::Kind::STRUCT>::Reader
+NodeNews::Reader::getRefusals() const
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::TraitRefusal, ::capnp::Kind::STRUCT>>::
+    get(_reader.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::briarglade::wire::TraitRefusal,
+                     ::capnp::Kind::STRUCT>::Builder
+NodeNews::Builder::getRefusals()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::TraitRefusal, ::capnp::Kind::STRUCT>>::
+    get(_builder.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void NodeNews::Builder::setRefusals(
+  ::capnp::List<::briarglade::wire::TraitRefusal, ::capnp::Kind::STRUCT>::Reader
+    value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::TraitRefusal, ::capnp::Kind::STRUCT>>::
+    set(_builder.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS),
+        value);
+}
+inline ::capnp::List<::briarglade::wire::TraitRefusal,
+                     ::capnp::Kind::STRUCT>::Builder
+NodeNews::Builder::initRefusals(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::TraitRefusal, ::capnp::Kind::STRUCT>>::
+    init(_builder.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS),
+         size);
+}
+inline void NodeNews::Builder::adoptRefusals(
+  ::capnp::Orphan<::capnp::List<::briarglade::wire::TraitRefusal,
+                                ::capnp::Kind::STRUCT>>&& value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::TraitRefusal, ::capnp::Kind::STRUCT>>::
+    adopt(_builder.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS),
+          kj::mv(value));
+}
+inline ::capnp::Orphan<
+  ::capnp::List<::briarglade::wire::TraitRefusal, ::capnp::Kind::STRUCT>>
+NodeNews::Builder::disownRefusals()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::TraitRefusal, ::capnp::Kind::STRUCT>>::
+    disown(
+      _builder.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
 } // namespace
 } // namespace
 
--- a/briarglade/entry/node_news.cc
+++ b/briarglade/entry/node_news.cc
@@ -42,6 +42,13 @@
   return static_cast<uint16_t>(std::clamp(aAge.Count(), int64_t{ 0 }, kMaxAge));
 }
 
+// Encodes a time in milliseconds that may be hours.
+uint32_t ToDuration(Millis aTime)
+{
+  constexpr int64_t kMax = UINT32_MAX;
+  return static_cast<uint32_t>(std::clamp(aTime.Count(), int64_t{ 0 }, kMax));
+}
+
 // Writes the entries of a list one by one.
 template<typename Builder, typename Entries, typename Writer>
 void WriteList(Builder aList, const Entries& aEntries, const Writer& aWrite)
@@ -175,12 +182,40 @@
   WriteIds(aEntry.initMembers(SizeOf(aGroup.m_members)), aGroup.m_members);
 }
 
-void WriteCrash(wire::CrashNews::Builder aEntry, const CrashNotice& aNotice)
+void WriteTrait(wire::RequestTrait::Builder aEntry, const RequestTrait& aTrait)
+{
+  aEntry.setKind(static_cast<uint8_t>(aTrait.m_kind));
+  aEntry.setValue(aTrait.m_value);
+}
+
+void WriteEvidence(wire::CrashEvidence::Builder aEntry,
+                   const CrashEvidence& aEvidence)
+{
+  aEntry.setServer(aEvidence.m_server.m_server.Value());
+  aEntry.setRun(aEvidence.m_server.m_run.Value());
+  aEntry.setDomain(aEvidence.m_domain.Value());
+  aEntry.setAgeMs(ToDuration(aEvidence.m_age));
+  WriteList(aEntry.initTraits(SizeOf(aEvidence.m_traits)),
+            aEvidence.m_traits,
+            WriteTrait);
+}
+
+void WriteClearance(wire::TraitClearance::Builder aEntry,
+                    const TraitClearance& aClearance)
 {
-  aEntry.setFingerprint(aNotice.m_fingerprint.Value());
-  aEntry.setServer(aNotice.m_group.Value());
-  aEntry.setRun(aNotice.m_boot.Value());
-  aEntry.setRefuseForMs(aNotice.m_refuseFor.Count());
+  WriteTrait(aEntry.initTrait(), aClearance.m_trait);
+  aEntry.setAgeMs(ToDuration(aClearance.m_age));
+}
+
+void WriteRefusal(wire::TraitRefusal::Builder aEntry,
+                  const TraitRefusal& aRefusal)
+{
+  WriteTrait(aEntry.initTrait(), aRefusal.m_trait);
+  WriteList(aEntry.initCompanions(SizeOf(aRefusal.m_companions)),
+            aRefusal.m_companions,
+            WriteTrait);
+  aEntry.setCrashAgeMs(ToDuration(aRefusal.m_crashAge));
+  aEntry.setRemainingMs(ToDuration(aRefusal.m_remaining));
 }
 
 void WriteLeaving(wire::LeavingServer::Builder aEntry, const ServerRun& aServer)
@@ -243,9 +278,13 @@
   aEntry.setNumber(aBulletin.m_number);
   aEntry.setServersComplete(aBulletin.m_serversComplete.Value());
   aEntry.setStoreDisturbed(aBulletin.m_isStoreDisturbed);
-  WriteList(aEntry.initCrashes(SizeOf(aBulletin.m_crashes)),
-            aBulletin.m_crashes,
-            WriteCrash);
+  const HarmNotices& harm = aBulletin.m_harm;
+  WriteList(aEntry.initEvidence(SizeOf(harm.m_evidence)),
+            harm.m_evidence,
+            WriteEvidence);
+  WriteList(aEntry.initClearances(SizeOf(harm.m_clearances)),
+            harm.m_clearances,
+            WriteClearance);
   WriteList(aEntry.initLeavingServers(SizeOf(aBulletin.m_leavingServers)),
             aBulletin.m_leavingServers,
             WriteLeaving);
@@ -259,6 +298,43 @@
             WriteRowChanges);
 }
 
+RequestTrait ReadTrait(wire::RequestTrait::Reader aEntry)
+{
+  const bool isPart =
+    aEntry.getKind() == static_cast<uint8_t>(TraitKind::PromptPart);
+  return RequestTrait{ isPart ? TraitKind::PromptPart : TraitKind::Request,
+                       aEntry.getValue() };
+}
+
+std::vector<RequestTrait> ReadTraits(
+  capnp::List<wire::RequestTrait>::Reader aEntries)
+{
+  std::vector<RequestTrait> traits;
+  for (const auto entry : aEntries) {
+    traits.push_back(ReadTrait(entry));
+  }
+  return traits;
+}
+
+CrashEvidence ReadEvidence(wire::CrashEvidence::Reader aEntry)
+{
+  CrashEvidence evidence;
+  evidence.m_server = ServerRun{ HostId(ToText(aEntry.getServer())),
+                                 BootId(ToText(aEntry.getRun())) };
+  evidence.m_domain = DomainId(ToText(aEntry.getDomain()));
+  evidence.m_age = Millis(aEntry.getAgeMs());
+  evidence.m_traits = ReadTraits(aEntry.getTraits());
+  return evidence;
+}
+
+TraitRefusal ReadRefusal(wire::TraitRefusal::Reader aEntry)
+{
+  return TraitRefusal{ ReadTrait(aEntry.getTrait()),
+                       ReadTraits(aEntry.getCompanions()),
+                       Millis(aEntry.getCrashAgeMs()),
+                       Millis(aEntry.getRemainingMs()) };
+}
+
 Bulletin ReadBulletin(wire::Bulletin::Reader aMessage)
 {
   Bulletin bulletin;
@@ -267,14 +343,12 @@
   bulletin.m_number = aMessage.getNumber();
   bulletin.m_serversComplete = RowVersion(aMessage.getServersComplete());
   bulletin.m_isStoreDisturbed = aMessage.getStoreDisturbed();
-  for (const auto entry : aMessage.getCrashes()) {
-    CrashNotice notice;
-    notice.m_node = bulletin.m_origin;
-    notice.m_fingerprint = Fingerprint(entry.getFingerprint());
-    notice.m_group = GroupId(ToText(entry.getServer()));
-    notice.m_boot = BootId(ToText(entry.getRun()));
-    notice.m_refuseFor = Millis(entry.getRefuseForMs());
-    bulletin.m_crashes.push_back(std::move(notice));
+  for (const auto entry : aMessage.getEvidence()) {
+    bulletin.m_harm.m_evidence.push_back(ReadEvidence(entry));
+  }
+  for (const auto entry : aMessage.getClearances()) {
+    bulletin.m_harm.m_clearances.push_back(
+      TraitClearance{ ReadTrait(entry.getTrait()), Millis(entry.getAgeMs()) });
   }
   for (const auto entry : aMessage.getLeavingServers()) {
     bulletin.m_leavingServers.push_back(ServerRun{
@@ -322,6 +396,9 @@
   WriteList(aMessage.initHanded(SizeOf(aUpdate.m_rowChanges)),
             aUpdate.m_rowChanges,
             WriteRowChanges);
+  WriteList(aMessage.initRefusals(SizeOf(aUpdate.m_refusals)),
+            aUpdate.m_refusals,
+            WriteRefusal);
 }
 
 Subscription ReadSubscription(uint8_t aValue)
@@ -363,6 +440,9 @@
   }
   update.m_requestsRows = aMessage.getWantsRows();
   update.m_rowChanges = ReadRowChanges(aMessage.getHanded());
+  for (const auto refusal : aMessage.getRefusals()) {
+    update.m_refusals.push_back(ReadRefusal(refusal));
+  }
   return update;
 }
 
--- a/briarglade/entry/node_news.h
+++ b/briarglade/entry/node_news.h
@@ -22,7 +22,6 @@
 #include "briarglade/base/millis.h"
 #include "briarglade/entry/store_feed.h"
 #include "briarglade/gateway/gateway_event.h"
-#include "briarglade/routing/crash_notice.h"
 
 namespace briarglade {
 
@@ -100,8 +99,7 @@
   uint64_t m_incarnation = 0;
   // Unique among the bulletins of one run.
   uint64_t m_number = 0;
-  // Harmful requests, which crash servers.
-  std::vector<CrashNotice> m_crashes;
+  HarmNotices m_harm;
   std::vector<ServerRun> m_leavingServers;
   // Groups that the origin, as the holder of the control lease, is ending or
   // has recently opened. Opened groups are used only by nodes that know the
@@ -115,7 +113,7 @@
 
   bool IsEmpty() const
   {
-    return m_crashes.empty() && m_leavingServers.empty() &&
+    return m_harm.IsEmpty() && m_leavingServers.empty() &&
            m_endedGroups.empty() && m_openedGroups.empty() &&
            m_rowChanges.empty();
   }
@@ -155,6 +153,10 @@
   std::vector<ZoneDigest> m_zones;
   std::vector<ZoneAge> m_zoneAges;
 
+  // From a relay: which requests are refused as harmful, for nodes that have
+  // missed the bulletins.
+  std::vector<TraitRefusal> m_refusals;
+
   std::vector<Bulletin> m_bulletins;
 
   // The sender requests the changes that it lacks, or answers such a request.
--- a/briarglade/entry/reduce_entry.cc
+++ b/briarglade/entry/reduce_entry.cc
@@ -41,10 +41,7 @@
        ReduceGateway(m_state.m_gateway, m_now, aEvent)) {
     std::visit(
       Overloaded{
-        [this](ReportCrash& aCrash) {
-          m_state.m_peerUpdates.m_nextBulletin.m_crashes.push_back(
-            std::move(aCrash.m_notice));
-        },
+        [this](ReportHarm& aReport) { PublishHarm(aReport.m_notices); },
         [this](ReportServerLeaving& aLeaving) {
           if (RecordLeavingServer(aLeaving.m_server)) {
             m_state.m_peerUpdates.m_nextBulletin.m_leavingServers.push_back(
--- a/briarglade/gateway/backend_faults.cc
+++ b/briarglade/gateway/backend_faults.cc
@@ -4,10 +4,18 @@
 #include "briarglade/gateway/internal/gateway_reduction.h"
 
 #include <algorithm>
+#include <sstream>
 #include <string>
+#include <utility>
 
 namespace briarglade::internal {
 
+namespace {
+
+constexpr uint16_t kFirstFailureStatus = 300;
+
+} // namespace
+
 void GatewayReduction::On(const GroupsEnded& aEnded)
 {
   for (size_t slot = 0; slot < m_state.m_backendTable.SlotCount(); ++slot) {
@@ -22,60 +30,127 @@
   }
 }
 
+std::vector<RequestTrait> GatewayReduction::TraitsOf(
+  const CallerRequestArrived& aRequest)
+{
+  std::vector<RequestTrait> traits;
+  traits.push_back(
+    RequestTrait{ TraitKind::Request, aRequest.m_fingerprint.Value() });
+  for (const PromptPartId part : aRequest.m_sharedParts) {
+    traits.push_back(RequestTrait{ TraitKind::PromptPart, part.Value() });
+  }
+  return traits;
+}
+
 Millis GatewayReduction::RefusedFor(const GatewayRequest& aRequest) const
 {
-  return m_state.m_crashTracker.RefusedFor(m_now,
-                                           aRequest.m_request.m_fingerprint);
+  return m_state.m_harmDetector.RefusedFor(m_now, aRequest.m_traits);
 }
 
-// Records how an exchange ended as evidence for or against the request: if the
-// server broke the exchange off, the request may have crashed it.
-void GatewayReduction::RecordCrashEvidence(const GatewayRequest& aRequest,
-                                           ExchangeEnd aEnd)
+// Records once for each exchange that its server has answered for long enough.
+void GatewayReduction::RecordSurvival(GatewayRequest& aRequest)
 {
-  const Fingerprint fingerprint = aRequest.m_request.m_fingerprint;
-  if (aEnd == ExchangeEnd::Whole) {
-    m_state.m_crashTracker.NoteSuccess(fingerprint);
+  const bool hasSurvived =
+    aRequest.m_exchangeBegan &&
+    m_now - aRequest.m_exchangeBeganAt >= HarmDetector::kProofTime;
+  if (hasSurvived && !aRequest.m_hasSurvived) {
+    aRequest.m_hasSurvived = true;
+    m_state.m_harmDetector.OnSurvived(aRequest.m_exchangeBeganAt,
+                                      aRequest.m_traits);
+  }
+}
+
+// Records how an exchange ended as evidence for or against the request.
+void GatewayReduction::RecordCrashEvidence(GatewayRequest& aRequest,
+                                           ExchangeEnd aEnd,
+                                           uint16_t aStatus)
+{
+  RecordSurvival(aRequest);
+  if (aRequest.m_hasSurvived || aRequest.m_isMoved) {
     return;
   }
-  if (IsBrokenConnection(aEnd) && !aRequest.m_isMoved) {
-    const HostId& server =
-      m_state.m_backendTable.Slot(aRequest.m_slot).m_backend.m_server;
-    m_state.m_crashTracker.NoteBroken(
-      m_now, fingerprint, GroupId(server.Value()));
-    ReportCrashes();
+  if (aEnd == ExchangeEnd::Whole && aStatus < kFirstFailureStatus) {
+    m_state.m_harmDetector.OnSurvived(
+      aRequest.m_exchangeBegan ? aRequest.m_exchangeBeganAt : aRequest.m_sentAt,
+      aRequest.m_traits);
+    return;
   }
+  if (!IsBrokenConnection(aEnd)) {
+    return;
+  }
+  m_state.m_harmDetector.OnBroken(m_now, aRequest.m_traits, aRequest.m_sentTo);
+  ApplyHarmFindings();
 }
 
-void GatewayReduction::ReportCrashes()
+// Sends the detector's notices to the other nodes, logs what it has found, and
+// stops the requests that are refused from now on.
+void GatewayReduction::ApplyHarmFindings()
 {
-  for (const CrashNotice& notice : m_state.m_crashTracker.TakeNotices()) {
-    if (notice.m_refuseFor > Millis()) {
-      m_effects.emplace_back(LogEvent{
-        LogLevel::Warn,
-        "harmful-request-found",
-        { { "fingerprint", std::to_string(notice.m_fingerprint.Value()) },
-          { "server", notice.m_group.Value() } } });
+  HarmNotices notices = m_state.m_harmDetector.TakeNotices();
+  if (!notices.IsEmpty()) {
+    m_effects.emplace_back(ReportHarm{ std::move(notices) });
+  }
+  const std::vector<RefusalChange> changes =
+    m_state.m_harmDetector.TakeChanges();
+  for (const RefusalChange& change : changes) {
+    const bool isPart = change.m_trait.m_kind == TraitKind::PromptPart;
+    std::ostringstream value;
+    value << std::hex << change.m_trait.m_value;
+    m_effects.emplace_back(LogEvent{
+      change.m_isRefused ? LogLevel::Warn : LogLevel::Info,
+      change.m_isRefused ? "harmful-request-found" : "harmful-request-cleared",
+      { { isPart ? "part" : "fingerprint", value.str() },
+        { "crashes", std::to_string(change.m_crashes) } } });
+  }
+  if (!changes.empty()) {
+    StopHarmfulRequests();
+  }
+}
+
+// Ends the requests that are refused from now on: those that wait, and those
+// that a server has not begun to answer.
+void GatewayReduction::StopHarmfulRequests()
+{
+  std::vector<RequestHandle> queued;
+  for (const auto& [handle, request] : m_state.m_requests) {
+    if (RefusedFor(request) == Millis()) {
+      continue;
+    }
+    if (request.m_phase == GatewayPhase::Waiting) {
+      queued.push_back(handle);
+    } else if (request.m_request.m_isRetryable && !request.m_exchangeBegan) {
+      m_effects.emplace_back(CancelExchange{ handle });
     }
-    m_effects.emplace_back(ReportCrash{ notice });
+  }
+  for (const RequestHandle handle : queued) {
+    GatewayRequest& request = *Find(handle);
+    RemoveFromQueue(request);
+    Finish(request, ResultCode::HarmfulRequest, RefusedFor(request));
   }
 }
 
 void GatewayReduction::On(const ServerLost& aLost)
 {
-  // The crash tracker identifies a crash site by group name; the gateway passes
-  // each server as a group of its own.
-  m_state.m_crashTracker.NoteLoss(
-    m_now,
-    LostGroup{ GroupId(aLost.m_server.Value()), aLost.m_run, aLost.m_domain },
-    aLost.m_serversInDomain);
-  ReportCrashes();
+  m_state.m_harmDetector.OnServerLost(m_now, aLost.m_server, aLost.m_domain);
+  ApplyHarmFindings();
+}
+
+void GatewayReduction::On(const CrashEvidence& aEvidence)
+{
+  m_state.m_harmDetector.OnEvidence(m_now, aEvidence);
+  ApplyHarmFindings();
+}
+
+void GatewayReduction::On(const TraitClearance& aClearance)
+{
+  m_state.m_harmDetector.OnClearance(m_now, aClearance);
+  ApplyHarmFindings();
 }
 
-void GatewayReduction::On(const CrashNotice& aNotice)
+void GatewayReduction::On(const TraitRefusal& aRefusal)
 {
-  m_state.m_crashTracker.NotePeerNotice(m_now, aNotice, DomainId());
-  ReportCrashes();
+  m_state.m_harmDetector.OnRefusal(m_now, aRefusal);
+  ApplyHarmFindings();
 }
 
 // Cancels the exchanges at a failed or suspected backend so that other backends
--- a/briarglade/gateway/exchange_ends.cc
+++ b/briarglade/gateway/exchange_ends.cc
@@ -173,7 +173,7 @@
                                      request->m_exchangeBegan,
                                      request->m_request.m_promptTokens);
   QueueOf(*request).RecordBackendFreed(m_now);
-  RecordCrashEvidence(*request, end);
+  RecordCrashEvidence(*request, end, aEnded.m_status);
   RecordBackendHealth(*request, aEnded, end, isServed);
   if (!IsCertainlyNotRun(end, aEnded.m_status)) {
     ++request->m_mayHaveRunCount;
--- a/briarglade/gateway/gateway.cc
+++ b/briarglade/gateway/gateway.cc
@@ -179,6 +179,7 @@
   aRequest.m_slot = *slot;
   aRequest.m_sentAt = m_now;
   aRequest.m_exchangeBegan = false;
+  aRequest.m_hasSurvived = false;
   aRequest.m_isMoved = false;
   const BackendSlot& chosen = m_state.m_backendTable.Slot(*slot);
   aRequest.m_tried.push_back(chosen.m_serial);
@@ -284,6 +285,7 @@
 {
   GatewayRequest& request = m_state.m_requests[aArrived.m_handle];
   request.m_request = aArrived;
+  request.m_traits = TraitsOf(aArrived);
   request.m_arrivedAt = m_now;
   BudgetOf(aArrived.m_service).RecordRequest(m_now);
   if (TimeLeft(request) < kMinUsefulTime) {
@@ -324,6 +326,7 @@
       std::max(request->m_longestPause, m_now - request->m_lastBytesAt);
   }
   request->m_lastBytesAt = m_now;
+  RecordSurvival(*request);
   request->m_answerBegan = true;
 }
 
@@ -364,7 +367,9 @@
 
 void GatewayReduction::On(const GatewayTick&)
 {
-  m_state.m_crashTracker.Expire(m_now);
+  m_state.m_harmDetector.Tick(
+    m_now, m_state.m_quota->NodeCount(), m_state.m_settings.m_seed);
+  ApplyHarmFindings();
   m_state.m_backendTable.SuspectUnresponsive(m_now);
   for (size_t slot = 0; slot < m_state.m_backendTable.SlotCount(); ++slot) {
     if (m_state.m_backendTable.ShouldFailOver(m_now, slot)) {
--- a/briarglade/gateway/gateway.h
+++ b/briarglade/gateway/gateway.h
@@ -17,9 +17,9 @@
 #include "briarglade/gateway/backend_table.h"
 #include "briarglade/gateway/fleet_quota.h"
 #include "briarglade/gateway/gateway_event.h"
+#include "briarglade/gateway/harm_detector.h"
 #include "briarglade/gateway/service_retry_budget.h"
 #include "briarglade/gateway/wait_queue.h"
-#include "briarglade/routing/crash_tracker.h"
 
 namespace briarglade {
 
@@ -53,6 +53,8 @@
 struct GatewayRequest
 {
   CallerRequestArrived m_request;
+  // By which it is recognized if it crashes servers.
+  std::vector<RequestTrait> m_traits;
   GatewayPhase m_phase = GatewayPhase::Waiting;
   Millis m_arrivedAt;
   // Its queue entry; used only while it is queued.
@@ -76,6 +78,9 @@
   Millis m_firstBytesAt;
   Millis m_lastBytesAt;
   Millis m_longestPause;
+  // Whether the exchange has lasted long enough to show that the request does
+  // not crash the server.
+  bool m_hasSurvived = false;
   // Whether the exchange was cancelled so that another server can take over.
   bool m_isMoved = false;
   bool m_callerLeft = false;
@@ -95,8 +100,7 @@
   std::unordered_map<RequestHandle, GatewayRequest> m_requests;
   std::map<std::pair<ServiceId, ModelId>, WaitQueue> m_queues;
   std::map<ServiceId, ServiceRetryBudget> m_retryBudgets;
-  // Detects harmful requests: those that crash servers.
-  CrashTracker m_crashTracker;
+  HarmDetector m_harmDetector;
 };
 
 // Returns the number of requests per model: those in flight at its backends,
--- a/briarglade/gateway/gateway_event.h
+++ b/briarglade/gateway/gateway_event.h
@@ -20,7 +20,8 @@
 #include "briarglade/base/result_code.h"
 #include "briarglade/gateway/fleet_quota.h"
 #include "briarglade/gateway/gateway_config.h"
-#include "briarglade/routing/crash_notice.h"
+#include "briarglade/gateway/harm_detector.h"
+#include "briarglade/gateway/server_run.h"
 #include "briarglade/routing/request_event.h"
 
 namespace briarglade {
@@ -28,14 +29,6 @@
 // This node's own identifier for a request that it serves.
 using RequestHandle = StrongCount<struct RequestHandleTag>;
 
-// One run of a server process. A later run under the same host id has none of
-// its state.
-struct ServerRun
-{
-  HostId m_server;
-  BootId m_run;
-};
-
 // A destination for requests: a server of a plain service, or the leader of an
 // open group.
 struct Backend
@@ -164,12 +157,8 @@
 // A server has ended without a planned shutdown.
 struct ServerLost
 {
-  HostId m_server;
-  // Distinguishes runs of the server.
-  BootId m_run;
+  ServerRun m_server;
   DomainId m_domain;
-  // Number of servers in m_domain.
-  uint32_t m_serversInDomain = 1;
 };
 
 // A periodic timer event.
@@ -181,7 +170,9 @@
                                   PeerLoad,
                                   GroupsEnded,
                                   ServerLost,
-                                  CrashNotice,
+                                  CrashEvidence,
+                                  TraitClearance,
+                                  TraitRefusal,
                                   RosterChanged,
                                   CallerRequestArrived,
                                   AnswerProgressed,
@@ -232,10 +223,10 @@
   Millis m_retryAfter;
 };
 
-// Send a notice to the other nodes about a request that crashes servers.
-struct ReportCrash
+// Send to the other nodes what is known about requests that crash servers.
+struct ReportHarm
 {
-  CrashNotice m_notice;
+  HarmNotices m_notices;
 };
 
 // Stop using a server that is shutting down, on this node and all others.
@@ -244,7 +235,7 @@
   ServerRun m_server;
 };
 
-using GatewayEffect = std::variant<ReportCrash,
+using GatewayEffect = std::variant<ReportHarm,
                                    ReportServerLeaving,
                                    SendToServer,
                                    CancelExchange,
--- a/briarglade/gateway/internal/gateway_reduction.h
+++ b/briarglade/gateway/internal/gateway_reduction.h
@@ -37,7 +37,9 @@
   void On(const PeerLoad& aLoad);
   void On(const GroupsEnded& aEnded);
   void On(const ServerLost& aLost);
-  void On(const CrashNotice& aNotice);
+  void On(const CrashEvidence& aEvidence);
+  void On(const TraitClearance& aClearance);
+  void On(const TraitRefusal& aRefusal);
   void On(const RosterChanged& aChange);
   void On(const CallerRequestArrived& aRequest);
   void On(const AnswerProgressed& aProgress);
@@ -90,14 +92,17 @@
                      const ExchangeClassification& aClassification);
   // Answers the caller with a result code and removes the request.
   void Finish(GatewayRequest& aRequest, ResultCode aCode, Millis aRetryAfter);
-  // Returns for how long the request stays blocked as harmful; zero if it is
-  // not blocked.
+  static std::vector<RequestTrait> TraitsOf(
+    const CallerRequestArrived& aRequest);
+  // Returns how much longer the request is refused as harmful; zero if it is
+  // not refused.
   Millis RefusedFor(const GatewayRequest& aRequest) const;
-  // Records whether the exchange suggests that the request crashed the server.
-  void RecordCrashEvidence(const GatewayRequest& aRequest, ExchangeEnd aEnd);
-  // Sends the pending crash notices to the other nodes, and logs each request
-  // that is now blocked.
-  void ReportCrashes();
+  void RecordSurvival(GatewayRequest& aRequest);
+  void RecordCrashEvidence(GatewayRequest& aRequest,
+                           ExchangeEnd aEnd,
+                           uint16_t aStatus);
+  void ApplyHarmFindings();
+  void StopHarmfulRequests();
   // Forwards the server's answer to the caller and removes the request.
   void FinishWithAnswer(GatewayRequest& aRequest, const ExchangeEnded& aEnded);
   // Removes the request from the state.
