Probe a server that breaks off exchanges, instead of waiting for the store

What callers saw: the fleet learnt of a crash 3.2 s and more after it, when the store dropped the server's entry, and never while the store was away. Meanwhile more servers crashed. Cause: only the store's feed said that a run of a server has ended. Class of fault: a fact about a server that only the store tells, though the node has just seen it. Change: a broken exchange that may be evidence makes the node ask the server for its report, one question at a time for each server. No report, or one of a later run: the server is lost. The same run: the exchange is no evidence. Ruled out: to count broken exchanges without a question; resets of connections and servers that break answers off are no crashes.

--- a/briarglade/entry/internal/control_duties.cc
+++ b/briarglade/entry/internal/control_duties.cc
@@ -150,6 +150,7 @@
 
 void EntryReduction::On(const ServerProbed& aProbed)
 {
+  EndCheck(aProbed);
   const auto* record = std::get_if<ServerRecord>(&aProbed.m_record);
   const auto known = m_state.m_servers.find(aProbed.m_host);
   if (record != nullptr && known != m_state.m_servers.end() &&
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -124,6 +124,8 @@
   void RemoveServer(const HostId& aHost);
   void RemoveUnlisted();
   void ReportServerLost(const ServerRecord& aServer);
+  void CheckIfRunning(const ServerRun& aServer);
+  void EndCheck(const ServerProbed& aProbed);
   void PublishHarm(const HarmNotices& aNotices);
   bool RecordLeavingServer(const ServerRun& aServer);
   void ChooseFollowers();
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -251,6 +251,47 @@
                                 aServer.m_domain });
 }
 
+// Probes a server that broke off exchanges, because the store lists a crashed
+// one for seconds, or longer while the store is unavailable.
+void EntryReduction::CheckIfRunning(const ServerRun& aServer)
+{
+  const auto known = m_state.m_servers.find(aServer.m_server);
+  if (known == m_state.m_servers.end()) {
+    return;
+  }
+  if (RunOf(known->second) != aServer.m_run) {
+    DispatchToGateway(ServerLost{ aServer, known->second.m_domain });
+    return;
+  }
+  if (m_state.m_serversChecked.emplace(aServer.m_server, aServer.m_run)
+        .second) {
+    m_effects.emplace_back(ProbeServerNow{ known->second });
+  }
+}
+
+void EntryReduction::EndCheck(const ServerProbed& aProbed)
+{
+  const auto check = m_state.m_serversChecked.find(aProbed.m_host);
+  if (check == m_state.m_serversChecked.end()) {
+    return;
+  }
+  const ServerRun run{ check->first, check->second };
+  m_state.m_serversChecked.erase(check);
+  const auto* record = std::get_if<ServerRecord>(&aProbed.m_record);
+  if (record != nullptr && RunOf(*record) == run.m_run) {
+    DispatchToGateway(ServerAlive{ run });
+    return;
+  }
+  const auto known = m_state.m_servers.find(run.m_server);
+  const bool isPlanned =
+    known != m_state.m_servers.end() && known->second.m_isDraining;
+  if (!isPlanned) {
+    const bool isKnown = known != m_state.m_servers.end();
+    DispatchToGateway(
+      ServerLost{ run, isKnown ? known->second.m_domain : DomainId() });
+  }
+}
+
 // Removes unlisted servers whose groups no longer serve.
 void EntryReduction::RemoveUnlisted()
 {
--- a/briarglade/entry/reduce_entry.cc
+++ b/briarglade/entry/reduce_entry.cc
@@ -42,6 +42,7 @@
     std::visit(
       Overloaded{
         [this](ReportHarm& aReport) { PublishHarm(aReport.m_notices); },
+        [this](CheckServer& aCheck) { CheckIfRunning(aCheck.m_server); },
         [this](ReportServerLeaving& aLeaving) {
           if (RecordLeavingServer(aLeaving.m_server)) {
             m_state.m_peerUpdates.m_nextBulletin.m_leavingServers.push_back(
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -77,6 +77,8 @@
   std::map<ZoneId, Millis> m_zonesReturnedAt;
   ServerMap m_servers;
   LeavingServers m_leavingServers;
+  // Runs of servers that broke off exchanges and are being probed.
+  std::map<HostId, BootId> m_serversChecked;
   // Servers whose entries expired while the store was disturbed. They are
   // removed only if the entries do not return after the disturbance.
   std::set<HostId> m_expiredServers;
--- a/briarglade/gateway/backend_faults.cc
+++ b/briarglade/gateway/backend_faults.cc
@@ -78,7 +78,10 @@
   if (!IsBrokenConnection(aEnd)) {
     return;
   }
-  m_state.m_harmDetector.OnBroken(m_now, aRequest.m_traits, aRequest.m_sentTo);
+  if (m_state.m_harmDetector.OnBroken(
+        m_now, aRequest.m_traits, aRequest.m_sentTo)) {
+    m_effects.emplace_back(CheckServer{ aRequest.m_sentTo });
+  }
   ApplyHarmFindings();
 }
 
@@ -135,6 +138,11 @@
   ApplyHarmFindings();
 }
 
+void GatewayReduction::On(const ServerAlive& aAlive)
+{
+  m_state.m_harmDetector.OnServerAlive(aAlive.m_server);
+}
+
 void GatewayReduction::On(const CrashEvidence& aEvidence)
 {
   m_state.m_harmDetector.OnEvidence(m_now, aEvidence);
--- a/briarglade/gateway/gateway_event.h
+++ b/briarglade/gateway/gateway_event.h
@@ -161,6 +161,12 @@
   DomainId m_domain;
 };
 
+// A server that broke off exchanges still runs.
+struct ServerAlive
+{
+  ServerRun m_server;
+};
+
 // A periodic timer event.
 struct GatewayTick
 {};
@@ -170,6 +176,7 @@
                                   PeerLoad,
                                   GroupsEnded,
                                   ServerLost,
+                                  ServerAlive,
                                   CrashEvidence,
                                   TraitClearance,
                                   TraitRefusal,
@@ -229,6 +236,12 @@
   HarmNotices m_notices;
 };
 
+// Find out whether a server that broke off an exchange still runs.
+struct CheckServer
+{
+  ServerRun m_server;
+};
+
 // Stop using a server that is shutting down, on this node and all others.
 struct ReportServerLeaving
 {
@@ -236,6 +249,7 @@
 };
 
 using GatewayEffect = std::variant<ReportHarm,
+                                   CheckServer,
                                    ReportServerLeaving,
                                    SendToServer,
                                    CancelExchange,
--- a/briarglade/gateway/internal/gateway_reduction.h
+++ b/briarglade/gateway/internal/gateway_reduction.h
@@ -37,6 +37,7 @@
   void On(const PeerLoad& aLoad);
   void On(const GroupsEnded& aEnded);
   void On(const ServerLost& aLost);
+  void On(const ServerAlive& aAlive);
   void On(const CrashEvidence& aEvidence);
   void On(const TraitClearance& aClearance);
   void On(const TraitRefusal& aRefusal);
