Harmful parts: a suspect isn't cleared because evidence arrives unevenly

What callers would have seen: with 60 nodes the harmful part was refused, then let through again 200 ms later, and sound requests with its first part were refused for a second. Cause: a trait was cleared for good, on all nodes, as soon as another one had more crashes against it. Two parts of the same requests get their crash times from different bystanders, so that one was a crash ahead for some milliseconds; and the first part of the harmful requests always has as many crashes as the harmful one, or more. Class of fault: a passing difference between two counts is made a lasting fact. Change: all evidence of a crash has one time. A judgement is made anew each period from the evidence, deletes none and isn't announced; relays report refusals that have stood for 1.5 s. A part that comes only together with another one explains the crashes of that one, not the other way round. Ruled out: a threshold on the difference of the counts.

--- a/briarglade/entry/fleet_world_test.h
+++ b/briarglade/entry/fleet_world_test.h
@@ -178,6 +178,11 @@
     m_onRestart = std::move(aOnRestart);
   }
   CrashingServers& Servers() { return m_crashingServers; }
+  // Returns the shared parts of each request that was refused as harmful.
+  const std::vector<std::vector<PromptPartId>>& RefusedAsHarmful() const
+  {
+    return m_refusedAsHarmful;
+  }
   // Sets a hook that completes each caller's request before it is submitted.
   void SetRequestHook(std::function<void(RequestReceived&)> aHook)
   {
@@ -217,7 +222,12 @@
             m_crashingServers.Cancel(aCancel.m_handle);
           },
           [&](const ProbeServerNow& aProbe) { Probe(aNode, aProbe); },
-          [&](const AnswerCaller&) { ++m_refused; },
+          [&](const AnswerCaller& aAnswer) {
+            ++m_refused;
+            if (aAnswer.m_code == ResultCode::HarmfulRequest) {
+              m_refusedAsHarmful.push_back(m_sharedParts[aAnswer.m_handle]);
+            }
+          },
           [&](const ForwardAnswer&) { ++m_answered; },
           [&](const ExitProcess&) { m_nodes[aNode].m_isUp = false; },
           [](const auto&) {} },
@@ -708,6 +718,7 @@
   std::function<void(const HostId&)> m_onRestart;
   std::function<void(RequestReceived&)> m_requestHook;
   std::map<RequestHandle, std::vector<PromptPartId>> m_sharedParts;
+  std::vector<std::vector<PromptPartId>> m_refusedAsHarmful;
   // The number of crashes after which the server was started again.
   size_t m_restarted = 0;
   int m_calls = 0;
--- a/briarglade/entry/harmful_parts_test.cc
+++ b/briarglade/entry/harmful_parts_test.cc
@@ -92,6 +92,23 @@
     REQUIRE(Servers().Crashes().size() >= aCount);
     return Servers().Crashes()[aCount - 1].m_at;
   }
+  // Returns the number of sound requests that were refused as harmful.
+  size_t SoundRefusals()
+  {
+    const auto& refused = RefusedAsHarmful();
+    return static_cast<size_t>(
+      std::count_if(refused.begin(), refused.end(), [this](const auto& aParts) {
+        return !Servers().IsHarmful(aParts);
+      }));
+  }
+  // Crashes a random running server.
+  void CrashAnyServer()
+  {
+    const HostId server("s" + std::to_string(m_lastServer - Pick(kServers)));
+    if (!Servers().IsDown(server)) {
+      Servers().CrashSoon(server);
+    }
+  }
   // Returns the number of sends of requests with a part after a time.
   size_t SendsWith(PromptPartId aPart, Millis aAfter)
   {
@@ -172,6 +189,14 @@
   size_t m_lastServer = 0;
 };
 
+// Checks the rule for one harmful part.
+void CheckLateSends(HarmfulWorld& aWorld, PromptPartId aPart)
+{
+  const Millis known = aWorld.CrashTime(kCrashesToLearn) + kContactTime;
+  REQUIRE(aWorld.Now() > known);
+  CHECK(aWorld.SendsWith(aPart, known) <= kMaxLateSends);
+}
+
 TEST_CASE("BUDGET: no more than three requests with a part that crashes "
           "servers are sent once five have crashed")
 {
@@ -182,8 +207,7 @@
     HarmfulWorld world(traffic);
     world.SendHarmful({ kHarmfulPart });
     world.Run(Millis(22'000));
-    const Millis known = world.CrashTime(kCrashesToLearn) + kContactTime;
-    CHECK(world.SendsWith(kHarmfulPart, known) <= kMaxLateSends);
+    CheckLateSends(world, kHarmfulPart);
   }
 }
 
@@ -213,8 +237,105 @@
   }
   world.SendHarmful({ kHarmfulPart });
   world.Run(Millis(15'000));
+  CheckLateSends(world, kHarmfulPart);
+}
+
+TEST_CASE("two harmful parts at once are both found, and sound requests with "
+          "their first part are served")
+{
+  for (const uint32_t seed : { 1U, 2U, 3U, 4U }) {
+    CAPTURE(seed);
+    Traffic traffic;
+    traffic.m_seed = seed;
+    traffic.m_harmfulShare = 0.04;
+    HarmfulWorld world(traffic);
+    world.SendHarmful({ kHarmfulPart, kOtherHarmfulPart });
+    world.Run(Millis(20'000));
+    // Ten crashes make five of at least one part.
+    const Millis known = world.CrashTime(1) + Millis(4'000) + kContactTime;
+    CHECK(world.SendsWith(kHarmfulPart, known) <= kMaxLateSends);
+    CHECK(world.SendsWith(kOtherHarmfulPart, known) <= kMaxLateSends);
+    const auto count = world.CountSound(known + kContactTime);
+    CHECK(count.m_submitted >= 20);
+    CHECK(count.m_begun * 2 >= count.m_submitted);
+  }
+}
+
+TEST_CASE("servers that crash for other reasons make no request harmful")
+{
+  Traffic traffic;
+  for (const uint32_t seed : { 1U, 2U, 3U }) {
+    CAPTURE(seed);
+    traffic.m_seed = seed;
+    HarmfulWorld world(traffic);
+    for (int crash = 0; crash < 40; ++crash) {
+      world.CrashAnyServer();
+      world.Run(Millis(500));
+    }
+    CHECK(world.SoundRefusals() == 0);
+  }
+}
+
+TEST_CASE("BUDGET: nodes that start, or come back from a partition, know the "
+          "harmful part within the contact time")
+{
+  HarmfulWorld world(Traffic{});
+  constexpr size_t kCutOff = 4;
+  world.SetCutOff(kCutOff, true);
+  world.SendHarmful({ kHarmfulPart });
+  world.Run(Millis(8'000));
   const Millis known = world.CrashTime(kCrashesToLearn) + kContactTime;
-  CHECK(world.SendsWith(kHarmfulPart, known) <= kMaxLateSends);
+  world.SetCutOff(kCutOff, false);
+  // What a node sends before it has been in touch for the contact time doesn't
+  // count.
+  std::vector<Millis> inTouchFrom(world.NodeCount(), known);
+  inTouchFrom[kCutOff] = std::max(known, world.Now() + kContactTime);
+  for (size_t node = 0; node < world.NodeCount(); ++node) {
+    if (node != kCutOff) {
+      world.Kill(node);
+      world.Run(Millis(500));
+      world.Start(node);
+      inTouchFrom[node] = std::max(known, world.Now() + kContactTime);
+      world.Run(Millis(1'000));
+    }
+  }
+  world.Run(Millis(10'000));
+  size_t late = 0;
+  for (const ServerExchange& send : world.Servers().Sends()) {
+    const bool isHarmful = world.Servers().IsHarmful(send.m_parts);
+    late += isHarmful && send.m_sentAt > inTouchFrom[send.m_node] ? 1 : 0;
+  }
+  CHECK(late <= kMaxLateSends);
+}
+
+TEST_CASE("a part that is no longer harmful is served again after its refusal")
+{
+  Traffic traffic;
+  traffic.m_rate = 3;
+  HarmfulWorld world(traffic);
+  world.SendHarmful({ kHarmfulPart });
+  world.Run(Millis(15'000));
+  REQUIRE_FALSE(world.RefusedAsHarmful().empty());
+  world.Servers().SetHarmful(kHarmfulPart, false);
+  world.Run(Millis(620'000));
+  const Millis from = world.Now();
+  const size_t refused = world.RefusedAsHarmful().size();
+  world.Run(Millis(10'000));
+  CHECK(world.SendsWith(kHarmfulPart, from) > 0);
+  CHECK(world.RefusedAsHarmful().size() == refused);
+}
+
+TEST_CASE("BUDGET: a harmful part is found by 60 nodes, each of which sees few "
+          "of its requests")
+{
+  Traffic traffic;
+  traffic.m_nodes = 60;
+  traffic.m_rate = 2;
+  HarmfulWorld world(traffic);
+  world.SendHarmful({ kHarmfulPart });
+  world.Run(Millis(15'000));
+  CheckLateSends(world, kHarmfulPart);
+  CHECK(world.SoundRefusals() == 0);
 }
 
 } // namespace
--- a/briarglade/gateway/harm_detector.cc
+++ b/briarglade/gateway/harm_detector.cc
@@ -31,18 +31,20 @@
 constexpr Millis kObjectionPeriod = Millis(1'000);
 // Evidence expires after this long, and after a refusal after kMemoryTime.
 constexpr Millis kEvidenceLifetime = Millis(600'000);
-constexpr Millis kMemoryTime = Millis(86'400'000);
+constexpr Millis kMemoryTime = Millis(172'800'000);
 // The first refusal, and by how much each later one of the same trait is
 // longer.
 constexpr Millis kFirstRefusal = Millis(600'000);
 constexpr int64_t kRefusalFactor = 6;
-constexpr Millis kLongestRefusal = Millis(21'600'000);
+constexpr Millis kLongestRefusal = Millis(86'400'000);
 // The period at which suspects are judged.
 constexpr Millis kScanPeriod = Millis(200);
-// In a larger fleet only about this many nodes announce in the same period: a
-// survival, which few may have seen, or a judgement, which all nodes make.
-constexpr uint32_t kWitnessesPerPeriod = 32;
-constexpr uint32_t kJudgesPerPeriod = 8;
+// In a larger fleet only about this many nodes announce a survival in the same
+// period.
+constexpr uint32_t kAnnouncersPerPeriod = 32;
+// Refusals that are younger than this may still be corrected, and are not
+// reported.
+constexpr Millis kReportDelay = Millis(1'500);
 // Maximum sizes.
 constexpr size_t kMaxBrokenExchanges = 1'024;
 constexpr size_t kMaxLosses = 1'024;
@@ -220,9 +222,10 @@
   Suspect& suspect = FindOrAdd(aRefusal.m_trait);
   suspect.m_reportedCompanions = aRefusal.m_companions;
   suspect.m_lastCrashAt = crashedAt;
-  Refuse(aRefusal.m_trait,
+  Refuse(aNow,
+         aRefusal.m_trait,
          suspect,
-         aNow + std::min(aRefusal.m_remaining, kLongestRefusal));
+         std::min(aRefusal.m_remaining, kLongestRefusal));
 }
 
 // Reports a request that broke off at a crashed server to the other nodes.
@@ -242,7 +245,7 @@
 void HarmDetector::AddCrash(Millis aNow, const CrashEvidence& aEvidence)
 {
   Crash crash;
-  crash.m_at = aNow - aEvidence.m_age;
+  crash.m_at = CrashTime(aEvidence.m_server, aNow - aEvidence.m_age);
   crash.m_server = aEvidence.m_server;
   crash.m_domain = aEvidence.m_domain;
   for (const RequestTrait& trait : aEvidence.m_traits) {
@@ -251,6 +254,21 @@
   }
 }
 
+// Returns when a server crashed: all evidence of a crash has the same time, as
+// first reported.
+Millis HarmDetector::CrashTime(const ServerRun& aServer, Millis aReported)
+{
+  const auto known = std::find_if(
+    m_crashTimes.begin(), m_crashTimes.end(), [&](const CrashedServer& aCrash) {
+      return aCrash.m_server == aServer;
+    });
+  if (known != m_crashTimes.end()) {
+    return known->m_at;
+  }
+  Append(m_crashTimes, CrashedServer{ aReported, aServer }, kMaxLosses);
+  return aReported;
+}
+
 void HarmDetector::AddCrash(Suspect& aSuspect,
                             const RequestTrait& aTrait,
                             const Crash& aCrash,
@@ -357,52 +375,79 @@
   return counted;
 }
 
-// Refuses the traits that explain enough crashes, and clears those whose
-// crashes are explained better by others.
-void HarmDetector::Judge(Millis aNow)
+std::vector<HarmDetector::Candidate> HarmDetector::FindCandidates(Millis aNow)
 {
-  std::map<RequestTrait, std::vector<Crash>> candidates;
-  for (const auto& [trait, suspect] : m_suspects) {
+  std::vector<Candidate> candidates;
+  for (auto& [trait, suspect] : m_suspects) {
     if (suspect.m_crashes.size() < kCrashesToRefuse &&
         !suspect.m_isJudgedHere) {
       continue;
     }
     std::vector<Crash> crashes = CrashesAgainst(aNow, trait, suspect);
     if (crashes.size() >= kCrashesToRefuse || suspect.m_isJudgedHere) {
-      candidates.emplace(trait, std::move(crashes));
+      candidates.push_back(Candidate{
+        trait, &suspect, std::move(crashes), CompanionsOf(suspect) });
     }
   }
-  for (const auto& candidate : candidates) {
-    const std::vector<Crash>& crashes = candidate.second;
+  return candidates;
+}
+
+// Returns whether a trait explains those crashes of another one at which both
+// were present. Either the first never comes without the second, which comes
+// without the first, too; or the first is present at more crashes, and not only
+// in the same requests.
+bool HarmDetector::Explains(const Candidate& aOne, const Candidate& aOther)
+{
+  const bool isAlwaysWithOther = Contains(aOne.m_companions, aOther.m_trait);
+  const bool isOtherAlwaysWithIt = Contains(aOther.m_companions, aOne.m_trait);
+  if (isAlwaysWithOther || isOtherAlwaysWithIt) {
+    return isAlwaysWithOther && !isOtherAlwaysWithIt &&
+           aOne.m_crashes.size() >= kCrashesToRefuse;
+  }
+  return aOne.m_crashes.size() > aOther.m_crashes.size();
+}
+
+// Refuses the traits that explain enough crashes, and no longer those whose
+// crashes others explain better.
+void HarmDetector::Judge(Millis aNow)
+{
+  const std::vector<Candidate> candidates = FindCandidates(aNow);
+  for (const Candidate& candidate : candidates) {
     const auto isUnexplained = [&](const Crash& aCrash) {
       return std::none_of(
-        candidates.begin(), candidates.end(), [&](const auto& aOther) {
-          return aOther.second.size() > crashes.size() &&
-                 HasCrashAt(aOther.second, aCrash.m_server);
+        candidates.begin(), candidates.end(), [&](const Candidate& aOther) {
+          return !(aOther.m_trait == candidate.m_trait) &&
+                 Explains(aOther, candidate) &&
+                 HasCrashAt(aOther.m_crashes, aCrash.m_server);
         });
     };
-    const auto unexplained = static_cast<size_t>(
-      std::count_if(crashes.begin(), crashes.end(), isUnexplained));
-    Suspect& suspect = m_suspects.at(candidate.first);
+    const auto unexplained = static_cast<size_t>(std::count_if(
+      candidate.m_crashes.begin(), candidate.m_crashes.end(), isUnexplained));
+    Suspect& suspect = *candidate.m_suspect;
     const bool isRefused = suspect.m_refusedUntil > Millis();
     if (!isRefused && unexplained >= kCrashesToRefuse) {
-      Refuse(candidate.first, suspect, aNow + NextRefusal(suspect.m_refusals));
+      Refuse(aNow, candidate.m_trait, suspect, NextRefusal(suspect.m_refusals));
       suspect.m_isJudgedHere = true;
     } else if (suspect.m_isJudgedHere && unexplained < kCrashesToRefuse) {
-      if (m_announcesJudgements) {
-        m_notices.m_clearances.push_back(
-          TraitClearance{ candidate.first, Millis() });
-      }
-      ClearUpTo(aNow, candidate.first, suspect);
+      EndRefusal(candidate.m_trait, suspect);
     }
   }
 }
 
-void HarmDetector::Refuse(const RequestTrait& aTrait,
+void HarmDetector::EndRefusal(const RequestTrait& aTrait, Suspect& aSuspect)
+{
+  aSuspect.m_refusedUntil = Millis();
+  aSuspect.m_isJudgedHere = false;
+  m_changes.push_back({ aTrait, false, 0 });
+}
+
+void HarmDetector::Refuse(Millis aNow,
+                          const RequestTrait& aTrait,
                           Suspect& aSuspect,
-                          Millis aUntil)
+                          Millis aTime)
 {
-  aSuspect.m_refusedUntil = aUntil;
+  aSuspect.m_refusedSince = aNow;
+  aSuspect.m_refusedUntil = aNow + aTime;
   ++aSuspect.m_refusals;
   m_changes.push_back({ aTrait, true, aSuspect.m_crashes.size() });
 }
@@ -435,9 +480,7 @@
                    [&](const Crash& aCrash) { return aCrash.m_at <= aMoment; }),
     crashes.end());
   if (aSuspect.m_refusedUntil > Millis() && aMoment >= aSuspect.m_lastCrashAt) {
-    aSuspect.m_refusedUntil = Millis();
-    aSuspect.m_isJudgedHere = false;
-    m_changes.push_back({ aTrait, false, 0 });
+    EndRefusal(aTrait, aSuspect);
   }
 }
 
@@ -459,10 +502,10 @@
   m_scannedAt = aNow;
   DropOlderThan(m_brokenExchanges, aNow - kMatchWindow);
   DropOlderThan(m_losses, aNow - kMatchWindow);
-  m_announcesJudgements = IsTurn(aNow, aNodes / kJudgesPerPeriod + 1, aTurn);
+  DropOlderThan(m_crashTimes, aNow - kMatchWindow);
   Judge(aNow);
   AnnounceSurvivals(aNow,
-                    IsTurn(aNow, aNodes / kWitnessesPerPeriod + 1, aTurn));
+                    IsTurn(aNow, aNodes / kAnnouncersPerPeriod + 1, aTurn));
   EraseIf(m_suspects,
           [&](const auto& aEntry) { return IsExpired(aNow, aEntry.second); });
 }
@@ -509,7 +552,8 @@
 {
   std::vector<TraitRefusal> refusals;
   for (const auto& [trait, suspect] : m_suspects) {
-    if (suspect.m_refusedUntil > aNow) {
+    if (suspect.m_refusedUntil > aNow &&
+        aNow - suspect.m_refusedSince >= kReportDelay) {
       refusals.push_back(TraitRefusal{ trait,
                                        CompanionsOf(suspect),
                                        aNow - suspect.m_lastCrashAt,
--- a/briarglade/gateway/harm_detector.h
+++ b/briarglade/gateway/harm_detector.h
@@ -7,8 +7,9 @@
 // for kProofTime is evidence against its traits. Most such requests are
 // bystanders. Their traits survive elsewhere, which clears them; the traits of
 // the culprit never survive. A trait is refused after some crashes without a
-// survival in between, unless another trait explains these crashes better: one
-// that was present at them and at more besides.
+// survival in between, unless other traits explain these crashes better: one
+// that was present at more crashes, or that some of the requests with this
+// trait have and that crashes servers with it.
 //
 // Sound requests share some traits with harmful ones. Traits that were present
 // at the same crashes, in the same requests, explain them equally well, so only
@@ -111,6 +112,11 @@
     ServerRun m_server;
     DomainId m_domain;
   };
+  struct CrashedServer
+  {
+    Millis m_at;
+    ServerRun m_server;
+  };
   // A crash at which a trait was present.
   struct Crash
   {
@@ -129,15 +135,24 @@
     Millis m_lastCrashAt;
     // When a request with the trait last began to be answered and survived.
     Millis m_survivedAt;
+    Millis m_refusedSince;
     // Zero if it isn't refused.
     Millis m_refusedUntil;
     uint32_t m_refusals = 0;
     // Whether this node refused it because of the crashes that it knows.
     bool m_isJudgedHere = false;
   };
-  using Suspects = std::map<RequestTrait, Suspect>;
+  // A suspect with enough crashes against it to be refused.
+  struct Candidate
+  {
+    RequestTrait m_trait;
+    Suspect* m_suspect = nullptr;
+    std::vector<Crash> m_crashes;
+    std::vector<RequestTrait> m_companions;
+  };
 
   void AddCrash(Millis aNow, const CrashEvidence& aEvidence);
+  Millis CrashTime(const ServerRun& aServer, Millis aReported);
   void AddCrash(Suspect& aSuspect,
                 const RequestTrait& aTrait,
                 const Crash& aCrash,
@@ -149,22 +164,27 @@
   static std::vector<Crash> CrashesAgainst(Millis aNow,
                                            const RequestTrait& aTrait,
                                            const Suspect& aSuspect);
+  std::vector<Candidate> FindCandidates(Millis aNow);
+  static bool Explains(const Candidate& aOne, const Candidate& aOther);
   void Judge(Millis aNow);
+  void EndRefusal(const RequestTrait& aTrait, Suspect& aSuspect);
   void AnnounceSurvivals(Millis aNow, bool aIsTurn);
-  void Refuse(const RequestTrait& aTrait, Suspect& aSuspect, Millis aUntil);
+  void Refuse(Millis aNow,
+              const RequestTrait& aTrait,
+              Suspect& aSuspect,
+              Millis aTime);
   void EndRefusalIfDue(Millis aNow, Suspect& aSuspect);
   void ClearUpTo(Millis aMoment, const RequestTrait& aTrait, Suspect& aSuspect);
   static bool IsExpired(Millis aNow, const Suspect& aSuspect);
 
   std::deque<BrokenExchange> m_brokenExchanges;
   std::deque<Loss> m_losses;
-  Suspects m_suspects;
+  std::deque<CrashedServer> m_crashTimes;
+  std::map<RequestTrait, Suspect> m_suspects;
   // When prompt parts last survived here, or were cleared by another node.
   SurvivalLog m_survivals;
   Millis m_scannedAt;
   Millis m_objectedAt;
-  // Whether it is this node's turn to tell the others what all of them judge.
-  bool m_announcesJudgements = true;
   HarmNotices m_notices;
   std::vector<RefusalChange> m_changes;
 };
