Harmful parts: a request's own crashes don't speak for its parts

Cause: the rule "a trait that comes only together with another one explains the crashes of that one" also took a request's fingerprint for such a trait. One request that had been sent three times explained three of the part's five crashes, and two are too few. Class of fault: a rule for parts applied to whole requests, whose fingerprint is special to one request by nature. Change: only a part can explain another part's crashes in this way. Ruled out: a lower threshold; it would hide the wrong explanation.

--- a/briarglade/gateway/harm_detector.cc
+++ b/briarglade/gateway/harm_detector.cc
@@ -393,16 +393,16 @@
 }
 
 // Returns whether a trait explains those crashes of another one at which both
-// were present. Either the first never comes without the second, which comes
-// without the first, too; or the first is present at more crashes, and not only
+// were present. Either it is a part that never comes without the other one,
+// which comes without it, too; or it is present at more crashes, and not only
 // in the same requests.
 bool HarmDetector::Explains(const Candidate& aOne, const Candidate& aOther)
 {
   const bool isAlwaysWithOther = Contains(aOne.m_companions, aOther.m_trait);
   const bool isOtherAlwaysWithIt = Contains(aOther.m_companions, aOne.m_trait);
   if (isAlwaysWithOther || isOtherAlwaysWithIt) {
-    return isAlwaysWithOther && !isOtherAlwaysWithIt &&
-           aOne.m_crashes.size() >= kCrashesToRefuse;
+    return aOne.m_trait.m_kind == TraitKind::PromptPart && isAlwaysWithOther &&
+           !isOtherAlwaysWithIt && aOne.m_crashes.size() >= kCrashesToRefuse;
   }
   return aOne.m_crashes.size() > aOther.m_crashes.size();
 }
--- a/briarglade/gateway/harm_detector_test.cc
+++ b/briarglade/gateway/harm_detector_test.cc
@@ -209,6 +209,23 @@
   CHECK_FALSE(world.IsRefused({ kFirst }));
 }
 
+TEST_CASE(
+  "a part is refused though one of its requests has crashed most of the "
+  "servers")
+{
+  World world;
+  const Traits request = world.Request({ kFirst, kHarmful });
+  for (int crash = 0; crash < 3; ++crash) {
+    const ServerRun server = world.NextServer();
+    world.m_detector.OnBroken(world.m_now, request, server);
+    world.m_detector.OnServerLost(world.m_now, server, DomainId());
+  }
+  world.Crash({ { kFirst, kHarmful } });
+  world.Crash({ { kFirst, kHarmful } });
+  world.Wait(kSecond);
+  CHECK(world.IsRefused({ kFirst, kHarmful }));
+}
+
 TEST_CASE("a refusal ends; one more crash refuses the part for longer, a "
           "survival clears it")
 {
