Only a server that refuses connections or closes them counts as crashed

What callers would have seen: servers that reset single connections and gave no readable report made sound requests harmful; they were refused. Cause: any probe without a report counted as the loss of the server, an answer of another kind and a late one, too. Class of fault: "no good answer" taken for "not there". Change: the adapter tells a probe whose connection was refused or closed, or that met another server (421), from an unusable and from a late answer. An unusable one shows that the server runs; a late one shows nothing, the store decides. Ruled out: to loosen the test; its servers are alive.

--- a/briarglade/entry/entry_event.h
+++ b/briarglade/entry/entry_event.h
@@ -38,7 +38,8 @@
 };
 
 // A probe of a server has ended. An error means that the server returned no
-// report.
+// report. BackendFailed: it refuses connections, closes them, or another server
+// is at its address; DeadlineExceeded: nothing came in time.
 struct ServerProbed
 {
   HostId m_host;
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -278,7 +278,14 @@
   const ServerRun run{ check->first, check->second };
   m_state.m_serversChecked.erase(check);
   const auto* record = std::get_if<ServerRecord>(&aProbed.m_record);
-  if (record != nullptr && RunOf(*record) == run.m_run) {
+  const Error* error = GetError(aProbed.m_record);
+  const bool isSameRun = record != nullptr && RunOf(*record) == run.m_run;
+  if (error != nullptr && error->m_code == ResultCode::DeadlineExceeded) {
+    return; // the store will tell
+  }
+  const bool isThere =
+    error != nullptr && error->m_code != ResultCode::BackendFailed;
+  if (isSameRun || isThere) {
     DispatchToGateway(ServerAlive{ run });
     return;
   }
