A stream that ends with its connection before an event is broken off

What callers would have seen: a server that crashes before the first event of a stream with neither length nor chunks closes the connection in an orderly way; the caller got an empty stream that looked complete, and the request spoke for itself as if it had survived. Cause: the close of a connection ended any such answer as whole. Change: HttpCallEnd says that only the close ended an answer; a stream without an event that ends so is truncated, unless it was resumed. A stream without an event is no survival. Ruled out: to treat every such stream as doubtful; one that ends behind an event can't be told from a whole one.

--- a/briarglade/entry/gateway_relay.cc
+++ b/briarglade/entry/gateway_relay.cc
@@ -170,10 +170,14 @@
     return aEnd.m_end;
   }
   switch (m_answerKind) {
-    case AnswerKind::Events:
-      return m_events.IsWithinEvent() || m_isStreamMalformed
-               ? ExchangeEnd::Truncated
-               : ExchangeEnd::Whole;
+    case AnswerKind::Events: {
+      // A server that crashes before the first event closes the connection,
+      // too. Only a resumed stream may have no more events.
+      const bool isEmpty = !m_streamStarted && !m_events.LastEvent();
+      const bool isBroken = m_events.IsWithinEvent() || m_isStreamMalformed ||
+                            (aEnd.m_isEndedByClose && isEmpty);
+      return isBroken ? ExchangeEnd::Truncated : ExchangeEnd::Whole;
+    }
     case AnswerKind::Whole:
       // An error answer cannot follow events that were already forwarded.
       return m_streamStarted ? ExchangeEnd::Truncated : ExchangeEnd::Whole;
--- a/briarglade/gateway/backend_faults.cc
+++ b/briarglade/gateway/backend_faults.cc
@@ -69,7 +69,11 @@
   if (aRequest.m_hasSurvived || aRequest.m_isMoved) {
     return;
   }
-  if (aEnd == ExchangeEnd::Whole && aStatus < kFirstFailureStatus) {
+  // A stream without an event shows nothing: its server may be crashing.
+  const bool isAnswered =
+    aRequest.m_request.m_kind != RouteKind::Stream || aRequest.m_exchangeBegan;
+  if (aEnd == ExchangeEnd::Whole && aStatus < kFirstFailureStatus &&
+      isAnswered) {
     m_state.m_harmDetector.OnSurvived(
       aRequest.m_exchangeBegan ? aRequest.m_exchangeBeganAt : aRequest.m_sentAt,
       aRequest.m_traits);
--- a/briarglade/gateway/gateway_test.cc
+++ b/briarglade/gateway/gateway_test.cc
@@ -490,6 +490,33 @@
   }
 }
 
+TEST_CASE("a stream that ends without an event does not speak for its request")
+{
+  for (const bool hasEvent : { false, true }) {
+    CAPTURE(hasEvent);
+    World world;
+    world.Do(BackendsChanged{ { MakeGroupLeader("s") } });
+    const RequestHandle request = world.Arrive(RouteKind::Stream);
+    const RequestTrait trait{ TraitKind::Request, 0 };
+    const ServerRun server{ HostId("crashed"), BootId("1") };
+    world.m_state.m_harmDetector.OnEvidence(
+      world.m_now,
+      CrashEvidence{ server, DomainId(), Millis(1'000), { trait } });
+    if (hasEvent) {
+      world.Do(AnswerProgressed{ request });
+    }
+    world.End(request, ExchangeEnd::Whole, 200);
+    for (const char* other : { "crashed-2", "crashed-3" }) {
+      world.m_state.m_harmDetector.OnEvidence(
+        world.m_now,
+        CrashEvidence{
+          ServerRun{ HostId(other), BootId("1") }, DomainId(), {}, { trait } });
+    }
+    CHECK((world.m_state.m_harmDetector.RefusedFor(world.m_now, { trait }) >
+           Millis()) != hasEvent);
+  }
+}
+
 TEST_CASE("all nodes together keep no more idle connections than a server "
           "accepts")
 {
--- a/briarglade/net/http_call.cc
+++ b/briarglade/net/http_call.cc
@@ -143,7 +143,7 @@
   std::weak_ptr<bool> alive = m_client.m_alive;
   m_client.m_loop.Defer([self = shared_from_this(), aEnd, alive] {
     if (!alive.expired()) {
-      self->End(HttpCallEnd{ aEnd, self->m_head.m_status }, false);
+      self->End(HttpCallEnd{ aEnd, self->m_head.m_status, false }, false);
     }
   });
 }
@@ -274,7 +274,7 @@
 {
   const bool keep = m_parser->KeepsConnection() &&
                     !m_connection->HasLeftovers() && HasDeclaredEnd(m_head);
-  End(HttpCallEnd{ ExchangeEnd::Whole, m_head.m_status }, keep);
+  End(HttpCallEnd{ ExchangeEnd::Whole, m_head.m_status, false }, keep);
 }
 
 Millis HttpCall::KeepFor() const
@@ -297,7 +297,7 @@
                         m_spec.m_closeEndsAnswer;
   if (endsHere) {
     m_parser->FeedEnd();
-    End(HttpCallEnd{ ExchangeEnd::Whole, m_head.m_status }, false);
+    End(HttpCallEnd{ ExchangeEnd::Whole, m_head.m_status, true }, false);
     return;
   }
   EndSoon(FailureKind());
--- a/briarglade/net/http_client.h
+++ b/briarglade/net/http_client.h
@@ -49,6 +49,8 @@
 {
   ExchangeEnd m_end = ExchangeEnd::Whole;
   uint16_t m_status = 0;
+  // Whether nothing but the close of its connection ended a whole answer.
+  bool m_isEndedByClose = false;
 };
 
 // The value of HttpCallSpec::m_maxIdleAge for a call that needs a connection of
