--- a/briarglade/entry/entry_node.cc
+++ b/briarglade/entry/entry_node.cc
@@ -303,6 +303,12 @@
                      static_cast<double>(std::count_if(m_state.m_groups.begin(),
                                                        m_state.m_groups.end(),
                                                        isServing)));
+  const HarmDetector& detector = m_state.m_gateway.m_harmDetector;
+  m_metrics.SetGauge("crash_suspects",
+                     static_cast<double>(detector.SuspectCount()));
+  m_metrics.SetGauge(
+    "harmful_refused",
+    static_cast<double>(detector.RefusedCount(EventLoop::Now())));
   m_metrics.SetGauge("servers", static_cast<double>(m_state.m_servers.size()));
   m_metrics.SetGauge(
     "config_version",
--- a/briarglade/gateway/harm_detector.cc
+++ b/briarglade/gateway/harm_detector.cc
@@ -569,6 +569,14 @@
   return refusals;
 }
 
+size_t HarmDetector::RefusedCount(Millis aNow) const
+{
+  return static_cast<size_t>(std::count_if(
+    m_suspects.begin(), m_suspects.end(), [&](const auto& aEntry) {
+      return aEntry.second.m_refusedUntil > aNow;
+    }));
+}
+
 HarmNotices HarmDetector::TakeNotices()
 {
   return std::exchange(m_notices, HarmNotices());
--- a/briarglade/gateway/harm_detector.h
+++ b/briarglade/gateway/harm_detector.h
@@ -93,7 +93,10 @@
                     const std::vector<RequestTrait>& aTraits) const;
   // Returns the latest refusals in force, a bounded number.
   std::vector<TraitRefusal> Refusals(Millis aNow) const;
+  // Return the number of traits with evidence against them, and of those that
+  // are refused.
   size_t SuspectCount() const { return m_suspects.size(); }
+  size_t RefusedCount(Millis aNow) const;
   // Returns and removes what is to be sent to the other nodes.
   HarmNotices TakeNotices();
   // Returns and removes the changes since the last call.
