Harmful parts: a node that has seen one crash takes over a refusal, too

What callers would have seen: a node that had started during the incident and had seen one crash since ignored what the others reported, and let the part through. Cause: any known crash counted as enough to judge alone; and the traits of that one request, its fingerprint among them, replaced the reported companions. Class of fault: own partial knowledge goes before whole knowledge of others. Ruled out: nothing else.

--- a/briarglade/gateway/harm_detector.cc
+++ b/briarglade/gateway/harm_detector.cc
@@ -103,6 +103,26 @@
          distance < kSameCauseTime;
 }
 
+// Returns the companions that a trait had at each of the crashes.
+template<typename Crash>
+std::vector<RequestTrait> CommonCompanions(const std::vector<Crash>& aCrashes)
+{
+  std::vector<RequestTrait> common;
+  if (aCrashes.empty()) {
+    return common;
+  }
+  for (const RequestTrait& trait : aCrashes.front().m_companions) {
+    const bool isCommon =
+      std::all_of(aCrashes.begin(), aCrashes.end(), [&](const Crash& aCrash) {
+        return Contains(aCrash.m_companions, trait);
+      });
+    if (isCommon) {
+      common.push_back(trait);
+    }
+  }
+  return common;
+}
+
 template<typename Crash>
 bool HasCrashAt(const std::vector<Crash>& aCrashes, const ServerRun& aServer)
 {
@@ -211,17 +231,17 @@
     }
     return;
   }
-  // A node that knows the crashes judges by itself.
+  // A node that knows enough crashes judges by itself.
   const auto known = m_suspects.find(aRefusal.m_trait);
-  const bool isKnown =
-    known != m_suspects.end() &&
-    (!known->second.m_crashes.empty() || known->second.m_refusedUntil > aNow);
+  const bool isKnown = known != m_suspects.end() &&
+                       (known->second.m_crashes.size() >= kCrashesToRefuse ||
+                        known->second.m_refusedUntil > aNow);
   if (isKnown || aRefusal.m_remaining <= Millis()) {
     return;
   }
   Suspect& suspect = FindOrAdd(aRefusal.m_trait);
   suspect.m_reportedCompanions = aRefusal.m_companions;
-  suspect.m_lastCrashAt = crashedAt;
+  suspect.m_lastCrashAt = std::max(suspect.m_lastCrashAt, crashedAt);
   Refuse(aNow,
          aRefusal.m_trait,
          suspect,
@@ -331,20 +351,16 @@
 std::vector<RequestTrait> HarmDetector::CompanionsOf(
   const Suspect& aSuspect) const
 {
-  std::vector<RequestTrait> companions =
-    aSuspect.m_crashes.empty() ? aSuspect.m_reportedCompanions
-                               : aSuspect.m_crashes.front().m_companions;
+  const bool isReported =
+    aSuspect.m_refusedUntil > Millis() && !aSuspect.m_isJudgedHere;
+  std::vector<RequestTrait> companions = aSuspect.m_reportedCompanions;
+  if (!isReported) {
+    companions = CommonCompanions(aSuspect.m_crashes);
+  }
   const auto isCleared = [&](const RequestTrait& aTrait) {
     const auto suspect = m_suspects.find(aTrait);
-    if (suspect == m_suspects.end() ||
-        suspect->second.m_survivedAt >= suspect->second.m_lastCrashAt) {
-      return true;
-    }
-    return !std::all_of(aSuspect.m_crashes.begin(),
-                        aSuspect.m_crashes.end(),
-                        [&](const Crash& aCrash) {
-                          return Contains(aCrash.m_companions, aTrait);
-                        });
+    return suspect == m_suspects.end() ||
+           suspect->second.m_survivedAt >= suspect->second.m_lastCrashAt;
   };
   companions.erase(
     std::remove_if(companions.begin(), companions.end(), isCleared),
--- a/briarglade/gateway/harm_detector.h
+++ b/briarglade/gateway/harm_detector.h
@@ -132,8 +132,8 @@
   struct Suspect
   {
     std::vector<Crash> m_crashes;
-    // Traits present at all crashes, as another node reported them; used only
-    // without crashes.
+    // Traits present at all crashes, as the node reported that refused it; used
+    // unless this node judged by itself.
     std::vector<RequestTrait> m_reportedCompanions;
     Millis m_lastCrashAt;
     // When a request with the trait last began to be answered and survived.
--- a/briarglade/gateway/harm_detector_test.cc
+++ b/briarglade/gateway/harm_detector_test.cc
@@ -327,6 +327,15 @@
                                  TraitClearance{ kHarmful, Millis() });
     CHECK_FALSE(other.IsRefused({ kFirst, kHarmful }));
   }
+  SUBCASE("a node that has seen one crash since it started")
+  {
+    other.Crash({ { kFirst, kHarmful } });
+    for (const TraitRefusal& refusal : refusals) {
+      other.m_detector.OnRefusal(other.m_now, refusal);
+    }
+    CHECK(other.IsRefused({ kFirst, kHarmful }));
+    CHECK_FALSE(other.IsRefused({ kFirst, kOther }));
+  }
   SUBCASE("a node that has seen the part survive since objects")
   {
     other.Survive({ kFirst, kHarmful });
