--- a/briarglade/entry/harmful_parts_test.cc
+++ b/briarglade/entry/harmful_parts_test.cc
@@ -2,6 +2,7 @@
 // that begins to answer a request with it.
 
 #include <algorithm>
+#include <cstdlib>
 #include <doctest/doctest.h>
 #include <random>
 #include <string>
@@ -325,12 +326,23 @@
   CHECK(world.RefusedAsHarmful().size() == refused);
 }
 
-TEST_CASE("BUDGET: a harmful part is found by 60 nodes, each of which sees few "
-          "of its requests")
+// Returns the number of nodes of a large fleet: the greater of aLeast and the
+// value of BRIARGLADE_NODES.
+uint32_t NodeCountOf(uint32_t aLeast)
 {
+  const char* setting = std::getenv("BRIARGLADE_NODES");
+  return setting == nullptr
+           ? aLeast
+           : std::max(aLeast, static_cast<uint32_t>(std::stoul(setting)));
+}
+
+TEST_CASE("BUDGET: a harmful part is found by many nodes, each of which sees "
+          "few of its requests")
+{
+  constexpr double kRequestsPerSecond = 120;
   Traffic traffic;
-  traffic.m_nodes = 60;
-  traffic.m_rate = 2;
+  traffic.m_nodes = NodeCountOf(60);
+  traffic.m_rate = kRequestsPerSecond / traffic.m_nodes;
   HarmfulWorld world(traffic);
   world.SendHarmful({ kHarmfulPart });
   world.Run(Millis(15'000));
