Harm detector: plainer names

Cause: "judge", "maturity" and "speaks for" were metaphors. Change: UpdateRefusals, m_isOwnDecision, kSurvivalTime, kUpdatePeriod; the title of one test.

--- a/briarglade/gateway/gateway_test.cc
+++ b/briarglade/gateway/gateway_test.cc
@@ -490,7 +490,7 @@
   }
 }
 
-TEST_CASE("a stream that ends without an event does not speak for its request")
+TEST_CASE("a stream that ends without an event is no evidence for its request")
 {
   for (const bool hasEvent : { false, true }) {
     CAPTURE(hasEvent);
--- a/briarglade/gateway/harm_detector.cc
+++ b/briarglade/gateway/harm_detector.cc
@@ -24,7 +24,7 @@
 constexpr size_t kCrashesToRefuse = 3;
 // A crash counts against a shared trait only after this time, in which sound
 // requests with the trait begin to be answered and survive.
-constexpr Millis kMaturity = Millis(800);
+constexpr Millis kSurvivalTime = Millis(800);
 // Survivals of a trait with this many crashes are announced.
 constexpr size_t kCrashesToAnnounce = 2;
 // The shortest time between two objections to refusals by other nodes.
@@ -37,8 +37,8 @@
 constexpr Millis kFirstRefusal = Millis(600'000);
 constexpr int64_t kRefusalFactor = 6;
 constexpr Millis kLongestRefusal = Millis(86'400'000);
-// The period at which suspects are judged.
-constexpr Millis kScanPeriod = Millis(200);
+// The period at which refusals are updated.
+constexpr Millis kUpdatePeriod = Millis(200);
 // In a larger fleet only about this many nodes announce a survival in the same
 // period.
 constexpr uint32_t kAnnouncersPerPeriod = 32;
@@ -79,7 +79,8 @@
 // Returns whether a node has its turn, one of aTurns, in the current period.
 bool IsTurn(Millis aNow, uint32_t aTurns, uint32_t aTurn)
 {
-  const auto period = static_cast<uint64_t>(aNow.Count() / kScanPeriod.Count());
+  const auto period =
+    static_cast<uint64_t>(aNow.Count() / kUpdatePeriod.Count());
   return (period + aTurn) % aTurns == 0;
 }
 
@@ -145,7 +146,7 @@
     });
   if (loss != m_losses.rend()) {
     Report(aNow, broken, *loss);
-    Judge(aNow);
+    UpdateRefusals(aNow);
     return false;
   }
   Append(m_brokenExchanges, std::move(broken), kMaxBrokenExchanges);
@@ -170,7 +171,7 @@
     }
   }
   OnServerAlive(aServer);
-  Judge(aNow);
+  UpdateRefusals(aNow);
 }
 
 void HarmDetector::OnServerAlive(const ServerRun& aServer)
@@ -202,7 +203,7 @@
 void HarmDetector::OnEvidence(Millis aNow, const CrashEvidence& aEvidence)
 {
   AddCrash(aNow, aEvidence);
-  Judge(aNow);
+  UpdateRefusals(aNow);
 }
 
 void HarmDetector::OnClearance(Millis aNow, const TraitClearance& aClearance)
@@ -231,7 +232,7 @@
     }
     return;
   }
-  // A node that knows enough crashes judges by itself.
+  // A node that knows enough crashes decides by itself.
   const auto known = m_suspects.find(aRefusal.m_trait);
   const bool isKnown = known != m_suspects.end() &&
                        (known->second.m_crashes.size() >= kCrashesToRefuse ||
@@ -352,7 +353,7 @@
   const Suspect& aSuspect) const
 {
   const bool isReported =
-    aSuspect.m_refusedUntil > Millis() && !aSuspect.m_isJudgedHere;
+    aSuspect.m_refusedUntil > Millis() && !aSuspect.m_isOwnDecision;
   std::vector<RequestTrait> companions = aSuspect.m_reportedCompanions;
   if (!isReported) {
     companions = CommonCompanions(aSuspect.m_crashes);
@@ -376,7 +377,7 @@
   const Suspect& aSuspect)
 {
   const bool isShared = aTrait.m_kind == TraitKind::PromptPart;
-  const Millis until = isShared ? aNow - kMaturity : aNow;
+  const Millis until = isShared ? aNow - kSurvivalTime : aNow;
   std::vector<Crash> counted;
   for (const Crash& crash : aSuspect.m_crashes) {
     const bool hasSameCause =
@@ -396,11 +397,11 @@
   std::vector<Candidate> candidates;
   for (auto& [trait, suspect] : m_suspects) {
     if (suspect.m_crashes.size() < kCrashesToRefuse &&
-        !suspect.m_isJudgedHere) {
+        !suspect.m_isOwnDecision) {
       continue;
     }
     std::vector<Crash> crashes = CrashesAgainst(aNow, trait, suspect);
-    if (crashes.size() >= kCrashesToRefuse || suspect.m_isJudgedHere) {
+    if (crashes.size() >= kCrashesToRefuse || suspect.m_isOwnDecision) {
       candidates.push_back(Candidate{
         trait, &suspect, std::move(crashes), CompanionsOf(suspect) });
     }
@@ -425,7 +426,7 @@
 
 // Refuses the traits that explain enough crashes, and no longer those whose
 // crashes others explain better.
-void HarmDetector::Judge(Millis aNow)
+void HarmDetector::UpdateRefusals(Millis aNow)
 {
   const std::vector<Candidate> candidates = FindCandidates(aNow);
   for (const Candidate& candidate : candidates) {
@@ -443,8 +444,8 @@
     const bool isRefused = suspect.m_refusedUntil > Millis();
     if (!isRefused && unexplained >= kCrashesToRefuse) {
       Refuse(aNow, candidate.m_trait, suspect, NextRefusal(suspect.m_refusals));
-      suspect.m_isJudgedHere = true;
-    } else if (suspect.m_isJudgedHere && unexplained < kCrashesToRefuse) {
+      suspect.m_isOwnDecision = true;
+    } else if (suspect.m_isOwnDecision && unexplained < kCrashesToRefuse) {
       EndRefusal(candidate.m_trait, suspect);
     }
   }
@@ -453,7 +454,7 @@
 void HarmDetector::EndRefusal(const RequestTrait& aTrait, Suspect& aSuspect)
 {
   aSuspect.m_refusedUntil = Millis();
-  aSuspect.m_isJudgedHere = false;
+  aSuspect.m_isOwnDecision = false;
   m_changes.push_back({ aTrait, false, 0 });
 }
 
@@ -476,7 +477,7 @@
     return;
   }
   aSuspect.m_refusedUntil = Millis();
-  aSuspect.m_isJudgedHere = false;
+  aSuspect.m_isOwnDecision = false;
   std::vector<Crash>& crashes = aSuspect.m_crashes;
   while (crashes.size() >= kCrashesToRefuse) {
     crashes.erase(crashes.begin());
@@ -512,14 +513,14 @@
 
 void HarmDetector::Tick(Millis aNow, uint32_t aNodes, uint32_t aTurn)
 {
-  if (aNow - m_scannedAt < kScanPeriod) {
+  if (aNow - m_updatedAt < kUpdatePeriod) {
     return;
   }
-  m_scannedAt = aNow;
+  m_updatedAt = aNow;
   DropOlderThan(m_brokenExchanges, aNow - kMatchWindow);
   DropOlderThan(m_losses, aNow - kMatchWindow);
   DropOlderThan(m_crashTimes, aNow - kMatchWindow);
-  Judge(aNow);
+  UpdateRefusals(aNow);
   AnnounceSurvivals(aNow,
                     IsTurn(aNow, aNodes / kAnnouncersPerPeriod + 1, aTurn));
   EraseIf(m_suspects,
--- a/briarglade/gateway/harm_detector.h
+++ b/briarglade/gateway/harm_detector.h
@@ -133,7 +133,7 @@
   {
     std::vector<Crash> m_crashes;
     // Traits present at all crashes, as the node reported that refused it; used
-    // unless this node judged by itself.
+    // unless this node decided by itself.
     std::vector<RequestTrait> m_reportedCompanions;
     Millis m_lastCrashAt;
     // When a request with the trait last began to be answered and survived.
@@ -143,7 +143,7 @@
     Millis m_refusedUntil;
     uint32_t m_refusals = 0;
     // Whether this node refused it because of the crashes that it knows.
-    bool m_isJudgedHere = false;
+    bool m_isOwnDecision = false;
   };
   // A suspect with enough crashes against it to be refused.
   struct Candidate
@@ -169,7 +169,7 @@
                                            const Suspect& aSuspect);
   std::vector<Candidate> FindCandidates(Millis aNow);
   static bool Explains(const Candidate& aOne, const Candidate& aOther);
-  void Judge(Millis aNow);
+  void UpdateRefusals(Millis aNow);
   void EndRefusal(const RequestTrait& aTrait, Suspect& aSuspect);
   void AnnounceSurvivals(Millis aNow, bool aIsTurn);
   void Refuse(Millis aNow,
@@ -186,7 +186,7 @@
   std::map<RequestTrait, Suspect> m_suspects;
   // When prompt parts last survived here, or were cleared by another node.
   SurvivalLog m_survivals;
-  Millis m_scannedAt;
+  Millis m_updatedAt;
   Millis m_objectedAt;
   HarmNotices m_notices;
   std::vector<RefusalChange> m_changes;
