Harm detector: long prompts keep all parts that came together

What callers would have seen: sound requests that share a long prompt with harmful ones, all parts but the harmful one, were refused with them. Cause: of the traits that came together only 8 were kept, in the order of the prompt. With ten parts before it the harmful one was missing from the others' lists, so that they were refused without it. Class of fault: a bound that is smaller than what it has to hold. Change: 64, all other traits of the longest request. Ruled out: dropping fingerprints from the lists; a request that crashes servers alone would then have its parts refused. Measured: harm_detector_test "sound requests that share all of a long prompt" (31 parts) failed before, passes now.

--- a/briarglade/gateway/harm_detector.cc
+++ b/briarglade/gateway/harm_detector.cc
@@ -50,7 +50,8 @@
 constexpr size_t kMaxLosses = 1'024;
 constexpr size_t kMaxSuspects = 1'024;
 constexpr size_t kMaxCrashes = 16;
-constexpr size_t kMaxCompanions = 8;
+// All other traits of the longest request.
+constexpr size_t kMaxCompanions = 64;
 constexpr size_t kMaxReportedRefusals = 32;
 
 template<typename Entry>
--- a/briarglade/gateway/harm_detector_test.cc
+++ b/briarglade/gateway/harm_detector_test.cc
@@ -135,6 +135,24 @@
   CHECK_FALSE(world.IsRefused({ kOther }));
 }
 
+TEST_CASE("sound requests that share all of a long prompt but its harmful part "
+          "are not refused")
+{
+  World world;
+  Traits shared;
+  for (uint64_t part = 100; part < 130; ++part) {
+    shared.push_back(Part(part));
+  }
+  Traits harmful = shared;
+  harmful.push_back(kHarmful);
+  for (int crash = 0; crash < 4; ++crash) {
+    world.Crash({ harmful });
+  }
+  world.Wait(kSecond);
+  CHECK(world.IsRefused(harmful));
+  CHECK_FALSE(world.IsRefused(shared));
+}
+
 TEST_CASE("two harmful parts are refused, though one crashes more servers")
 {
   World world;
