Harm detector: a bystander's request is compared at the same moment

Cause: crashes counted against a request at once, but for parts only after the survival time. So the part that explains the request's crashes better was not yet a candidate when the request was refused. Class of fault: one question, two clocks. Change: each decision compares all traits by their crashes up to one moment. Parts are still decided on after the survival time, with the same comparisons as before among parts. Ruled out: to let requests wait, too; a request that crashes servers again and again is to be refused at its third crash. Also: tests of the age of evidence and of the age and bound of broken exchanges, which had none; they pass at once. Conclusion: found in the read-through.

--- a/briarglade/gateway/harm_detector.cc
+++ b/briarglade/gateway/harm_detector.cc
@@ -370,22 +370,19 @@
   return companions;
 }
 
-// Returns the crashes that count against a trait: those since its last
-// survival, without those that have a common cause with another one.
+// Returns the crashes that count against a trait: those between its last
+// survival and aUntil, without those that have a common cause with another one.
 std::vector<HarmDetector::Crash> HarmDetector::CrashesAgainst(
-  Millis aNow,
-  const RequestTrait& aTrait,
+  Millis aUntil,
   const Suspect& aSuspect)
 {
-  const bool isShared = aTrait.m_kind == TraitKind::PromptPart;
-  const Millis until = isShared ? aNow - kSurvivalTime : aNow;
   std::vector<Crash> counted;
   for (const Crash& crash : aSuspect.m_crashes) {
     const bool hasSameCause =
       std::any_of(counted.begin(), counted.end(), [&](const Crash& aOther) {
         return HaveSameCause(crash, aOther);
       });
-    if (crash.m_at > aSuspect.m_survivedAt && crash.m_at <= until &&
+    if (crash.m_at > aSuspect.m_survivedAt && crash.m_at <= aUntil &&
         !hasSameCause) {
       counted.push_back(crash);
     }
@@ -393,7 +390,9 @@
   return counted;
 }
 
-std::vector<HarmDetector::Candidate> HarmDetector::FindCandidates(Millis aNow)
+// Returns the suspects that have enough crashes up to aUntil against them, and
+// those that this node has refused.
+std::vector<HarmDetector::Candidate> HarmDetector::FindCandidates(Millis aUntil)
 {
   std::vector<Candidate> candidates;
   for (auto& [trait, suspect] : m_suspects) {
@@ -401,7 +400,7 @@
         !suspect.m_isOwnDecision) {
       continue;
     }
-    std::vector<Crash> crashes = CrashesAgainst(aNow, trait, suspect);
+    std::vector<Crash> crashes = CrashesAgainst(aUntil, suspect);
     if (crashes.size() >= kCrashesToRefuse || suspect.m_isOwnDecision) {
       candidates.push_back(Candidate{
         trait, &suspect, std::move(crashes), CompanionsOf(suspect) });
@@ -425,12 +424,22 @@
   return aOne.m_crashes.size() > aOther.m_crashes.size();
 }
 
-// Refuses the traits that explain enough crashes, and no longer those whose
-// crashes others explain better.
 void HarmDetector::UpdateRefusals(Millis aNow)
 {
-  const std::vector<Candidate> candidates = FindCandidates(aNow);
+  UpdateRefusals(aNow, TraitKind::Request, aNow);
+  UpdateRefusals(aNow, TraitKind::PromptPart, aNow - kSurvivalTime);
+}
+
+// Refuses the traits of a kind that explain enough crashes, and no longer those
+// whose crashes others explain better. All traits are compared by their crashes
+// up to aUntil.
+void HarmDetector::UpdateRefusals(Millis aNow, TraitKind aKind, Millis aUntil)
+{
+  const std::vector<Candidate> candidates = FindCandidates(aUntil);
   for (const Candidate& candidate : candidates) {
+    if (candidate.m_trait.m_kind != aKind) {
+      continue;
+    }
     const auto isUnexplained = [&](const Crash& aCrash) {
       return std::none_of(
         candidates.begin(), candidates.end(), [&](const Candidate& aOther) {
--- a/briarglade/gateway/harm_detector.h
+++ b/briarglade/gateway/harm_detector.h
@@ -51,6 +51,8 @@
 {
   RequestTrait m_trait;
   bool m_isRefused = false;
+  // The number of crashes that this node knows of; zero if it was told of the
+  // refusal.
   size_t m_crashes = 0;
 };
 
@@ -164,12 +166,12 @@
   void RemoveLeastSuspicious();
   void Report(Millis aNow, const BrokenExchange& aBroken, const Loss& aLoss);
   std::vector<RequestTrait> CompanionsOf(const Suspect& aSuspect) const;
-  static std::vector<Crash> CrashesAgainst(Millis aNow,
-                                           const RequestTrait& aTrait,
+  static std::vector<Crash> CrashesAgainst(Millis aUntil,
                                            const Suspect& aSuspect);
-  std::vector<Candidate> FindCandidates(Millis aNow);
+  std::vector<Candidate> FindCandidates(Millis aUntil);
   static bool Explains(const Candidate& aOne, const Candidate& aOther);
   void UpdateRefusals(Millis aNow);
+  void UpdateRefusals(Millis aNow, TraitKind aKind, Millis aUntil);
   void EndRefusal(const RequestTrait& aTrait, Suspect& aSuspect);
   void AnnounceSurvivals(Millis aNow, bool aIsTurn);
   void Refuse(Millis aNow,
--- a/briarglade/gateway/harm_detector_test.cc
+++ b/briarglade/gateway/harm_detector_test.cc
@@ -153,6 +153,54 @@
   CHECK_FALSE(world.IsRefused(shared));
 }
 
+TEST_CASE("a request that was a bystander at some crashes of a harmful part is "
+          "not refused meanwhile")
+{
+  World world;
+  const Traits bystander = world.Request({ kOther });
+  for (int crash = 0; crash < 5; ++crash) {
+    const ServerRun server = world.NextServer();
+    world.m_detector.OnBroken(
+      world.m_now, world.Request({ kFirst, kHarmful }), server);
+    if (crash >= 2) {
+      world.m_detector.OnBroken(world.m_now, bystander, server);
+    }
+    world.m_detector.OnServerLost(world.m_now, server, DomainId());
+    CHECK(world.m_detector.RefusedFor(world.m_now, bystander) == Millis());
+  }
+}
+
+TEST_CASE("evidence expires")
+{
+  World world;
+  world.Crash({ { kOther } });
+  world.Crash({ { kOther } });
+  CHECK(world.m_detector.SuspectCount() > 0);
+  world.m_now += Millis(601'000);
+  world.m_detector.Tick(world.m_now, 1, 0);
+  CHECK(world.m_detector.SuspectCount() == 0);
+}
+
+TEST_CASE("broken exchanges are forgotten with time, and the oldest when there "
+          "are too many")
+{
+  World world;
+  const ServerRun late = world.NextServer();
+  world.m_detector.OnBroken(world.m_now, world.Request({ kOther }), late);
+  world.Wait(Millis(60'000));
+  world.m_detector.OnServerLost(world.m_now, late, DomainId());
+  CHECK(world.m_detector.SuspectCount() == 0);
+
+  const ServerRun first = world.NextServer();
+  world.m_detector.OnBroken(world.m_now, world.Request({ kOther }), first);
+  const ServerRun other = world.NextServer();
+  for (int i = 0; i < 1'024; ++i) {
+    world.m_detector.OnBroken(world.m_now, world.Request({}), other);
+  }
+  world.m_detector.OnServerLost(world.m_now, first, DomainId());
+  CHECK(world.m_detector.SuspectCount() == 0);
+}
+
 TEST_CASE("two harmful parts are refused, though one crashes more servers")
 {
   World world;
