Survival log: keeps what survives now, and forgets with time

What callers would have seen: a common part was forgotten for a moment whenever 4,096 other parts had come since it was first recorded, so that a node couldn't speak against a refusal of it; and nothing in the log had an age. Cause: the parts recorded first were dropped first, however often they had survived since. Change: two maps of up to 2,048 parts; the recent one replaces the earlier one when it is full or ten minutes old. Measured: survival_log_test, new: bound, age, a part that survives again and again among 20,000 others. Not run on the old code, which has neither Size() nor Expire(). gateway_test and the fleets of harmful_parts_test pass. Conclusion: found in the read-through.

--- a/briarglade/gateway/harm_detector.cc
+++ b/briarglade/gateway/harm_detector.cc
@@ -530,6 +530,7 @@
   DropOlderThan(m_brokenExchanges, aNow - kMatchWindow);
   DropOlderThan(m_losses, aNow - kMatchWindow);
   DropOlderThan(m_crashTimes, aNow - kMatchWindow);
+  m_survivals.Expire(aNow);
   UpdateRefusals(aNow);
   AnnounceSurvivals(aNow,
                     IsTurn(aNow, aNodes / kAnnouncersPerPeriod + 1, aTurn));
--- a/briarglade/gateway/survival_log.cc
+++ b/briarglade/gateway/survival_log.cc
@@ -1,35 +1,54 @@
-// A bounded log of survivals; the traits recorded first are dropped first.
+// Two maps, the recent one and the one before it: when the recent one is full
+// or old, it replaces the other.
 
 #include "briarglade/gateway/survival_log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace briarglade {
 
 namespace {
 
-constexpr size_t kMaxTraits = 4'096;
+// Half of the traits that are remembered at most.
+constexpr size_t kMaxRecent = 2'048;
+// A survival is remembered for this long at least, if there is room, and for
+// twice as long at most.
+constexpr Millis kRecentTime = Millis(600'000);
 
 } // namespace
 
 void SurvivalLog::Record(const RequestTrait& aTrait, Millis aAt)
 {
-  const auto [entry, isNew] = m_times.try_emplace(aTrait, aAt);
-  entry->second = std::max(entry->second, aAt);
-  if (!isNew) {
-    return;
-  }
-  m_order.push_back(aTrait);
-  if (m_order.size() > kMaxTraits) {
-    m_times.erase(m_order.front());
-    m_order.pop_front();
+  const Millis last = std::max(aAt, LastSurvival(aTrait));
+  m_recent[aTrait] = last;
+  if (m_recent.size() >= kMaxRecent) {
+    Rotate();
   }
 }
 
 Millis SurvivalLog::LastSurvival(const RequestTrait& aTrait) const
 {
-  const auto found = m_times.find(aTrait);
-  return found == m_times.end() ? Millis() : found->second;
+  for (const Times* times : { &m_recent, &m_earlier }) {
+    const auto found = times->find(aTrait);
+    if (found != times->end()) {
+      return found->second;
+    }
+  }
+  return Millis();
+}
+
+void SurvivalLog::Expire(Millis aNow)
+{
+  if (aNow - m_rotatedAt >= kRecentTime) {
+    m_rotatedAt = aNow;
+    Rotate();
+  }
+}
+
+void SurvivalLog::Rotate()
+{
+  m_earlier = std::exchange(m_recent, Times());
 }
 
 } // namespace briarglade
--- a/briarglade/gateway/survival_log.h
+++ b/briarglade/gateway/survival_log.h
@@ -1,5 +1,5 @@
-// Remembers when prompt parts last survived: the parts seen last, in bounded
-// memory.
+// Remembers when prompt parts last survived: those that survived last, a
+// bounded number for a bounded time.
 //
 // Example:
 //   SurvivalLog log;
@@ -9,9 +9,7 @@
 #pragma once
 
 #include <cstddef>
-#include <deque>
 #include <map>
-#include <utility>
 
 #include "briarglade/base/millis.h"
 #include "briarglade/gateway/crash_evidence.h"
@@ -27,10 +25,19 @@
   // Returns when the last such answer began; zero if none is known.
   Millis LastSurvival(const RequestTrait& aTrait) const;
 
+  // Forgets survivals that were recorded long ago.
+  void Expire(Millis aNow);
+  // Returns the number of times that are kept; a trait may have two.
+  size_t Size() const { return m_recent.size() + m_earlier.size(); }
+
 private:
-  std::map<RequestTrait, Millis> m_times;
-  // The traits in the order in which they were first recorded.
-  std::deque<RequestTrait> m_order;
+  using Times = std::map<RequestTrait, Millis>;
+
+  void Rotate();
+
+  Times m_recent;
+  Times m_earlier;
+  Millis m_rotatedAt;
 };
 
 } // namespace briarglade
