One log line for each probe of a server that broke off exchanges

Cause: the outcome of such a probe changes what a node believes, and a timeout was dropped, without a line. Conclusion: found in the read-through.

--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -126,6 +126,7 @@
   void ReportServerLost(const ServerRecord& aServer);
   void CheckIfRunning(const ServerRun& aServer);
   void EndCheck(const ServerProbed& aProbed);
+  void LogCheck(const ServerRun& aServer, const char* aOutcome);
   void PublishHarm(const HarmNotices& aNotices);
   bool RecordLeavingServer(const ServerRun& aServer);
   void ChooseFollowers();
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -260,6 +260,7 @@
     return;
   }
   if (RunOf(known->second) != aServer.m_run) {
+    LogCheck(aServer, "replaced");
     DispatchToGateway(ServerLost{ aServer, known->second.m_domain });
     return;
   }
@@ -269,6 +270,17 @@
   }
 }
 
+void EntryReduction::LogCheck(const ServerRun& aServer, const char* aOutcome)
+{
+  Log(LogLevel::Info,
+      "server-checked",
+      { { "server", aServer.m_server.Value() },
+        { "run", aServer.m_run.Value() },
+        { "outcome", aOutcome } });
+}
+
+// Tells the gateway what a probe of a server that broke off exchanges has
+// shown. One that timed out shows nothing; the store will tell.
 void EntryReduction::EndCheck(const ServerProbed& aProbed)
 {
   const auto check = m_state.m_serversChecked.find(aProbed.m_host);
@@ -281,17 +293,20 @@
   const Error* error = GetError(aProbed.m_record);
   const bool isSameRun = record != nullptr && RunOf(*record) == run.m_run;
   if (error != nullptr && error->m_code == ResultCode::DeadlineExceeded) {
-    return; // the store will tell
+    LogCheck(run, "timeout");
+    return;
   }
   const bool isThere =
     error != nullptr && error->m_code != ResultCode::BackendFailed;
   if (isSameRun || isThere) {
+    LogCheck(run, "running");
     DispatchToGateway(ServerAlive{ run });
     return;
   }
   const auto known = m_state.m_servers.find(run.m_server);
   const bool isPlanned =
     known != m_state.m_servers.end() && known->second.m_isDraining;
+  LogCheck(run, isPlanned ? "shut-down" : "lost");
   if (!isPlanned) {
     const bool isKnown = known != m_state.m_servers.end();
     DispatchToGateway(
--- a/briarglade/entry/node_news.h
+++ b/briarglade/entry/node_news.h
@@ -99,6 +99,7 @@
   uint64_t m_incarnation = 0;
   // Unique among the bulletins of one run.
   uint64_t m_number = 0;
+  // Evidence of requests that crash servers, and what clears them.
   HarmNotices m_harm;
   std::vector<ServerRun> m_leavingServers;
   // Groups that the origin, as the holder of the control lease, is ending or
--- a/briarglade/gateway/gateway.h
+++ b/briarglade/gateway/gateway.h
@@ -100,6 +100,7 @@
   std::unordered_map<RequestHandle, GatewayRequest> m_requests;
   std::map<std::pair<ServiceId, ModelId>, WaitQueue> m_queues;
   std::map<ServiceId, ServiceRetryBudget> m_retryBudgets;
+  // Decides which requests are refused because they crash servers.
   HarmDetector m_harmDetector;
 };
 
