A stopping node refuses late requests that it may not outlast

All had been sent to a node 4.7 s and more after its SIGTERM, and were cut at 7.5 s, when it exits.

Cause: the node took every request until it exited. From 3 s after SIGTERM, when address lists that name it have run out, it closes each connection after its next answer (DrainCallers), but requests that still come were sent to servers however long they might take.

Change: after the serving time a request whose deadline or route timeout lies beyond the exit is refused at once with ShuttingDown (503, not run, "try another address at once"); the others are served as before.

--- a/briarglade/entry/fleet_world_test.h
+++ b/briarglade/entry/fleet_world_test.h
@@ -224,6 +224,7 @@
           [&](const ProbeServerNow& aProbe) { Probe(aNode, aProbe); },
           [&](const AnswerCaller& aAnswer) {
             ++m_refused;
+            m_lastRejection = aAnswer.m_code;
             if (aAnswer.m_code == ResultCode::HarmfulRequest) {
               m_refusedAsHarmful.push_back(m_sharedParts[aAnswer.m_handle]);
             }
@@ -251,6 +252,7 @@
   uint64_t RequestCount() const { return m_lastHandle; }
   uint64_t AnsweredCount() const { return m_answered; }
   uint64_t RejectedCount() const { return m_refused; }
+  ResultCode LastRejection() const { return m_lastRejection; }
   static std::string ZoneName(size_t aZone)
   {
     return "zone" + std::to_string(aZone);
@@ -706,6 +708,7 @@
   uint64_t m_lastHandle = 0;
   uint64_t m_answered = 0;
   uint64_t m_refused = 0;
+  ResultCode m_lastRejection = ResultCode::Ok;
   std::deque<Watch> m_watches;
   std::priority_queue<Message> m_messages;
   std::map<HostId, std::vector<ServedRequest>> m_served;
--- a/briarglade/entry/internal/caller_requests.cc
+++ b/briarglade/entry/internal/caller_requests.cc
@@ -1,4 +1,5 @@
-// Determines the route and the client account of a caller's request.
+// Determines the route and the client account of a caller's request, and
+// refuses those that this node can't serve.
 
 #include "briarglade/entry/internal/entry_reduction.h"
 
@@ -32,6 +33,15 @@
     AnswerCaller{ aReceived.m_handle, aCode, aRetryAfter });
 }
 
+// Returns whether this node may have to exit before it has answered the
+// request. Callers who use a current address list no longer come here then.
+bool EntryReduction::MayOutlastThisNode(
+  const CallerRequestArrived& aRequest) const
+{
+  const Millis latestEnd = std::min(aRequest.m_deadline, aRequest.m_answerBy);
+  return m_state.m_phase == EntryPhase::Draining && latestEnd > ExitTime();
+}
+
 void EntryReduction::On(const RequestReceived& aReceived)
 {
   m_state.m_hasTraffic = true;
@@ -79,6 +89,10 @@
   arrived.m_answerTokens = request.m_maxAnswerTokens;
   arrived.m_sharedParts = request.m_sharedParts;
   arrived.m_fingerprint = aReceived.m_fingerprint;
+  if (MayOutlastThisNode(arrived)) {
+    RejectRequest(aReceived, ResultCode::ShuttingDown, Millis());
+    return;
+  }
   DispatchToGateway(arrived);
 }
 
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -147,6 +147,8 @@
   void TickControl();
   void TickControlSoon();
   void ContinueLeaving();
+  Millis ExitTime() const;
+  bool MayOutlastThisNode(const CallerRequestArrived& aRequest) const;
   void RejectRequest(const RequestReceived& aReceived,
                      ResultCode aCode,
                      Millis aRetryAfter);
--- a/briarglade/entry/reduce_entry.cc
+++ b/briarglade/entry/reduce_entry.cc
@@ -133,6 +133,13 @@
   TickLease();
 }
 
+// Returns when this node, which is shutting down, exits at the latest.
+Millis EntryReduction::ExitTime() const
+{
+  return m_state.m_leavingSince + m_state.m_settings.m_bounds.m_graceTime -
+         kGraceMargin;
+}
+
 void EntryReduction::ContinueLeaving()
 {
   const Millis elapsed = m_now - m_state.m_leavingSince;
@@ -141,10 +148,10 @@
     m_state.m_phase = EntryPhase::Draining;
     m_effects.emplace_back(DrainCallers{});
   }
-  const Millis limit = m_state.m_settings.m_bounds.m_graceTime - kGraceMargin;
   const bool isDone = m_state.m_phase == EntryPhase::Draining &&
                       m_state.m_gateway.m_requests.empty();
-  if (m_state.m_phase != EntryPhase::Ended && (isDone || elapsed >= limit)) {
+  const bool mustExit = m_now >= ExitTime();
+  if (m_state.m_phase != EntryPhase::Ended && (isDone || mustExit)) {
     m_state.m_phase = EntryPhase::Ended;
     Log(LogLevel::Info,
         "shutdown-ended",
