Harm detector: matching of losses and each suspect are classes of their own

Age and bounds of broken exchanges, losses and crashes were tested only through it, or not at all.

Ruled out: a change of behaviour. The conditions moved as they were. One call differs: UpdateRefusals runs also when a loss that is known is reported again; it decides by the evidence alone, and each tick runs it as well.

Change: CrashMatcher (broken exchanges and lost servers, in either order), SuspectedTrait (the crashes at which a trait was present, its survival, its refusal), internal/bounded_deque.h. HarmDetector keeps what compares traits. Tests of both classes: runs of a server, the window to the millisecond in both orders, what is forgotten, bounds, common causes, longer refusals, what another node reported, expiry.

--- a/briarglade/gateway/harm_detector.h
+++ b/briarglade/gateway/harm_detector.h
@@ -33,7 +33,9 @@
 #include "briarglade/base/ids.h"
 #include "briarglade/base/millis.h"
 #include "briarglade/gateway/crash_evidence.h"
+#include "briarglade/gateway/crash_matcher.h"
 #include "briarglade/gateway/survival_log.h"
+#include "briarglade/gateway/suspected_trait.h"
 
 namespace briarglade {
 
@@ -105,87 +107,41 @@
   std::vector<RefusalChange> TakeChanges();
 
 private:
-  struct BrokenExchange
-  {
-    Millis m_at;
-    ServerRun m_server;
-    std::vector<RequestTrait> m_traits;
-  };
-  struct Loss
-  {
-    Millis m_at;
-    ServerRun m_server;
-    DomainId m_domain;
-  };
   struct CrashedServer
   {
     Millis m_at;
     ServerRun m_server;
   };
-  // A crash at which a trait was present.
-  struct Crash
-  {
-    Millis m_at;
-    ServerRun m_server;
-    DomainId m_domain;
-    // The traits that some request had there together with this one, in order.
-    std::vector<RequestTrait> m_companions;
-  };
-  struct Suspect
-  {
-    std::vector<Crash> m_crashes;
-    // Traits present at all crashes, as the node reported that refused it; used
-    // unless this node decided by itself.
-    std::vector<RequestTrait> m_reportedCompanions;
-    Millis m_lastCrashAt;
-    // When a request with the trait last began to be answered and survived.
-    Millis m_survivedAt;
-    Millis m_refusedSince;
-    // Zero if it isn't refused.
-    Millis m_refusedUntil;
-    uint32_t m_refusals = 0;
-    // Whether this node refused it because of the crashes that it knows.
-    bool m_isOwnDecision = false;
-  };
   // A suspect with enough crashes against it to be refused.
   struct Candidate
   {
     RequestTrait m_trait;
-    Suspect* m_suspect = nullptr;
-    std::vector<Crash> m_crashes;
+    SuspectedTrait* m_suspect = nullptr;
+    std::vector<TraitCrash> m_crashes;
     std::vector<RequestTrait> m_companions;
   };
 
+  void Report(Millis aNow, CrashEvidence aEvidence);
   void AddCrash(Millis aNow, const CrashEvidence& aEvidence);
   Millis CrashTime(const ServerRun& aServer, Millis aReported);
-  void AddCrash(Suspect& aSuspect,
-                const RequestTrait& aTrait,
-                const Crash& aCrash,
-                const std::vector<RequestTrait>& aTraits);
-  Suspect& FindOrAdd(const RequestTrait& aTrait);
+  SuspectedTrait& FindOrAdd(const RequestTrait& aTrait);
   void RemoveLeastSuspicious();
-  void Report(Millis aNow, const BrokenExchange& aBroken, const Loss& aLoss);
-  std::vector<RequestTrait> CompanionsOf(const Suspect& aSuspect) const;
-  static std::vector<Crash> CrashesAgainst(Millis aUntil,
-                                           const Suspect& aSuspect);
+  std::vector<RequestTrait> CompanionsOf(const SuspectedTrait& aSuspect) const;
   std::vector<Candidate> FindCandidates(Millis aUntil);
   static bool Explains(const Candidate& aOne, const Candidate& aOther);
+  static size_t CountUnexplained(const Candidate& aCandidate,
+                                 const std::vector<Candidate>& aAll);
   void UpdateRefusals(Millis aNow);
   void UpdateRefusals(Millis aNow, TraitKind aKind, Millis aUntil);
-  void EndRefusal(const RequestTrait& aTrait, Suspect& aSuspect);
+  void EndRefusal(const RequestTrait& aTrait, SuspectedTrait& aSuspect);
   void AnnounceSurvivals(Millis aNow, bool aIsTurn);
-  void Refuse(Millis aNow,
-              const RequestTrait& aTrait,
-              Suspect& aSuspect,
-              Millis aTime);
-  void EndRefusalIfDue(Millis aNow, Suspect& aSuspect);
-  void ClearUpTo(Millis aMoment, const RequestTrait& aTrait, Suspect& aSuspect);
-  static bool IsExpired(Millis aNow, const Suspect& aSuspect);
-
-  std::deque<BrokenExchange> m_brokenExchanges;
-  std::deque<Loss> m_losses;
+  void ClearUpTo(Millis aMoment,
+                 const RequestTrait& aTrait,
+                 SuspectedTrait& aSuspect);
+
+  CrashMatcher m_matcher;
   std::deque<CrashedServer> m_crashTimes;
-  std::map<RequestTrait, Suspect> m_suspects;
+  std::map<RequestTrait, SuspectedTrait> m_suspects;
   // When prompt parts last survived here, or were cleared by another node.
   SurvivalLog m_survivals;
   Millis m_updatedAt;
