Versions of the store hold its era

Cause: the users announced drills in which the store comes back from an older copy: versions go back and are given out again, and `Store-Era` rises by one. Nothing knew of it.

Ruled out: comparing eras beside versions in each place (each comparison, message and condition would name both); a whole read by every node (calls would grow with the nodes just as the store is back).

Change: RowVersion and StoreVersion hold the era in their high bits (entry/store_version.h), so that all that compares, caches and passes on versions is right as it stands. A watch from a version of another era is answered with HistoryGone, as 410 is; a conditional write that met a row of another era by its number counts as Unknown. Once another node's rows of the new era are complete, those that only an earlier era had are removed. One log line and two gauges. The stand-in's store can save a copy and come back from it, with the header in all answers and 410 for versions it doesn't have.

--- a/briarglade/entry/entry_node.cc
+++ b/briarglade/entry/entry_node.cc
@@ -315,6 +315,11 @@
     m_state.m_routes == nullptr
       ? 0
       : static_cast<double>(m_state.m_routes->Config().m_version.Value()));
+  m_metrics.SetGauge(
+    "store_era",
+    static_cast<double>(m_state.m_storeEra.value_or(StoreEra()).Value()));
+  m_metrics.SetGauge("store_returns",
+                     static_cast<double>(m_state.m_storeReturns));
   m_metrics.SetGauge("holds_control", m_state.m_control.IsActive() ? 1 : 0);
   aExchange->Respond(
     kOk, { { "Content-Type", "text/plain" } }, m_metrics.Render());
--- a/briarglade/entry/fleet_world_test.h
+++ b/briarglade/entry/fleet_world_test.h
@@ -30,6 +30,7 @@
 #include "briarglade/entry/crashing_servers_test.h"
 #include "briarglade/entry/own_rows.h"
 #include "briarglade/entry/reduce_entry.h"
+#include "briarglade/entry/store_version.h"
 
 namespace briarglade {
 
@@ -100,6 +101,24 @@
     Put(Feed::Servers, aHost, std::nullopt);
   }
 
+  // Keeps a copy of the store, and lets the store come back from it. Its
+  // writers do not write again by themselves.
+  void SaveStoreCopy() { m_copy = StoreCopy{ m_rows, m_version }; }
+  void ReturnStoreToCopy()
+  {
+    m_rows = m_copy.m_rows;
+    m_version = m_copy.m_version;
+    m_era = m_era.Next();
+    for (const Watch& watch : m_watches) {
+      FeedAnswered answer;
+      answer.m_feed = watch.m_call.m_feed;
+      answer.m_status = StoreStatus::HistoryGone;
+      Send(watch.m_node, kStep, answer);
+    }
+    m_watches.clear();
+  }
+  StoreEra Era() const { return m_era; }
+
   // Overwrites one of the product's own rows.
   void PutOwnRow(const RowKey& aKey, const std::string& aText)
   {
@@ -378,6 +397,11 @@
     WatchFeed m_call;
     Millis m_until;
   };
+  struct StoreCopy
+  {
+    std::map<std::pair<Feed, std::string>, StoredRow> m_rows;
+    uint64_t m_version = 0;
+  };
   struct Message
   {
     Millis m_at;
@@ -556,11 +580,13 @@
     FeedAnswered answer;
     answer.m_feed = aFeed;
     answer.m_status = StoreStatus::Ok;
-    answer.m_version = StoreVersion(m_version);
+    answer.m_version = MakeStoreVersion<StoreVersion>(m_era, m_version);
     answer.m_storeTime = m_now;
     for (const auto& [key, row] : m_rows) {
       if (row.m_feed == aFeed && row.m_version > aAfter) {
         answer.m_rows.push_back(row);
+        answer.m_rows.back().m_version =
+          MakeStoreVersion<RowVersion>(m_era, row.m_version.Value());
       }
     }
     return answer;
@@ -579,7 +605,13 @@
   {
     FeedAnswered answer;
     answer.m_feed = aCall.m_feed;
-    if (!FailIfUnavailable(aNode, answer)) {
+    if (FailIfUnavailable(aNode, answer)) {
+      return;
+    }
+    if (EraOf(aCall.m_after) != m_era) {
+      answer.m_status = StoreStatus::HistoryGone;
+      Send(aNode, kStep, answer);
+    } else {
       m_watches.push_back(
         Watch{ aNode, m_nodes[aNode].m_run, aCall, m_now + aCall.m_wait });
     }
@@ -596,12 +628,16 @@
     const auto row = m_rows.find({ Feed::Own, aCall.m_key.Value() });
     const bool isThere = row != m_rows.end() && row->second.m_value;
     const RowVersion version = isThere ? row->second.m_version : RowVersion();
-    if (aCall.m_expected && *aCall.m_expected != version) {
+    // The store itself compares numbers only.
+    if (aCall.m_expected && NumberOf(*aCall.m_expected) != version.Value()) {
       written.m_status = StoreStatus::Conflict;
     } else {
+      const bool isOfOtherEra = aCall.m_expected &&
+                                NumberOf(*aCall.m_expected) != 0 &&
+                                EraOf(*aCall.m_expected) != m_era;
       Put(Feed::Own, aCall.m_key.Value(), aCall.m_value);
-      written.m_status = StoreStatus::Ok;
-      written.m_version = RowVersion(m_version);
+      written.m_status = isOfOtherEra ? StoreStatus::Unknown : StoreStatus::Ok;
+      written.m_version = MakeStoreVersion<RowVersion>(m_era, m_version);
     }
     written.m_storeTime = m_now;
     Send(aNode, kStep, written);
@@ -616,12 +652,12 @@
         continue;
       }
       const bool isDue = m_now >= watch->m_until;
-      if (!isDue && watch->m_call.m_after.Value() >= m_version) {
+      const uint64_t after = NumberOf(watch->m_call.m_after);
+      if (!isDue && after >= m_version) {
         ++watch;
         continue;
       }
-      FeedAnswered answer = MakeAnswer(
-        watch->m_call.m_feed, RowVersion(watch->m_call.m_after.Value()));
+      FeedAnswered answer = MakeAnswer(watch->m_call.m_feed, RowVersion(after));
       if (answer.m_rows.empty() && !isDue) {
         ++watch;
         continue;
@@ -703,6 +739,8 @@
     std::make_shared<std::vector<ServerRecord>>();
   std::map<std::pair<Feed, std::string>, StoredRow> m_rows;
   uint64_t m_version = 0;
+  StoreEra m_era{ 1 };
+  StoreCopy m_copy;
   uint64_t m_lastIncarnation = 0;
   uint64_t m_lastMessage = 0;
   uint64_t m_lastHandle = 0;
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -65,8 +65,11 @@
 
   void DispatchToGateway(const GatewayEvent& aEvent);
   void ApplyRows(const std::vector<StoredRow>& aRows);
+  void NoticeEra(RowVersion aVersion);
   void Take(const ConfigRow& aRow);
   void Take(const ZoneRow& aRow);
+  void SetZoneOut(const ZoneId& aZone, bool aIsOut);
+  void ReturnMissingZones();
   void Take(const ServerRow& aRow);
   void Take(const OwnRow& aRow);
   void HandleOwnNodeRow(const OwnRow& aRow,
--- a/briarglade/entry/internal/row_sharing.cc
+++ b/briarglade/entry/internal/row_sharing.cc
@@ -73,6 +73,7 @@
 bool EntryReduction::IsStoreDisturbed() const
 {
   return IsStoreLost() || m_now < m_state.m_disturbedUntil ||
+         m_now < m_state.m_rewrittenUntil ||
          m_now < m_state.m_reportedDisturbedUntil;
 }
 
@@ -127,6 +128,7 @@
     m_state.m_behindSince.reset();
   }
   for (const RowChanges& changes : aChanges) {
+    NoticeEra(changes.m_upTo);
     ApplyRows(m_state.m_rows.ApplyChanges(changes));
   }
 }
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -6,7 +6,10 @@
 #include <algorithm>
 #include <string>
 
+#include <utility>
+
 #include "briarglade/base/erase_if.h"
+#include "briarglade/entry/store_version.h"
 
 namespace briarglade::internal {
 
@@ -53,6 +56,7 @@
   if (aAnswer.m_status != StoreStatus::Ok) {
     return;
   }
+  NoticeEra(RowVersion(aAnswer.m_version.Value()));
   m_state.m_storeClock.Update(m_now, aAnswer.m_storeTime);
   if (aAnswer.m_feed == Feed::Own && aAnswer.m_isWhole) {
     m_state.m_lease.OnFeedKnown();
@@ -125,20 +129,67 @@
   m_effects.emplace_back(CallerLimitsChanged{ aRow.m_config.m_limits });
 }
 
+// Takes note of the era of a version. In a new era, rows that were written
+// shortly before may be missing until they are written again.
+void EntryReduction::NoticeEra(RowVersion aVersion)
+{
+  const StoreEra era = EraOf(aVersion);
+  if (m_state.m_storeEra && era <= *m_state.m_storeEra) {
+    return;
+  }
+  const std::optional<StoreEra> before = std::exchange(m_state.m_storeEra, era);
+  if (!before) {
+    return;
+  }
+  m_state.m_rewrittenUntil = m_now + kEntryRewriteTime;
+  ++m_state.m_storeReturns;
+  const RowVersion known = m_state.m_rows.CompleteUpTo(Feed::Own);
+  Log(LogLevel::Warn,
+      "store-era-began",
+      { { "era", std::to_string(era.Value()) },
+        { "before", std::to_string(before->Value()) },
+        { "version", std::to_string(NumberOf(aVersion)) },
+        { "known", std::to_string(NumberOf(known)) } });
+}
+
 void EntryReduction::Take(const ZoneRow& aRow)
+{
+  // The operators write the row again if the zone is still out.
+  const bool mayBeMissing = m_now < m_state.m_rewrittenUntil &&
+                            m_state.m_zonesOut.count(aRow.m_zone) > 0;
+  if (!aRow.m_isOut && mayBeMissing) {
+    m_state.m_missingZonesOut.insert(aRow.m_zone);
+    return;
+  }
+  m_state.m_missingZonesOut.erase(aRow.m_zone);
+  SetZoneOut(aRow.m_zone, aRow.m_isOut);
+}
+
+void EntryReduction::SetZoneOut(const ZoneId& aZone, bool aIsOut)
 {
   Log(LogLevel::Info,
-      aRow.m_isOut ? "zone-out" : "zone-in",
-      { { "zone", aRow.m_zone.Value() } });
-  if (aRow.m_isOut) {
-    m_state.m_zonesOut.insert(aRow.m_zone);
+      aIsOut ? "zone-out" : "zone-in",
+      { { "zone", aZone.Value() } });
+  if (aIsOut) {
+    m_state.m_zonesOut.insert(aZone);
   } else {
-    m_state.m_zonesOut.erase(aRow.m_zone);
-    m_state.m_zonesReturnedAt[aRow.m_zone] = m_now;
+    m_state.m_zonesOut.erase(aZone);
+    m_state.m_zonesReturnedAt[aZone] = m_now;
   }
   m_state.m_areBackendsStale = true;
 }
 
+// Takes back in the zones whose rows were not written again in a new era.
+void EntryReduction::ReturnMissingZones()
+{
+  if (m_now < m_state.m_rewrittenUntil) {
+    return;
+  }
+  for (const ZoneId& zone : std::exchange(m_state.m_missingZonesOut, {})) {
+    SetZoneOut(zone, false);
+  }
+}
+
 void EntryReduction::Take(const ServerRow& aRow)
 {
   if (!aRow.m_record) {
--- a/briarglade/entry/node_news.capnp
+++ b/briarglade/entry/node_news.capnp
@@ -24,6 +24,8 @@
   after @1 :UInt64;
   upTo @2 :UInt64;
   rows @3 :List(Row);
+  # Whether the sender knew no later change.
+  last @4 :Bool;
 }
 
 # A group that was opened, its members in order of rank.
--- a/briarglade/entry/node_news.capnp.h
+++ b/briarglade/entry/node_news.capnp.h
@@ -651,6 +651,8 @@
   inline ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>::Reader
   getRows() const;
 
+  inline bool getLast() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -712,6 +714,9 @@
     ::capnp::List<::briarglade::wire::Row, ::capnp::Kind::STRUCT>>
   disownRows();
 
+  inline bool getLast();
+  inline void setLast(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -3122,6 +3127,20 @@
     disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool HandedRows::Reader::getLast() const
+{
+  return _reader.getDataField<bool>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool HandedRows::Builder::getLast()
+{
+  return _builder.getDataField<bool>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void HandedRows::Builder::setLast(bool value)
+{
+  _builder.setDataField<bool>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool OpenedGroup::Reader::hasGroup() const
 {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
--- a/briarglade/entry/node_news.cc
+++ b/briarglade/entry/node_news.cc
@@ -240,6 +240,7 @@
   aEntry.setFeed(static_cast<uint8_t>(aChanges.m_feed));
   aEntry.setAfter(aChanges.m_after.Value());
   aEntry.setUpTo(aChanges.m_upTo.Value());
+  aEntry.setLast(aChanges.m_isLast);
   WriteList(
     aEntry.initRows(SizeOf(aChanges.m_rows)), aChanges.m_rows, WriteRow);
 }
@@ -256,6 +257,7 @@
     changes.m_feed = static_cast<Feed>(entry.getFeed());
     changes.m_after = RowVersion(entry.getAfter());
     changes.m_upTo = RowVersion(entry.getUpTo());
+    changes.m_isLast = entry.getLast();
     for (const auto read : entry.getRows()) {
       StoredRow row;
       row.m_feed = changes.m_feed;
--- a/briarglade/entry/reduce_entry.cc
+++ b/briarglade/entry/reduce_entry.cc
@@ -65,6 +65,7 @@
   ChooseFollowers();
   FollowFeeds();
   RemoveExpiredServers();
+  ReturnMissingZones();
   m_state.m_leavingServers.RemoveExpired(m_now);
   Register();
   UpdateRoster();
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -29,6 +29,7 @@
 #include "briarglade/entry/peer_update_state.h"
 #include "briarglade/entry/row_cache.h"
 #include "briarglade/entry/store_clock.h"
+#include "briarglade/entry/store_version.h"
 #include "briarglade/gateway/gateway.h"
 #include "briarglade/gateway/route_index.h"
 
@@ -82,6 +83,8 @@
   std::shared_ptr<const RouteIndex> m_routes;
   // Zones that the operators have taken out: their servers get no requests.
   std::set<ZoneId> m_zonesOut;
+  // Zones that are out, but whose rows are missing since the store's era began.
+  std::set<ZoneId> m_missingZonesOut;
   // When each zone that had been taken out came back in.
   std::map<ZoneId, Millis> m_zonesReturnedAt;
   ServerMap m_servers;
@@ -93,6 +96,12 @@
   std::set<HostId> m_expiredServers;
   // Until when a store outage may be the reason for missing entries.
   Millis m_disturbedUntil;
+  // The store's era, once it has answered, and until when rows may be missing
+  // because the store has come back from an older copy.
+  std::optional<StoreEra> m_storeEra;
+  Millis m_rewrittenUntil;
+  // How often this node has seen the store come back from an older copy.
+  uint64_t m_storeReturns = 0;
   // The same as reported by another node. This node does not forward it.
   Millis m_reportedDisturbedUntil;
   GroupMap m_groups;
--- a/briarglade/entry/row_cache.cc
+++ b/briarglade/entry/row_cache.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <set>
 
+#include "briarglade/entry/store_version.h"
+
 namespace briarglade {
 
 namespace {
@@ -58,10 +60,36 @@
   // complete up to their version.
   if (aChanges.m_after <= CompleteUpTo(aChanges.m_feed)) {
     AdvanceComplete(aChanges.m_feed, aChanges.m_upTo);
+    if (aChanges.m_isLast) {
+      RemoveEarlierEras(aChanges.m_feed, aChanges.m_upTo, changed);
+    }
   }
   return changed;
 }
 
+void RowCache::RemoveRow(StoredRow& aRow,
+                         RowVersion aVersion,
+                         std::vector<StoredRow>& aChanged)
+{
+  aRow.m_value.reset();
+  aRow.m_version = aVersion;
+  AdvanceComplete(aRow.m_feed, aVersion);
+  aChanged.push_back(aRow);
+}
+
+// Removes the rows of earlier eras than that of a version, up to which all rows
+// are known: the store has lost them.
+void RowCache::RemoveEarlierEras(Feed aFeed,
+                                 RowVersion aUpTo,
+                                 std::vector<StoredRow>& aChanged)
+{
+  for (auto& [key, row] : RowsOf(aFeed)) {
+    if (row.m_value && EraOf(row.m_version) < EraOf(aUpTo)) {
+      RemoveRow(row, aUpTo, aChanged);
+    }
+  }
+}
+
 std::vector<StoredRow> RowCache::Apply(const FeedAnswered& aAnswer)
 {
   std::vector<StoredRow> changed = UpdateRows(aAnswer.m_rows);
@@ -80,10 +108,7 @@
     const bool isDeleted = row.m_value.has_value() && present.count(key) == 0 &&
                            row.m_version <= version;
     if (isDeleted) {
-      row.m_value.reset();
-      row.m_version = version;
-      AdvanceComplete(aAnswer.m_feed, version);
-      changed.push_back(row);
+      RemoveRow(row, version, changed);
     }
   }
   FeedRows& rows = RowsOf(aAnswer.m_feed);
@@ -118,7 +143,8 @@
            changes.m_rows[count - 1].m_version) {
     ++count;
   }
-  if (count < changes.m_rows.size()) {
+  changes.m_isLast = count == changes.m_rows.size();
+  if (!changes.m_isLast) {
     changes.m_rows.resize(count);
     changes.m_upTo = changes.m_rows.back().m_version;
   }
--- a/briarglade/entry/row_cache.h
+++ b/briarglade/entry/row_cache.h
@@ -1,5 +1,6 @@
 // Caches the latest known rows of every feed. A row is only replaced by a
-// higher version, whether that comes from the store or from another node.
+// higher version, whether that comes from the store or from another node. All
+// versions of a new era of the store are higher than those of the earlier ones.
 //
 // Example:
 //   for (const StoredRow& row : cache.Apply(answer)) { Process(row); }
@@ -27,6 +28,8 @@
   // as removed.
   std::vector<StoredRow> Apply(const FeedAnswered& aAnswer);
   // Applies rows that another node forwarded and returns those that changed.
+  // Once a new era's rows are complete, those that only the earlier era had
+  // count as removed.
   std::vector<StoredRow> ApplyChanges(const RowChanges& aChanges);
 
   // Returns the version up to which this node knows every change of the feed.
@@ -43,6 +46,12 @@
 
   FeedRows& RowsOf(Feed aFeed) { return m_rows[static_cast<size_t>(aFeed)]; }
   bool UpdateRow(const StoredRow& aRow);
+  void RemoveRow(StoredRow& aRow,
+                 RowVersion aVersion,
+                 std::vector<StoredRow>& aChanged);
+  void RemoveEarlierEras(Feed aFeed,
+                         RowVersion aUpTo,
+                         std::vector<StoredRow>& aChanged);
   std::vector<StoredRow> UpdateRows(const std::vector<StoredRow>& aRows);
   void AdvanceComplete(Feed aFeed, RowVersion aUpTo);
 
--- a/briarglade/entry/row_cache_test.cc
+++ b/briarglade/entry/row_cache_test.cc
@@ -5,6 +5,8 @@
 #include <doctest/doctest.h>
 #include <string>
 
+#include "briarglade/entry/store_version.h"
+
 namespace briarglade {
 namespace {
 
@@ -58,6 +60,54 @@
   CHECK_FALSE(changed[0].m_value);
 }
 
+uint64_t InEra(uint64_t aEra, uint64_t aNumber)
+{
+  return MakeStoreVersion<RowVersion>(StoreEra(aEra), aNumber).Value();
+}
+
+TEST_CASE("a whole answer of a new era replaces all rows, though its numbers "
+          "are lower")
+{
+  RowCache cache;
+  cache.Apply(Whole({ Row("a", InEra(1, 8), "x"),
+                      Row("b", InEra(1, 9), "lost"),
+                      Row("c", InEra(1, 3), "same") },
+                    InEra(1, 9)));
+  const auto changed = cache.Apply(
+    Whole({ Row("a", InEra(2, 5), "old"), Row("c", InEra(2, 3), "same") },
+          InEra(2, 6)));
+  REQUIRE(changed.size() == 2);
+  CHECK(changed[0].m_value == "old");
+  CHECK(changed[1].m_key == "b");
+  CHECK_FALSE(changed[1].m_value);
+  // A late answer of the era before changes nothing.
+  CHECK(
+    cache.Apply(Whole({ Row("b", InEra(1, 9), "lost") }, InEra(1, 9))).empty());
+}
+
+TEST_CASE(
+  "what only an earlier era had is gone once another node's rows of the "
+  "new one are complete")
+{
+  RowCache cache;
+  cache.Apply(
+    Whole({ Row("a", InEra(1, 8), "x"), Row("b", InEra(1, 9), "lost") },
+          InEra(1, 9)));
+  RowChanges changes =
+    Handed(InEra(1, 9), InEra(2, 4), { Row("a", InEra(2, 4), "x") });
+  CHECK(cache.ApplyChanges(changes).empty());
+  changes = Handed(InEra(2, 6), InEra(2, 7), { Row("d", InEra(2, 7), "y") });
+  changes.m_isLast = true;
+  // There is a gap before these: the row may be among what is missing.
+  CHECK(cache.ApplyChanges(changes).size() == 1);
+  changes = Handed(InEra(2, 4), InEra(2, 7), { Row("c", InEra(2, 6), "z") });
+  changes.m_isLast = true;
+  const std::vector<StoredRow> changed = cache.ApplyChanges(changes);
+  REQUIRE(changed.size() == 2);
+  CHECK(changed[1].m_key == "b");
+  CHECK_FALSE(changed[1].m_value);
+}
+
 TEST_CASE("changes are handed on in order, removed rows included")
 {
   RowCache cache;
--- a/briarglade/entry/store_feed.h
+++ b/briarglade/entry/store_feed.h
@@ -81,7 +81,8 @@
 
 using FeedRow = std::variant<ConfigRow, ZoneRow, ServerRow, OwnRow, BadRow>;
 
-// A version of the whole store; it increases with each write.
+// A version of the whole store; it increases with each write. Versions of rows
+// and of the store hold the store's era; see store_version.h.
 using StoreVersion = StrongCount<struct StoreVersionTag>;
 
 // The result of a call to the store.
@@ -124,6 +125,8 @@
   RowVersion m_upTo;
   // Sorted by version.
   std::vector<StoredRow> m_rows;
+  // Whether the sender knew no later change.
+  bool m_isLast = false;
 };
 
 // Waits for changes after a version, for at most the given time.
--- a/standin/platform_store.cc
+++ b/standin/platform_store.cc
@@ -162,10 +162,23 @@
   return row;
 }
 
-void PlatformStore::Respond(const Exchange& aExchange, const Answer& aAnswer)
+void PlatformStore::ReturnToCopy()
+{
+  m_tables = m_copy.m_tables;
+  m_version = m_copy.m_version;
+  m_historyFrom = std::min(m_historyFrom, m_version);
+  ++m_era;
+  for (const Watcher& watcher : std::exchange(m_watchers, {})) {
+    watcher.m_exchange->Abort();
+  }
+}
+
+void PlatformStore::Respond(const Exchange& aExchange,
+                            const Answer& aAnswer) const
 {
   aExchange->Respond(aAnswer.m_status,
-                     { { "Content-Type", "application/json" } },
+                     { { "Content-Type", "application/json" },
+                       { kStoreEraHeader, std::to_string(m_era) } },
                      aAnswer.m_body.is_null() ? "" : aAnswer.m_body.dump());
 }
 
@@ -338,7 +351,7 @@
   const std::string& query = aExchange->Query();
   const std::string table = Parameter(query, "table");
   const uint64_t after = NumberParameter(query, "after");
-  if (after < m_historyFrom) {
+  if (after < m_historyFrom || after > m_version) {
     Respond(aExchange, Answer{ kGone, {} });
     return;
   }
--- a/standin/platform_store.h
+++ b/standin/platform_store.h
@@ -79,6 +79,11 @@
                                   const std::string& aKey) const;
   // Forgets which rows changed so far: who asks for it must read all again.
   void DropHistory() { m_historyFrom = m_version; }
+  // Keeps a copy of all rows, and lets the store come back from it: what was
+  // written since is gone, versions are given out again, and a new era begins.
+  // Calls that wait for a change are cut. Who wrote since writes again.
+  void SaveCopy() { m_copy = Copy{ m_tables, m_version }; }
+  void ReturnToCopy();
   uint64_t CallCount() const { return m_calls; }
 
 private:
@@ -90,6 +95,11 @@
     std::optional<std::string> m_value;
   };
   using Table = std::map<std::string, Row>;
+  struct Copy
+  {
+    std::map<std::string, Table> m_tables;
+    uint64_t m_version = 0;
+  };
   struct Door
   {
     std::string m_name;
@@ -128,7 +138,7 @@
   static nlohmann::json MakeRow(const std::string& aTable,
                                 const std::string& aKey,
                                 const Row& aRow);
-  static void Respond(const Exchange& aExchange, const Answer& aAnswer);
+  void Respond(const Exchange& aExchange, const Answer& aAnswer) const;
   static bool IsTooMany(Rate& aRate, uint32_t aMost);
 
   EventLoop& m_loop;
@@ -136,6 +146,8 @@
   std::list<Door> m_doors;
   std::map<std::string, Table> m_tables;
   uint64_t m_version = 0;
+  uint64_t m_era = 1;
+  Copy m_copy;
   uint64_t m_historyFrom = 0;
   uint64_t m_calls = 0;
   Rate m_reads;
--- a/standin/platform_store_test.cc
+++ b/standin/platform_store_test.cc
@@ -173,5 +173,71 @@
   CHECK(world.m_store.Find(platform::kOwnTable, "lease") == "first");
 }
 
+TEST_CASE("every answer of the store tells its era, and versions compare as a "
+          "whole")
+{
+  World world;
+  const OwnRowWritten early = world.Write(world.m_hooks, "a", std::nullopt);
+  CHECK(EraOf(early.m_version) == StoreEra(1));
+  world.m_store.SaveCopy();
+  const OwnRowWritten lost = world.Write(world.m_hooks, "b", std::nullopt);
+  world.m_store.ReturnToCopy();
+  const FeedAnswered read = world.Read(world.m_hooks);
+  REQUIRE(read.m_rows.size() == 1);
+  CHECK(read.m_rows[0].m_value == "a");
+  CHECK(EraOf(read.m_version) == StoreEra(2));
+  CHECK(NumberOf(read.m_version) < NumberOf(lost.m_version));
+  CHECK(RowVersion(read.m_version.Value()) > lost.m_version);
+  CHECK(read.m_rows[0].m_version > lost.m_version);
+}
+
+TEST_CASE("a watch from a version of an earlier era must read all again, also "
+          "when the store has given out that version again")
+{
+  World world;
+  world.Write(world.m_hooks, "a", std::nullopt);
+  world.m_store.SaveCopy();
+  const OwnRowWritten lost = world.Write(world.m_hooks, "b", std::nullopt);
+  world.m_store.ReturnToCopy();
+  const StoreVersion known(lost.m_version.Value());
+  CHECK(world.Watch(known, Millis(10)).m_status == StoreStatus::HistoryGone);
+  for (const char* value : { "c", "d" }) {
+    world.Write(world.m_hooks, value, std::nullopt);
+  }
+  CHECK(world.Watch(known, Millis(10)).m_status == StoreStatus::HistoryGone);
+  const StoreVersion current = world.Read(world.m_hooks).m_version;
+  CHECK(world.Watch(current, Millis(10)).m_status == StoreStatus::Ok);
+}
+
+TEST_CASE("a conditional write that has met a row of another era by its number "
+          "doesn't count as carried out")
+{
+  World world;
+  world.Write(world.m_hooks, "a", std::nullopt);
+  world.m_store.SaveCopy();
+  const OwnRowWritten lost = world.Write(world.m_hooks, "b", std::nullopt);
+  world.m_store.ReturnToCopy();
+  const OwnRowWritten other =
+    world.Write(world.m_otherHooks, "c", std::nullopt);
+  REQUIRE(NumberOf(other.m_version) == NumberOf(lost.m_version));
+  CHECK(world.Write(world.m_hooks, "d", lost.m_version).m_status ==
+        StoreStatus::Unknown);
+  const RowVersion current = world.Read(world.m_hooks).m_rows[0].m_version;
+  CHECK(world.Write(world.m_hooks, "e", current).m_status == StoreStatus::Ok);
+}
+
+TEST_CASE("a watch that waits while the store comes back from a copy ends")
+{
+  World world;
+  const OwnRowWritten first = world.Write(world.m_hooks, "a", std::nullopt);
+  world.m_store.SaveCopy();
+  const auto timer =
+    world.m_loop.MakeTimer([&world] { world.m_store.ReturnToCopy(); });
+  timer->Start(Millis(20));
+  const FeedAnswered cut =
+    world.Watch(StoreVersion(first.m_version.Value()), Millis(5'000));
+  CHECK(cut.m_status != StoreStatus::Ok);
+}
+
 } // namespace
 } // namespace briarglade::standin
