Test of overwritten rows: the other process has a node's addresses

Cause: since the foreign row of this test can be decoded, and named a peer port that no node of the fleet in virtual time has. The harness took it as an index before its list of nodes: undefined behaviour, which passed on one build and crashed on the next (entry_test whole, SIGSEGV in ReduceEntry; alone the case passed).

Ruled out: the product (gdb: Dispatch with a node that doesn't exist).

Change: the row has the addresses of the node whose name it takes.

Measured: entry_test whole: 109 of 109; the case under valgrind: no error.

--- a/briarglade/entry/reduce_entry_test.cc
+++ b/briarglade/entry/reduce_entry_test.cc
@@ -247,8 +247,8 @@
   const NodeId node("n1");
   NodeRow content;
   content.m_node = node;
-  content.m_callerAddress = Endpoint{ "10.0.0.9", 8080 };
-  content.m_peerAddress = Endpoint{ "10.0.0.9", 8081 };
+  content.m_callerAddress = world.StateOf(1).m_settings.m_callerAddress;
+  content.m_peerAddress = world.StateOf(1).m_settings.m_peerAddress;
   content.m_incarnation = 99;
   world.PutOwnRow(NodeRowKey(node), EncodeNodeRow(content));
   world.Run(Millis(2'000));
