--- a/briarglade/gateway/harm_detector.cc
+++ b/briarglade/gateway/harm_detector.cc
@@ -40,6 +40,12 @@
   return std::find(aTraits.begin(), aTraits.end(), aTrait) != aTraits.end();
 }
 
+bool IsAmong(const std::vector<RequestTrait>& aSorted,
+             const RequestTrait& aTrait)
+{
+  return std::binary_search(aSorted.begin(), aSorted.end(), aTrait);
+}
+
 // Returns whether a node has its turn, one of aTurns, in the current period.
 bool IsTurn(Millis aNow, uint32_t aTurns, uint32_t aTurn)
 {
@@ -69,7 +75,6 @@
     return true;
   }
   Report(aNow, std::move(*evidence));
-  UpdateRefusals(aNow);
   return false;
 }
 
@@ -81,7 +86,6 @@
        m_matcher.OnServerLost(aNow, aServer, aDomain)) {
     Report(aNow, std::move(evidence));
   }
-  UpdateRefusals(aNow);
 }
 
 void HarmDetector::OnServerAlive(const ServerRun& aServer)
@@ -99,15 +103,21 @@
     }
     const auto suspect = m_suspects.find(trait);
     if (suspect != m_suspects.end()) {
-      suspect->second.RecordSurvival(aAnswerBeganAt);
+      RecordSurvival(suspect->second, aAnswerBeganAt);
     }
   }
 }
 
+void HarmDetector::RecordSurvival(SuspectedTrait& aSuspect, Millis aAt)
+{
+  const bool hasCrashedSince = aSuspect.SurvivedAt() < aSuspect.LastCrashAt();
+  m_isChanged = m_isChanged || hasCrashedSince;
+  aSuspect.RecordSurvival(aAt);
+}
+
 void HarmDetector::OnEvidence(Millis aNow, const CrashEvidence& aEvidence)
 {
   AddCrash(aNow, aEvidence);
-  UpdateRefusals(aNow);
 }
 
 void HarmDetector::OnClearance(Millis aNow, const TraitClearance& aClearance)
@@ -117,7 +127,7 @@
   if (found == m_suspects.end()) {
     m_survivals.Record(aClearance.m_trait, clearedAt);
   } else {
-    found->second.RecordSurvival(clearedAt);
+    RecordSurvival(found->second, clearedAt);
     ClearUpTo(clearedAt, found->first, found->second);
   }
 }
@@ -161,8 +171,23 @@
   crash.m_at = CrashTime(aEvidence.m_server, aNow - aEvidence.m_age);
   crash.m_server = aEvidence.m_server;
   crash.m_domain = aEvidence.m_domain;
+  std::vector<RequestTrait> sorted = aEvidence.m_traits;
+  std::sort(sorted.begin(), sorted.end());
+  const auto request =
+    std::make_shared<const std::vector<RequestTrait>>(std::move(sorted));
+  m_isChanged = true;
+  bool isUrgent = false;
   for (const RequestTrait& trait : aEvidence.m_traits) {
-    FindOrAdd(trait).RecordCrash(crash, aEvidence.m_traits);
+    SuspectedTrait& suspect = FindOrAdd(trait);
+    suspect.RecordCrash(crash, request);
+    const bool isRepeated = trait.m_kind == TraitKind::Request &&
+                            suspect.Crashes().size() >= kCrashesToRefuse;
+    isUrgent = isUrgent || isRepeated || suspect.IsRefusedHere();
+  }
+  // A request that comes again is refused at once, and a refusal that the crash
+  // contradicts ends at once. Parts are refused at the next tick.
+  if (isUrgent) {
+    UpdateRefusals(aNow);
   }
 }
 
@@ -255,8 +280,8 @@
 // in the same requests.
 bool HarmDetector::Explains(const Candidate& aOne, const Candidate& aOther)
 {
-  const bool isAlwaysWithOther = Contains(aOne.m_companions, aOther.m_trait);
-  const bool isOtherAlwaysWithIt = Contains(aOther.m_companions, aOne.m_trait);
+  const bool isAlwaysWithOther = IsAmong(aOne.m_companions, aOther.m_trait);
+  const bool isOtherAlwaysWithIt = IsAmong(aOther.m_companions, aOne.m_trait);
   if (isAlwaysWithOther || isOtherAlwaysWithIt) {
     return aOne.m_trait.m_kind == TraitKind::PromptPart && isAlwaysWithOther &&
            !isOtherAlwaysWithIt && aOne.m_crashes.size() >= kCrashesToRefuse;
@@ -274,11 +299,15 @@
 size_t HarmDetector::CountUnexplained(const Candidate& aCandidate,
                                       const std::vector<Candidate>& aAll)
 {
+  std::vector<const Candidate*> better;
+  for (const Candidate& other : aAll) {
+    if (!(other.m_trait == aCandidate.m_trait) && Explains(other, aCandidate)) {
+      better.push_back(&other);
+    }
+  }
   const auto isUnexplained = [&](const TraitCrash& aCrash) {
-    return std::none_of(aAll.begin(), aAll.end(), [&](const auto& aOther) {
-      return !(aOther.m_trait == aCandidate.m_trait) &&
-             Explains(aOther, aCandidate) &&
-             HasCrashAt(aOther.m_crashes, aCrash.m_server);
+    return std::none_of(better.begin(), better.end(), [&](const auto* aOther) {
+      return HasCrashAt(aOther->m_crashes, aCrash.m_server);
     });
   };
   return static_cast<size_t>(std::count_if(
@@ -336,7 +365,13 @@
   m_matcher.Expire(aNow);
   internal::DropOlderThan(m_crashTimes, aNow - CrashMatcher::kMatchWindow);
   m_survivals.Expire(aNow);
-  UpdateRefusals(aNow);
+  if (std::exchange(m_isChanged, false)) {
+    m_changedAt = aNow;
+  }
+  // A crash counts against a part only after some time.
+  if (aNow - m_changedAt <= kSurvivalTime + kUpdatePeriod) {
+    UpdateRefusals(aNow);
+  }
   AnnounceSurvivals(aNow,
                     IsTurn(aNow, aNodes / kAnnouncersPerPeriod + 1, aTurn));
   EraseIf(m_suspects,
--- a/briarglade/gateway/harm_detector.h
+++ b/briarglade/gateway/harm_detector.h
@@ -124,6 +124,7 @@
   void Report(Millis aNow, CrashEvidence aEvidence);
   void AddCrash(Millis aNow, const CrashEvidence& aEvidence);
   Millis CrashTime(const ServerRun& aServer, Millis aReported);
+  void RecordSurvival(SuspectedTrait& aSuspect, Millis aAt);
   SuspectedTrait& FindOrAdd(const RequestTrait& aTrait);
   void RemoveLeastSuspicious();
   std::vector<RequestTrait> CompanionsOf(const SuspectedTrait& aSuspect) const;
@@ -145,6 +146,9 @@
   // When prompt parts last survived here, or were cleared by another node.
   SurvivalLog m_survivals;
   Millis m_updatedAt;
+  // Whether evidence has changed since the last tick, and when it last had.
+  bool m_isChanged = false;
+  Millis m_changedAt;
   Millis m_objectedAt;
   HarmNotices m_notices;
   std::vector<RefusalChange> m_changes;
--- a/briarglade/gateway/suspected_trait.cc
+++ b/briarglade/gateway/suspected_trait.cc
@@ -20,10 +20,19 @@
 constexpr Millis kFirstRefusal = Millis(600'000);
 constexpr int64_t kRefusalFactor = 6;
 
-bool Contains(const std::vector<RequestTrait>& aTraits,
+bool Contains(const std::vector<RequestTrait>& aSorted,
               const RequestTrait& aTrait)
 {
-  return std::find(aTraits.begin(), aTraits.end(), aTrait) != aTraits.end();
+  return std::binary_search(aSorted.begin(), aSorted.end(), aTrait);
+}
+
+// Returns whether a request of a crash has a trait.
+bool HasTrait(const TraitCrash& aCrash, const RequestTrait& aTrait)
+{
+  return std::any_of(
+    aCrash.m_requests.begin(),
+    aCrash.m_requests.end(),
+    [&](const SharedTraits& aRequest) { return Contains(*aRequest, aTrait); });
 }
 
 // Returns the length of the refusal that follows a number of earlier ones.
@@ -46,29 +55,10 @@
          distance < kSameCauseTime;
 }
 
-// Returns the companions that a trait had at each of the crashes.
-std::vector<RequestTrait> CommonCompanions(
-  const std::vector<TraitCrash>& aCrashes)
-{
-  std::vector<RequestTrait> common;
-  if (aCrashes.empty()) {
-    return common;
-  }
-  for (const RequestTrait& trait : aCrashes.front().m_companions) {
-    const auto hasIt = [&](const TraitCrash& aCrash) {
-      return Contains(aCrash.m_companions, trait);
-    };
-    if (std::all_of(aCrashes.begin(), aCrashes.end(), hasIt)) {
-      common.push_back(trait);
-    }
-  }
-  return common;
-}
-
 } // namespace
 
 void SuspectedTrait::RecordCrash(const TraitCrash& aCrash,
-                                 const std::vector<RequestTrait>& aTraits)
+                                 const SharedTraits& aRequest)
 {
   auto same = std::find_if(
     m_crashes.begin(), m_crashes.end(), [&](const TraitCrash& aKnown) {
@@ -81,13 +71,36 @@
     m_crashes.push_back(aCrash);
     same = std::prev(m_crashes.end());
   }
+  m_commonCompanions.reset();
   m_lastCrashAt = std::max(m_lastCrashAt, aCrash.m_at);
-  for (const RequestTrait& companion : aTraits) {
-    if (same->m_companions.size() < kMaxCompanions && !(companion == m_trait) &&
-        !Contains(same->m_companions, companion)) {
-      same->m_companions.push_back(companion);
-    }
+  if (same->m_requests.size() < kMaxRequests) {
+    same->m_requests.push_back(aRequest);
+  }
+}
+
+// Returns the traits that some request with this one had at each of the
+// crashes.
+std::vector<RequestTrait> SuspectedTrait::FindCommonCompanions() const
+{
+  std::vector<RequestTrait> common;
+  if (m_crashes.empty()) {
+    return common;
   }
+  for (const SharedTraits& request : m_crashes.front().m_requests) {
+    common.insert(common.end(), request->begin(), request->end());
+  }
+  std::sort(common.begin(), common.end());
+  common.erase(std::unique(common.begin(), common.end()), common.end());
+  const auto isMissing = [this](const RequestTrait& aTrait) {
+    const auto hasIt = [&](const TraitCrash& aCrash) {
+      return HasTrait(aCrash, aTrait);
+    };
+    return aTrait == m_trait ||
+           !std::all_of(m_crashes.begin(), m_crashes.end(), hasIt);
+  };
+  common.erase(std::remove_if(common.begin(), common.end(), isMissing),
+               common.end());
+  return common;
 }
 
 void SuspectedTrait::RecordSurvival(Millis aAt)
@@ -97,6 +110,7 @@
 
 void SuspectedTrait::RemoveCrashes(Millis aUntil)
 {
+  m_commonCompanions.reset();
   const auto isEarlier = [&](const TraitCrash& aCrash) {
     return aCrash.m_at <= aUntil;
   };
@@ -121,8 +135,13 @@
 
 std::vector<RequestTrait> SuspectedTrait::Companions() const
 {
-  const bool isReported = IsRefused() && !m_isOwnDecision;
-  return isReported ? m_reportedCompanions : CommonCompanions(m_crashes);
+  if (IsRefused() && !m_isOwnDecision) {
+    return m_reportedCompanions;
+  }
+  if (!m_commonCompanions) {
+    m_commonCompanions = FindCommonCompanions();
+  }
+  return *m_commonCompanions;
 }
 
 void SuspectedTrait::RefuseFor(Millis aNow, Millis aTime)
@@ -141,6 +160,7 @@
 void SuspectedTrait::RefuseAsReported(Millis aNow, const TraitRefusal& aRefusal)
 {
   m_reportedCompanions = aRefusal.m_companions;
+  std::sort(m_reportedCompanions.begin(), m_reportedCompanions.end());
   m_lastCrashAt = std::max(m_lastCrashAt, aNow - aRefusal.m_crashAge);
   RefuseFor(aNow, std::min(aRefusal.m_remaining, kLongestRefusal));
 }
@@ -157,6 +177,7 @@
     return;
   }
   EndRefusal();
+  m_commonCompanions.reset();
   while (m_crashes.size() >= aCrashesToRefuse) {
     m_crashes.erase(m_crashes.begin());
   }
--- a/briarglade/gateway/suspected_trait.h
+++ b/briarglade/gateway/suspected_trait.h
@@ -3,7 +3,7 @@
 //
 // Example:
 //   SuspectedTrait suspect(trait, lastSurvival);
-//   suspect.RecordCrash(crash, traitsOfTheRequest);
+//   suspect.RecordCrash(crash, request);
 //   if (suspect.CrashesAgainst(now).size() >= kCrashesToRefuse) {
 //     suspect.Refuse(now);
 //   }
@@ -12,6 +12,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
+#include <optional>
 #include <vector>
 
 #include "briarglade/base/ids.h"
@@ -21,14 +23,17 @@
 
 namespace briarglade {
 
+// All traits of one request, sorted. Shared, as each of them is suspected.
+using SharedTraits = std::shared_ptr<const std::vector<RequestTrait>>;
+
 // A crash at which a trait was present.
 struct TraitCrash
 {
   Millis m_at;
   ServerRun m_server;
   DomainId m_domain;
-  // The traits that some request had there together with this one, in order.
-  std::vector<RequestTrait> m_companions;
+  // The requests with the trait that the server had then.
+  std::vector<SharedTraits> m_requests;
 };
 
 class SuspectedTrait
@@ -36,9 +41,8 @@
 public:
   // The number of crashes that are kept at most.
   static constexpr size_t kMaxCrashes = 16;
-  // The number of companions that are kept of a crash: all other traits of the
-  // longest request.
-  static constexpr size_t kMaxCompanions = 64;
+  // The number of requests that are kept of a crash at most.
+  static constexpr size_t kMaxRequests = 16;
   // The longest refusal.
   static constexpr Millis kLongestRefusal = Millis(86'400'000);
 
@@ -48,10 +52,8 @@
   {
   }
 
-  // Records a crash, and the traits of one of the requests that had the trait
-  // there.
-  void RecordCrash(const TraitCrash& aCrash,
-                   const std::vector<RequestTrait>& aTraits);
+  // Records a crash, and one of the requests that had the trait there.
+  void RecordCrash(const TraitCrash& aCrash, const SharedTraits& aRequest);
   // Records when a request with the trait that survived began to be answered.
   void RecordSurvival(Millis aAt);
   // Removes the crashes up to a moment.
@@ -62,7 +64,7 @@
   // one.
   std::vector<TraitCrash> CrashesAgainst(Millis aUntil) const;
   // Returns the traits that were present at all of its crashes, as this node
-  // knows them or, if the refusal was reported to it, as reported.
+  // knows them or, if the refusal was reported to it, as reported. Sorted.
   std::vector<RequestTrait> Companions() const;
 
   // Refuses the trait by this node's own decision; each time for longer.
@@ -87,11 +89,14 @@
   const std::vector<TraitCrash>& Crashes() const { return m_crashes; }
 
 private:
+  std::vector<RequestTrait> FindCommonCompanions() const;
   void RefuseFor(Millis aNow, Millis aTime);
 
   RequestTrait m_trait;
   std::vector<TraitCrash> m_crashes;
   std::vector<RequestTrait> m_reportedCompanions;
+  // The traits that were present at all of m_crashes; none: not worked out yet.
+  mutable std::optional<std::vector<RequestTrait>> m_commonCompanions;
   Millis m_lastCrashAt;
   Millis m_survivedAt;
   Millis m_refusedSince;
--- a/briarglade/gateway/suspected_trait_test.cc
+++ b/briarglade/gateway/suspected_trait_test.cc
@@ -3,7 +3,9 @@
 #include "briarglade/gateway/suspected_trait.h"
 
 #include <doctest/doctest.h>
+#include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace briarglade {
@@ -29,15 +31,20 @@
   return crash;
 }
 
+SharedTraits RequestOf(std::vector<RequestTrait> aTraits)
+{
+  return std::make_shared<const std::vector<RequestTrait>>(std::move(aTraits));
+}
+
 TEST_CASE("requests at one crash count once, and their traits come together")
 {
   SuspectedTrait suspect(kTrait, Millis());
-  suspect.RecordCrash(CrashOf(1, kNow), { kTrait, PartOf(2) });
-  suspect.RecordCrash(CrashOf(1, kNow), { kTrait, PartOf(3) });
+  suspect.RecordCrash(CrashOf(1, kNow), RequestOf({ kTrait, PartOf(2) }));
+  suspect.RecordCrash(CrashOf(1, kNow), RequestOf({ kTrait, PartOf(3) }));
   CHECK(suspect.CrashesAgainst(kNow).size() == 1);
   CHECK(suspect.Companions() ==
         std::vector<RequestTrait>{ PartOf(2), PartOf(3) });
-  suspect.RecordCrash(CrashOf(2, kNow), { PartOf(3), kTrait });
+  suspect.RecordCrash(CrashOf(2, kNow), RequestOf({ kTrait, PartOf(3) }));
   CHECK(suspect.Companions() == std::vector<RequestTrait>{ PartOf(3) });
 }
 
@@ -45,11 +52,14 @@
           "common cause don't count")
 {
   SuspectedTrait suspect(kTrait, kNow);
-  suspect.RecordCrash(CrashOf(1, kNow - Millis(1)), { kTrait });
-  suspect.RecordCrash(CrashOf(2, kNow + Millis(500), "d1"), { kTrait });
-  suspect.RecordCrash(CrashOf(3, kNow + Millis(600), "d1"), { kTrait });
-  suspect.RecordCrash(CrashOf(4, kNow + Millis(600), "d2"), { kTrait });
-  suspect.RecordCrash(CrashOf(5, kNow + Millis(2'000)), { kTrait });
+  suspect.RecordCrash(CrashOf(1, kNow - Millis(1)), RequestOf({ kTrait }));
+  suspect.RecordCrash(CrashOf(2, kNow + Millis(500), "d1"),
+                      RequestOf({ kTrait }));
+  suspect.RecordCrash(CrashOf(3, kNow + Millis(600), "d1"),
+                      RequestOf({ kTrait }));
+  suspect.RecordCrash(CrashOf(4, kNow + Millis(600), "d2"),
+                      RequestOf({ kTrait }));
+  suspect.RecordCrash(CrashOf(5, kNow + Millis(2'000)), RequestOf({ kTrait }));
   CHECK(suspect.CrashesAgainst(kNow + Millis(1'000)).size() == 2);
   suspect.RecordSurvival(kNow + Millis(550));
   CHECK(suspect.CrashesAgainst(kNow + Millis(1'000)).size() == 2);
@@ -57,20 +67,19 @@
   CHECK(suspect.CrashesAgainst(kNow + Millis(1'000)).empty());
 }
 
-TEST_CASE("however many crashes and companions come, a bounded number is kept")
+TEST_CASE("however many crashes and requests come, a bounded number is kept")
 {
   SuspectedTrait suspect(kTrait, Millis());
-  std::vector<RequestTrait> traits{ kTrait };
-  for (uint64_t i = 0; i < 3 * SuspectedTrait::kMaxCompanions; ++i) {
-    traits.push_back(PartOf(100 + i));
-  }
   for (size_t i = 0; i < 3 * SuspectedTrait::kMaxCrashes; ++i) {
-    suspect.RecordCrash(CrashOf(i, kNow + Millis(static_cast<int64_t>(i))),
-                        traits);
+    const TraitCrash crash = CrashOf(i, kNow + Millis(static_cast<int64_t>(i)));
+    for (uint64_t j = 0; j < 3 * SuspectedTrait::kMaxRequests; ++j) {
+      suspect.RecordCrash(crash, RequestOf({ kTrait, PartOf(100 + j) }));
+    }
   }
   CHECK(suspect.Crashes().size() == SuspectedTrait::kMaxCrashes);
   CHECK(suspect.Crashes().back().m_server.m_server == HostId("s47"));
-  CHECK(suspect.Companions().size() == SuspectedTrait::kMaxCompanions);
+  CHECK(suspect.Crashes().back().m_requests.size() ==
+        SuspectedTrait::kMaxRequests);
 }
 
 TEST_CASE("each refusal is longer than the one before, up to a day, and after "
@@ -83,7 +92,7 @@
     CAPTURE(i);
     while (suspect.Crashes().size() < kCrashesToRefuse) {
       suspect.RecordCrash(CrashOf(static_cast<size_t>(now.Count()), now),
-                          { kTrait });
+                          RequestOf({ kTrait }));
       now = now + Millis(1'000);
     }
     suspect.Refuse(now);
@@ -105,7 +114,7 @@
 TEST_CASE("a reported refusal has the companions that were reported")
 {
   SuspectedTrait suspect(kTrait, Millis());
-  suspect.RecordCrash(CrashOf(1, kNow), { kTrait, PartOf(2) });
+  suspect.RecordCrash(CrashOf(1, kNow), RequestOf({ kTrait, PartOf(2) }));
   TraitRefusal refusal;
   refusal.m_trait = kTrait;
   refusal.m_companions = { PartOf(9) };
@@ -126,7 +135,7 @@
 {
   constexpr Millis kEvidenceLifetime(600'000);
   SuspectedTrait suspect(kTrait, Millis());
-  suspect.RecordCrash(CrashOf(1, kNow), { kTrait });
+  suspect.RecordCrash(CrashOf(1, kNow), RequestOf({ kTrait }));
   CHECK_FALSE(suspect.IsExpired(kNow + kEvidenceLifetime));
   CHECK(suspect.IsExpired(kNow + kEvidenceLifetime + Millis(1)));
   suspect.Refuse(kNow);
