A reported refusal keeps the companions that this node doesn't know

Found by reading the change once more. What callers would have seen: sound requests with the first part of a harmful prompt refused by a node that has just started, for up to ten minutes.

Cause: parts that always came together are refused only together; a companion that isn't a suspect counted as cleared. A node that was told of one refusal of a pair, because the list of refusals is bounded and cut by age, didn't know the other part, took it for cleared, and refused all requests with the first.

Ruled out: nodes that are told of both (a test had that), and that decide by themselves: their companions come from the same evidence.

Change: of a reported refusal an unknown companion counts as cleared only if it has survived since the last crash, as far as this node knows.

Test: harm_detector_test "refusals and clearances of other nodes are applied", a node that is told of one of the two only: failed before (refused a sound request), passes now; its counterpart, the companion survived, passed before and passes now.

Conclusion: mended.

--- a/briarglade/gateway/harm_detector.cc
+++ b/briarglade/gateway/harm_detector.cc
@@ -3,6 +3,8 @@
 #include "briarglade/gateway/harm_detector.h"
 
 #include <algorithm>
+#include <memory>
+#include <optional>
 #include <tuple>
 #include <utility>
 
@@ -244,10 +246,15 @@
   const SuspectedTrait& aSuspect) const
 {
   std::vector<RequestTrait> companions = aSuspect.Companions();
+  const bool isReported = aSuspect.IsRefused() && !aSuspect.IsRefusedHere();
   const auto isCleared = [&](const RequestTrait& aTrait) {
     const auto suspect = m_suspects.find(aTrait);
-    return suspect == m_suspects.end() ||
-           suspect->second.SurvivedAt() >= suspect->second.LastCrashAt();
+    if (suspect != m_suspects.end()) {
+      return suspect->second.SurvivedAt() >= suspect->second.LastCrashAt();
+    }
+    // The node that reported the refusal may not have reported this trait's.
+    return !isReported ||
+           m_survivals.LastSurvival(aTrait) >= aSuspect.LastCrashAt();
   };
   companions.erase(
     std::remove_if(companions.begin(), companions.end(), isCleared),
--- a/briarglade/gateway/harm_detector_test.cc
+++ b/briarglade/gateway/harm_detector_test.cc
@@ -393,6 +393,27 @@
                                  TraitClearance{ kHarmful, Millis() });
     CHECK_FALSE(other.IsRefused({ kFirst, kHarmful }));
   }
+  SUBCASE("a node that is told of one of the two only, as a list is bounded")
+  {
+    for (const TraitRefusal& refusal : refusals) {
+      if (refusal.m_trait == kFirst) {
+        other.m_detector.OnRefusal(other.m_now, refusal);
+      }
+    }
+    CHECK(other.IsRefused({ kFirst, kHarmful }));
+    CHECK_FALSE(other.IsRefused({ kFirst, kOther }));
+  }
+  SUBCASE("a node that is told of the harmful part after the other survived")
+  {
+    other.m_now += Millis(3'000);
+    other.Survive({ kFirst, kOther });
+    for (const TraitRefusal& refusal : refusals) {
+      if (refusal.m_trait == kHarmful) {
+        other.m_detector.OnRefusal(other.m_now, refusal);
+      }
+    }
+    CHECK(other.IsRefused({ kHarmful }));
+  }
   SUBCASE("a node that has seen one crash since it started")
   {
     other.Crash({ { kFirst, kHarmful } });
