A refusal whose time is over leaves a log line

Found by reading the change once more: `harmful-request-found` had an end in the log only when something cleared it; a refusal that simply ran out left none, so that an operator could not tell from the log since when requests with the part are let through again.

Ruled out: the gauge `harmful_refused` (it falls, but names no part).

--- a/briarglade/gateway/harm_detector.cc
+++ b/briarglade/gateway/harm_detector.cc
@@ -389,7 +389,9 @@
 void HarmDetector::AnnounceSurvivals(Millis aNow, bool aIsTurn)
 {
   for (auto& [trait, suspect] : m_suspects) {
-    suspect.EndRefusalIfDue(aNow, kCrashesToRefuse);
+    if (suspect.EndRefusalIfDue(aNow, kCrashesToRefuse)) {
+      m_changes.push_back({ trait, false, 0 });
+    }
     const Millis survivedAt = suspect.SurvivedAt();
     const bool isSuspected = suspect.Crashes().size() >= kCrashesToAnnounce &&
                              survivedAt > suspect.Crashes().front().m_at;
--- a/briarglade/gateway/harm_detector_test.cc
+++ b/briarglade/gateway/harm_detector_test.cc
@@ -302,8 +302,13 @@
   world.Wait(kSecond);
   const Millis first = world.m_detector.RefusedFor(world.m_now, { kHarmful });
   CHECK(first > Millis(590'000));
+  world.m_detector.TakeChanges();
   world.Wait(first + kSecond);
   REQUIRE_FALSE(world.IsRefused({ kHarmful }));
+  const std::vector<RefusalChange> changes = world.m_detector.TakeChanges();
+  REQUIRE(changes.size() == 1);
+  CHECK(changes[0].m_trait == kHarmful);
+  CHECK_FALSE(changes[0].m_isRefused);
   SUBCASE("still harmful")
   {
     world.Crash({ { kHarmful } });
--- a/briarglade/gateway/suspected_trait.cc
+++ b/briarglade/gateway/suspected_trait.cc
@@ -171,16 +171,17 @@
   m_isOwnDecision = false;
 }
 
-void SuspectedTrait::EndRefusalIfDue(Millis aNow, size_t aCrashesToRefuse)
+bool SuspectedTrait::EndRefusalIfDue(Millis aNow, size_t aCrashesToRefuse)
 {
   if (!IsRefused() || m_refusedUntil > aNow) {
-    return;
+    return false;
   }
   EndRefusal();
   m_commonCompanions.reset();
   while (m_crashes.size() >= aCrashesToRefuse) {
     m_crashes.erase(m_crashes.begin());
   }
+  return true;
 }
 
 bool SuspectedTrait::IsExpired(Millis aNow) const
--- a/briarglade/gateway/suspected_trait.h
+++ b/briarglade/gateway/suspected_trait.h
@@ -73,7 +73,8 @@
   void RefuseAsReported(Millis aNow, const TraitRefusal& aRefusal);
   void EndRefusal();
   // Ends a refusal whose time is over. One more crash refuses the trait again.
-  void EndRefusalIfDue(Millis aNow, size_t aCrashesToRefuse);
+  // Returns whether one ended.
+  bool EndRefusalIfDue(Millis aNow, size_t aCrashesToRefuse);
 
   // Returns whether no refusal is in force and the evidence is too old.
   bool IsExpired(Millis aNow) const;
