--- a/briarglade/entry/store_version.h
+++ b/briarglade/entry/store_version.h
@@ -21,15 +21,19 @@
 using StoreEra = StrongCount<struct StoreEraTag>;
 
 // The number of low bits that hold the number that the store gave.
-constexpr unsigned kStoreNumberBits = 40;
-constexpr uint64_t kStoreNumberMask = (uint64_t{ 1 } << kStoreNumberBits) - 1;
-
-// Returns a version, of a row or of the store, from its era and number.
+constexpr unsigned kStoreNumberBits = 44;
+constexpr unsigned kVersionBits = 64;
+// The largest number and the largest era that a version can hold.
+constexpr uint64_t kMaxStoreNumber = (uint64_t{ 1 } << kStoreNumberBits) - 1;
+constexpr uint64_t kMaxStoreEra =
+  (uint64_t{ 1 } << (kVersionBits - kStoreNumberBits)) - 1;
+
+// Returns a version, of a row or of the store, from its era and number. Neither
+// may exceed its maximum.
 template<typename Version>
 constexpr Version MakeStoreVersion(StoreEra aEra, uint64_t aNumber)
 {
-  return Version((aEra.Value() << kStoreNumberBits) |
-                 (aNumber & kStoreNumberMask));
+  return Version((aEra.Value() << kStoreNumberBits) | aNumber);
 }
 
 // Returns the era of a version.
@@ -43,7 +47,7 @@
 template<typename Version>
 constexpr uint64_t NumberOf(Version aVersion)
 {
-  return aVersion.Value() & kStoreNumberMask;
+  return aVersion.Value() & kMaxStoreNumber;
 }
 
 } // namespace briarglade
