Read-through: names, one log line and tests that a newcomer misses

Ruled out: changes of behaviour, but for one log line.

Change: kEntryRewriteTime also bounds operators' rows and is kRewriteTime; EntryState::m_registeredVersion had the name of another member (NodeRoster's, as written) and is m_ownRowVersion (as read); that a zone's row is missing after a return of the store is a decision and leaves `zone-row-missing`; the comments of Draining and of a lost lease say what holds.

--- a/briarglade/entry/control_lease.cc
+++ b/briarglade/entry/control_lease.cc
@@ -43,7 +43,7 @@
     row = DecodeLeaseRow(*aRow.m_value).value_or(row);
   }
   if (isNewEra && row.m_until < m_row.m_until) {
-    // The store has lost the last grant, which is still valid. Its holder
+    // The store has lost the last grant, which may still be valid. Its holder
     // writes it again.
     m_isUnconfirmed = m_isHeld;
     return;
--- a/briarglade/entry/fleet_bounds_test.cc
+++ b/briarglade/entry/fleet_bounds_test.cc
@@ -3,7 +3,6 @@
 // to leaving servers.
 
 #include <algorithm>
-#include <cstdlib>
 #include <doctest/doctest.h>
 #include <string>
 #include <utility>
@@ -23,16 +22,6 @@
 constexpr Millis kSettleTime = Millis(15'000);
 const char* const kService = "assist";
 
-// Returns the number of seeds to run: the greater of aLeast and the value of
-// BRIARGLADE_SEEDS.
-uint32_t SeedCount(uint32_t aLeast)
-{
-  const char* setting = std::getenv("BRIARGLADE_SEEDS");
-  return setting == nullptr
-           ? aLeast
-           : std::max(aLeast, static_cast<uint32_t>(std::stoul(setting)));
-}
-
 // The number of requests that all nodes together may send to a cold server
 // within a second.
 size_t ColdBound(const EntryBounds& aBounds)
--- a/briarglade/entry/fleet_world_test.h
+++ b/briarglade/entry/fleet_world_test.h
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <cstdlib>
 #include <deque>
 #include <functional>
 #include <map>
@@ -34,6 +35,16 @@
 
 namespace briarglade {
 
+// Returns the number of seeds to run: the greater of aLeast and the value of
+// BRIARGLADE_SEEDS.
+inline uint32_t SeedCount(uint32_t aLeast)
+{
+  const char* setting = std::getenv("BRIARGLADE_SEEDS");
+  return setting == nullptr
+           ? aLeast
+           : std::max(aLeast, static_cast<uint32_t>(std::stoul(setting)));
+}
+
 struct FleetOptions
 {
   uint32_t m_nodes = 5;
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <string>
-
 #include <utility>
 
 #include "briarglade/base/erase_if.h"
@@ -15,9 +14,9 @@
 
 namespace {
 
-// Live servers write their expired entries again within this time after the
-// store has become available again.
-constexpr Millis kEntryRewriteTime = Millis(2'300);
+// Within this time after the store has become available again, live servers
+// write again the entries that are missing, and operators their rows.
+constexpr Millis kRewriteTime = Millis(2'300);
 
 // A shorter failure of a feed, or a shorter time without any response from the
 // store, lets no entry expire: that takes three missed heartbeats.
@@ -102,7 +101,7 @@
     hasFailedRepeatedly && m_now - *failingSince >= kMinOutage;
   const bool wasStoreUnavailable = m_now - aAnsweredBefore >= kMinOutage;
   if (wasFeedUnavailable || wasStoreUnavailable) {
-    m_state.m_disturbedUntil = m_now + kEntryRewriteTime;
+    m_state.m_disturbedUntil = m_now + kRewriteTime;
   }
 }
 
@@ -141,7 +140,7 @@
   if (!before) {
     return;
   }
-  m_state.m_rewrittenUntil = m_now + kEntryRewriteTime;
+  m_state.m_rewrittenUntil = m_now + kRewriteTime;
   ++m_state.m_storeReturns;
   const RowVersion known = m_state.m_rows.CompleteUpTo(Feed::Own);
   Log(LogLevel::Warn,
@@ -158,6 +157,8 @@
   const bool mayBeMissing = m_now < m_state.m_rewrittenUntil &&
                             m_state.m_zonesOut.count(aRow.m_zone) > 0;
   if (!aRow.m_isOut && mayBeMissing) {
+    Log(
+      LogLevel::Info, "zone-row-missing", { { "zone", aRow.m_zone.Value() } });
     m_state.m_missingZonesOut.insert(aRow.m_zone);
     return;
   }
@@ -425,7 +426,7 @@
     aContent && aContent->m_incarnation == m_state.m_incarnation;
   const bool isLeaving = m_state.m_phase != EntryPhase::Serving;
   if (isOurs) {
-    m_state.m_registeredVersion = aRow.m_version;
+    m_state.m_ownRowVersion = aRow.m_version;
   }
   if (isOurs || isLeaving ||
       !m_state.m_roster.OnRowOverwritten(aRow.m_version)) {
--- a/briarglade/entry/reduce_entry.cc
+++ b/briarglade/entry/reduce_entry.cc
@@ -153,7 +153,7 @@
   remove.m_operation = operation;
   remove.m_key = NodeRowKey(m_state.m_settings.m_node);
   // Spares the row of a later process of the same name.
-  remove.m_expected = m_state.m_registeredVersion;
+  remove.m_expected = m_state.m_ownRowVersion;
   m_effects.emplace_back(std::move(remove));
 }
 
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -49,7 +49,8 @@
   Serving,
   // Address lists no longer contain this node, but it still serves callers.
   Leaving,
-  // Each connection is closed after its next answer.
+  // Each connection is closed after its next answer. Requests that may outlast
+  // the process are refused.
   Draining,
   // The process is about to exit.
   Ended
@@ -123,8 +124,9 @@
   bool m_isRegistered = false;
   // When the registration was last sent.
   Millis m_registeredAt;
-  // The version of the registration as read from the store.
-  std::optional<RowVersion> m_registeredVersion;
+  // The version of this node's row as last read from the store; none: not read
+  // yet.
+  std::optional<RowVersion> m_ownRowVersion;
   // The removal of the registration, once it was sent.
   std::optional<Deregistration> m_deregistration;
   PeerUpdateState m_peerUpdates;
--- a/briarglade/entry/store_return_test.cc
+++ b/briarglade/entry/store_return_test.cc
@@ -2,7 +2,6 @@
 // has acknowledged since the copy is gone, and its versions are given out again
 // for other contents.
 
-#include <cstdlib>
 #include <doctest/doctest.h>
 #include <map>
 #include <random>
@@ -489,11 +488,8 @@
           "older configuration, and all nodes agree in the end")
 {
   constexpr uint32_t kSeeds = 20;
-  const char* seeds = std::getenv("BRIARGLADE_SEEDS");
-  const uint32_t count =
-    seeds == nullptr ? kSeeds : static_cast<uint32_t>(std::atoi(seeds));
   std::vector<uint32_t> choices{ 252, 720 };
-  for (uint32_t seed = 1; seed <= count; ++seed) {
+  for (uint32_t seed = 1; seed <= SeedCount(kSeeds); ++seed) {
     choices.push_back(seed);
   }
   for (const uint32_t seed : choices) {
--- a/briarglade/gateway/suspected_trait_test.cc
+++ b/briarglade/gateway/suspected_trait_test.cc
@@ -77,7 +77,8 @@
     }
   }
   CHECK(suspect.Crashes().size() == SuspectedTrait::kMaxCrashes);
-  CHECK(suspect.Crashes().back().m_server.m_server == HostId("s47"));
+  CHECK(suspect.Crashes().back().m_server.m_server ==
+        CrashOf(3 * SuspectedTrait::kMaxCrashes - 1, kNow).m_server.m_server);
   CHECK(suspect.Crashes().back().m_requests.size() ==
         SuspectedTrait::kMaxRequests);
 }
