Log why a request is not retried, and which failed requests had begun

The line request-failed didn't say that an answer had begun, gave only the code after "not run" had been ruled out, and nothing said which condition stopped a retry, so that the hypotheses of docs/incidents/streams-cut-by-nodes.md couldn't be told apart.

Now request-failed has cause-code (queue full, no room in time, no capacity) and began, and request-not-retried names the first condition that held. The decision is the same one, as a function that returns its reason.

--- a/briarglade/gateway/exchange_ends.cc
+++ b/briarglade/gateway/exchange_ends.cc
@@ -31,6 +31,29 @@
   return aEnded.m_end == ExchangeEnd::Whole && ImpliesNotRun(aEnded.m_status);
 }
 
+const char* RetryBlockName(RetryBlock aBlock)
+{
+  switch (aBlock) {
+    case RetryBlock::None:
+      return "none";
+    case RetryBlock::CallerLeft:
+      return "caller-left";
+    case RetryBlock::Unsafe:
+      return "unsafe";
+    case RetryBlock::Harmful:
+      return "harmful";
+    case RetryBlock::Attempts:
+      return "attempts";
+    case RetryBlock::Sends:
+      return "sends";
+    case RetryBlock::Time:
+      return "time";
+    case RetryBlock::Budget:
+      return "budget";
+  }
+  return "unknown";
+}
+
 // Returns the ids of prompt parts in hexadecimal, joined by commas.
 std::string PromptPartNames(const std::vector<PromptPartId>& aParts)
 {
@@ -73,17 +96,34 @@
   }
 }
 
-bool GatewayReduction::MayRetry(const GatewayRequest& aRequest,
-                                const ExchangeClassification& aClassification)
+// Returns why a request is not retried after an exchange, apart from the retry
+// budget.
+RetryBlock GatewayReduction::FindRetryBlock(
+  const GatewayRequest& aRequest,
+  const ExchangeClassification& aClassification) const
 {
   const uint32_t attempts = aRequest.m_request.m_maxAttempts;
   const bool isSafe = aRequest.m_request.m_isRetryable ||
                       aClassification.m_outcome == Outcome::NotRun;
-  return aClassification.m_mayRetry && isSafe && !aRequest.m_callerLeft &&
-         RefusedFor(aRequest) == Millis() &&
-         aRequest.m_mayHaveRunCount < attempts &&
-         aRequest.m_tried.size() < attempts + kExtraSends &&
-         TimeLeft(aRequest) > kMinUsefulTime;
+  if (aRequest.m_callerLeft) {
+    return RetryBlock::CallerLeft;
+  }
+  if (!aClassification.m_mayRetry || !isSafe) {
+    return RetryBlock::Unsafe;
+  }
+  if (RefusedFor(aRequest) > Millis()) {
+    return RetryBlock::Harmful;
+  }
+  if (aRequest.m_mayHaveRunCount >= attempts) {
+    return RetryBlock::Attempts;
+  }
+  if (aRequest.m_tried.size() >= attempts + kExtraSends) {
+    return RetryBlock::Sends;
+  }
+  if (TimeLeft(aRequest) <= kMinUsefulTime) {
+    return RetryBlock::Time;
+  }
+  return RetryBlock::None;
 }
 
 // Logs the end of an exchange without a usable answer. A broken one may be the
@@ -112,6 +152,18 @@
   LogRequest("exchange-failed", aRequest, std::move(fields));
 }
 
+void GatewayReduction::LogNotRetried(const GatewayRequest& aRequest,
+                                     RetryBlock aBlock)
+{
+  LogRequest("request-not-retried",
+             aRequest,
+             { { "reason", RetryBlockName(aBlock) },
+               { "began", aRequest.m_answerBegan ? "yes" : "no" },
+               { "sends", std::to_string(aRequest.m_tried.size()) },
+               { "may-have-run", std::to_string(aRequest.m_mayHaveRunCount) },
+               { "left-ms", std::to_string(TimeLeft(aRequest).Count()) } });
+}
+
 void GatewayReduction::RetryOrFinish(
   GatewayRequest& aRequest,
   const ExchangeEnded& aEnded,
@@ -120,10 +172,16 @@
   const bool hasAnswer =
     aClassification.m_outcome == Outcome::Done && !IsUnconfirmedNotRun(aEnded);
   const Millis retryAfter = std::max(kMinRetryAfter, aEnded.m_retryAfter);
+  RetryBlock block = FindRetryBlock(aRequest, aClassification);
   // A request that was failed over has already consumed retry budget.
-  const bool mayRetry =
-    MayRetry(aRequest, aClassification) &&
-    (aRequest.m_isMoved || TryConsumeRetry(aRequest.m_request.m_service));
+  if (block == RetryBlock::None && !aRequest.m_isMoved &&
+      !TryConsumeRetry(aRequest.m_request.m_service)) {
+    block = RetryBlock::Budget;
+  }
+  const bool mayRetry = block == RetryBlock::None;
+  if (!mayRetry) {
+    LogNotRetried(aRequest, block);
+  }
   if (mayRetry && Start(aRequest)) {
     return;
   }
--- a/briarglade/gateway/gateway.cc
+++ b/briarglade/gateway/gateway.cc
@@ -124,6 +124,9 @@
       "request-failed",
       aRequest,
       { { "code", std::to_string(static_cast<uint16_t>(code)) },
+        // The code before "not run" was ruled out.
+        { "cause-code", std::to_string(static_cast<uint16_t>(aCode)) },
+        { "began", aRequest.m_answerBegan ? "yes" : "no" },
         { "service", aRequest.m_request.m_service.Value() },
         { "sends", std::to_string(aRequest.m_tried.size()) },
         { "retry-after-ms", std::to_string(answer.m_retryAfter.Count()) } });
--- a/briarglade/gateway/internal/gateway_reduction.h
+++ b/briarglade/gateway/internal/gateway_reduction.h
@@ -21,6 +21,26 @@
 // retried.
 constexpr Millis kMinUsefulTime = Millis(40);
 
+// Why a request is not retried after an exchange.
+enum class RetryBlock
+{
+  // It may be retried.
+  None,
+  CallerLeft,
+  // Another run could do harm, or the answer is final.
+  Unsafe,
+  // It is refused because it crashes servers.
+  Harmful,
+  // As many servers may have run it as its route allows.
+  Attempts,
+  // It was sent as often as the gateway sends a request.
+  Sends,
+  // Its deadline is too close.
+  Time,
+  // The service's retry budget is exhausted.
+  Budget
+};
+
 // Handles one event: On() updates the state and appends the effects.
 class GatewayReduction
 {
@@ -84,8 +104,10 @@
   void LogExchangeFailed(const GatewayRequest& aRequest,
                          const ExchangeEnded& aEnded,
                          ExchangeEnd aEnd);
-  bool MayRetry(const GatewayRequest& aRequest,
-                const ExchangeClassification& aClassification);
+  RetryBlock FindRetryBlock(
+    const GatewayRequest& aRequest,
+    const ExchangeClassification& aClassification) const;
+  void LogNotRetried(const GatewayRequest& aRequest, RetryBlock aBlock);
   // Retries the request if that is safe and within its limits; otherwise
   // finishes it.
   void RetryOrFinish(GatewayRequest& aRequest,
