Gateway tests: the world in virtual time is a header of its own

gateway_test.cc had grown to 680 lines, and tests of failover need the same world.

scripts/run-doctest build/release/gateway_test: the 90 cases pass.

--- a/briarglade/gateway/gateway_test.cc
+++ b/briarglade/gateway/gateway_test.cc
@@ -4,133 +4,13 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
-#include <map>
-#include <memory>
 #include <random>
 
-#include "briarglade/base/make_roster_test.h"
+#include "briarglade/gateway/gateway_world_test.h"
 
 namespace briarglade {
 namespace {
 
-constexpr char kService[] = "desk";
-
-Backend MakeServer(const std::string& aName, uint32_t aSlots = 4)
-{
-  Backend backend;
-  backend.m_server = HostId(aName);
-  backend.m_service = ServiceId(kService);
-  backend.m_slots = aSlots;
-  return backend;
-}
-
-Backend MakeGroupLeader(const std::string& aName)
-{
-  Backend backend = MakeServer(aName);
-  backend.m_group = GroupId("group-" + aName);
-  backend.m_model = ModelId("m");
-  return backend;
-}
-
-// The first node of each roster.
-const NodeId kSelf("n0");
-
-GatewaySettings MakeSettings(const NodeId& aSelf)
-{
-  GatewaySettings settings;
-  settings.m_node = aSelf;
-  return settings;
-}
-
-// A gateway, and what it asked for last.
-struct World
-{
-  explicit World(const NodeId& aSelf = kSelf)
-    : m_state(MakeSettings(aSelf))
-  {
-    SetNodes(1);
-  }
-
-  void SetNodes(uint32_t aNodes)
-  {
-    Do(RosterChanged{
-      std::make_shared<const std::vector<NodeId>>(MakeRoster(aNodes)),
-      Millis(1'000'000'000) });
-  }
-
-  GatewayState m_state;
-  Millis m_now{ 10'000 };
-  // The route's timeout.
-  Millis m_timeout{ 800 };
-  uint64_t m_handles = 0;
-  std::map<RequestHandle, std::vector<SendToServer>> m_sent;
-  std::map<RequestHandle, AnswerCaller> m_answered;
-  std::map<RequestHandle, bool> m_passedOn;
-  std::vector<RequestHandle> m_cancelled;
-  std::vector<LogEvent> m_log;
-  std::vector<ServerRun> m_leaving;
-
-  void Do(const GatewayEvent& aEvent)
-  {
-    for (const GatewayEffect& effect : ReduceGateway(m_state, m_now, aEvent)) {
-      if (const auto* send = std::get_if<SendToServer>(&effect)) {
-        m_sent[send->m_handle].push_back(*send);
-      } else if (const auto* answer = std::get_if<AnswerCaller>(&effect)) {
-        m_answered[answer->m_handle] = *answer;
-      } else if (const auto* pass = std::get_if<ForwardAnswer>(&effect)) {
-        m_passedOn[pass->m_handle] = true;
-      } else if (const auto* cancel = std::get_if<CancelExchange>(&effect)) {
-        m_cancelled.push_back(cancel->m_handle);
-      } else if (const auto* tell = std::get_if<ReportServerLeaving>(&effect)) {
-        m_leaving.push_back(tell->m_server);
-      } else if (const auto* event = std::get_if<LogEvent>(&effect)) {
-        m_log.push_back(*event);
-      }
-    }
-  }
-  void Wait(Millis aTime)
-  {
-    for (Millis passed; passed < aTime; passed += Millis(50)) {
-      m_now += Millis(50);
-      Do(GatewayTick{});
-    }
-  }
-  RequestHandle Arrive(RouteKind aKind, uint32_t aAttempts = 2)
-  {
-    CallerRequestArrived request;
-    request.m_handle = RequestHandle(++m_handles);
-    request.m_attemptId = "attempt-" + std::to_string(m_handles);
-    request.m_service = ServiceId(kService);
-    request.m_kind = aKind;
-    request.m_isRetryable = aKind != RouteKind::NonIdempotent;
-    request.m_model = aKind == RouteKind::Stream ? ModelId("m") : ModelId();
-    request.m_maxAttempts = aAttempts;
-    request.m_deadline = m_now + Millis(1'500);
-    request.m_answerBy = m_now + m_timeout;
-    Do(request);
-    return request.m_handle;
-  }
-  void End(RequestHandle aHandle, ExchangeEnd aEnd, uint16_t aStatus = 0)
-  {
-    ExchangeEnded ended;
-    ended.m_handle = aHandle;
-    ended.m_end = aEnd;
-    ended.m_status = aStatus;
-    Do(ended);
-  }
-  // Lets the server turn the request away and ask for a pause.
-  void RefuseFor(RequestHandle aHandle, Millis aPause)
-  {
-    ExchangeEnded ended;
-    ended.m_handle = aHandle;
-    ended.m_end = ExchangeEnd::RefusedByServer;
-    ended.m_status = 503;
-    ended.m_retryAfter = aPause;
-    Do(ended);
-  }
-  size_t Sends(RequestHandle aHandle) { return m_sent[aHandle].size(); }
-};
-
 TEST_CASE("a server that turns a request away and says for how long gets "
           "nothing until then; others do at once")
 {
@@ -649,7 +529,9 @@
             "request-turned-away",
             { "request", "priority", "wait-ms", "patience-ms", "waiting" });
   FindEvent(
-    world, "request-failed", { "request", "code", "sends", "retry-after-ms" });
+    world,
+    "request-failed",
+    { "request", "code", "cause-code", "began", "sends", "retry-after-ms" });
   world.End(served, ExchangeEnd::ResetBeforeAnswer);
   FindEvent(world,
             "exchange-failed",
@@ -660,6 +542,11 @@
   FindEvent(world,
             "request-done",
             { "request", "status", "first-ms", "goal-ms", "server", "sends" });
+  const RequestHandle booking = world.Arrive(RouteKind::NonIdempotent, 1);
+  world.End(booking, ExchangeEnd::Truncated);
+  FindEvent(world,
+            "request-not-retried",
+            { "request", "reason", "began", "sends", "may-have-run" });
   World streams;
   streams.Do(BackendsChanged{ { MakeGroupLeader("x"), MakeGroupLeader("y") } });
   const RequestHandle stream = streams.Arrive(RouteKind::Stream, 3);
