A stream of a silent group is kept until another server delivers

What callers saw (LOST): a stream ended with a closed connection though its server was alive and still at work, beside changes of the configuration, when all nodes and servers are busy at the same moment and groups fall silent for some 350 ms.

Cause: a silent group's exchanges were cancelled because some other group had room at that moment; only after the cancellation was the place taken, and the conditions of the retry (sends, time left, budget, a refusal by the next server) asked. All streams of the group counted on the same place. Class: something irrevocable is done on a condition that is asked but not held.

Change: another server gets the request as a hedge, beside the primary exchange. It takes its place at once. Whichever delivers first serves the caller: a hedge that delivers is promoted and the primary dropped, an answer of the primary drops the hedge, a hedge that is refused or fails changes nothing, a primary that breaks hands over to the hedge that runs. All conditions are asked before the hedge starts, the same ones as for a retry. Decided in gateway/failover.cc; the relay holds two exchanges and obeys. The fields of an exchange are a struct of their own.

--- a/briarglade/entry/entry_node.cc
+++ b/briarglade/entry/entry_node.cc
@@ -183,6 +183,16 @@
           relay->Cancel();
         }
       },
+      [&](const PromoteHedge& aPromotion) {
+        if (const auto relay = FindRelay(aPromotion.m_handle)) {
+          relay->PromoteHedge();
+        }
+      },
+      [&](const DropHedge& aDrop) {
+        if (const auto relay = FindRelay(aDrop.m_handle)) {
+          relay->DropHedge();
+        }
+      },
       [&](const ForwardAnswer& aForward) {
         if (const auto relay = FindRelay(aForward.m_handle)) {
           m_relays.erase(aForward.m_handle);
--- a/briarglade/entry/gateway_relay.cc
+++ b/briarglade/entry/gateway_relay.cc
@@ -39,7 +39,7 @@
   , m_hooks(std::move(aHooks))
   , m_body(m_caller->TakeBody())
   , m_arrivedAt(EventLoop::Now())
-  , m_events(m_request.m_lastEvent)
+  , m_lastEvent(m_request.m_lastEvent)
 {
 }
 
@@ -49,10 +49,9 @@
                          const SendToServer& aSend,
                          Millis aNow)
 {
-  m_answerKind = AnswerKind::None;
-  m_facts = AnswerHead();
-  m_answerBody.clear();
-  m_isStreamMalformed = false;
+  const auto exchange = std::make_shared<Exchange>();
+  exchange->m_events = EventStream(m_lastEvent);
+  (aSend.m_role == ExchangeRole::Hedge ? m_hedge : m_primary) = exchange;
   m_isStream = aSend.m_isStream;
   m_account = aSend.m_account;
   AttemptHead head;
@@ -60,7 +59,7 @@
   head.m_account = aSend.m_account;
   head.m_timeLeft = std::max(Millis(1), aSend.m_deadline - aNow);
   head.m_urgency = aSend.m_urgency;
-  head.m_lastEvent = m_events.LastEvent();
+  head.m_lastEvent = m_lastEvent;
   HttpCallSpec spec;
   spec.m_endpoint = aSend.m_endpoint;
   spec.m_method = m_caller->Method();
@@ -79,19 +78,54 @@
   spec.m_isOurs = [self](const HttpAnswerHead& aHead) {
     return self->IsForThisRequest(aHead);
   };
-  spec.m_onHead = [self](const HttpAnswerHead& aHead) { self->OnHead(aHead); };
-  spec.m_onData = [self](std::string_view aData) { self->OnData(aData); };
-  spec.m_onEnd = [self](const HttpCallEnd& aEnd) { self->OnEnd(aEnd); };
-  m_call = aClient.Start(std::move(spec));
+  spec.m_onHead = [self, exchange](const HttpAnswerHead& aHead) {
+    self->OnHead(*exchange, aHead);
+  };
+  spec.m_onData = [self, exchange](std::string_view aData) {
+    self->OnData(*exchange, aData);
+  };
+  spec.m_onEnd = [self, exchange](const HttpCallEnd& aEnd) {
+    self->OnEnd(*exchange, aEnd);
+  };
+  exchange->m_call = aClient.Start(std::move(spec));
 }
 
 void GatewayRelay::Cancel()
 {
-  if (m_call) {
-    m_call->Cancel();
+  if (m_primary && m_primary->m_call) {
+    m_primary->m_call->Cancel();
+  }
+}
+
+void GatewayRelay::PromoteHedge()
+{
+  const std::shared_ptr<Exchange> given = std::move(m_primary);
+  m_primary = std::move(m_hedge);
+  if (given && given->m_call) {
+    given->m_call->Cancel();
+  }
+}
+
+void GatewayRelay::DropHedge()
+{
+  const std::shared_ptr<Exchange> given = std::move(m_hedge);
+  if (given && given->m_call) {
+    given->m_call->Cancel();
   }
 }
 
+std::optional<ExchangeRole> GatewayRelay::RoleOf(
+  const Exchange& aExchange) const
+{
+  if (&aExchange == m_primary.get()) {
+    return ExchangeRole::Primary;
+  }
+  if (&aExchange == m_hedge.get()) {
+    return ExchangeRole::Hedge;
+  }
+  return std::nullopt;
+}
+
 // A reused connection may first deliver a second answer to an earlier request.
 bool GatewayRelay::IsForThisRequest(const HttpAnswerHead& aHead) const
 {
@@ -99,37 +133,36 @@
   return name.empty() || name == m_request.m_attemptName;
 }
 
-void GatewayRelay::OnHead(const HttpAnswerHead& aHead)
+void GatewayRelay::OnHead(Exchange& aExchange, const HttpAnswerHead& aHead)
 {
-  m_head = aHead;
-  m_facts = m_codec.m_decodeAnswer(aHead);
-  const bool isGenuine = m_facts.m_isSigned && !m_facts.m_isEncoded &&
-                         m_facts.m_attemptName == m_request.m_attemptName;
-  if (m_facts.m_isNotRun && m_facts.m_status >= kFirstErrorStatus) {
-    m_answerKind = AnswerKind::Refusal;
+  aExchange.m_head = aHead;
+  aExchange.m_facts = m_codec.m_decodeAnswer(aHead);
+  const AnswerHead& facts = aExchange.m_facts;
+  const bool isGenuine = facts.m_isSigned && !facts.m_isEncoded &&
+                         facts.m_attemptName == m_request.m_attemptName;
+  if (facts.m_isNotRun && facts.m_status >= kFirstErrorStatus) {
+    aExchange.m_answerKind = AnswerKind::Refusal;
   } else if (!isGenuine) {
-    m_answerKind = AnswerKind::Invalid;
-    m_call->Cancel(ExchangeEnd::WrongAnswer);
-  } else if (m_isStream && m_facts.m_status == kOk) {
-    m_answerKind = AnswerKind::Events;
-    if (!m_streamStarted) {
-      m_streamHeaders = m_codec.m_encodeAnswer(aHead.m_headers);
-    }
+    aExchange.m_answerKind = AnswerKind::Invalid;
+    aExchange.m_call->Cancel(ExchangeEnd::WrongAnswer);
+  } else if (m_isStream && facts.m_status == kOk) {
+    aExchange.m_answerKind = AnswerKind::Events;
   } else {
-    m_answerKind = AnswerKind::Whole;
+    aExchange.m_answerKind = AnswerKind::Whole;
   }
   // Reported at once, because the rest of a long answer may take much longer.
-  if (m_facts.m_isServerLeaving) {
-    m_hooks.m_onServerLeaves(ServerLeaving{ m_handle });
+  const std::optional<ExchangeRole> role = RoleOf(aExchange);
+  if (facts.m_isServerLeaving && role) {
+    m_hooks.m_onServerLeaves(ServerLeaving{ m_handle, *role });
   }
 }
 
-void GatewayRelay::OnData(std::string_view aData)
+void GatewayRelay::OnData(Exchange& aExchange, std::string_view aData)
 {
-  if (m_answerKind == AnswerKind::Events) {
-    OnEvents(aData);
-  } else if (m_answerKind == AnswerKind::Whole) {
-    m_answerBody.append(aData);
+  if (aExchange.m_answerKind == AnswerKind::Events) {
+    OnEvents(aExchange, aData);
+  } else if (aExchange.m_answerKind == AnswerKind::Whole) {
+    aExchange.m_body.append(aData);
   }
 }
 
@@ -138,43 +171,52 @@
   if (!m_streamStarted) {
     m_streamStarted = true;
     m_firstBytesAt = EventLoop::Now();
-    m_caller->StartStream(kOk, m_streamHeaders);
+    m_caller->StartStream(kOk,
+                          m_codec.m_encodeAnswer(m_primary->m_head.m_headers));
   }
 }
 
-void GatewayRelay::OnEvents(std::string_view aData)
+void GatewayRelay::OnEvents(Exchange& aExchange, std::string_view aData)
 {
-  if (m_isStreamMalformed) {
+  const std::optional<ExchangeRole> role = RoleOf(aExchange);
+  if (aExchange.m_isStreamMalformed || !role) {
     return;
   }
-  const EventSpan span = m_events.Feed(aData);
+  const EventSpan span = aExchange.m_events.Feed(aData);
   if (span.m_count > 0) {
+    // Decides whether this exchange is the one that serves the caller.
+    m_hooks.m_onProgress(AnswerProgressed{ m_handle, *role });
+    if (RoleOf(aExchange) != ExchangeRole::Primary) {
+      return;
+    }
+    m_lastEvent = aExchange.m_events.LastEvent();
     StartAnswer();
     m_caller->Write(span.m_events);
-    m_hooks.m_onProgress(AnswerProgressed{ m_handle });
   }
   if (span.m_isBroken) {
-    m_isStreamMalformed = true;
-    m_call->Cancel(ExchangeEnd::WrongAnswer);
+    aExchange.m_isStreamMalformed = true;
+    aExchange.m_call->Cancel(ExchangeEnd::WrongAnswer);
     return;
   }
-  PauseForReader(*m_caller, m_call);
+  PauseForReader(*m_caller, aExchange.m_call);
 }
 
-ExchangeEnd GatewayRelay::ClassifyEnd(const HttpCallEnd& aEnd) const
+ExchangeEnd GatewayRelay::ClassifyEnd(const Exchange& aExchange,
+                                      const HttpCallEnd& aEnd) const
 {
-  if (m_answerKind == AnswerKind::Refusal) {
+  if (aExchange.m_answerKind == AnswerKind::Refusal) {
     return ExchangeEnd::RefusedByServer;
   }
   if (aEnd.m_end != ExchangeEnd::Whole) {
     return aEnd.m_end;
   }
-  switch (m_answerKind) {
+  switch (aExchange.m_answerKind) {
     case AnswerKind::Events: {
       // A server that crashes before the first event closes the connection,
       // too. Only a resumed stream may have no more events.
-      const bool isEmpty = !m_streamStarted && !m_events.LastEvent();
-      const bool isBroken = m_events.IsWithinEvent() || m_isStreamMalformed ||
+      const bool isEmpty = !m_streamStarted && !m_lastEvent;
+      const bool isBroken = aExchange.m_events.IsWithinEvent() ||
+                            aExchange.m_isStreamMalformed ||
                             (aEnd.m_isEndedByClose && isEmpty);
       return isBroken ? ExchangeEnd::Truncated : ExchangeEnd::Whole;
     }
@@ -186,29 +228,34 @@
   }
 }
 
-void GatewayRelay::OnEnd(const HttpCallEnd& aEnd)
+void GatewayRelay::OnEnd(Exchange& aExchange, const HttpCallEnd& aEnd)
 {
-  m_call.reset();
+  aExchange.m_call.reset();
+  const std::optional<ExchangeRole> role = RoleOf(aExchange);
+  if (!role) {
+    return;
+  }
   ExchangeEnded ended;
   ended.m_handle = m_handle;
-  ended.m_end = ClassifyEnd(aEnd);
-  ended.m_status = m_facts.m_status;
+  ended.m_role = *role;
+  ended.m_end = ClassifyEnd(aExchange, aEnd);
+  ended.m_status = aExchange.m_facts.m_status;
   ended.m_answerBegan = m_streamStarted;
-  ended.m_retryAfter = m_facts.m_retryAfter;
-  ended.m_load = m_facts.m_load;
-  m_events = EventStream(m_events.LastEvent());
+  ended.m_retryAfter = aExchange.m_facts.m_retryAfter;
+  ended.m_load = aExchange.m_facts.m_load;
   m_hooks.m_onEnded(ended);
 }
 
 void GatewayRelay::ForwardToCaller()
 {
-  if (m_answerKind == AnswerKind::Events) {
+  if (m_primary->m_answerKind == AnswerKind::Events) {
     StartAnswer();
     m_caller->EndStream();
     return;
   }
-  m_caller->Respond(
-    m_facts.m_status, m_codec.m_encodeAnswer(m_head.m_headers), m_answerBody);
+  m_caller->Respond(m_primary->m_facts.m_status,
+                    m_codec.m_encodeAnswer(m_primary->m_head.m_headers),
+                    m_primary->m_body);
 }
 
 void GatewayRelay::RespondWithCode(ResultCode aCode, Millis aRetryAfter)
--- a/briarglade/entry/gateway_relay.h
+++ b/briarglade/entry/gateway_relay.h
@@ -24,7 +24,8 @@
 class HttpCall;
 class HttpExchange;
 
-// Callbacks of the relay. Each is called from the event loop.
+// Callbacks of the relay. Each is called from the event loop. While one runs,
+// the hedge may be promoted or dropped.
 struct GatewayRelayHooks
 {
   std::function<void(const AnswerProgressed&)> m_onProgress;
@@ -50,10 +51,16 @@
   Millis ArrivedAt() const { return m_arrivedAt; }
   std::optional<Millis> FirstBytesAt() const { return m_firstBytesAt; }
 
-  // Sends the request to a server. An earlier exchange must have ended.
+  // Sends the request to a server. An earlier exchange of the same role must
+  // have ended.
   void Start(HttpClient& aClient, const SendToServer& aSend, Millis aNow);
-  // Cancels the exchange with the server; its end is still reported.
+  // Cancels the primary exchange; its end is still reported.
   void Cancel();
+  // Makes the hedge the primary exchange. Cancels the earlier primary one, if
+  // it still runs, without reporting its end.
+  void PromoteHedge();
+  // Cancels the hedge without reporting its end.
+  void DropHedge();
   // Sends the caller the complete answer, or ends its stream.
   void ForwardToCaller();
   // Answers the caller with a result code, or aborts an answer that has begun.
@@ -76,12 +83,27 @@
     Invalid
   };
 
+  // An exchange with a server.
+  struct Exchange
+  {
+    std::shared_ptr<HttpCall> m_call;
+    AnswerKind m_answerKind = AnswerKind::None;
+    AnswerHead m_facts;
+    HttpAnswerHead m_head;
+    std::string m_body;
+    EventStream m_events;
+    bool m_isStreamMalformed = false;
+  };
+
   bool IsForThisRequest(const HttpAnswerHead& aHead) const;
-  void OnHead(const HttpAnswerHead& aHead);
-  void OnData(std::string_view aData);
-  void OnEvents(std::string_view aData);
-  void OnEnd(const HttpCallEnd& aEnd);
-  ExchangeEnd ClassifyEnd(const HttpCallEnd& aEnd) const;
+  // Returns the role of an exchange, or nothing if it was dropped.
+  std::optional<ExchangeRole> RoleOf(const Exchange& aExchange) const;
+  void OnHead(Exchange& aExchange, const HttpAnswerHead& aHead);
+  void OnData(Exchange& aExchange, std::string_view aData);
+  void OnEvents(Exchange& aExchange, std::string_view aData);
+  void OnEnd(Exchange& aExchange, const HttpCallEnd& aEnd);
+  ExchangeEnd ClassifyEnd(const Exchange& aExchange,
+                          const HttpCallEnd& aEnd) const;
   void StartAnswer();
 
   const RequestHandle m_handle;
@@ -95,17 +117,14 @@
   Millis m_arrivedAt;
   std::optional<Millis> m_firstBytesAt;
 
-  // The current exchange with a server.
-  std::shared_ptr<HttpCall> m_call;
-  AnswerKind m_answerKind = AnswerKind::None;
-  AnswerHead m_facts;
-  HttpAnswerHead m_head;
-  std::string m_answerBody;
-  bool m_isStreamMalformed = false;
+  // The exchanges with servers; nullptr if there is none. The primary one stays
+  // after its end, until its answer has been forwarded.
+  std::shared_ptr<Exchange> m_primary;
+  std::shared_ptr<Exchange> m_hedge;
 
   // The answer to the caller.
-  EventStream m_events;
-  HttpHeaders m_streamHeaders;
+  // The last event that the caller has; another server continues after it.
+  std::optional<uint64_t> m_lastEvent;
   bool m_streamStarted = false;
 };
 
--- a/briarglade/gateway/backend_faults.cc
+++ b/briarglade/gateway/backend_faults.cc
@@ -1,5 +1,5 @@
-// Fails requests over from groups that have ended or are suspected, and
-// collects evidence of requests that crash servers.
+// Collects evidence of requests that crash servers, and stops those that are
+// refused for it.
 
 #include "briarglade/gateway/internal/gateway_reduction.h"
 
@@ -16,20 +16,6 @@
 
 } // namespace
 
-void GatewayReduction::On(const GroupsEnded& aEnded)
-{
-  for (size_t slot = 0; slot < m_state.m_backendTable.SlotCount(); ++slot) {
-    const GroupId& group = m_state.m_backendTable.Slot(slot).m_backend.m_group;
-    const bool isEnded =
-      !group.IsEmpty() &&
-      std::find(aEnded.m_groups.begin(), aEnded.m_groups.end(), group) !=
-        aEnded.m_groups.end();
-    if (isEnded) {
-      FailOverFrom(slot, "group-ended");
-    }
-  }
-}
-
 std::vector<RequestTrait> GatewayReduction::TraitsOf(
   const CallerRequestArrived& aRequest)
 {
@@ -48,43 +34,42 @@
 }
 
 // Records once for each exchange that its server has answered for long enough.
-void GatewayReduction::RecordSurvival(GatewayRequest& aRequest)
+void GatewayReduction::RecordSurvival(const GatewayRequest& aRequest,
+                                      GatewayExchange& aExchange)
 {
-  const bool hasSurvived =
-    aRequest.m_exchangeBegan &&
-    m_now - aRequest.m_exchangeBeganAt >= HarmDetector::kProofTime;
-  if (hasSurvived && !aRequest.m_hasSurvived) {
-    aRequest.m_hasSurvived = true;
-    m_state.m_harmDetector.OnSurvived(aRequest.m_exchangeBeganAt,
-                                      aRequest.m_traits);
+  const bool hasSurvived = aExchange.m_began && m_now - aExchange.m_beganAt >=
+                                                  HarmDetector::kProofTime;
+  if (hasSurvived && !aExchange.m_hasSurvived) {
+    aExchange.m_hasSurvived = true;
+    m_state.m_harmDetector.OnSurvived(aExchange.m_beganAt, aRequest.m_traits);
   }
 }
 
 // Records how an exchange ended as evidence for or against the request.
-void GatewayReduction::RecordCrashEvidence(GatewayRequest& aRequest,
-                                           ExchangeEnd aEnd,
-                                           uint16_t aStatus)
+void GatewayReduction::RecordCrashEvidence(const GatewayRequest& aRequest,
+                                           GatewayExchange& aExchange,
+                                           const ExchangeEnded& aEnded)
 {
-  RecordSurvival(aRequest);
-  if (aRequest.m_hasSurvived || aRequest.m_isMoved) {
+  RecordSurvival(aRequest, aExchange);
+  if (aExchange.m_hasSurvived) {
     return;
   }
   // A stream without an event shows nothing: its server may be crashing.
   const bool isAnswered =
-    aRequest.m_request.m_kind != RouteKind::Stream || aRequest.m_exchangeBegan;
-  if (aEnd == ExchangeEnd::Whole && aStatus < kFirstFailureStatus &&
-      isAnswered) {
-    m_state.m_harmDetector.OnSurvived(
-      aRequest.m_exchangeBegan ? aRequest.m_exchangeBeganAt : aRequest.m_sentAt,
-      aRequest.m_traits);
+    aRequest.m_request.m_kind != RouteKind::Stream || aExchange.m_began;
+  if (aEnded.m_end == ExchangeEnd::Whole &&
+      aEnded.m_status < kFirstFailureStatus && isAnswered) {
+    m_state.m_harmDetector.OnSurvived(aExchange.m_began ? aExchange.m_beganAt
+                                                        : aExchange.m_sentAt,
+                                      aRequest.m_traits);
     return;
   }
-  if (!IsBrokenConnection(aEnd)) {
+  if (!IsBrokenConnection(aEnded.m_end)) {
     return;
   }
   if (m_state.m_harmDetector.OnBroken(
-        m_now, aRequest.m_traits, aRequest.m_sentTo)) {
-    m_effects.emplace_back(CheckServer{ aRequest.m_sentTo });
+        m_now, aRequest.m_traits, aExchange.m_server)) {
+    m_effects.emplace_back(CheckServer{ aExchange.m_server });
   }
   ApplyHarmFindings();
 }
@@ -119,13 +104,16 @@
 void GatewayReduction::StopHarmfulRequests()
 {
   std::vector<RequestHandle> queued;
-  for (const auto& [handle, request] : m_state.m_requests) {
+  for (auto& [handle, request] : m_state.m_requests) {
     if (RefusedFor(request) == Millis()) {
       continue;
     }
     if (request.m_phase == GatewayPhase::Waiting) {
       queued.push_back(handle);
-    } else if (request.m_request.m_isRetryable && !request.m_exchangeBegan) {
+      continue;
+    }
+    Drop(request, "harmful");
+    if (request.m_request.m_isRetryable && !request.m_exchange.m_began) {
       m_effects.emplace_back(CancelExchange{ handle });
     }
   }
@@ -165,34 +153,4 @@
   ApplyHarmFindings();
 }
 
-// Cancels the exchanges at a failed or suspected backend so that other backends
-// can continue them. Leaves a request where it is if it may not be retried, no
-// other backend has capacity, or no retry budget is left.
-void GatewayReduction::FailOverFrom(size_t aSlot, const char* aReason)
-{
-  for (auto& [handle, request] : m_state.m_requests) {
-    const bool isRunningThere = request.m_phase == GatewayPhase::Running &&
-                                request.m_slot == aSlot && !request.m_isMoved &&
-                                !request.m_callerLeft;
-    const bool mayFailOver =
-      request.m_request.m_isRetryable &&
-      request.m_mayHaveRunCount + 1 < request.m_request.m_maxAttempts;
-    if (!isRunningThere || !mayFailOver) {
-      continue;
-    }
-    if (!m_state.m_backendTable.Choose(m_now, RequirementsOf(request)) ||
-        !TryConsumeRetry(request.m_request.m_service)) {
-      continue;
-    }
-    request.m_isMoved = true;
-    LogRequest(
-      "request-moved",
-      request,
-      { { "server",
-          m_state.m_backendTable.Slot(aSlot).m_backend.m_server.Value() },
-        { "reason", aReason } });
-    m_effects.emplace_back(CancelExchange{ handle });
-  }
-}
-
 } // namespace briarglade::internal
--- a/briarglade/gateway/exchange_ends.cc
+++ b/briarglade/gateway/exchange_ends.cc
@@ -6,14 +6,12 @@
 #include <algorithm>
 #include <sstream>
 #include <string>
+#include <utility>
 
 namespace briarglade::internal {
 
 namespace {
 
-// Additional sends beyond the route's maximum attempts. Only sends after which
-// the request may have run count as attempts.
-constexpr uint32_t kExtraSends = 2;
 // How long a backend is not chosen after it refused the connection, rejected
 // the request, or failed.
 constexpr Millis kUnreachableBackoff = Millis(1'000);
@@ -68,28 +66,28 @@
 } // namespace
 
 // Updates the backend's health from the end of an exchange.
-void GatewayReduction::RecordBackendHealth(const GatewayRequest& aRequest,
+void GatewayReduction::RecordBackendHealth(const GatewayExchange& aExchange,
                                            const ExchangeEnded& aEnded,
-                                           ExchangeEnd aEnd,
                                            bool aIsServed)
 {
-  const size_t slot = aRequest.m_slot;
+  const size_t slot = aExchange.m_slot;
+  const ExchangeEnd end = aEnded.m_end;
   const bool requestsBackoff =
-    aEnded.m_retryAfter > Millis() && (aEnd == ExchangeEnd::RefusedByServer ||
+    aEnded.m_retryAfter > Millis() && (end == ExchangeEnd::RefusedByServer ||
                                        aEnded.m_status == kServiceUnavailable);
   if (requestsBackoff) {
     m_state.m_backendTable.SetBackoff(m_now + aEnded.m_retryAfter,
-                                      aRequest.m_sentTo.m_server);
+                                      aExchange.m_server.m_server);
   }
-  if (aEnd == ExchangeEnd::Cancelled) {
+  if (end == ExchangeEnd::Cancelled) {
     return;
   }
-  if (aEnd == ExchangeEnd::RefusedByServer) {
+  if (end == ExchangeEnd::RefusedByServer) {
     m_state.m_backendTable.Avoid(m_now + kRejectedBackoff, slot);
     return;
   }
   m_state.m_backendTable.RecordResult(slot, aIsServed);
-  if (aEnd == ExchangeEnd::ConnectRefused) {
+  if (end == ExchangeEnd::ConnectRefused) {
     m_state.m_backendTable.Avoid(m_now + kUnreachableBackoff, slot);
   } else if (!aIsServed && aEnded.m_status < kFirstServerError) {
     m_state.m_backendTable.Avoid(m_now + kFailedBackoff, slot);
@@ -129,23 +127,20 @@
 // Logs the end of an exchange without a usable answer. A broken one may be the
 // trace of a harmful request, so the line names the shared parts of its prompt.
 void GatewayReduction::LogExchangeFailed(const GatewayRequest& aRequest,
-                                         const ExchangeEnded& aEnded,
-                                         ExchangeEnd aEnd)
+                                         const GatewayExchange& aExchange,
+                                         const ExchangeEnded& aEnded)
 {
-  const HostId& server =
-    m_state.m_backendTable.Slot(aRequest.m_slot).m_backend.m_server;
   std::vector<LogField> fields = {
-    { "server", server.Value() },
-    { "end", ExchangeEndName(aEnd) },
+    { "server", aExchange.m_server.m_server.Value() },
+    { "end", ExchangeEndName(aEnded.m_end) },
     { "status", std::to_string(aEnded.m_status) },
-    { "took-ms", std::to_string((m_now - aRequest.m_sentAt).Count()) }
+    { "took-ms", std::to_string((m_now - aExchange.m_sentAt).Count()) }
   };
-  if (IsBrokenConnection(aEnd)) {
-    const Millis answeredFor = m_now - aRequest.m_exchangeBeganAt;
-    fields.push_back({ "answered-ms",
-                       aRequest.m_exchangeBegan
-                         ? std::to_string(answeredFor.Count())
-                         : "none" });
+  if (IsBrokenConnection(aEnded.m_end)) {
+    const Millis answeredFor = m_now - aExchange.m_beganAt;
+    fields.push_back(
+      { "answered-ms",
+        aExchange.m_began ? std::to_string(answeredFor.Count()) : "none" });
     fields.push_back(
       { "parts", PromptPartNames(aRequest.m_request.m_sharedParts) });
   }
@@ -173,8 +168,7 @@
     aClassification.m_outcome == Outcome::Done && !IsUnconfirmedNotRun(aEnded);
   const Millis retryAfter = std::max(kMinRetryAfter, aEnded.m_retryAfter);
   RetryBlock block = FindRetryBlock(aRequest, aClassification);
-  // A request that was failed over has already consumed retry budget.
-  if (block == RetryBlock::None && !aRequest.m_isMoved &&
+  if (block == RetryBlock::None &&
       !TryConsumeRetry(aRequest.m_request.m_service)) {
     block = RetryBlock::Budget;
   }
@@ -202,48 +196,75 @@
 void GatewayReduction::On(const ServerLeaving& aLeaving)
 {
   const GatewayRequest* request = Find(aLeaving.m_handle);
-  if (request != nullptr && request->m_phase == GatewayPhase::Running) {
-    m_effects.emplace_back(ReportServerLeaving{ request->m_sentTo });
+  if (request == nullptr || request->m_phase != GatewayPhase::Running) {
+    return;
+  }
+  if (aLeaving.m_role == ExchangeRole::Primary) {
+    m_effects.emplace_back(ReportServerLeaving{ request->m_exchange.m_server });
+  } else if (request->m_hedge) {
+    m_effects.emplace_back(ReportServerLeaving{ request->m_hedge->m_server });
   }
 }
 
-void GatewayReduction::On(const ExchangeEnded& aEnded)
+bool GatewayReduction::IsServed(const ExchangeEnded& aEnded,
+                                const ExchangeClassification& aClassification)
+{
+  return aClassification.m_outcome == Outcome::Done &&
+         !aClassification.m_mayRetry && !IsUnconfirmedNotRun(aEnded);
+}
+
+ExchangeClassification GatewayReduction::RecordEnd(GatewayRequest& aRequest,
+                                                   GatewayExchange& aExchange,
+                                                   const ExchangeEnded& aEnded)
 {
-  GatewayRequest* request = Find(aEnded.m_handle);
-  if (request == nullptr || request->m_phase != GatewayPhase::Running) {
-    return;
-  }
-  const bool isMoved =
-    aEnded.m_end == ExchangeEnd::Cancelled && request->m_isMoved;
-  const ExchangeEnd end =
-    isMoved ? ExchangeEnd::ResetBeforeAnswer : aEnded.m_end;
   ExchangeFacts facts;
-  facts.m_end = end;
+  facts.m_end = aEnded.m_end;
   facts.m_status = aEnded.m_status;
-  facts.m_idempotent = request->m_request.m_isRetryable;
-  facts.m_answerBegan = request->m_answerBegan;
-  facts.m_mayHaveRunBefore = request->m_mayHaveRunCount > 0;
+  facts.m_idempotent = aRequest.m_request.m_isRetryable;
+  facts.m_answerBegan = aRequest.m_answerBegan;
+  facts.m_mayHaveRunBefore = aRequest.m_mayHaveRunCount > 0;
   const ExchangeClassification classification = ClassifyExchange(facts);
-  const bool isServed = classification.m_outcome == Outcome::Done &&
-                        !classification.m_mayRetry &&
-                        !IsUnconfirmedNotRun(aEnded);
-  m_state.m_backendTable.RecordEnded(request->m_slot,
-                                     request->m_exchangeBegan,
-                                     request->m_request.m_promptTokens);
-  QueueOf(*request).RecordBackendFreed(m_now);
-  RecordCrashEvidence(*request, end, aEnded.m_status);
-  RecordBackendHealth(*request, aEnded, end, isServed);
-  if (!IsCertainlyNotRun(end, aEnded.m_status)) {
-    ++request->m_mayHaveRunCount;
+  RecordCrashEvidence(aRequest, aExchange, aEnded);
+  RecordBackendHealth(aExchange, aEnded, IsServed(aEnded, classification));
+  if (!IsCertainlyNotRun(aEnded.m_end, aEnded.m_status)) {
+    ++aRequest.m_mayHaveRunCount;
   }
   if (classification.m_outcome == Outcome::Unknown) {
-    request->m_unknownCode = classification.m_code;
+    aRequest.m_unknownCode = classification.m_code;
+  }
+  return classification;
+}
+
+void GatewayReduction::OnPrimaryEnded(GatewayRequest& aRequest,
+                                      const ExchangeEnded& aEnded)
+{
+  Release(aRequest, aRequest.m_exchange);
+  const ExchangeClassification classification =
+    RecordEnd(aRequest, aRequest.m_exchange, aEnded);
+  if (IsServed(aEnded, classification)) {
+    Drop(aRequest, "primary-done");
+    FinishWithAnswer(aRequest, aEnded);
+    return;
+  }
+  LogExchangeFailed(aRequest, aRequest.m_exchange, aEnded);
+  if (aRequest.m_hedge) {
+    aRequest.m_exchange = *std::exchange(aRequest.m_hedge, std::nullopt);
+    m_effects.emplace_back(PromoteHedge{ aEnded.m_handle });
+    return;
+  }
+  RetryOrFinish(aRequest, aEnded, classification);
+}
+
+void GatewayReduction::On(const ExchangeEnded& aEnded)
+{
+  GatewayRequest* request = Find(aEnded.m_handle);
+  if (request == nullptr || request->m_phase != GatewayPhase::Running) {
+    return;
   }
-  if (isServed) {
-    FinishWithAnswer(*request, aEnded);
+  if (aEnded.m_role == ExchangeRole::Hedge) {
+    OnHedgeEnded(*request, aEnded);
   } else {
-    LogExchangeFailed(*request, aEnded, end);
-    RetryOrFinish(*request, aEnded, classification);
+    OnPrimaryEnded(*request, aEnded);
   }
   StartQueuedRequests();
 }
--- a/briarglade/gateway/gateway.cc
+++ b/briarglade/gateway/gateway.cc
@@ -150,9 +150,7 @@
       { "first-ms", std::to_string(timeToFirstBytes.Count()) },
       { "pause-ms", std::to_string(aRequest.m_longestPause.Count()) },
       { "goal-ms", std::to_string(aRequest.m_request.m_goal.Count()) },
-      { "server",
-        m_state.m_backendTable.Slot(aRequest.m_slot)
-          .m_backend.m_server.Value() },
+      { "server", aRequest.m_exchange.m_server.m_server.Value() },
       { "sends", std::to_string(aRequest.m_tried.size()) } });
   m_effects.emplace_back(ForwardAnswer{ aRequest.m_request.m_handle });
   RemoveRequest(aRequest);
@@ -175,21 +173,33 @@
   if (!slot) {
     return false;
   }
+  aRequest.m_phase = GatewayPhase::Running;
+  SendTo(aRequest, *slot, ExchangeRole::Primary);
+  return true;
+}
+
+void GatewayReduction::SendTo(GatewayRequest& aRequest,
+                              size_t aSlot,
+                              ExchangeRole aRole)
+{
   m_state.m_backendTable.RecordStarted(
-    m_now, *slot, aRequest.m_request.m_promptTokens);
+    m_now, aSlot, aRequest.m_request.m_promptTokens);
   QueueOf(aRequest).RecordStarted(m_now, aRequest.m_request.m_account);
-  aRequest.m_phase = GatewayPhase::Running;
-  aRequest.m_slot = *slot;
-  aRequest.m_sentAt = m_now;
-  aRequest.m_exchangeBegan = false;
-  aRequest.m_hasSurvived = false;
-  aRequest.m_isMoved = false;
-  const BackendSlot& chosen = m_state.m_backendTable.Slot(*slot);
+  const BackendSlot& chosen = m_state.m_backendTable.Slot(aSlot);
   aRequest.m_tried.push_back(chosen.m_serial);
-  aRequest.m_sentTo =
+  GatewayExchange exchange;
+  exchange.m_slot = aSlot;
+  exchange.m_server =
     ServerRun{ chosen.m_backend.m_server, chosen.m_backend.m_run };
+  exchange.m_sentAt = m_now;
+  if (aRole == ExchangeRole::Hedge) {
+    aRequest.m_hedge = exchange;
+  } else {
+    aRequest.m_exchange = exchange;
+  }
   SendToServer send;
   send.m_handle = aRequest.m_request.m_handle;
+  send.m_role = aRole;
   send.m_server = chosen.m_backend.m_server;
   send.m_endpoint = chosen.m_backend.m_endpoint;
   send.m_account = aRequest.m_request.m_account;
@@ -210,7 +220,6 @@
                { "nodes", std::to_string(m_state.m_quota->NodeCount()) },
                { "send", std::to_string(aRequest.m_tried.size()) } });
   m_effects.emplace_back(std::move(send));
-  return true;
 }
 
 void GatewayReduction::WaitOrRefuse(GatewayRequest& aRequest)
@@ -313,14 +322,23 @@
   if (request == nullptr || request->m_phase != GatewayPhase::Running) {
     return;
   }
-  if (!request->m_exchangeBegan) {
-    request->m_exchangeBegan = true;
-    request->m_exchangeBeganAt = m_now;
-    QueueOf(*request).RecordTimeToFirstBytes(m_now - request->m_sentAt);
+  if (aProgress.m_role == ExchangeRole::Primary) {
+    // The hedge would continue after an event that is no longer the last one.
+    Drop(*request, "primary-answers");
+  } else if (request->m_hedge) {
+    Promote(*request, *std::exchange(request->m_hedge, std::nullopt));
+  } else {
+    return;
+  }
+  GatewayExchange& exchange = request->m_exchange;
+  if (!exchange.m_began) {
+    exchange.m_began = true;
+    exchange.m_beganAt = m_now;
+    QueueOf(*request).RecordTimeToFirstBytes(m_now - exchange.m_sentAt);
     m_state.m_backendTable.RecordAnswerStarted(
-      m_now, request->m_slot, request->m_request.m_promptTokens);
+      m_now, exchange.m_slot, request->m_request.m_promptTokens);
   } else {
-    m_state.m_backendTable.RecordProgress(m_now, request->m_slot);
+    m_state.m_backendTable.RecordProgress(m_now, exchange.m_slot);
   }
   if (!request->m_answerBegan) {
     request->m_firstBytesAt = m_now;
@@ -329,7 +347,7 @@
       std::max(request->m_longestPause, m_now - request->m_lastBytesAt);
   }
   request->m_lastBytesAt = m_now;
-  RecordSurvival(*request);
+  RecordSurvival(*request, exchange);
   request->m_answerBegan = true;
 }
 
@@ -345,6 +363,7 @@
     Finish(*request, ResultCode::CallerGone, Millis());
     return;
   }
+  Drop(*request, "caller-left");
   // A request that must not be retried runs to its end.
   if (request->m_request.m_isRetryable) {
     m_effects.emplace_back(CancelExchange{ aLeft.m_handle });
--- a/briarglade/gateway/gateway.h
+++ b/briarglade/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -49,6 +50,22 @@
   Running
 };
 
+// One exchange of a request with a server.
+struct GatewayExchange
+{
+  // Slot of the backend.
+  size_t m_slot = 0;
+  // The server of that backend and its run, as of when the request was sent.
+  ServerRun m_server;
+  Millis m_sentAt;
+  // Whether a part of the answer has arrived, and when the first one did.
+  bool m_began = false;
+  Millis m_beganAt;
+  // Whether it has lasted long enough to show that the request does not crash
+  // the server.
+  bool m_hasSurvived = false;
+};
+
 // A request that has not been answered yet.
 struct GatewayRequest
 {
@@ -59,30 +76,21 @@
   Millis m_arrivedAt;
   // Its queue entry; used only while it is queued.
   WaitingRequest m_waiting;
-  // Slot of the backend that it was last sent to.
-  size_t m_slot = 0;
-  // The server of that backend and its run, as of when the request was sent.
-  ServerRun m_sentTo;
-  Millis m_sentAt;
+  // The primary exchange; used only while it is running.
+  GatewayExchange m_exchange;
+  // A second exchange beside one that may be stuck. Nothing of the primary one
+  // is given up before the hedge has delivered.
+  std::optional<GatewayExchange> m_hedge;
   // Backends that it was sent to, and how many of them may have run it.
   std::vector<BackendSerial> m_tried;
   uint32_t m_mayHaveRunCount = 0;
-  // Whether a part of the answer has arrived: in the current exchange, and in
-  // any exchange.
-  bool m_exchangeBegan = false;
+  // Whether a part of the answer has arrived, in any exchange.
   bool m_answerBegan = false;
-  // When the answer of the current exchange began; valid if m_exchangeBegan.
-  Millis m_exchangeBeganAt;
   // When the first and the last part of the answer arrived, and the longest
   // time between two parts.
   Millis m_firstBytesAt;
   Millis m_lastBytesAt;
   Millis m_longestPause;
-  // Whether the exchange has lasted long enough to show that the request does
-  // not crash the server.
-  bool m_hasSurvived = false;
-  // Whether the exchange was cancelled so that another server can take over.
-  bool m_isMoved = false;
   bool m_callerLeft = false;
   // The result code if the request may have run and cannot be retried.
   ResultCode m_unknownCode = ResultCode::BackendFailed;
--- a/briarglade/gateway/gateway_event.h
+++ b/briarglade/gateway/gateway_event.h
@@ -87,10 +87,22 @@
   Fingerprint m_fingerprint;
 };
 
-// A part of the answer has been delivered to the caller.
+// The role of one of a request's exchanges with servers. A request has at most
+// one exchange of each role at a time.
+enum class ExchangeRole
+{
+  // Its answer goes to the caller.
+  Primary,
+  // Runs beside a primary exchange that may be stuck, and takes its place if it
+  // delivers first.
+  Hedge
+};
+
+// A part of the answer has arrived and is about to be delivered to the caller.
 struct AnswerProgressed
 {
   RequestHandle m_handle;
+  ExchangeRole m_role = ExchangeRole::Primary;
 };
 
 // The exchange with a server has ended.
@@ -106,12 +118,14 @@
   Millis m_retryAfter;
   // The load that the server reported with its answer.
   std::optional<uint32_t> m_load;
+  ExchangeRole m_role = ExchangeRole::Primary;
 };
 
 // The answer in progress reports that its server is shutting down.
 struct ServerLeaving
 {
   RequestHandle m_handle;
+  ExchangeRole m_role = ExchangeRole::Primary;
 };
 
 // The caller has disconnected.
@@ -140,7 +154,8 @@
   std::vector<GroupId> m_suspects;
 };
 
-// Groups that are being ended. Their requests continue at other groups.
+// Groups that are being ended. Their requests continue at other groups, once
+// these have begun to answer.
 struct GroupsEnded
 {
   std::vector<GroupId> m_groups;
@@ -188,10 +203,11 @@
                                   CallerLeft>;
 
 // Send the request to a server. The end of the exchange is reported exactly
-// once, as ExchangeEnded.
+// once, as ExchangeEnded, unless the exchange is dropped.
 struct SendToServer
 {
   RequestHandle m_handle;
+  ExchangeRole m_role = ExchangeRole::Primary;
   HostId m_server;
   Endpoint m_endpoint;
   AccountId m_account;
@@ -208,12 +224,25 @@
   uint32_t m_maxIdleConnections = 0;
 };
 
-// Cancel the exchange. Its end is reported as Cancelled.
+// Cancel the primary exchange. Its end is reported as Cancelled.
 struct CancelExchange
 {
   RequestHandle m_handle;
 };
 
+// Make the hedge the primary exchange. A primary one that still runs is
+// dropped: it is cancelled, and its end is not reported.
+struct PromoteHedge
+{
+  RequestHandle m_handle;
+};
+
+// Cancel the hedge. Its end is not reported.
+struct DropHedge
+{
+  RequestHandle m_handle;
+};
+
 // Forward the complete answer to the caller. The request is finished.
 struct ForwardAnswer
 {
@@ -253,6 +282,8 @@
                                    ReportServerLeaving,
                                    SendToServer,
                                    CancelExchange,
+                                   PromoteHedge,
+                                   DropHedge,
                                    ForwardAnswer,
                                    AnswerCaller,
                                    LogEvent>;
--- a/briarglade/gateway/internal/gateway_reduction.h
+++ b/briarglade/gateway/internal/gateway_reduction.h
@@ -1,10 +1,11 @@
 // Applies one event to the gateway's state. The methods of the class are
-// implemented in three files:
+// implemented in four files:
 //
 //   gateway.cc         arrival, queueing, sending and answering of requests,
 //                      and changes of the backends
 //   exchange_ends.cc   ends of exchanges: backend health, retries, the answer
-//   backend_faults.cc  groups that end, and requests that crash servers
+//   failover.cc        hedges of requests whose group is silent or ends
+//   backend_faults.cc  requests that crash servers
 
 #pragma once
 
@@ -20,6 +21,9 @@
 // A request with less time left than this is rejected on arrival and is not
 // retried.
 constexpr Millis kMinUsefulTime = Millis(40);
+// Additional sends beyond the route's maximum attempts. Only sends after which
+// the request may have run count as attempts.
+constexpr uint32_t kExtraSends = 2;
 
 // Why a request is not retried after an exchange.
 enum class RetryBlock
@@ -92,18 +96,36 @@
   void RemoveFromQueue(GatewayRequest& aRequest);
   // Starts queued requests while backends have room.
   void StartQueuedRequests();
-  // Cancels the retryable exchanges at a failed or ended backend, within the
-  // retry budget and while another backend has room, so that they continue
-  // there.
+  // Sends the request to a backend that was chosen for it.
+  void SendTo(GatewayRequest& aRequest, size_t aSlot, ExchangeRole aRole);
+  // Starts a hedge for each request at a failed or ended backend that may be
+  // retried, while another backend has room and retry budget is left.
   void FailOverFrom(size_t aSlot, const char* aReason);
+  // Returns whether one more server may be sent the request while it runs.
+  bool MayHedge(const GatewayRequest& aRequest) const;
+  // Gives up the primary exchange, which still runs, for the hedge.
+  void Promote(GatewayRequest& aRequest, const GatewayExchange& aHedge);
+  // Gives up the hedge, if there is one.
+  void Drop(GatewayRequest& aRequest, const char* aReason);
+  // Records that this node no longer uses the backend for the exchange.
+  void Release(GatewayRequest& aRequest, const GatewayExchange& aExchange);
+  // Returns whether the exchange has brought the caller's final answer.
+  static bool IsServed(const ExchangeEnded& aEnded,
+                       const ExchangeClassification& aClassification);
+  void OnPrimaryEnded(GatewayRequest& aRequest, const ExchangeEnded& aEnded);
+  void OnHedgeEnded(GatewayRequest& aRequest, const ExchangeEnded& aEnded);
+  // Records all that the end of an exchange shows, and returns what is known
+  // about the request.
+  ExchangeClassification RecordEnd(GatewayRequest& aRequest,
+                                   GatewayExchange& aExchange,
+                                   const ExchangeEnded& aEnded);
   // Updates the backend's health from the end of an exchange.
-  void RecordBackendHealth(const GatewayRequest& aRequest,
+  void RecordBackendHealth(const GatewayExchange& aExchange,
                            const ExchangeEnded& aEnded,
-                           ExchangeEnd aEnd,
                            bool aIsServed);
   void LogExchangeFailed(const GatewayRequest& aRequest,
-                         const ExchangeEnded& aEnded,
-                         ExchangeEnd aEnd);
+                         const GatewayExchange& aExchange,
+                         const ExchangeEnded& aEnded);
   RetryBlock FindRetryBlock(
     const GatewayRequest& aRequest,
     const ExchangeClassification& aClassification) const;
@@ -120,10 +142,11 @@
   // Returns how much longer the request is refused as harmful; zero if it is
   // not refused.
   Millis RefusedFor(const GatewayRequest& aRequest) const;
-  void RecordSurvival(GatewayRequest& aRequest);
-  void RecordCrashEvidence(GatewayRequest& aRequest,
-                           ExchangeEnd aEnd,
-                           uint16_t aStatus);
+  void RecordSurvival(const GatewayRequest& aRequest,
+                      GatewayExchange& aExchange);
+  void RecordCrashEvidence(const GatewayRequest& aRequest,
+                           GatewayExchange& aExchange,
+                           const ExchangeEnded& aEnded);
   void ApplyHarmFindings();
   void StopHarmfulRequests();
   // Forwards the server's answer to the caller and removes the request.
