serve: the phases of the exit each have a log line

Change: loop-ended after the loop has returned, process-exiting after node, clients and loop are destroyed, directly before main returns.

--- a/briarglade/cli/serve_command.cc
+++ b/briarglade/cli/serve_command.cc
@@ -7,6 +7,7 @@
 #include "briarglade/cli/commands.h"
 #include "briarglade/entry/entry_node.h"
 #include "briarglade/net/event_loop.h"
+#include "briarglade/telemetry/log.h"
 #include "platform/binding.h"
 #include "platform/settings.h"
 
@@ -41,21 +42,14 @@
     { { "problem", error == nullptr ? std::string() : error->m_detail } } });
 }
 
-} // namespace
-
-ExitCode RunServe()
+// Runs the node until its loop ends. Returns after everything of it has been
+// destroyed.
+ExitCode RunNodeUntilEnd(const EntrySettings& aSettings, Log& aLog)
 {
-  const Result<EntrySettings> read = platform::LoadSettings();
-  if (const Error* error = GetError(read)) {
-    std::fprintf(stderr, "briarglade: %s\n", error->m_detail.c_str());
-    return ExitCode::Invalid;
-  }
-  const auto& settings = std::get<EntrySettings>(read);
-  std::signal(SIGPIPE, SIG_IGN);
   EventLoop loop;
-  HttpClient client(loop, ClientLimits(settings));
+  HttpClient client(loop, ClientLimits(aSettings));
   EntryNode node(
-    loop, client, settings, platform::MakeBinding(client, settings.m_store));
+    loop, client, aSettings, platform::MakeBinding(client, aSettings.m_store));
   if (const std::optional<Error> error = node.Start()) {
     std::fprintf(stderr, "briarglade: %s\n", error->m_detail.c_str());
     return ExitCode::Failed;
@@ -64,7 +58,28 @@
   loop.OnSignal(SIGINT, [&node] { node.BeginShutdown(); });
   loop.OnSignal(SIGHUP, [&node] { Reload(node); });
   loop.Run();
+  aLog.Write(LogEvent{ LogLevel::Info, "loop-ended", {} });
   return ExitCode::Ok;
 }
 
+} // namespace
+
+ExitCode RunServe()
+{
+  const Result<EntrySettings> read = platform::LoadSettings();
+  if (const Error* error = GetError(read)) {
+    std::fprintf(stderr, "briarglade: %s\n", error->m_detail.c_str());
+    return ExitCode::Invalid;
+  }
+  const auto& settings = std::get<EntrySettings>(read);
+  std::signal(SIGPIPE, SIG_IGN);
+  // Outlives the node, so that a slow exit shows which part of it was slow.
+  Log log(settings.m_node, LogLevel::Info, LogStream::Output);
+  const ExitCode code = RunNodeUntilEnd(settings, log);
+  log.Write(LogEvent{ LogLevel::Info,
+                      "process-exiting",
+                      { { "code", std::to_string(static_cast<int>(code)) } } });
+  return code;
+}
+
 } // namespace briarglade
