A stream is continued only by events that carry an id

Cause: EventStream passed on every block without an id, also as the first one behind a resumption. FindId took digits from anywhere in the line ("1a2" was 12, "-5" was 5) and let large ids wrap; the size bound held for incomplete events only.

Change: a continued stream must begin with an id that is greater than the last one, behind comments at most. An id is an unsigned number of 64 bits and nothing else. The bound holds for whole events, too.

--- a/briarglade/gateway/event_stream.cc
+++ b/briarglade/gateway/event_stream.cc
@@ -3,13 +3,15 @@
 #include "briarglade/gateway/event_stream.h"
 
 #include <algorithm>
+#include <charconv>
+#include <system_error>
 #include <utility>
 
 namespace briarglade {
 
 namespace {
 
-// A longer event without an end is treated as a broken stream.
+// A longer event is treated as a broken stream.
 constexpr size_t kMaxEventBytes = 1024 * 1024;
 
 // Returns the length in bytes of the first complete event, including the empty
@@ -33,45 +35,71 @@
   }
 }
 
-// Returns the number in the event's id line, or nullopt if there is none.
-std::optional<uint64_t> FindId(std::string_view aEvent)
+// Removes the spaces around a field's value, and the carriage return behind it.
+std::string_view Trim(std::string_view aText)
+{
+  constexpr std::string_view kSpace = " \t\r";
+  aText.remove_prefix(std::min(aText.find_first_not_of(kSpace), aText.size()));
+  return aText.substr(0, aText.find_last_not_of(kSpace) + 1);
+}
+
+// Returns an id, or nullopt if the text is no unsigned number of 64 bits.
+std::optional<uint64_t> ParseId(std::string_view aText)
+{
+  uint64_t id = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [stop, error] = std::from_chars(aText.data(), end, id);
+  const bool isNumber = !aText.empty() && error == std::errc() && stop == end;
+  return isNumber ? std::optional<uint64_t>(id) : std::nullopt;
+}
+
+// What an event says of its position in the stream.
+struct EventPosition
+{
+  std::optional<uint64_t> m_id;
+  // Whether it has lines other than comments.
+  bool m_hasContent = false;
+};
+
+EventPosition FindPosition(std::string_view aEvent)
 {
   constexpr std::string_view kField = "id:";
+  EventPosition position;
   size_t at = 0;
   while (at < aEvent.size()) {
     const size_t end = std::min(aEvent.find('\n', at), aEvent.size());
-    std::string_view line = aEvent.substr(at, end - at);
+    const std::string_view line = aEvent.substr(at, end - at);
     at = end + 1;
-    if (line.substr(0, kField.size()) != kField) {
-      continue;
-    }
-    uint64_t id = 0;
-    bool hasDigit = false;
-    for (const char character : line.substr(kField.size())) {
-      if (character >= '0' && character <= '9') {
-        id = id * 10 + static_cast<uint64_t>(character - '0');
-        hasDigit = true;
-      }
-    }
-    if (hasDigit) {
-      return id;
+    const bool isComment = !line.empty() && line.front() == ':';
+    position.m_hasContent |= !isComment && !Trim(line).empty();
+    if (line.substr(0, kField.size()) == kField) {
+      position.m_id = ParseId(Trim(line.substr(kField.size())));
     }
   }
-  return std::nullopt;
+  return position;
 }
 
 } // namespace
 
 bool EventStream::AcceptEvent(std::string_view aEvent)
 {
-  const std::optional<uint64_t> id = FindId(aEvent);
-  if (!id) {
-    return true; // a comment or an event without an id
+  if (aEvent.size() > kMaxEventBytes) {
+    return false;
+  }
+  const EventPosition position = FindPosition(aEvent);
+  if (!position.m_hasContent) {
+    return true; // a comment
+  }
+  if (!position.m_id) {
+    m_isPositionKnown = false;
+    return !m_awaitsFirstId;
   }
-  if (m_lastEvent && *id <= *m_lastEvent) {
+  if (m_lastEvent && *position.m_id <= *m_lastEvent) {
     return false;
   }
-  m_lastEvent = id;
+  m_lastEvent = position.m_id;
+  m_isPositionKnown = true;
+  m_awaitsFirstId = false;
   return true;
 }
 
--- a/briarglade/gateway/event_stream.h
+++ b/briarglade/gateway/event_stream.h
@@ -22,8 +22,8 @@
   // The bytes of the events, valid until the next call of Feed().
   std::string_view m_events;
   uint32_t m_count = 0;
-  // Whether an id is not greater than the previous one, or an event is too
-  // long.
+  // Whether an id is not greater than the previous one, an event is too long,
+  // or a continued stream doesn't begin with an id.
   bool m_isBroken = false;
 };
 
@@ -34,6 +34,7 @@
   // If aLastEvent is given, the stream continues after the event with this id.
   explicit EventStream(std::optional<uint64_t> aLastEvent = std::nullopt)
     : m_lastEvent(aLastEvent)
+    , m_awaitsFirstId(aLastEvent.has_value())
   {
   }
 
@@ -44,6 +45,9 @@
   // Returns the id of the last complete event that had one, or else the id
   // given to the constructor.
   std::optional<uint64_t> LastEvent() const { return m_lastEvent; }
+  // Returns whether another server can continue behind the events returned so
+  // far, that is, whether the last one that is no comment had a numeric id.
+  bool IsResumable() const { return m_isPositionKnown; }
   // Returns whether an incomplete event is buffered.
   bool IsWithinEvent() const { return !m_partial.empty(); }
 
@@ -51,6 +55,9 @@
   bool AcceptEvent(std::string_view aEvent);
 
   std::optional<uint64_t> m_lastEvent;
+  // Whether the stream continues an earlier one and has had no id yet.
+  bool m_awaitsFirstId;
+  bool m_isPositionKnown = true;
   // The beginning of an incomplete event.
   std::string m_partial;
   // Storage for the events returned last, if they span several chunks.
