On a kept connection a server's answer must name the request it is to

What callers saw: "not run, try again" for requests that a server had run or was running (REFUSED), or such a request ran at a second server (TWICE). Cause: an answer without a request's id counted for whatever request its connection carried; GatewayRelay then took a refusal as the server's word. A faulty server that wrote an earlier refusal once more, without its id, on a kept connection so had the next request sent on while it ran. Change: one place decides which call an answer belongs to, by its head and by whether the connection was used before (HttpCallSpec::m_match): this call, another one (passed over as before) or ambiguous. An ambiguous answer ends the exchange as WrongAnswer, so that the request counts as one that may have run. On a new connection an answer without an id is still the request's own.

--- a/briarglade/entry/gateway_relay.cc
+++ b/briarglade/entry/gateway_relay.cc
@@ -76,8 +76,8 @@
   spec.m_maxIdle = aSend.m_maxIdleConnections;
   spec.m_closeEndsAnswer = true;
   const std::shared_ptr<GatewayRelay> self = shared_from_this();
-  spec.m_isOurs = [self](const HttpAnswerHead& aHead) {
-    return self->IsForThisRequest(aHead);
+  spec.m_match = [self](const HttpAnswerHead& aHead, bool aIsKept) {
+    return self->MatchAnswer(aHead, aIsKept);
   };
   spec.m_onHead = [self](const HttpAnswerHead& aHead) { self->OnHead(aHead); };
   spec.m_onData = [self](std::string_view aData) { self->OnData(aData); };
@@ -92,11 +92,18 @@
   }
 }
 
-// A reused connection may first deliver a second answer to an earlier request.
-bool GatewayRelay::IsForThisRequest(const HttpAnswerHead& aHead) const
+// A kept connection may first deliver a second answer to an earlier request, so
+// there an answer must name the request that it is to.
+AnswerMatch GatewayRelay::MatchAnswer(const HttpAnswerHead& aHead,
+                                      bool aIsKept) const
 {
   const std::string name = m_codec.m_decodeAnswer(aHead).m_attemptName;
-  return name.empty() || name == m_request.m_attemptName;
+  if (name.empty() && aIsKept) {
+    return AnswerMatch::Ambiguous;
+  }
+  return name.empty() || name == m_request.m_attemptName
+           ? AnswerMatch::ThisCall
+           : AnswerMatch::OtherCall;
 }
 
 void GatewayRelay::OnHead(const HttpAnswerHead& aHead)
--- a/briarglade/entry/gateway_relay.h
+++ b/briarglade/entry/gateway_relay.h
@@ -76,7 +76,7 @@
     Invalid
   };
 
-  bool IsForThisRequest(const HttpAnswerHead& aHead) const;
+  AnswerMatch MatchAnswer(const HttpAnswerHead& aHead, bool aIsKept) const;
   void OnHead(const HttpAnswerHead& aHead);
   void OnData(std::string_view aData);
   void OnEvents(std::string_view aData);
--- a/briarglade/net/http_call.cc
+++ b/briarglade/net/http_call.cc
@@ -203,11 +203,18 @@
   m_headTold = true;
   m_head.m_status = m_parser->Status();
   m_head.m_headers = std::move(m_parser->Headers());
-  if (m_spec.m_isOurs && !m_spec.m_isOurs(m_head)) {
+  const AnswerMatch match = m_spec.m_match
+                              ? m_spec.m_match(m_head, !m_isNewConnection)
+                              : AnswerMatch::ThisCall;
+  if (match == AnswerMatch::OtherCall) {
     m_isPassedOver = true;
     m_head = HttpAnswerHead();
     return;
   }
+  if (match == AnswerMatch::Ambiguous) {
+    Cancel(ExchangeEnd::WrongAnswer);
+    return;
+  }
   WatchSilence();
   if (m_spec.m_onHead) {
     m_spec.m_onHead(m_head);
--- a/briarglade/net/http_client.h
+++ b/briarglade/net/http_client.h
@@ -42,6 +42,16 @@
   HttpHeaders m_headers;
 };
 
+// Which call an answer belongs to, by its head.
+enum class AnswerMatch
+{
+  ThisCall,
+  // Another one, such as a second answer to an earlier request.
+  OtherCall,
+  // Can't be told.
+  Ambiguous
+};
+
 // How a call ended. m_end is Whole only for an answer that came to its end: by
 // a declared length or in chunks, or, where the call allows it, by an orderly
 // close of the connection.
@@ -81,9 +91,11 @@
   // An answer without a declared end is whole if its connection is closed in an
   // orderly way.
   bool m_closeEndsAnswer = false;
-  // Tells whether an answer is to this call. One that isn't, such as a second
-  // answer to an earlier request, is passed over. None: every answer is.
-  std::function<bool(const HttpAnswerHead&)> m_isOurs;
+  // Tells which call an answer belongs to; aIsKept: the connection has carried
+  // an earlier call. The answer to another call is passed over; an ambiguous
+  // one ends this call as WrongAnswer, since it may have run. None: every
+  // answer is to this call.
+  std::function<AnswerMatch(const HttpAnswerHead&, bool aIsKept)> m_match;
   std::function<void(const HttpAnswerHead&)> m_onHead;
   std::function<void(std::string_view)> m_onData;
   std::function<void(const HttpCallEnd&)> m_onEnd;
--- a/standin/http_client_test.cc
+++ b/standin/http_client_test.cc
@@ -152,8 +152,10 @@
   HttpCallSpec spec;
   spec.m_endpoint = Endpoint{ "127.0.0.1", server.Port() };
   spec.m_body = "body";
-  spec.m_isOurs = [](const HttpAnswerHead& aHead) {
-    return FindHeader(aHead.m_headers, "X-For") == "new";
+  spec.m_match = [](const HttpAnswerHead& aHead, bool) {
+    return FindHeader(aHead.m_headers, "X-For") == "new"
+             ? AnswerMatch::ThisCall
+             : AnswerMatch::OtherCall;
   };
   spec.m_onData = [&](std::string_view aData) { result.m_body.append(aData); };
   spec.m_onEnd = [&](const HttpCallEnd& aEnd) {
