--- a/briarglade/entry/gateway_relay.h
+++ b/briarglade/entry/gateway_relay.h
@@ -95,7 +95,7 @@
     bool m_isStreamMalformed = false;
   };
 
-  bool IsForThisRequest(const HttpAnswerHead& aHead) const;
+  AnswerMatch MatchAnswer(const HttpAnswerHead& aHead, bool aIsKept) const;
   // Returns the role of an exchange, or nothing if it was dropped.
   std::optional<ExchangeRole> RoleOf(const Exchange& aExchange) const;
   void OnHead(Exchange& aExchange, const HttpAnswerHead& aHead);
