A stream without ids that broke off isn't begun again at another server

What callers saw (ORDER): the first events of their stream twice, then an end as if it were complete, when the server's events had no numeric id and the stream broke.

Cause: a stream that may be resumed was sent again without asking whether its position is known. Now each part of an answer says whether another server can continue behind it; a request that can't be continued is neither retried nor hedged once its answer has begun.

--- a/briarglade/entry/gateway_relay.cc
+++ b/briarglade/entry/gateway_relay.cc
@@ -192,7 +192,8 @@
   const EventSpan span = aExchange.m_events.Feed(aData);
   if (span.m_count > 0) {
     // Decides whether this exchange is the one that serves the caller.
-    m_hooks.m_onProgress(AnswerProgressed{ m_handle, *role });
+    m_hooks.m_onProgress(
+      AnswerProgressed{ m_handle, *role, aExchange.m_events.IsResumable() });
     if (RoleOf(aExchange) != ExchangeRole::Primary) {
       return;
     }
--- a/briarglade/gateway/exchange_ends.cc
+++ b/briarglade/gateway/exchange_ends.cc
@@ -101,8 +101,10 @@
   const ExchangeClassification& aClassification) const
 {
   const uint32_t attempts = aRequest.m_request.m_maxAttempts;
-  const bool isSafe = aRequest.m_request.m_isRetryable ||
-                      aClassification.m_outcome == Outcome::NotRun;
+  const bool mayRunAgain =
+    aRequest.m_request.m_isRetryable && aRequest.m_isResumable;
+  const bool isSafe =
+    mayRunAgain || aClassification.m_outcome == Outcome::NotRun;
   if (aRequest.m_callerLeft) {
     return RetryBlock::CallerLeft;
   }
--- a/briarglade/gateway/failover.cc
+++ b/briarglade/gateway/failover.cc
@@ -27,8 +27,9 @@
 bool GatewayReduction::MayHedge(const GatewayRequest& aRequest) const
 {
   const uint32_t attempts = aRequest.m_request.m_maxAttempts;
-  return aRequest.m_request.m_isRetryable && !aRequest.m_hedge &&
-         !aRequest.m_callerLeft && RefusedFor(aRequest) == Millis() &&
+  return aRequest.m_request.m_isRetryable && aRequest.m_isResumable &&
+         !aRequest.m_hedge && !aRequest.m_callerLeft &&
+         RefusedFor(aRequest) == Millis() &&
          aRequest.m_mayHaveRunCount + 1 < attempts &&
          aRequest.m_tried.size() < attempts + kExtraSends &&
          TimeLeft(aRequest) > kMinUsefulTime;
--- a/briarglade/gateway/gateway.cc
+++ b/briarglade/gateway/gateway.cc
@@ -349,6 +349,7 @@
   request->m_lastBytesAt = m_now;
   RecordSurvival(*request, exchange);
   request->m_answerBegan = true;
+  request->m_isResumable = aProgress.m_isResumable;
 }
 
 void GatewayReduction::On(const CallerLeft& aLeft)
--- a/briarglade/gateway/gateway.h
+++ b/briarglade/gateway/gateway.h
@@ -86,6 +86,8 @@
   uint32_t m_mayHaveRunCount = 0;
   // Whether a part of the answer has arrived, in any exchange.
   bool m_answerBegan = false;
+  // Whether another server could continue behind the parts that have arrived.
+  bool m_isResumable = true;
   // When the first and the last part of the answer arrived, and the longest
   // time between two parts.
   Millis m_firstBytesAt;
--- a/briarglade/gateway/gateway_event.h
+++ b/briarglade/gateway/gateway_event.h
@@ -103,6 +103,8 @@
 {
   RequestHandle m_handle;
   ExchangeRole m_role = ExchangeRole::Primary;
+  // Whether another server could continue behind this part.
+  bool m_isResumable = true;
 };
 
 // The exchange with a server has ended.
