A next server that closes before its first event doesn't complete a stream

Cause: whether an answer is empty was asked of the caller's stream, not of the exchange, so a continued one never counted as empty. Now it is asked of the exchange. A continued stream with a declared length or a last chunk may still be empty.

--- a/briarglade/entry/gateway_relay.cc
+++ b/briarglade/entry/gateway_relay.cc
@@ -191,6 +191,7 @@
   }
   const EventSpan span = aExchange.m_events.Feed(aData);
   if (span.m_count > 0) {
+    aExchange.m_hasEvents = true;
     // Decides whether this exchange is the one that serves the caller.
     m_hooks.m_onProgress(
       AnswerProgressed{ m_handle, *role, aExchange.m_events.IsResumable() });
@@ -220,12 +221,11 @@
   }
   switch (aExchange.m_answerKind) {
     case AnswerKind::Events: {
-      // A server that crashes before the first event closes the connection,
-      // too. Only a resumed stream may have no more events.
-      const bool isEmpty = !m_streamStarted && !m_lastEvent;
+      // A server that crashes before its first event closes the connection,
+      // too, also one that is to continue a stream.
       const bool isBroken = aExchange.m_events.IsWithinEvent() ||
                             aExchange.m_isStreamMalformed ||
-                            (aEnd.m_isEndedByClose && isEmpty);
+                            (aEnd.m_isEndedByClose && !aExchange.m_hasEvents);
       return isBroken ? ExchangeEnd::Truncated : ExchangeEnd::Whole;
     }
     case AnswerKind::Whole:
--- a/briarglade/entry/gateway_relay.h
+++ b/briarglade/entry/gateway_relay.h
@@ -92,6 +92,7 @@
     HttpAnswerHead m_head;
     std::string m_body;
     EventStream m_events;
+    bool m_hasEvents = false;
     bool m_isStreamMalformed = false;
   };
 
