A hedge without an event doesn't complete a stream that has begun

What callers would see (ORDER): their stream ends as complete though the first server still runs it, when the hedge ends whole with a declared length and no event.

Cause: a hedge's whole end counted as the final answer of the caller. Its events would have made it the primary exchange, so on a begun stream such an end has none. Now it is a failed hedge and the first server goes on.

--- a/briarglade/gateway/failover.cc
+++ b/briarglade/gateway/failover.cc
@@ -110,7 +110,10 @@
   Release(aRequest, hedge);
   const ExchangeClassification classification =
     RecordEnd(aRequest, hedge, aEnded);
-  if (IsServed(aEnded, classification)) {
+  // Its events would have made it the primary exchange: it has had none, and
+  // the caller's stream may not be complete.
+  const bool mayBeShort = aRequest.m_answerBegan;
+  if (IsServed(aEnded, classification) && !mayBeShort) {
     Promote(aRequest, hedge);
     FinishWithAnswer(aRequest, aEnded);
   } else {
--- a/briarglade/gateway/failover_test.cc
+++ b/briarglade/gateway/failover_test.cc
@@ -121,6 +121,18 @@
   }
 }
 
+TEST_CASE("ORDER: a hedge that ends without an event completes a stream whose "
+          "first server still runs")
+{
+  HedgedStream hedged;
+  World& world = hedged.m_world;
+  world.End(hedged.m_stream, ExchangeEnd::Whole, 200, ExchangeRole::Hedge);
+  CHECK_FALSE(hedged.IsPassedOn());
+  CHECK(world.InFlight("x") == 1);
+  world.End(hedged.m_stream, ExchangeEnd::Whole, 200);
+  CHECK(hedged.IsPassedOn());
+}
+
 TEST_CASE("when a silent group breaks, its streams go on in the hedges that "
           "they have, without another send")
 {
