A hedge doesn't take the resume callback of a slow caller's primary exchange

What callers would see: a caller that is far behind gets nothing more until its deadline, when a hedge paused itself in place of the paused primary and then failed. Only the exchange whose bytes the caller is behind with is paused.

--- a/briarglade/entry/gateway_relay.cc
+++ b/briarglade/entry/gateway_relay.cc
@@ -207,7 +207,11 @@
     aExchange.m_call->Cancel(ExchangeEnd::WrongAnswer);
     return;
   }
-  PauseForReader(*m_caller, aExchange.m_call);
+  // A hedge has sent the caller nothing, and the caller's connection resumes
+  // only one exchange.
+  if (RoleOf(aExchange) == ExchangeRole::Primary) {
+    PauseForReader(*m_caller, aExchange.m_call);
+  }
 }
 
 ExchangeEnd GatewayRelay::ClassifyEnd(const Exchange& aExchange,
