A hedge is promoted only by an event that continues the stream

What callers would see (LOST): a stream moves to a server that then fails, though its first server was at work: a comment, or an event in front of one that can't be used, already promoted the hedge and dropped the primary exchange.

Now a hedge of a stream that has begun must bring a further id, in bytes without an unusable event.

--- a/briarglade/entry/gateway_relay.cc
+++ b/briarglade/entry/gateway_relay.cc
@@ -190,7 +190,13 @@
     return;
   }
   const EventSpan span = aExchange.m_events.Feed(aData);
-  if (span.m_count > 0) {
+  // A comment, or an event before one that can't be used, is no reason to give
+  // up the primary exchange.
+  const bool goesOn =
+    !m_streamStarted || aExchange.m_events.LastEvent() != m_lastEvent;
+  const bool isUsable =
+    *role == ExchangeRole::Primary || (goesOn && !span.m_isBroken);
+  if (span.m_count > 0 && isUsable) {
     aExchange.m_hasEvents = true;
     // Decides whether this exchange is the one that serves the caller.
     m_hooks.m_onProgress(
