The limits of a further send are decided in one place, and each move is logged

Found by reading the whole change. Whether one more server may get a request was asked twice, for a retry and for a hedge, with the same four conditions; FindLimit asks them once. A primary exchange that broke off handed over to its hedge without a line; it now logs request-moved, too. Names (previous, continuesStream), comments on the ends of exchanges, and one that said more of ended groups than holds.

--- a/briarglade/entry/gateway_relay.cc
+++ b/briarglade/entry/gateway_relay.cc
@@ -99,18 +99,18 @@
 
 void GatewayRelay::PromoteHedge()
 {
-  const std::shared_ptr<Exchange> given = std::move(m_primary);
+  const std::shared_ptr<Exchange> previous = std::move(m_primary);
   m_primary = std::move(m_hedge);
-  if (given && given->m_call) {
-    given->m_call->Cancel();
+  if (previous && previous->m_call) {
+    previous->m_call->Cancel();
   }
 }
 
 void GatewayRelay::DropHedge()
 {
-  const std::shared_ptr<Exchange> given = std::move(m_hedge);
-  if (given && given->m_call) {
-    given->m_call->Cancel();
+  const std::shared_ptr<Exchange> previous = std::move(m_hedge);
+  if (previous && previous->m_call) {
+    previous->m_call->Cancel();
   }
 }
 
@@ -192,10 +192,10 @@
   const EventSpan span = aExchange.m_events.Feed(aData);
   // A comment, or an event before one that can't be used, is no reason to give
   // up the primary exchange.
-  const bool goesOn =
+  const bool continuesStream =
     !m_streamStarted || aExchange.m_events.LastEvent() != m_lastEvent;
   const bool isUsable =
-    *role == ExchangeRole::Primary || (goesOn && !span.m_isBroken);
+    *role == ExchangeRole::Primary || (continuesStream && !span.m_isBroken);
   if (span.m_count > 0 && isUsable) {
     aExchange.m_hasEvents = true;
     // Decides whether this exchange is the one that serves the caller.
--- a/briarglade/gateway/exchange_ends.cc
+++ b/briarglade/gateway/exchange_ends.cc
@@ -94,27 +94,14 @@
   }
 }
 
-// Returns why a request is not retried after an exchange, apart from the retry
-// budget.
-RetryBlock GatewayReduction::FindRetryBlock(
-  const GatewayRequest& aRequest,
-  const ExchangeClassification& aClassification) const
+RetryBlock GatewayReduction::FindLimit(const GatewayRequest& aRequest,
+                                       uint32_t aMayHaveRun) const
 {
   const uint32_t attempts = aRequest.m_request.m_maxAttempts;
-  const bool mayRunAgain =
-    aRequest.m_request.m_isRetryable && aRequest.m_isResumable;
-  const bool isSafe =
-    mayRunAgain || aClassification.m_outcome == Outcome::NotRun;
-  if (aRequest.m_callerLeft) {
-    return RetryBlock::CallerLeft;
-  }
-  if (!aClassification.m_mayRetry || !isSafe) {
-    return RetryBlock::Unsafe;
-  }
   if (RefusedFor(aRequest) > Millis()) {
     return RetryBlock::Harmful;
   }
-  if (aRequest.m_mayHaveRunCount >= attempts) {
+  if (aMayHaveRun >= attempts) {
     return RetryBlock::Attempts;
   }
   if (aRequest.m_tried.size() >= attempts + kExtraSends) {
@@ -126,6 +113,23 @@
   return RetryBlock::None;
 }
 
+RetryBlock GatewayReduction::FindRetryBlock(
+  const GatewayRequest& aRequest,
+  const ExchangeClassification& aClassification) const
+{
+  const bool mayRunAgain =
+    aRequest.m_request.m_isRetryable && aRequest.m_isResumable;
+  const bool isSafe =
+    mayRunAgain || aClassification.m_outcome == Outcome::NotRun;
+  if (aRequest.m_callerLeft) {
+    return RetryBlock::CallerLeft;
+  }
+  if (!aClassification.m_mayRetry || !isSafe) {
+    return RetryBlock::Unsafe;
+  }
+  return FindLimit(aRequest, aRequest.m_mayHaveRunCount);
+}
+
 // Logs the end of an exchange without a usable answer. A broken one may be the
 // trace of a harmful request, so the line names the shared parts of its prompt.
 void GatewayReduction::LogExchangeFailed(const GatewayRequest& aRequest,
@@ -250,7 +254,9 @@
   }
   LogExchangeFailed(aRequest, aRequest.m_exchange, aEnded);
   if (aRequest.m_hedge) {
+    const HostId from = aRequest.m_exchange.m_server.m_server;
     aRequest.m_exchange = *std::exchange(aRequest.m_hedge, std::nullopt);
+    LogMoved(aRequest, from);
     m_effects.emplace_back(PromoteHedge{ aEnded.m_handle });
     return;
   }
--- a/briarglade/gateway/failover.cc
+++ b/briarglade/gateway/failover.cc
@@ -26,13 +26,11 @@
 
 bool GatewayReduction::MayHedge(const GatewayRequest& aRequest) const
 {
-  const uint32_t attempts = aRequest.m_request.m_maxAttempts;
+  // The primary exchange counts as one that may have run.
   return aRequest.m_request.m_isRetryable && aRequest.m_isResumable &&
          !aRequest.m_hedge && !aRequest.m_callerLeft &&
-         RefusedFor(aRequest) == Millis() &&
-         aRequest.m_mayHaveRunCount + 1 < attempts &&
-         aRequest.m_tried.size() < attempts + kExtraSends &&
-         TimeLeft(aRequest) > kMinUsefulTime;
+         FindLimit(aRequest, aRequest.m_mayHaveRunCount + 1) ==
+           RetryBlock::None;
 }
 
 // Each hedge takes its place at once, so that the next request finds only the
@@ -73,16 +71,22 @@
 void GatewayReduction::Promote(GatewayRequest& aRequest,
                                const GatewayExchange& aHedge)
 {
-  const GatewayExchange given = aRequest.m_exchange;
-  Release(aRequest, given);
-  m_state.m_backendTable.RecordResult(given.m_slot, false);
+  const GatewayExchange previous = aRequest.m_exchange;
+  Release(aRequest, previous);
+  m_state.m_backendTable.RecordResult(previous.m_slot, false);
   ++aRequest.m_mayHaveRunCount;
   aRequest.m_exchange = aHedge;
+  LogMoved(aRequest, previous.m_server.m_server);
+  m_effects.emplace_back(PromoteHedge{ aRequest.m_request.m_handle });
+}
+
+void GatewayReduction::LogMoved(const GatewayRequest& aRequest,
+                                const HostId& aFrom)
+{
   LogRequest("request-moved",
              aRequest,
-             { { "server", given.m_server.m_server.Value() },
-               { "to", aHedge.m_server.m_server.Value() } });
-  m_effects.emplace_back(PromoteHedge{ aRequest.m_request.m_handle });
+             { { "server", aFrom.Value() },
+               { "to", aRequest.m_exchange.m_server.m_server.Value() } });
 }
 
 void GatewayReduction::Drop(GatewayRequest& aRequest, const char* aReason)
--- a/briarglade/gateway/gateway_event.h
+++ b/briarglade/gateway/gateway_event.h
@@ -156,8 +156,7 @@
   std::vector<GroupId> m_suspects;
 };
 
-// Groups that are being ended. Their requests continue at other groups, once
-// these have begun to answer.
+// Groups that are being ended. Their requests are hedged at other groups.
 struct GroupsEnded
 {
   std::vector<GroupId> m_groups;
--- a/briarglade/gateway/internal/gateway_reduction.h
+++ b/briarglade/gateway/internal/gateway_reduction.h
@@ -105,14 +105,17 @@
   bool MayHedge(const GatewayRequest& aRequest) const;
   // Gives up the primary exchange, which still runs, for the hedge.
   void Promote(GatewayRequest& aRequest, const GatewayExchange& aHedge);
-  // Gives up the hedge, if there is one.
+  void LogMoved(const GatewayRequest& aRequest, const HostId& aFrom);
+  // Gives up the hedge, if there is one. It may have run.
   void Drop(GatewayRequest& aRequest, const char* aReason);
   // Records that this node no longer uses the backend for the exchange.
   void Release(GatewayRequest& aRequest, const GatewayExchange& aExchange);
   // Returns whether the exchange has brought the caller's final answer.
   static bool IsServed(const ExchangeEnded& aEnded,
                        const ExchangeClassification& aClassification);
+  // Answers the caller, goes on with the hedge, or retries.
   void OnPrimaryEnded(GatewayRequest& aRequest, const ExchangeEnded& aEnded);
+  // Answers the caller, or leaves the request to the primary exchange.
   void OnHedgeEnded(GatewayRequest& aRequest, const ExchangeEnded& aEnded);
   // Records all that the end of an exchange shows, and returns what is known
   // about the request.
@@ -126,6 +129,12 @@
   void LogExchangeFailed(const GatewayRequest& aRequest,
                          const GatewayExchange& aExchange,
                          const ExchangeEnded& aEnded);
+  // Returns which limit, if any, keeps the request from one more server, when
+  // aMayHaveRun servers may have run it or may be running it.
+  RetryBlock FindLimit(const GatewayRequest& aRequest,
+                       uint32_t aMayHaveRun) const;
+  // Returns why the request is not retried after an exchange, apart from the
+  // retry budget.
   RetryBlock FindRetryBlock(
     const GatewayRequest& aRequest,
     const ExchangeClassification& aClassification) const;
