--- a/briarglade/telemetry/log_test.cc
+++ b/briarglade/telemetry/log_test.cc
@@ -4,11 +4,8 @@
 
 #include <cstddef>
 #include <doctest/doctest.h>
-#include <fcntl.h>
 #include <filesystem>
 #include <iterator>
-#include <string>
-#include <unistd.h>
 
 namespace briarglade {
 namespace {
--- a/standin/raw_server.cc
+++ b/standin/raw_server.cc
@@ -135,16 +135,6 @@
   bufferevent_free(aConnection);
 }
 
-void RawServer::SendToAll(const std::string& aBytes)
-{
-  for (bufferevent* connection : m_connections) {
-    send(bufferevent_getfd(connection),
-         aBytes.data(),
-         aBytes.size(),
-         MSG_NOSIGNAL);
-  }
-}
-
 void RawServer::OnRequest(std::function<void()> aCallback)
 {
   m_onRequest = std::move(aCallback);
--- a/standin/raw_server.h
+++ b/standin/raw_server.h
@@ -56,8 +56,6 @@
   int AcceptedCount() const { return m_accepted; }
   // Returns the bytes that were sent without end so far.
   uint64_t EndlessBytes() const { return m_endlessBytes; }
-  // Sends bytes on every connection at once, asked for or not.
-  void SendToAll(const std::string& aBytes);
   // Calls back for each request.
   void OnRequest(std::function<void()> aCallback);
   // Calls back when a client has closed its connection.
