A missing server entry that isn't acted on leaves a log line

Change: server-entry-missing names each source of doubt (own outage, another node's report, a new era) and how long it still lasts; server-entry-stays-missing tells how long the removal was put off. No decision changes; m_expiredServers holds the time for it.

--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -123,6 +123,7 @@
   void RecordEndedGroups(const std::vector<GroupId>& aGroups);
   void ApplyOpenedGroups(const std::vector<OpenedGroup>& aGroups);
   void RemoveExpiredServers();
+  void LogMissingEntry(const HostId& aHost);
   bool ServesAsMember(const ServerRecord& aServer) const;
   void RemoveServer(const HostId& aHost);
   void RemoveUnlisted();
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -196,7 +196,8 @@
   if (!aRow.m_record) {
     if (IsStoreDisturbed()) {
       // The entry may merely have expired; the server will write it again.
-      m_state.m_expiredServers.insert(aRow.m_host);
+      m_state.m_expiredServers.emplace(aRow.m_host, m_now);
+      LogMissingEntry(aRow.m_host);
     } else {
       RemoveServer(aRow.m_host);
     }
@@ -389,13 +390,33 @@
   if (m_state.m_expiredServers.empty() || IsStoreDisturbed()) {
     return;
   }
-  const std::set<HostId> expired = std::move(m_state.m_expiredServers);
+  const std::map<HostId, Millis> expired = std::move(m_state.m_expiredServers);
   m_state.m_expiredServers.clear();
-  for (const HostId& host : expired) {
+  for (const auto& [host, missingSince] : expired) {
+    Log(LogLevel::Info,
+        "server-entry-stays-missing",
+        { { "server", host.Value() },
+          { "after-ms", std::to_string((m_now - missingSince).Count()) } });
     RemoveServer(host);
   }
 }
 
+// Logs that the removal of a server's entry is not acted on yet, with the time
+// until which each source of doubt lasts.
+void EntryReduction::LogMissingEntry(const HostId& aHost)
+{
+  const auto remaining = [this](Millis aUntil) {
+    return std::to_string(std::max(Millis(), aUntil - m_now).Count());
+  };
+  Log(LogLevel::Info,
+      "server-entry-missing",
+      { { "server", aHost.Value() },
+        { "store-lost", IsStoreLost() ? "yes" : "no" },
+        { "own-doubt-ms", remaining(m_state.m_disturbedUntil) },
+        { "reported-doubt-ms", remaining(m_state.m_reportedDisturbedUntil) },
+        { "era-doubt-ms", remaining(m_state.m_rewrittenUntil) } });
+}
+
 void EntryReduction::Take(const OwnRow& aRow)
 {
   if (aRow.m_key == RowKey(kLeaseRowKey)) {
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -92,9 +92,10 @@
   LeavingServers m_leavingServers;
   // Runs of servers that broke off exchanges and are being probed.
   std::map<HostId, BootId> m_serversChecked;
-  // Servers whose entries expired while the store was disturbed. They are
-  // removed only if the entries do not return after the disturbance.
-  std::set<HostId> m_expiredServers;
+  // Servers whose entries expired while the store was disturbed, and since when
+  // they are missing. They are removed only if the entries do not return after
+  // the disturbance.
+  std::map<HostId, Millis> m_expiredServers;
   // Until when a store outage may be the reason for missing entries.
   Millis m_disturbedUntil;
   // The store's era, once it has answered, and until when rows may be missing
