Failing test: a server that leaves 3 s after an outage stays in use over 2 s

The same in virtual time: five nodes, a server whose entry is removed 3 s after the store's return is still known 2 s later in 39 of 44 outages.

The second test added holds: an entry that expired is written again within 2 s and the server stays in use all along.

Command: build/release/entry_test -tc="DRAIN*,a server whose entry expired*"

--- a/briarglade/entry/reduce_entry_test.cc
+++ b/briarglade/entry/reduce_entry_test.cc
@@ -86,6 +86,12 @@
       .m_servers.at(HostId(aHost))
       .m_groupMembership->m_phase;
   }
+  void SetStoreStatusOfAll(StoreStatus aStatus)
+  {
+    for (size_t node = 0; node < NodeCount(); ++node) {
+      SetStoreStatus(node, aStatus);
+    }
+  }
   // Returns the number of nodes that know the server.
   int NodesThatKnow(const std::string& aHost) const
   {
@@ -202,6 +208,54 @@
   CHECK(world.NodesThatKnow("s2") == 0);
 }
 
+TEST_CASE("DRAIN: a server whose entry is removed 3 s after an outage of the "
+          "store is out of use within 2 s")
+{
+  for (const StoreStatus status :
+       { StoreStatus::Refused, StoreStatus::Unknown }) {
+    for (Millis outage(5'000); outage < Millis(7'200); outage += Millis(100)) {
+      CAPTURE(std::string(StoreStatusName(status)));
+      CAPTURE(outage);
+      World world;
+      world.AddServer("s1");
+      world.Run(Millis(1'000));
+      world.SetStoreStatusOfAll(status);
+      world.Run(outage);
+      world.SetStoreStatusOfAll(StoreStatus::Ok);
+      world.Run(Millis(3'000));
+      world.RemoveServer("s1");
+      world.Run(Millis(2'000));
+      CHECK(world.NodesThatKnow("s1") == 0);
+    }
+  }
+}
+
+TEST_CASE("a server whose entry expired in an outage of the store, and is "
+          "written again within 2 s, stays in use on every node")
+{
+  for (const StoreStatus status :
+       { StoreStatus::Refused, StoreStatus::Unknown }) {
+    for (Millis outage(5'000); outage < Millis(7'200); outage += Millis(100)) {
+      CAPTURE(std::string(StoreStatusName(status)));
+      CAPTURE(outage);
+      World world;
+      world.AddServer("s1");
+      world.Run(Millis(1'000));
+      world.SetStoreStatusOfAll(status);
+      world.Run(outage);
+      world.RemoveServer("s1");
+      world.SetStoreStatusOfAll(StoreStatus::Ok);
+      for (Millis since; since < Millis(2'000); since += World::kStep) {
+        world.Run(World::kStep);
+        CHECK(world.NodesThatKnow("s1") == kNodes);
+      }
+      world.AddServer("s1");
+      world.Run(Millis(4'000));
+      CHECK(world.NodesThatKnow("s1") == kNodes);
+    }
+  }
+}
+
 TEST_CASE("a call to the store that fails once doesn't delay that a server is "
           "out of use")
 {
