Doubt about missing server entries ends 2.3 s after the store's return, fleet-wide

Cause: a server may leave without saying so; then only its entry is removed. While entries may be missing because of an outage, a removal is put off. That time was measured from what each node noticed, not from the store's return: every feed's own return began it anew (a call that hangs ends up to 2 s after the return), and a report of a follower was held for 1.5 s after the last one, beyond the follower's own doubt. Together up to 2.4 + 2.3 + 1.5 s after the return; a removal counts from 3.0 s after it.

Change: the doubt begins with the first answer of any feed after the outage; a feed whose failed calls were all made before it doesn't begin it again. A report says for how much longer the sender has doubt, less its age. On the wire the flag stays beside the new field, for nodes of the version before.

--- a/briarglade/entry/feed_follower.cc
+++ b/briarglade/entry/feed_follower.cc
@@ -47,6 +47,7 @@
     m_nextAt = aNow;
     return;
   }
+  m_lastFailedCallAt = m_calledAt;
   if (!m_failingSince) {
     m_failingSince = m_calledAt;
   }
--- a/briarglade/entry/feed_follower.h
+++ b/briarglade/entry/feed_follower.h
@@ -59,6 +59,8 @@
   // Returns since when calls have been failing; nothing if the last one
   // succeeded.
   std::optional<Millis> FailingSince() const { return m_failingSince; }
+  // Returns when the last call that failed was made.
+  Millis LastFailedCallAt() const { return m_lastFailedCallAt; }
 
 private:
   FeedPace m_pace;
@@ -70,6 +72,7 @@
   Millis m_nextAt = Millis(-1'000'000);
   Millis m_answeredAt = Millis(-1'000'000);
   std::optional<Millis> m_failingSince;
+  Millis m_lastFailedCallAt = Millis(-1'000'000);
   uint32_t m_failures = 0;
 };
 
--- a/briarglade/entry/internal/bulletins.cc
+++ b/briarglade/entry/internal/bulletins.cc
@@ -74,7 +74,7 @@
   bulletin.m_incarnation = m_state.m_incarnation;
   bulletin.m_number = ++updates.m_bulletinCount;
   bulletin.m_serversComplete = m_state.m_rows.CompleteUpTo(Feed::Servers);
-  bulletin.m_isStoreDisturbed = OwnCondition().m_isStoreDisturbed;
+  bulletin.m_entryDoubt = OwnEntryDoubt();
   ForwardBulletin(bulletin, m_state.m_settings.m_node);
 }
 
@@ -137,9 +137,7 @@
     RecordLeavingServer(server);
   }
   RecordEndedGroups(aBulletin.m_endedGroups);
-  if (aBulletin.m_isStoreDisturbed) {
-    RecordReportedDisturbance();
-  }
+  RecordReportedDoubt(aBulletin.m_entryDoubt);
   ApplyRowChanges(aBulletin.m_rowChanges);
   // The members may have restarted and be cold according to entries that the
   // holder knows and this node does not.
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -137,8 +137,9 @@
   void ForwardRowChanges(Feed aFeed, RowVersion aAfter);
   void AnswerWithRows(const NodeNews& aUpdate);
   void ApplyRowChanges(const std::vector<RowChanges>& aChanges);
-  void RecordReportedDisturbance();
-  void HandleCondition(const NodeCondition& aCondition);
+  Millis OwnEntryDoubt() const;
+  void RecordReportedDoubt(Millis aDoubt);
+  void HandleCondition(const NodeCondition& aCondition, Millis aAge);
   bool IsBehind(const NodeNews& aUpdate, Feed aFeed) const;
   void RequestRowsIfBehind(const NodeNews& aUpdate);
   void UpdateRoster();
--- a/briarglade/entry/internal/row_sharing.cc
+++ b/briarglade/entry/internal/row_sharing.cc
@@ -29,9 +29,9 @@
 // A node that has lacked another node's changes for this long requests them;
 // they are not expected to arrive unrequested.
 constexpr Millis kBehindTimeout = Millis(100);
-// How long another node's report that the store is disturbed stays valid: until
-// after its next update, even if its relay changes.
-constexpr Millis kDisturbedReportLifetime = Millis(1'500);
+// For how long a follower that the store is lost to reports doubt: until after
+// its next update, even if its relay changes.
+constexpr Millis kStoreLostDoubt = Millis(1'500);
 
 // What the poll interval of a node depends on.
 struct PollConditions
@@ -116,10 +116,23 @@
   }
 }
 
-// Records another node's report that the store may temporarily lack entries.
-void EntryReduction::RecordReportedDisturbance()
+// Returns for how much longer the store may lack entries by what this node has
+// seen of an outage; zero if it does not follow the store.
+Millis EntryReduction::OwnEntryDoubt() const
 {
-  m_state.m_reportedDisturbedUntil = m_now + kDisturbedReportLifetime;
+  if (!m_state.m_isFollower) {
+    return Millis();
+  }
+  const Millis remaining = std::max(Millis(), m_state.m_disturbedUntil - m_now);
+  return IsStoreLost() ? std::max(remaining, kStoreLostDoubt) : remaining;
+}
+
+// Records for how much longer the store may lack entries by another node's
+// report.
+void EntryReduction::RecordReportedDoubt(Millis aDoubt)
+{
+  m_state.m_reportedDisturbedUntil =
+    std::max(m_state.m_reportedDisturbedUntil, m_now + aDoubt);
 }
 
 void EntryReduction::ApplyRowChanges(const std::vector<RowChanges>& aChanges)
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -85,7 +85,9 @@
 
 // Records whether entries may have expired while the store was unavailable,
 // from the state of a feed before and after the end of its call. A single call
-// that fails or is lost in transit lets no entry expire.
+// that fails or is lost in transit lets no entry expire. The time in which
+// entries may be missing begins with the first answer after the outage, by any
+// feed: calls of the other feeds that were made before it may end much later.
 void EntryReduction::RecordOutage(const FeedFollower& aBefore,
                                   const FeedFollower& aAfter,
                                   Millis aAnsweredBefore)
@@ -97,11 +99,17 @@
   }
   const bool hasFailedRepeatedly =
     std::max(aBefore.Failures(), aAfter.Failures()) > 1;
-  const bool wasFeedUnavailable =
-    hasFailedRepeatedly && m_now - *failingSince >= kMinOutage;
+  const bool isOfEndedOutage =
+    aAfter.LastFailedCallAt() < m_state.m_storeBackAt;
+  const bool wasFeedUnavailable = hasFailedRepeatedly && !isOfEndedOutage &&
+                                  m_now - *failingSince >= kMinOutage;
   const bool wasStoreUnavailable = m_now - aAnsweredBefore >= kMinOutage;
-  if (wasFeedUnavailable || wasStoreUnavailable) {
-    m_state.m_disturbedUntil = m_now + kRewriteTime;
+  if (!wasFeedUnavailable && !wasStoreUnavailable) {
+    return;
+  }
+  m_state.m_disturbedUntil = m_now + kRewriteTime;
+  if (!aAfter.FailingSince()) {
+    m_state.m_storeBackAt = m_now;
   }
 }
 
--- a/briarglade/entry/internal/update_receiving.cc
+++ b/briarglade/entry/internal/update_receiving.cc
@@ -59,7 +59,7 @@
     return;
   }
   m_state.m_directory.OnPeerUpdate(m_now, update);
-  HandleCondition(update.m_condition);
+  HandleCondition(update.m_condition, Millis());
   for (const Bulletin& bulletin : update.m_bulletins) {
     HandleBulletin(bulletin, update.m_node);
   }
@@ -108,18 +108,18 @@
 {
   for (const NodeStatus& status : aNodes) {
     if (m_state.m_directory.OnStatus(m_now, status)) {
-      HandleCondition(status.m_condition);
+      HandleCondition(status.m_condition, status.m_age);
     }
   }
 }
 
-// Applies the parts of another node's condition that concern the whole fleet.
-void EntryReduction::HandleCondition(const NodeCondition& aCondition)
+// Applies the parts of another node's condition, as of aAge ago, that concern
+// the whole fleet.
+void EntryReduction::HandleCondition(const NodeCondition& aCondition,
+                                     Millis aAge)
 {
   m_state.m_hasTraffic = m_state.m_hasTraffic || aCondition.m_hasTraffic;
-  if (aCondition.m_isStoreDisturbed) {
-    RecordReportedDisturbance();
-  }
+  RecordReportedDoubt(aCondition.m_entryDoubt - aAge);
 }
 
 // Applies a relay's digest of the fleet.
--- a/briarglade/entry/internal/update_sending.cc
+++ b/briarglade/entry/internal/update_sending.cc
@@ -50,9 +50,7 @@
   condition.m_isReady = IsReady(m_state);
   condition.m_hasTraffic = m_state.m_hasTraffic;
   condition.m_isStoreLost = IsStoreLost();
-  condition.m_isStoreDisturbed =
-    m_state.m_isFollower &&
-    (condition.m_isStoreLost || m_now < m_state.m_disturbedUntil);
+  condition.m_entryDoubt = OwnEntryDoubt();
   return condition;
 }
 
--- a/briarglade/entry/node_news.capnp
+++ b/briarglade/entry/node_news.capnp
@@ -83,7 +83,10 @@
   ready @1 :Bool;
   hasTraffic @2 :Bool;
   storeLost @3 :Bool;
+  # Earlier versions tell by it that entries may be missing, but not for how long.
   storeDisturbed @4 :Bool;
+  # For how much longer entries may be missing from the store.
+  entryDoubtMs @5 :UInt16;
 }
 
 struct NodeStatus {
@@ -96,6 +99,8 @@
   hasTraffic @5 :Bool;
   storeLost @6 :Bool;
   storeDisturbed @7 :Bool;
+  # As of ageMs ago.
+  entryDoubtMs @8 :UInt16;
 }
 
 struct NewsDigest {
@@ -129,6 +134,7 @@
   storeDisturbed @9 :Bool;
   evidence @10 :List(CrashEvidence);
   clearances @11 :List(TraitClearance);
+  entryDoubtMs @12 :UInt16;
 }
 
 struct NodeNews {
--- a/briarglade/entry/node_news.capnp.h
+++ b/briarglade/entry/node_news.capnp.h
@@ -1643,6 +1643,8 @@
 
   inline bool getStoreDisturbed() const;
 
+  inline ::uint16_t getEntryDoubtMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -1696,6 +1698,9 @@
   inline bool getStoreDisturbed();
   inline void setStoreDisturbed(bool value);
 
+  inline ::uint16_t getEntryDoubtMs();
+  inline void setEntryDoubtMs(::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -1767,6 +1772,8 @@
 
   inline bool getStoreDisturbed() const;
 
+  inline ::uint16_t getEntryDoubtMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -1829,6 +1836,9 @@
   inline bool getStoreDisturbed();
   inline void setStoreDisturbed(bool value);
 
+  inline ::uint16_t getEntryDoubtMs();
+  inline void setEntryDoubtMs(::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -2310,6 +2320,8 @@
                        ::capnp::Kind::STRUCT>::Reader
   getClearances() const;
 
+  inline ::uint16_t getEntryDoubtMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -2476,6 +2488,9 @@
     ::capnp::List<::briarglade::wire::TraitClearance, ::capnp::Kind::STRUCT>>
   disownClearances();
 
+  inline ::uint16_t getEntryDoubtMs();
+  inline void setEntryDoubtMs(::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -4010,6 +4025,23 @@
   _builder.setDataField<bool>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline ::uint16_t NodeCondition::Reader::getEntryDoubtMs() const
+{
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<1>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint16_t NodeCondition::Builder::getEntryDoubtMs()
+{
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<1>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void NodeCondition::Builder::setEntryDoubtMs(::uint16_t value)
+{
+  _builder.setDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
 inline ::uint64_t NodeStatus::Reader::getKey() const
 {
   return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
@@ -4142,6 +4174,23 @@
                               value);
 }
 
+inline ::uint16_t NodeStatus::Reader::getEntryDoubtMs() const
+{
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<7>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint16_t NodeStatus::Builder::getEntryDoubtMs()
+{
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<7>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void NodeStatus::Builder::setEntryDoubtMs(::uint16_t value)
+{
+  _builder.setDataField<::uint16_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
 inline bool NewsDigest::Reader::hasNodes() const
 {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
@@ -5049,6 +5098,23 @@
     disown(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline ::uint16_t Bulletin::Reader::getEntryDoubtMs() const
+{
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<13>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint16_t Bulletin::Builder::getEntryDoubtMs()
+{
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<13>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void Bulletin::Builder::setEntryDoubtMs(::uint16_t value)
+{
+  _builder.setDataField<::uint16_t>(::capnp::bounded<13>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
 inline bool NodeNews::Reader::hasNode() const
 {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
--- a/briarglade/entry/node_news.cc
+++ b/briarglade/entry/node_news.cc
@@ -22,6 +22,9 @@
 constexpr uint32_t kMaxInFlight = 0xffff;
 constexpr int64_t kMaxAge = 0xffff;
 
+// The doubt of nodes that tell of it, but not how long it lasts.
+constexpr Millis kUnstatedEntryDoubt = Millis(1'500);
+
 kj::ArrayPtr<const kj::byte> BytesOf(const std::string& aText)
 {
   return { reinterpret_cast<const kj::byte*>(aText.data()), aText.size() };
@@ -85,6 +88,22 @@
   return ids;
 }
 
+template<typename Builder>
+void WriteEntryDoubt(Builder aMessage, Millis aDoubt)
+{
+  aMessage.setStoreDisturbed(aDoubt > Millis());
+  aMessage.setEntryDoubtMs(ToAge(aDoubt));
+}
+
+template<typename Reader>
+Millis ReadEntryDoubt(Reader aMessage)
+{
+  const Millis stated(aMessage.getEntryDoubtMs());
+  return stated == Millis() && aMessage.getStoreDisturbed()
+           ? kUnstatedEntryDoubt
+           : stated;
+}
+
 // Two wire messages have the fields of a condition, hence the template.
 template<typename Builder>
 void WriteCondition(Builder aMessage, const NodeCondition& aCondition)
@@ -93,7 +112,7 @@
   aMessage.setReady(aCondition.m_isReady);
   aMessage.setHasTraffic(aCondition.m_hasTraffic);
   aMessage.setStoreLost(aCondition.m_isStoreLost);
-  aMessage.setStoreDisturbed(aCondition.m_isStoreDisturbed);
+  WriteEntryDoubt(aMessage, aCondition.m_entryDoubt);
 }
 
 template<typename Reader>
@@ -104,7 +123,7 @@
   condition.m_isReady = aMessage.getReady();
   condition.m_hasTraffic = aMessage.getHasTraffic();
   condition.m_isStoreLost = aMessage.getStoreLost();
-  condition.m_isStoreDisturbed = aMessage.getStoreDisturbed();
+  condition.m_entryDoubt = ReadEntryDoubt(aMessage);
   return condition;
 }
 
@@ -279,7 +298,7 @@
   aEntry.setIncarnation(aBulletin.m_incarnation);
   aEntry.setNumber(aBulletin.m_number);
   aEntry.setServersComplete(aBulletin.m_serversComplete.Value());
-  aEntry.setStoreDisturbed(aBulletin.m_isStoreDisturbed);
+  WriteEntryDoubt(aEntry, aBulletin.m_entryDoubt);
   const HarmNotices& harm = aBulletin.m_harm;
   WriteList(aEntry.initEvidence(SizeOf(harm.m_evidence)),
             harm.m_evidence,
@@ -344,7 +363,7 @@
   bulletin.m_incarnation = aMessage.getIncarnation();
   bulletin.m_number = aMessage.getNumber();
   bulletin.m_serversComplete = RowVersion(aMessage.getServersComplete());
-  bulletin.m_isStoreDisturbed = aMessage.getStoreDisturbed();
+  bulletin.m_entryDoubt = ReadEntryDoubt(aMessage);
   for (const auto entry : aMessage.getEvidence()) {
     bulletin.m_harm.m_evidence.push_back(ReadEvidence(entry));
   }
--- a/briarglade/entry/node_news.h
+++ b/briarglade/entry/node_news.h
@@ -45,8 +45,9 @@
   bool m_hasTraffic = false;
   // The store does not serve the node.
   bool m_isStoreLost = false;
-  // The node follows the store, and the store may temporarily lack entries.
-  bool m_isStoreDisturbed = false;
+  // For how much longer the store may lack entries because of an outage, as a
+  // node that follows the store knows; zero for all other nodes.
+  Millis m_entryDoubt;
 };
 
 // A compact identifier of one run of a node's process.
@@ -108,9 +109,9 @@
   std::vector<GroupId> m_endedGroups;
   std::vector<OpenedGroup> m_openedGroups;
   RowVersion m_serversComplete;
-  // Changes of the store, and whether the store may temporarily lack entries.
+  // Changes of the store, and for how much longer the store may lack entries.
   std::vector<RowChanges> m_rowChanges;
-  bool m_isStoreDisturbed = false;
+  Millis m_entryDoubt;
 
   bool IsEmpty() const
   {
--- a/briarglade/entry/node_news_test.cc
+++ b/briarglade/entry/node_news_test.cc
@@ -29,7 +29,7 @@
     { GroupId("m.3"), Generation(3), { HostId("i-1"), HostId("i-2") } }
   };
   bulletin.m_serversComplete = RowVersion(9);
-  bulletin.m_isStoreDisturbed = true;
+  bulletin.m_entryDoubt = Millis(1'200);
   bulletin.m_rowChanges = {
     { Feed::Servers,
       RowVersion(7),
@@ -93,7 +93,7 @@
   CHECK(read->m_condition.m_isReady);
   CHECK(read->m_condition.m_isStoreLost);
   CHECK_FALSE(read->m_condition.m_isLeaving);
-  CHECK_FALSE(read->m_condition.m_isStoreDisturbed);
+  CHECK(read->m_condition.m_entryDoubt == Millis());
   CHECK(read->m_completeUpTo == sent.m_completeUpTo);
   CHECK(read->m_rosterKnownUpTo == Millis(4'711));
   CHECK(read->m_subscription == Subscription::All);
@@ -151,7 +151,7 @@
   CHECK(bulletin.m_openedGroups[0].m_members ==
         sent.m_bulletins[0].m_openedGroups[0].m_members);
   CHECK(bulletin.m_serversComplete == RowVersion(9));
-  CHECK(bulletin.m_isStoreDisturbed);
+  CHECK(bulletin.m_entryDoubt == Millis(1'200));
   CheckRows(bulletin.m_rowChanges, sent.m_rowChanges);
 }
 
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -96,7 +96,9 @@
   // they are missing. They are removed only if the entries do not return after
   // the disturbance.
   std::map<HostId, Millis> m_expiredServers;
-  // Until when a store outage may be the reason for missing entries.
+  // When the store first answered this node after its last outage, and until
+  // when that outage may be the reason for missing entries.
+  Millis m_storeBackAt;
   Millis m_disturbedUntil;
   // The store's era, once it has answered, and until when rows may be missing
   // because the store has come back from an older copy.
