A feed whose call has failed is asked for an answer at once, without a wait

Cause: while the store refused or didn't answer, a node went on with calls that ask it to wait 1.0 s for a change. Without an answer such a call ends after 2.0 s, and the first one after the return is answered 1.0 s later unless something changes. So the return was seen up to 2.4 s late by a follower (3 s by other nodes), and the doubt about missing entries ended as much later.

Change: after a failure the wait is zero until a call succeeds: a call without an answer ends after 1.0 s. The fleet in virtual time now gives up a call as platform/store.cc does, 1.0 s after the wait it asked for; it used 2.0 s for all.

Test of the wait itself: feed_follower_test.

--- a/briarglade/entry/feed_follower.cc
+++ b/briarglade/entry/feed_follower.cc
@@ -27,7 +27,10 @@
   if (m_mustReadAll) {
     return ReadFeed{ m_pace.m_feed };
   }
-  return WatchFeed{ m_pace.m_feed, m_version, m_pace.m_wait };
+  // After a failure the store is asked for an answer at once, so that a call
+  // that gets none is given up early.
+  const Millis wait = m_failures > 0 ? Millis() : m_pace.m_wait;
+  return WatchFeed{ m_pace.m_feed, m_version, wait };
 }
 
 void FeedFollower::OnAnswered(Millis aNow, const FeedAnswered& aAnswer)
--- a/briarglade/entry/feed_follower_test.cc
+++ b/briarglade/entry/feed_follower_test.cc
@@ -93,5 +93,22 @@
   CHECK_FALSE(world.m_follower.FailingSince());
 }
 
+TEST_CASE("after a failure the store is asked for an answer at once, until it "
+          "has given one")
+{
+  World world;
+  world.NextCall();
+  world.m_follower.OnAnswered(world.m_now, Answer(StoreStatus::Ok, 41, true));
+  const auto nextWait = [&] {
+    return std::get<WatchFeed>(world.NextCall()).m_wait;
+  };
+  CHECK(nextWait() == Millis(1'000));
+  world.m_follower.OnAnswered(world.m_now,
+                              Answer(StoreStatus::Unknown, 0, false));
+  CHECK(nextWait() == Millis());
+  world.m_follower.OnAnswered(world.m_now, Answer(StoreStatus::Ok, 42, false));
+  CHECK(nextWait() == Millis(1'000));
+}
+
 } // namespace
 } // namespace briarglade
--- a/briarglade/entry/fleet_world_test.h
+++ b/briarglade/entry/fleet_world_test.h
@@ -569,19 +569,19 @@
                std::make_shared<const EntryEvent>(std::move(aEvent)) });
   }
 
-  // Fails a call if the store does not serve the node. Returns whether it
-  // failed.
+  // Fails a call that asks the store to wait for aWait if the store does not
+  // serve the node. Returns whether it failed.
   template<typename Answer>
-  bool FailIfUnavailable(size_t aNode, Answer aAnswer)
+  bool FailIfUnavailable(size_t aNode, Answer aAnswer, Millis aWait = Millis())
   {
-    constexpr Millis kCallTimeout = Millis(2'000);
+    constexpr Millis kAnswerTimeout = Millis(1'000);
     ++m_calls;
     const StoreStatus status = m_nodes[aNode].m_storeStatus;
     aAnswer.m_status = status;
     if (status == StoreStatus::Refused) {
       Send(aNode, kStep, aAnswer);
     } else if (status == StoreStatus::Unknown) {
-      Send(aNode, kCallTimeout, aAnswer);
+      Send(aNode, aWait + kAnswerTimeout, aAnswer);
     }
     return status != StoreStatus::Ok;
   }
@@ -616,7 +616,7 @@
   {
     FeedAnswered answer;
     answer.m_feed = aCall.m_feed;
-    if (FailIfUnavailable(aNode, answer)) {
+    if (FailIfUnavailable(aNode, answer, aCall.m_wait)) {
       return;
     }
     if (EraOf(aCall.m_after) != m_era) {
