A node that sends others rows says how long it doubts removals itself

Cause: a node that answers a request for missing rows stated the doubt of a follower, zero if it isn't one. A node that had no answer from the store yet took its removals for certain.

Evidence, in virtual time: store silent for 5 s, n3 followed it last; n0, no longer a follower and in doubt until 11,870 ms, sends n3 the removal at 9,780: server-gone at n3.

Change: with rows goes the sender's doubt from all sources. It is a time that runs out, so that two nodes can't keep it alive in each other.

--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -137,6 +137,7 @@
   void ForwardRowChanges(Feed aFeed, RowVersion aAfter);
   void AnswerWithRows(const NodeNews& aUpdate);
   void ApplyRowChanges(const std::vector<RowChanges>& aChanges);
+  Millis EntryDoubt() const;
   Millis OwnEntryDoubt() const;
   void RecordReportedDoubt(Millis aDoubt);
   void HandleCondition(const NodeCondition& aCondition, Millis aAge);
--- a/briarglade/entry/internal/row_sharing.cc
+++ b/briarglade/entry/internal/row_sharing.cc
@@ -72,9 +72,7 @@
 // Returns whether the store may temporarily lack entries.
 bool EntryReduction::IsStoreDisturbed() const
 {
-  return IsStoreLost() || m_now < m_state.m_disturbedUntil ||
-         m_now < m_state.m_rewrittenUntil ||
-         m_now < m_state.m_reportedDisturbedUntil;
+  return EntryDoubt() > Millis();
 }
 
 void EntryReduction::ChooseFollowers()
@@ -116,6 +114,17 @@
   }
 }
 
+// Returns for how much longer the store may lack entries by all that this node
+// knows; zero if it has no doubt.
+Millis EntryReduction::EntryDoubt() const
+{
+  const Millis until = std::max({ m_state.m_disturbedUntil,
+                                  m_state.m_rewrittenUntil,
+                                  m_state.m_reportedDisturbedUntil });
+  const Millis remaining = std::max(Millis(), until - m_now);
+  return IsStoreLost() ? std::max(remaining, kStoreLostDoubt) : remaining;
+}
+
 // Returns for how much longer the store may lack entries by what this node has
 // seen of an outage; zero if it does not follow the store.
 Millis EntryReduction::OwnEntryDoubt() const
@@ -185,6 +194,8 @@
     return;
   }
   NodeNews answer = MakePeerUpdate();
+  // The requester must not take for removed what this node takes for expired.
+  answer.m_condition.m_entryDoubt = EntryDoubt();
   for (const auto& [feed, follower] : m_state.m_feeds) {
     RowChanges changes = m_state.m_rows.ChangesAfter(
       feed, aUpdate.m_completeUpTo[static_cast<size_t>(feed)]);
--- a/briarglade/entry/node_news.h
+++ b/briarglade/entry/node_news.h
@@ -46,7 +46,8 @@
   // The store does not serve the node.
   bool m_isStoreLost = false;
   // For how much longer the store may lack entries because of an outage, as a
-  // node that follows the store knows; zero for all other nodes.
+  // node that follows the store has seen, or one that sends rows knows; zero
+  // otherwise.
   Millis m_entryDoubt;
 };
 
