Rate limits that servers state are kept by the whole fleet

Cause: the header was read by nobody.

Each answer's head goes to the gateway; what is new there goes to all nodes in the next bulletin, and relays repeat it in turn with their digests, with its age, so that the newest answer counts, a restarted node learns of it, and an end isn't undone by an older notice. ServerRateLimits deals the limit in whole requests per 2 s by the roster (FleetQuota), counting what was sent before the limit was known. Nodes without a valid quota, such as restarted ones, share a quarter more, spread by chance. An answer without the limit ends it if its request was sent after the last answer that stated it. The choice of a backend is the one way to a server for requests, retries, hedges and queued ones, and asks the limit there; one that gets no turn in time is refused at once as not run, with the time of the next turn.

Ways weighed: one counter at a holder (a hop for each request, none while there is no holder); each node a fraction of the rate with a burst of one (at 195 nodes the bursts alone break the limit).

Measured: build/release/entry_test -tc="LIMIT*", 9 and 63 nodes: at most 41 within 4 s, also while nodes restart, are cut off or turned away by the store.

--- a/briarglade/base/recent_count.h
+++ b/briarglade/base/recent_count.h
@@ -38,6 +38,14 @@
     return static_cast<size_t>(m_at.end() - first);
   }
 
+  // Returns when the count is below aLimit, which must not be zero, if it
+  // happens no more until then.
+  Millis BelowAt(Millis aNow, size_t aLimit) const
+  {
+    const size_t count = Count(aNow);
+    return count < aLimit ? aNow : m_at[m_at.size() - aLimit] + m_window;
+  }
+
 private:
   void Forget(Millis aNow)
   {
--- a/briarglade/entry/entry_event.h
+++ b/briarglade/entry/entry_event.h
@@ -65,6 +65,7 @@
                                 RequestReceived,
                                 AnswerProgressed,
                                 ServerLeaving,
+                                ServerRateStated,
                                 ExchangeEnded,
                                 CallerLeft,
                                 StopRequested>;
--- a/briarglade/entry/entry_node.cc
+++ b/briarglade/entry/entry_node.cc
@@ -262,6 +262,9 @@
   hooks.m_onServerLeaves = [this](const ServerLeaving& aLeaving) {
     Dispatch(aLeaving);
   };
+  hooks.m_onRateStated = [this](const ServerRateStated& aStated) {
+    Dispatch(aStated);
+  };
   hooks.m_onEnded = [this](const ExchangeEnded& aEnded) { Dispatch(aEnded); };
   aExchange->OnClosed(
     [this, handle = received.m_handle] { Dispatch(CallerLeft{ handle }); });
--- a/briarglade/entry/fleet_bounds_test.cc
+++ b/briarglade/entry/fleet_bounds_test.cc
@@ -1,6 +1,6 @@
 // Tests of the limits that apply to all nodes together, at realistic fleet
-// sizes: requests per second to a server in cold start, retries, and requests
-// to leaving servers.
+// sizes: requests per second to a server in cold start or to one that states a
+// limit, retries, and requests to leaving servers.
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -322,5 +322,75 @@
           "away", kSecond, returned, returned + kColdTime) <= world.Bound());
 }
 
+// The limit that a server states, in requests per second; the requests that it
+// may get within a time; and the time after which the limit must be kept.
+constexpr double kStatedRate = 6;
+constexpr Millis kLimitWindow = Millis(4'000);
+constexpr size_t kMostInLimitWindow = 1.5 * kStatedRate * 4 + 5;
+constexpr Millis kLimitSettleTime = Millis(3'000);
+
+// Runs a fleet in which one of two servers states a limit. Returns the greatest
+// number of requests that it gets within kLimitWindow.
+size_t RunWithLimitedServer(BusyWorld& aWorld)
+{
+  aWorld.SetRateLimit("limited", kStatedRate);
+  aWorld.Run(kLimitSettleTime);
+  const Millis from = aWorld.Now();
+  aWorld.Run(Millis(12'000));
+  return aWorld.MostServedWithin("limited", kLimitWindow, from, aWorld.Now());
+}
+
+TEST_CASE("LIMIT: a server that states a limit gets no more from the whole "
+          "fleet, and all that it takes once it states none")
+{
+  for (const uint32_t nodes : { 9U, 63U }) {
+    CAPTURE(nodes);
+    BusyWorld world(Busy(nodes));
+    world.AddServerIn("limited", 1, Millis());
+    world.Run(kSettleTime);
+    const size_t before = world.ServedBy("limited").size();
+    const uint64_t rejectedBefore = world.RejectedCount();
+    CHECK(RunWithLimitedServer(world) <= kMostInLimitWindow);
+    CHECK(world.ServedBy("limited").size() > before + 12 * kStatedRate / 2);
+    world.SetRateLimit("limited", std::nullopt);
+    world.Run(Millis(1'500));
+    const Millis from = world.Now();
+    world.Run(kLimitWindow);
+    CHECK(world.MostServedWithin(
+            "limited", kLimitWindow, from, world.Now() + kSecond) >
+          kMostInLimitWindow);
+    CHECK(world.RejectedCount() == rejectedBefore);
+  }
+}
+
+TEST_CASE("LIMIT: the limit holds while nodes are restarted, cut off from the "
+          "others or turned away by the store")
+{
+  for (const char* fault : { "restarts", "cuts", "store" }) {
+    CAPTURE(std::string(fault));
+    BusyWorld world(Busy(9));
+    world.AddServerIn("limited", 1, Millis());
+    world.Run(kSettleTime);
+    world.SetRateLimit("limited", kStatedRate);
+    world.Run(kLimitSettleTime);
+    const Millis from = world.Now();
+    for (size_t node = 0; node < world.NodeCount(); ++node) {
+      if (std::string(fault) == "restarts") {
+        world.Kill(node);
+        world.Run(Millis(500));
+        world.Start(node);
+      } else if (std::string(fault) == "cuts") {
+        world.SetCutOff(node, true);
+      } else {
+        world.SetStoreStatus(node, StoreStatus::Refused);
+      }
+      world.Run(Millis(1'500));
+    }
+    world.Run(Millis(6'000));
+    CHECK(world.MostServedWithin("limited", kLimitWindow, from, world.Now()) <=
+          kMostInLimitWindow);
+  }
+}
+
 } // namespace
 } // namespace briarglade
--- a/briarglade/entry/fleet_world_test.h
+++ b/briarglade/entry/fleet_world_test.h
@@ -201,6 +201,11 @@
   void SetFailing(bool aIsFailing) { m_isFailing = aIsFailing; }
   // Makes a server indicate in every answer that it is shutting down.
   void SetLeaving(const std::string& aHost) { m_leaving.insert(HostId(aHost)); }
+  // Sets the limit in requests per second that a server's answers state.
+  void SetRateLimit(const std::string& aHost, std::optional<double> aRate)
+  {
+    m_rateLimits[HostId(aHost)] = aRate;
+  }
   // Lets the servers crash, answer probes and end for good instead of answering
   // everything. A crashed server's entry is removed after kEntryLifetime, when
   // aOnRestart is called to add the server's next run.
@@ -510,6 +515,10 @@
     if (m_leaving.count(aSend.m_server) > 0) {
       Send(aNode, kStep, ServerLeaving{ aSend.m_handle });
     }
+    ServerRateStated stated;
+    stated.m_handle = aSend.m_handle;
+    stated.m_rate = m_rateLimits[aSend.m_server];
+    Send(aNode, kStep, stated);
     ExchangeEnded ended;
     ended.m_handle = aSend.m_handle;
     ended.m_status = 200;
@@ -766,6 +775,7 @@
   std::priority_queue<Message> m_messages;
   std::map<HostId, std::vector<ServedRequest>> m_served;
   std::set<HostId> m_leaving;
+  std::map<HostId, std::optional<double>> m_rateLimits;
   std::set<std::pair<size_t, size_t>> m_cuts;
   bool m_countsUpdateBytes = false;
   uint64_t m_updateBytes = 0;
--- a/briarglade/entry/gateway_relay.cc
+++ b/briarglade/entry/gateway_relay.cc
@@ -159,6 +159,10 @@
   }
   // Reported at once, because the rest of a long answer may take much longer.
   const std::optional<ExchangeRole> role = RoleOf(aExchange);
+  if (role && aExchange.m_answerKind != AnswerKind::Invalid) {
+    m_hooks.m_onRateStated(
+      ServerRateStated{ m_handle, *role, facts.m_rateLimit });
+  }
   if (facts.m_isServerLeaving && role) {
     m_hooks.m_onServerLeaves(ServerLeaving{ m_handle, *role });
   }
--- a/briarglade/entry/gateway_relay.h
+++ b/briarglade/entry/gateway_relay.h
@@ -30,6 +30,7 @@
 {
   std::function<void(const AnswerProgressed&)> m_onProgress;
   std::function<void(const ServerLeaving&)> m_onServerLeaves;
+  std::function<void(const ServerRateStated&)> m_onRateStated;
   std::function<void(const ExchangeEnded&)> m_onEnded;
 };
 
--- a/briarglade/entry/internal/bulletins.cc
+++ b/briarglade/entry/internal/bulletins.cc
@@ -133,6 +133,9 @@
   for (const TraitClearance& clearance : aBulletin.m_harm.m_clearances) {
     DispatchToGateway(clearance);
   }
+  for (const RateLimitNotice& notice : aBulletin.m_rateLimits) {
+    DispatchToGateway(notice);
+  }
   for (const ServerRun& server : aBulletin.m_leavingServers) {
     RecordLeavingServer(server);
   }
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -59,6 +59,7 @@
   void On(const RequestReceived& aReceived);
   void On(const AnswerProgressed& aProgress) { DispatchToGateway(aProgress); }
   void On(const ServerLeaving& aLeaving) { DispatchToGateway(aLeaving); }
+  void On(const ServerRateStated& aStated) { DispatchToGateway(aStated); }
   void On(const ExchangeEnded& aEnded) { DispatchToGateway(aEnded); }
   void On(const CallerLeft& aLeft) { DispatchToGateway(aLeft); }
   void On(const StopRequested&);
--- a/briarglade/entry/internal/update_receiving.cc
+++ b/briarglade/entry/internal/update_receiving.cc
@@ -28,6 +28,7 @@
   roster.m_nodes = m_state.m_roster.Nodes(m_now);
   roster.m_validUntil =
     m_state.m_roster.ValidUntil(m_now, m_state.m_storeClock);
+  roster.m_liveNodeCount = m_state.m_nodeCount;
   const bool hasShare = m_now < roster.m_validUntil;
   if (hasShare != m_state.m_hasFleetQuota) {
     m_state.m_hasFleetQuota = hasShare;
@@ -66,6 +67,9 @@
   for (const TraitRefusal& refusal : update.m_refusals) {
     DispatchToGateway(refusal);
   }
+  for (const RateLimitNotice& notice : update.m_rateLimits) {
+    DispatchToGateway(notice);
+  }
   ApplyRowChanges(update.m_rowChanges);
   UpdateRosterKnowledge(update);
   HandleReport(update);
--- a/briarglade/entry/node_news.capnp
+++ b/briarglade/entry/node_news.capnp
@@ -78,6 +78,16 @@
   run @1 :Text;
 }
 
+# What a server states about the requests that it accepts from all nodes.
+struct RateLimitNotice {
+  server @0 :Text;
+  run @1 :Text;
+  # Whether it states a limit, and which, in requests per second.
+  limited @2 :Bool;
+  rate @3 :Float64;
+  ageMs @4 :UInt32;
+}
+
 struct NodeCondition {
   leaving @0 :Bool;
   ready @1 :Bool;
@@ -135,6 +145,7 @@
   evidence @10 :List(CrashEvidence);
   clearances @11 :List(TraitClearance);
   entryDoubtMs @12 :UInt16;
+  rateLimits @13 :List(RateLimitNotice);
 }
 
 struct NodeNews {
@@ -158,4 +169,5 @@
   wantsRows @13 :Bool;
   handed @14 :List(HandedRows);
   refusals @15 :List(TraitRefusal);
+  rateLimits @16 :List(RateLimitNotice);
 }
--- a/briarglade/entry/node_news.capnp.h
+++ b/briarglade/entry/node_news.capnp.h
@@ -26,6 +26,7 @@
 CAPNP_DECLARE_SCHEMA(8fca73fac779ed31);
 CAPNP_DECLARE_SCHEMA(a29254e1d940b236);
 CAPNP_DECLARE_SCHEMA(d79d6512d41dc52f);
+CAPNP_DECLARE_SCHEMA(fc5531d8a87da328);
 CAPNP_DECLARE_SCHEMA(f793c7f1244413d5);
 CAPNP_DECLARE_SCHEMA(f089f7e1f2c826ba);
 CAPNP_DECLARE_SCHEMA(b36649ebb261f9ba);
@@ -240,6 +241,26 @@
   };
 };
 
+struct RateLimitNotice
+{
+  RateLimitNotice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate
+  {
+    CAPNP_DECLARE_STRUCT_HEADER(fc5531d8a87da328, 2, 2)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand()
+    {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
+  };
+};
+
 struct NodeCondition
 {
   NodeCondition() = delete;
@@ -350,7 +371,7 @@
 
   struct _capnpPrivate
   {
-    CAPNP_DECLARE_STRUCT_HEADER(8a262c332f6ee829, 4, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(8a262c332f6ee829, 4, 9)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand()
     {
@@ -370,7 +391,7 @@
 
   struct _capnpPrivate
   {
-    CAPNP_DECLARE_STRUCT_HEADER(cedd4078abce72d1, 3, 11)
+    CAPNP_DECLARE_STRUCT_HEADER(cedd4078abce72d1, 3, 12)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand()
     {
@@ -1610,6 +1631,134 @@
 };
 #endif // !CAPNP_LITE
 
+class RateLimitNotice::Reader
+{
+public:
+  typedef RateLimitNotice Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base)
+    : _reader(base)
+  {
+  }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasServer() const;
+  inline ::capnp::Text::Reader getServer() const;
+
+  inline bool hasRun() const;
+  inline ::capnp::Text::Reader getRun() const;
+
+  inline bool getLimited() const;
+
+  inline double getRate() const;
+
+  inline ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RateLimitNotice::Builder
+{
+public:
+  typedef RateLimitNotice Builds;
+
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base)
+    : _builder(base)
+  {
+  }
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return asReader().totalSize();
+  }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return asReader().toString();
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasServer();
+  inline ::capnp::Text::Builder getServer();
+  inline void setServer(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownServer();
+
+  inline bool hasRun();
+  inline ::capnp::Text::Builder getRun();
+  inline void setRun(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initRun(unsigned int size);
+  inline void adoptRun(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownRun();
+
+  inline bool getLimited();
+  inline void setLimited(bool value);
+
+  inline double getRate();
+  inline void setRate(double value);
+
+  inline ::uint32_t getAgeMs();
+  inline void setAgeMs(::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RateLimitNotice::Pipeline
+{
+public:
+  typedef RateLimitNotice Pipelines;
+
+  inline Pipeline(decltype(nullptr))
+    : _typeless(nullptr)
+  {
+  }
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+    : _typeless(kj::mv(typeless))
+  {
+  }
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
 class NodeCondition::Reader
 {
 public:
@@ -2322,6 +2471,11 @@
 
   inline ::uint16_t getEntryDoubtMs() const;
 
+  inline bool hasRateLimits() const;
+  inline ::capnp::List<::briarglade::wire::RateLimitNotice,
+                       ::capnp::Kind::STRUCT>::Reader
+  getRateLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -2491,6 +2645,22 @@
   inline ::uint16_t getEntryDoubtMs();
   inline void setEntryDoubtMs(::uint16_t value);
 
+  inline bool hasRateLimits();
+  inline ::capnp::List<::briarglade::wire::RateLimitNotice,
+                       ::capnp::Kind::STRUCT>::Builder
+  getRateLimits();
+  inline void setRateLimits(::capnp::List<::briarglade::wire::RateLimitNotice,
+                                          ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::RateLimitNotice,
+                       ::capnp::Kind::STRUCT>::Builder
+  initRateLimits(unsigned int size);
+  inline void adoptRateLimits(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::RateLimitNotice,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::RateLimitNotice, ::capnp::Kind::STRUCT>>
+  disownRateLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -2603,6 +2773,11 @@
                        ::capnp::Kind::STRUCT>::Reader
   getRefusals() const;
 
+  inline bool hasRateLimits() const;
+  inline ::capnp::List<::briarglade::wire::RateLimitNotice,
+                       ::capnp::Kind::STRUCT>::Reader
+  getRateLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -2802,6 +2977,22 @@
     ::capnp::List<::briarglade::wire::TraitRefusal, ::capnp::Kind::STRUCT>>
   disownRefusals();
 
+  inline bool hasRateLimits();
+  inline ::capnp::List<::briarglade::wire::RateLimitNotice,
+                       ::capnp::Kind::STRUCT>::Builder
+  getRateLimits();
+  inline void setRateLimits(::capnp::List<::briarglade::wire::RateLimitNotice,
+                                          ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::RateLimitNotice,
+                       ::capnp::Kind::STRUCT>::Builder
+  initRateLimits(unsigned int size);
+  inline void adoptRateLimits(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::RateLimitNotice,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::RateLimitNotice, ::capnp::Kind::STRUCT>>
+  disownRateLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -3955,6 +4146,142 @@
     _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool RateLimitNotice::Reader::hasServer() const
+{
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool RateLimitNotice::Builder::hasServer()
+{
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Text::Reader RateLimitNotice::Reader::getServer() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder RateLimitNotice::Builder::getServer()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RateLimitNotice::Builder::setServer(::capnp::Text::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder RateLimitNotice::Builder::initServer(
+  unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RateLimitNotice::Builder::adoptServer(
+  ::capnp::Orphan<::capnp::Text>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> RateLimitNotice::Builder::disownServer()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RateLimitNotice::Reader::hasRun() const
+{
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool RateLimitNotice::Builder::hasRun()
+{
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Text::Reader RateLimitNotice::Reader::getRun() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder RateLimitNotice::Builder::getRun()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RateLimitNotice::Builder::setRun(::capnp::Text::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder RateLimitNotice::Builder::initRun(
+  unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RateLimitNotice::Builder::adoptRun(
+  ::capnp::Orphan<::capnp::Text>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> RateLimitNotice::Builder::disownRun()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool RateLimitNotice::Reader::getLimited() const
+{
+  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool RateLimitNotice::Builder::getLimited()
+{
+  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RateLimitNotice::Builder::setLimited(bool value)
+{
+  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double RateLimitNotice::Reader::getRate() const
+{
+  return _reader.getDataField<double>(::capnp::bounded<1>() *
+                                      ::capnp::ELEMENTS);
+}
+
+inline double RateLimitNotice::Builder::getRate()
+{
+  return _builder.getDataField<double>(::capnp::bounded<1>() *
+                                       ::capnp::ELEMENTS);
+}
+inline void RateLimitNotice::Builder::setRate(double value)
+{
+  _builder.setDataField<double>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+                                value);
+}
+
+inline ::uint32_t RateLimitNotice::Reader::getAgeMs() const
+{
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t RateLimitNotice::Builder::getAgeMs()
+{
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void RateLimitNotice::Builder::setAgeMs(::uint32_t value)
+{
+  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
 inline bool NodeCondition::Reader::getLeaving() const
 {
   return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5115,6 +5442,68 @@
                                     value);
 }
 
+inline bool Bulletin::Reader::hasRateLimits() const
+{
+  return !_reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool Bulletin::Builder::hasRateLimits()
+{
+  return !_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::List<::briarglade::wire::RateLimitNotice,
+                     ::capnp::Kind::STRUCT>::Reader
+Bulletin::Reader::getRateLimits() const
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::RateLimitNotice, ::capnp::Kind::STRUCT>>::
+    get(_reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::briarglade::wire::RateLimitNotice,
+                     ::capnp::Kind::STRUCT>::Builder
+Bulletin::Builder::getRateLimits()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::RateLimitNotice, ::capnp::Kind::STRUCT>>::
+    get(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Bulletin::Builder::setRateLimits(
+  ::capnp::List<::briarglade::wire::RateLimitNotice,
+                ::capnp::Kind::STRUCT>::Reader value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::RateLimitNotice, ::capnp::Kind::STRUCT>>::
+    set(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS),
+        value);
+}
+inline ::capnp::List<::briarglade::wire::RateLimitNotice,
+                     ::capnp::Kind::STRUCT>::Builder
+Bulletin::Builder::initRateLimits(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::RateLimitNotice, ::capnp::Kind::STRUCT>>::
+    init(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS),
+         size);
+}
+inline void Bulletin::Builder::adoptRateLimits(
+  ::capnp::Orphan<::capnp::List<::briarglade::wire::RateLimitNotice,
+                                ::capnp::Kind::STRUCT>>&& value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::RateLimitNotice, ::capnp::Kind::STRUCT>>::
+    adopt(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS),
+          kj::mv(value));
+}
+inline ::capnp::Orphan<
+  ::capnp::List<::briarglade::wire::RateLimitNotice, ::capnp::Kind::STRUCT>>
+Bulletin::Builder::disownRateLimits()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::RateLimitNotice, ::capnp::Kind::STRUCT>>::
+    disown(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 inline bool NodeNews::Reader::hasNode() const
 {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
@@ -5849,6 +6238,69 @@
       _builder.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS));
 }
 
+inline bool NodeNews::Reader::hasRateLimits() const
+{
+  return !_reader.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool NodeNews::Builder::hasRateLimits()
+{
+  return !_builder.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::List<::briarglade::wire::RateLimitNotice,
+                     ::capnp::Kind::STRUCT>::Reader
+NodeNews::Reader::getRateLimits() const
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::RateLimitNotice, ::capnp::Kind::STRUCT>>::
+    get(_reader.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::briarglade::wire::RateLimitNotice,
+                     ::capnp::Kind::STRUCT>::Builder
+NodeNews::Builder::getRateLimits()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::RateLimitNotice, ::capnp::Kind::STRUCT>>::
+    get(_builder.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline void NodeNews::Builder::setRateLimits(
+  ::capnp::List<::briarglade::wire::RateLimitNotice,
+                ::capnp::Kind::STRUCT>::Reader value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::RateLimitNotice, ::capnp::Kind::STRUCT>>::
+    set(_builder.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS),
+        value);
+}
+inline ::capnp::List<::briarglade::wire::RateLimitNotice,
+                     ::capnp::Kind::STRUCT>::Builder
+NodeNews::Builder::initRateLimits(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::RateLimitNotice, ::capnp::Kind::STRUCT>>::
+    init(_builder.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS),
+         size);
+}
+inline void NodeNews::Builder::adoptRateLimits(
+  ::capnp::Orphan<::capnp::List<::briarglade::wire::RateLimitNotice,
+                                ::capnp::Kind::STRUCT>>&& value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::RateLimitNotice, ::capnp::Kind::STRUCT>>::
+    adopt(_builder.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS),
+          kj::mv(value));
+}
+inline ::capnp::Orphan<
+  ::capnp::List<::briarglade::wire::RateLimitNotice, ::capnp::Kind::STRUCT>>
+NodeNews::Builder::disownRateLimits()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::RateLimitNotice, ::capnp::Kind::STRUCT>>::
+    disown(
+      _builder.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+
 } // namespace
 } // namespace
 
--- a/briarglade/entry/node_news.cc
+++ b/briarglade/entry/node_news.cc
@@ -226,6 +226,16 @@
   aEntry.setAgeMs(ToDuration(aClearance.m_age));
 }
 
+void WriteRateLimit(wire::RateLimitNotice::Builder aEntry,
+                    const RateLimitNotice& aNotice)
+{
+  aEntry.setServer(aNotice.m_server.m_server.Value());
+  aEntry.setRun(aNotice.m_server.m_run.Value());
+  aEntry.setLimited(aNotice.m_rate.has_value());
+  aEntry.setRate(aNotice.m_rate.value_or(0));
+  aEntry.setAgeMs(ToDuration(aNotice.m_age));
+}
+
 void WriteRefusal(wire::TraitRefusal::Builder aEntry,
                   const TraitRefusal& aRefusal)
 {
@@ -306,6 +316,9 @@
   WriteList(aEntry.initClearances(SizeOf(harm.m_clearances)),
             harm.m_clearances,
             WriteClearance);
+  WriteList(aEntry.initRateLimits(SizeOf(aBulletin.m_rateLimits)),
+            aBulletin.m_rateLimits,
+            WriteRateLimit);
   WriteList(aEntry.initLeavingServers(SizeOf(aBulletin.m_leavingServers)),
             aBulletin.m_leavingServers,
             WriteLeaving);
@@ -348,6 +361,18 @@
   return evidence;
 }
 
+RateLimitNotice ReadRateLimit(wire::RateLimitNotice::Reader aEntry)
+{
+  RateLimitNotice notice;
+  notice.m_server = ServerRun{ HostId(ToText(aEntry.getServer())),
+                               BootId(ToText(aEntry.getRun())) };
+  if (aEntry.getLimited()) {
+    notice.m_rate = aEntry.getRate();
+  }
+  notice.m_age = Millis(aEntry.getAgeMs());
+  return notice;
+}
+
 TraitRefusal ReadRefusal(wire::TraitRefusal::Reader aEntry)
 {
   return TraitRefusal{ ReadTrait(aEntry.getTrait()),
@@ -371,6 +396,9 @@
     bulletin.m_harm.m_clearances.push_back(
       TraitClearance{ ReadTrait(entry.getTrait()), Millis(entry.getAgeMs()) });
   }
+  for (const auto notice : aMessage.getRateLimits()) {
+    bulletin.m_rateLimits.push_back(ReadRateLimit(notice));
+  }
   for (const auto entry : aMessage.getLeavingServers()) {
     bulletin.m_leavingServers.push_back(ServerRun{
       HostId(ToText(entry.getServer())), BootId(ToText(entry.getRun())) });
@@ -420,6 +448,9 @@
   WriteList(aMessage.initRefusals(SizeOf(aUpdate.m_refusals)),
             aUpdate.m_refusals,
             WriteRefusal);
+  WriteList(aMessage.initRateLimits(SizeOf(aUpdate.m_rateLimits)),
+            aUpdate.m_rateLimits,
+            WriteRateLimit);
 }
 
 Subscription ReadSubscription(uint8_t aValue)
@@ -464,6 +495,9 @@
   for (const auto refusal : aMessage.getRefusals()) {
     update.m_refusals.push_back(ReadRefusal(refusal));
   }
+  for (const auto notice : aMessage.getRateLimits()) {
+    update.m_rateLimits.push_back(ReadRateLimit(notice));
+  }
   return update;
 }
 
--- a/briarglade/entry/node_news.h
+++ b/briarglade/entry/node_news.h
@@ -104,6 +104,8 @@
   // Evidence of requests that crash servers, and what clears them.
   HarmNotices m_harm;
   std::vector<ServerRun> m_leavingServers;
+  // Rate limits that servers have begun or ceased to state.
+  std::vector<RateLimitNotice> m_rateLimits;
   // Groups that the origin, as the holder of the control lease, is ending or
   // has recently opened. Opened groups are used only by nodes that know the
   // servers' entries up to m_serversComplete.
@@ -118,7 +120,7 @@
   {
     return m_harm.IsEmpty() && m_leavingServers.empty() &&
            m_endedGroups.empty() && m_openedGroups.empty() &&
-           m_rowChanges.empty();
+           m_rowChanges.empty() && m_rateLimits.empty();
   }
 };
 
@@ -159,6 +161,8 @@
   // From a relay: which requests are refused as harmful, for nodes that have
   // missed the bulletins.
   std::vector<TraitRefusal> m_refusals;
+  // The same for the rate limits of some servers, in turn.
+  std::vector<RateLimitNotice> m_rateLimits;
 
   std::vector<Bulletin> m_bulletins;
 
--- a/briarglade/entry/node_news_test.cc
+++ b/briarglade/entry/node_news_test.cc
@@ -30,6 +30,12 @@
   };
   bulletin.m_serversComplete = RowVersion(9);
   bulletin.m_entryDoubt = Millis(1'200);
+  bulletin.m_rateLimits = {
+    RateLimitNotice{
+      ServerRun{ HostId("i-1"), BootId("16") }, 4.5, Millis(30) },
+    RateLimitNotice{
+      ServerRun{ HostId("i-2"), BootId("17") }, std::nullopt, Millis() }
+  };
   bulletin.m_rowChanges = {
     { Feed::Servers,
       RowVersion(7),
@@ -48,6 +54,8 @@
   news.m_condition.m_isReady = true;
   news.m_condition.m_hasTraffic = true;
   news.m_condition.m_isStoreLost = true;
+  news.m_rateLimits = { RateLimitNotice{
+    ServerRun{ HostId("i-3"), BootId("18") }, 0.25, Millis(5) } };
   news.m_completeUpTo = { RowVersion(1), RowVersion(2), RowVersion(3) };
   news.m_rosterKnownUpTo = Millis(4'711);
   news.m_subscription = Subscription::All;
@@ -152,6 +160,14 @@
         sent.m_bulletins[0].m_openedGroups[0].m_members);
   CHECK(bulletin.m_serversComplete == RowVersion(9));
   CHECK(bulletin.m_entryDoubt == Millis(1'200));
+  REQUIRE(bulletin.m_rateLimits.size() == 2);
+  CHECK(bulletin.m_rateLimits[0].m_server ==
+        ServerRun{ HostId("i-1"), BootId("16") });
+  CHECK(bulletin.m_rateLimits[0].m_rate == 4.5);
+  CHECK(bulletin.m_rateLimits[0].m_age == Millis(30));
+  CHECK_FALSE(bulletin.m_rateLimits[1].m_rate);
+  REQUIRE(read->m_rateLimits.size() == 1);
+  CHECK(read->m_rateLimits[0].m_rate == 0.25);
   CheckRows(bulletin.m_rowChanges, sent.m_rowChanges);
 }
 
--- a/briarglade/entry/reduce_entry.cc
+++ b/briarglade/entry/reduce_entry.cc
@@ -52,6 +52,10 @@
               aLeaving.m_server);
           }
         },
+        [this](ReportRateLimit& aReport) {
+          m_state.m_peerUpdates.m_nextBulletin.m_rateLimits.push_back(
+            std::move(aReport.m_notice));
+        },
         [this](auto& aBody) { m_effects.emplace_back(std::move(aBody)); } },
       effect);
   }
--- a/briarglade/entry/wire_codec.h
+++ b/briarglade/entry/wire_codec.h
@@ -77,6 +77,9 @@
   std::optional<uint32_t> m_load;
   // The server is shutting down and should get no new requests.
   bool m_isServerLeaving = false;
+  // Requests per second that the server accepts from all nodes together, if it
+  // states a limit.
+  std::optional<double> m_rateLimit;
   // The server that prevents a group from serving; empty if not reported.
   HostId m_faultyServer;
 };
--- a/briarglade/gateway/backend_table.cc
+++ b/briarglade/gateway/backend_table.cc
@@ -37,6 +37,14 @@
 // the same backend.
 constexpr double kOtherZoneCost = 0.15;
 constexpr double kCostJitter = 0.1;
+// When a caller should retry if this node has no quota of the only servers'
+// rate limits: another node may have one.
+constexpr Millis kNoQuotaBackoff = Millis(1'000);
+
+ServerRun RunOf(const Backend& aBackend)
+{
+  return ServerRun{ aBackend.m_server, aBackend.m_run };
+}
 
 } // namespace
 
@@ -85,6 +93,7 @@
   }
   RecomputePeerLoads();
   m_coldStart.RemoveIdle(aNow);
+  m_rateLimits.RemoveIdle(aNow);
   EraseIf(m_backoffUntil,
           [&](const auto& aEntry) { return aEntry.second <= aNow; });
 }
@@ -170,8 +179,13 @@
       const bool isOutsideQuota = m_coldStart.IsCold(aNow, backend) &&
                                   backend.m_coldUntil >= aBefore &&
                                   !m_coldStart.HasQuota(aNow, backend);
-      return Serves(aSlot, aRequirements) && !WasTried(aSlot, aRequirements) &&
-             !isOutsideQuota && BackoffUntil(aSlot) < aBefore;
+      if (!Serves(aSlot, aRequirements) || WasTried(aSlot, aRequirements) ||
+          isOutsideQuota || BackoffUntil(aSlot) >= aBefore) {
+        return false;
+      }
+      const std::optional<Millis> next =
+        m_rateLimits.NextSendAt(aNow, RunOf(backend));
+      return next && (*next <= aNow || *next < aBefore);
     });
 }
 
@@ -180,7 +194,8 @@
   const double limit = aSlot.m_backend.m_slots * (1 + kMaxQueuedFraction);
   return !aSlot.IsSuspect(aNow) && aSlot.m_avoidUntil <= aNow &&
          BackoffUntil(aSlot) <= aNow && aSlot.Load() < limit &&
-         m_coldStart.MaySend(aNow, aSlot.m_backend);
+         m_coldStart.MaySend(aNow, aSlot.m_backend) &&
+         m_rateLimits.MaySend(aNow, RunOf(aSlot.m_backend));
 }
 
 double BackendTable::Cost(const BackendSlot& aSlot) const
@@ -224,6 +239,7 @@
   ++slot.m_inFlight;
   slot.m_pendingPromptTokens += aPromptTokens;
   m_coldStart.RecordSent(aNow, slot.m_backend.m_server);
+  m_rateLimits.RecordSent(aNow, slot.m_backend.m_server);
   if (slot.m_inFlight == 1) {
     slot.m_lastBytesAt = aNow;
   }
@@ -284,14 +300,16 @@
   return found == m_backoffUntil.end() ? Millis() : found->second;
 }
 
-Millis BackendTable::RemainingBackoff(
-  Millis aNow,
-  const BackendRequirements& aRequirements) const
+Millis BackendTable::RemainingBackoff(Millis aNow,
+                                      const BackendRequirements& aRequirements)
 {
   std::optional<Millis> earliest;
   for (const BackendSlot& slot : m_slots) {
     if (Serves(slot, aRequirements) && !WasTried(slot, aRequirements)) {
-      const Millis until = BackoffUntil(slot);
+      const std::optional<Millis> next =
+        m_rateLimits.NextSendAt(aNow, RunOf(slot.m_backend));
+      const Millis until =
+        std::max(BackoffUntil(slot), next.value_or(aNow + kNoQuotaBackoff));
       earliest = std::min(earliest.value_or(until), until);
     }
   }
--- a/briarglade/gateway/backend_table.h
+++ b/briarglade/gateway/backend_table.h
@@ -35,6 +35,7 @@
 #include "briarglade/base/millis.h"
 #include "briarglade/gateway/cold_start_limit.h"
 #include "briarglade/gateway/gateway_event.h"
+#include "briarglade/gateway/server_rate_limits.h"
 
 namespace briarglade {
 
@@ -109,7 +110,8 @@
                std::shared_ptr<const FleetQuota> aQuota)
     : m_zone(std::move(aZone))
     , m_random(aSeed)
-    , m_coldStart(std::move(aQuota))
+    , m_coldStart(aQuota)
+    , m_rateLimits(std::move(aQuota))
   {
   }
 
@@ -122,6 +124,9 @@
   // Returns the limit on requests to servers in cold start.
   ColdStartLimit& ColdStart() { return m_coldStart; }
 
+  // Returns the rate limits that servers state.
+  ServerRateLimits& RateLimits() { return m_rateLimits; }
+
   // Returns the slot with the lowest cost that has room for the request, or
   // nothing if there is none.
   std::optional<size_t> Choose(Millis aNow,
@@ -149,10 +154,10 @@
   // the server itself requested a pause.
   void SetBackoff(Millis aUntil, const HostId& aServer);
   // Returns the time until the first untried backend that can serve the request
-  // ends its requested pause; zero if one of them has not requested a pause, or
-  // if there is none.
+  // ends its requested pause and may be sent a request within its rate limit;
+  // zero if that holds for one of them now, or if there is none.
   Millis RemainingBackoff(Millis aNow,
-                          const BackendRequirements& aRequirements) const;
+                          const BackendRequirements& aRequirements);
 
   // Suspects each group that has answers in progress and has sent no bytes for
   // longer than SuspectAfter().
@@ -195,6 +200,7 @@
   ZoneId m_zone;
   std::minstd_rand m_random;
   ColdStartLimit m_coldStart;
+  ServerRateLimits m_rateLimits;
   std::deque<BackendSlot> m_slots;
   uint64_t m_lastSerial = 0;
   std::map<Key, size_t> m_byKey;
--- a/briarglade/gateway/exchange_ends.cc
+++ b/briarglade/gateway/exchange_ends.cc
@@ -199,19 +199,62 @@
          retryAfter);
 }
 
-void GatewayReduction::On(const ServerLeaving& aLeaving)
+const GatewayExchange* GatewayReduction::FindExchange(RequestHandle aHandle,
+                                                      ExchangeRole aRole)
 {
-  const GatewayRequest* request = Find(aLeaving.m_handle);
+  const GatewayRequest* request = Find(aHandle);
   if (request == nullptr || request->m_phase != GatewayPhase::Running) {
+    return nullptr;
+  }
+  if (aRole == ExchangeRole::Primary) {
+    return &request->m_exchange;
+  }
+  return request->m_hedge ? &*request->m_hedge : nullptr;
+}
+
+void GatewayReduction::On(const ServerLeaving& aLeaving)
+{
+  if (const GatewayExchange* exchange =
+        FindExchange(aLeaving.m_handle, aLeaving.m_role)) {
+    m_effects.emplace_back(ReportServerLeaving{ exchange->m_server });
+  }
+}
+
+void GatewayReduction::On(const ServerRateStated& aStated)
+{
+  const GatewayExchange* exchange =
+    FindExchange(aStated.m_handle, aStated.m_role);
+  if (exchange == nullptr) {
     return;
   }
-  if (aLeaving.m_role == ExchangeRole::Primary) {
-    m_effects.emplace_back(ReportServerLeaving{ request->m_exchange.m_server });
-  } else if (request->m_hedge) {
-    m_effects.emplace_back(ReportServerLeaving{ request->m_hedge->m_server });
+  const bool isNews = m_state.m_backendTable.RateLimits().OnAnswer(
+    m_now, exchange->m_sentAt, exchange->m_server, aStated.m_rate);
+  if (isNews) {
+    LogRateLimit(exchange->m_server, aStated.m_rate, "answer");
+    m_effects.emplace_back(ReportRateLimit{
+      RateLimitNotice{ exchange->m_server, aStated.m_rate, Millis() } });
   }
 }
 
+void GatewayReduction::On(const RateLimitNotice& aNotice)
+{
+  if (m_state.m_backendTable.RateLimits().OnNotice(m_now, aNotice)) {
+    LogRateLimit(aNotice.m_server, aNotice.m_rate, "node");
+  }
+}
+
+void GatewayReduction::LogRateLimit(const ServerRun& aServer,
+                                    std::optional<double> aRate,
+                                    const char* aSource)
+{
+  LogEvent event;
+  event.m_event = "server-rate-limit";
+  event.m_fields = { { "server", aServer.m_server.Value() },
+                     { "per-second", aRate ? std::to_string(*aRate) : "none" },
+                     { "known-from", aSource } };
+  m_effects.emplace_back(std::move(event));
+}
+
 bool GatewayReduction::IsServed(const ExchangeEnded& aEnded,
                                 const ExchangeClassification& aClassification)
 {
--- a/briarglade/gateway/fleet_quota.h
+++ b/briarglade/gateway/fleet_quota.h
@@ -40,6 +40,12 @@
   // quotas. Without nodes, all quotas are zero.
   void SetRoster(NodeList aNodes, Millis aValidUntil);
 
+  // Sets the number of nodes that are live, this one included.
+  void SetLiveNodeCount(size_t aCount) { m_liveNodeCount = aCount; }
+
+  const NodeId& Self() const { return m_self; }
+  // Returns the number of live nodes, in the roster or not.
+  size_t LiveNodeCount() const { return m_liveNodeCount; }
   // Returns whether this node may use its quotas.
   bool IsValid(Millis aNow) const { return aNow < m_validUntil; }
   // Returns a number that increases with each change of the roster.
@@ -56,6 +62,7 @@
 private:
   NodeId m_self;
   NodeList m_nodes;
+  size_t m_liveNodeCount = 1;
   Millis m_validUntil;
   uint64_t m_rosterVersion = 0;
 };
--- a/briarglade/gateway/gateway.cc
+++ b/briarglade/gateway/gateway.cc
@@ -386,6 +386,7 @@
 void GatewayReduction::On(const RosterChanged& aChange)
 {
   m_state.m_quota->SetRoster(aChange.m_nodes, aChange.m_validUntil);
+  m_state.m_quota->SetLiveNodeCount(aChange.m_liveNodeCount);
 }
 
 void GatewayReduction::On(const GatewayTick&)
--- a/briarglade/gateway/gateway_event.h
+++ b/briarglade/gateway/gateway_event.h
@@ -21,6 +21,7 @@
 #include "briarglade/gateway/fleet_quota.h"
 #include "briarglade/gateway/gateway_config.h"
 #include "briarglade/gateway/harm_detector.h"
+#include "briarglade/gateway/rate_limit_notice.h"
 #include "briarglade/gateway/server_run.h"
 #include "briarglade/routing/request_event.h"
 
@@ -130,6 +131,15 @@
   ExchangeRole m_role = ExchangeRole::Primary;
 };
 
+// The head of a server's answer has arrived, and states how many requests per
+// second the server accepts from all nodes together, or no such limit.
+struct ServerRateStated
+{
+  RequestHandle m_handle;
+  ExchangeRole m_role = ExchangeRole::Primary;
+  std::optional<double> m_rate;
+};
+
 // The caller has disconnected.
 struct CallerLeft
 {
@@ -168,6 +178,8 @@
 {
   NodeList m_nodes;
   Millis m_validUntil;
+  // The number of live nodes, this one included, in the roster or not.
+  size_t m_liveNodeCount = 1;
 };
 
 // A server has ended without a planned shutdown.
@@ -197,9 +209,11 @@
                                   TraitClearance,
                                   TraitRefusal,
                                   RosterChanged,
+                                  RateLimitNotice,
                                   CallerRequestArrived,
                                   AnswerProgressed,
                                   ServerLeaving,
+                                  ServerRateStated,
                                   ExchangeEnded,
                                   CallerLeft>;
 
@@ -278,9 +292,16 @@
   ServerRun m_server;
 };
 
+// Tell the other nodes what a server states about its rate limit.
+struct ReportRateLimit
+{
+  RateLimitNotice m_notice;
+};
+
 using GatewayEffect = std::variant<ReportHarm,
                                    CheckServer,
                                    ReportServerLeaving,
+                                   ReportRateLimit,
                                    SendToServer,
                                    CancelExchange,
                                    PromoteHedge,
--- a/briarglade/gateway/gateway_test.cc
+++ b/briarglade/gateway/gateway_test.cc
@@ -533,5 +533,27 @@
   FindEvent(streams, "request-moved", { "request", "server", "to" });
 }
 
+TEST_CASE("a request for a server whose rate limit is used up waits if it gets "
+          "its turn in time, and is refused as not run if it doesn't")
+{
+  World world;
+  world.Do(BackendsChanged{ { MakeServer("s1") } });
+  const RequestHandle first = world.Arrive(RouteKind::Idempotent);
+  world.Do(ServerRateStated{ first, ExchangeRole::Primary, 0.5 });
+  world.End(first, ExchangeEnd::Whole, 200);
+  const RequestHandle second = world.Arrive(RouteKind::NonIdempotent);
+  CHECK(world.Sends(second) == 0);
+  REQUIRE(world.m_answered.count(second) == 1);
+  const AnswerCaller& answer = world.m_answered[second];
+  CHECK(DescribeResultCode(answer.m_code).m_outcome == Outcome::NotRun);
+  // The window and the margin for jitter.
+  CHECK(answer.m_retryAfter == Millis(2'300));
+  world.Wait(Millis(2'200));
+  const RequestHandle third = world.Arrive(RouteKind::Idempotent);
+  CHECK(world.m_answered.count(third) == 0);
+  world.Wait(Millis(200));
+  CHECK(world.Sends(third) == 1);
+}
+
 } // namespace
 } // namespace briarglade
--- a/briarglade/gateway/internal/gateway_reduction.h
+++ b/briarglade/gateway/internal/gateway_reduction.h
@@ -69,6 +69,8 @@
   void On(const CallerRequestArrived& aRequest);
   void On(const AnswerProgressed& aProgress);
   void On(const ServerLeaving& aLeaving);
+  void On(const ServerRateStated& aStated);
+  void On(const RateLimitNotice& aNotice);
   void On(const ExchangeEnded& aEnded);
   void On(const CallerLeft& aLeft);
 
@@ -160,6 +162,12 @@
   void StopHarmfulRequests();
   // Forwards the server's answer to the caller and removes the request.
   void FinishWithAnswer(GatewayRequest& aRequest, const ExchangeEnded& aEnded);
+  // Returns the request's exchange of a role, or nullptr if none is running.
+  const GatewayExchange* FindExchange(RequestHandle aHandle,
+                                      ExchangeRole aRole);
+  void LogRateLimit(const ServerRun& aServer,
+                    std::optional<double> aRate,
+                    const char* aSource);
   // Removes the request from the state.
   void RemoveRequest(const GatewayRequest& aRequest);
   // Logs an event with the request's id and age.
