A request that waits unread when a stopping server closes its connection is served

Cause: 3 s after SIGTERM a node closes the connections that wait for a request. Bytes that had come, but that the loop hadn't read yet, were read after that and dropped. Class: idleness is judged by what was read, not by what has come.

Change: a connection counts as idle only if its socket holds nothing unread; the request is answered and the answer says that the connection ends. The end of the idle time asks the same.

--- a/briarglade/net/internal/http_connection.cc
+++ b/briarglade/net/internal/http_connection.cc
@@ -113,7 +113,10 @@
 
 bool HttpConnection::CloseIfIdle()
 {
-  const bool isIdle = m_phase == Phase::Reading && !m_parser;
+  // A request that has come is read and answered first.
+  const bool isIdle =
+    m_phase == Phase::Reading && !m_parser &&
+    !internal::HasUnreadBytes(bufferevent_getfd(m_bufferevent));
   if (isIdle) {
     CloseGently();
   }
@@ -135,7 +138,9 @@
     return;
   }
   if (m_phase == Phase::Reading) {
-    CloseGently();
+    if (!CloseIfIdle()) {
+      m_timer->Start(m_server.m_limits.m_requestTime);
+    }
     return;
   }
   delete this;
--- a/briarglade/net/internal/socket_io.cc
+++ b/briarglade/net/internal/socket_io.cc
@@ -82,6 +82,12 @@
   return got == 0 || (got < 0 && !isQuiet && errno != EINTR);
 }
 
+bool HasUnreadBytes(int aSocket)
+{
+  char byte = 0;
+  return recv(aSocket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 size_t UnsentBytes(bufferevent* aConnection)
 {
   return evbuffer_get_length(bufferevent_get_output(aConnection));
--- a/briarglade/net/internal/socket_io.h
+++ b/briarglade/net/internal/socket_io.h
@@ -25,6 +25,9 @@
 // it sent before has been read.
 bool HasPeerLeft(int aSocket);
 
+// Returns whether bytes have come that were not read from the socket yet.
+bool HasUnreadBytes(int aSocket);
+
 // Returns the number of bytes that wait to be sent.
 size_t UnsentBytes(bufferevent* aConnection);
 
--- a/standin/http_server_test.cc
+++ b/standin/http_server_test.cc
@@ -3,8 +3,13 @@
 
 #include "briarglade/net/http_server.h"
 
+#include <algorithm>
+#include <arpa/inet.h>
 #include <doctest/doctest.h>
+#include <memory>
 #include <string>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <vector>
 
 #include "briarglade/net/event_loop.h"
@@ -179,6 +184,69 @@
   CHECK(answer.find("echo:abc") != std::string::npos);
 }
 
+// A connected socket whose bytes go to the kernel at once.
+class BlockingClient
+{
+public:
+  explicit BlockingClient(uint16_t aPort)
+    : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(aPort);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(connect(m_socket,
+                    reinterpret_cast<sockaddr*>(&address),
+                    sizeof(address)) == 0);
+  }
+  ~BlockingClient() { close(m_socket); }
+  BlockingClient(const BlockingClient&) = delete;
+  BlockingClient& operator=(const BlockingClient&) = delete;
+
+  void Send(const std::string& aBytes)
+  {
+    CHECK(send(m_socket, aBytes.data(), aBytes.size(), 0) ==
+          static_cast<ssize_t>(aBytes.size()));
+  }
+  // Returns what has come by now.
+  std::string Receive()
+  {
+    std::string received(4096, ' ');
+    const ssize_t got =
+      recv(m_socket, received.data(), received.size(), MSG_DONTWAIT);
+    received.resize(static_cast<size_t>(std::max<ssize_t>(0, got)));
+    return received;
+  }
+
+private:
+  int m_socket;
+};
+
+TEST_CASE(
+  "LOST: a request that has come, but was not read yet, is answered when "
+  "the server begins to drain")
+{
+  EventLoop loop;
+  HttpServer server(loop, HttpServerLimits());
+  server.SetHandler([&loop](const std::shared_ptr<HttpExchange>& aExchange) {
+    aExchange->Respond(200, {}, "echo:" + aExchange->Path());
+    loop.Stop();
+  });
+  BlockingClient client(server.Listen({ "127.0.0.1", 0 }));
+  client.Send("GET /first HTTP/1.1\r\n\r\n");
+  loop.Run();
+  CHECK(client.Receive().find("echo:/first") != std::string::npos);
+  client.Send("GET /second HTTP/1.1\r\n\r\n");
+  server.BeginDraining();
+  const std::unique_ptr<Timer> giveUp =
+    loop.MakeTimer([&loop] { loop.Stop(); });
+  giveUp->Start(Millis(1'000));
+  loop.Run();
+  const std::string answer = client.Receive();
+  CHECK(answer.find("echo:/second") != std::string::npos);
+  CHECK(answer.find("Connection: close") != std::string::npos);
+}
+
 TEST_CASE("connections beyond the bound are closed at once")
 {
   HttpServerLimits limits = SmallLimits();
