Failing test: one node's own way to the store in doubt keeps leaving servers in use

What callers saw: nothing yet.

Shown in virtual time: the first follower is cut off from the store for 3 s, all others are not. A server that leaves by its entry's removal 1.5 to 2.25 s after that node is back is still known to 3 to 5 nodes 2 s later, refused or without an answer; to the node itself from its return on.

Tried and reverted: no doubt while another node was known to have read the store within 2.2 s, then 1.7 s. Both failed "a server whose entry is gone is out of use on every node at once ...": with watch calls pending, an outage of 2.0 s looks the same as none.

--- a/briarglade/entry/reduce_entry_test.cc
+++ b/briarglade/entry/reduce_entry_test.cc
@@ -261,6 +261,39 @@
   }
 }
 
+TEST_CASE(
+  "DRAIN: a server whose entry is removed is out of use within 2 s also "
+  "while one node, which followed the store, is cut off from it or back")
+{
+  for (const StoreStatus status :
+       { StoreStatus::Refused, StoreStatus::Unknown }) {
+    // When the entry is removed, after the node was cut off for three seconds.
+    for (Millis at(500); at < Millis(6'000); at += Millis(250)) {
+      CAPTURE(std::string(StoreStatusName(status)));
+      CAPTURE(at);
+      World world;
+      world.AddServer("s1");
+      world.Run(Millis(1'000));
+      const size_t cut = world.FirstFollower();
+      world.SetStoreStatus(cut, status);
+      const Millis cutTime(3'000);
+      world.Run(std::min(at, cutTime));
+      if (at >= cutTime) {
+        world.SetStoreStatus(cut, StoreStatus::Ok);
+        world.Run(at - cutTime);
+      }
+      world.RemoveServer("s1");
+      world.Run(Millis(2'000));
+      for (size_t node = 0; node < kNodes; ++node) {
+        const bool isCutOff = at < cutTime && node == cut;
+        const bool knows =
+          world.StateOf(node).m_servers.count(HostId("s1")) > 0;
+        CHECK((isCutOff || !knows));
+      }
+    }
+  }
+}
+
 TEST_CASE("a server whose entry expired in an outage of the store, and is "
           "written again within 2 s, stays in use on every node")
 {
