--- a/briarglade/gateway/cold_start_limit.cc
+++ b/briarglade/gateway/cold_start_limit.cc
@@ -32,12 +32,9 @@
   if (!m_quota->IsValid(aNow)) {
     return 0;
   }
-  if (aServer.m_rosterVersion != m_quota->RosterVersion()) {
-    aServer.m_rosterVersion = m_quota->RosterVersion();
-    aServer.m_rank = m_quota->RankFor(aBackend.m_server.Value());
-  }
   const double limit = aBackend.m_coldRate * m_factor + m_slack;
-  return DealtTo(aServer.m_rank, static_cast<uint32_t>(limit));
+  return aServer.m_rank.LocalQuota(
+    *m_quota, aBackend.m_server, static_cast<uint32_t>(limit));
 }
 
 bool ColdStartLimit::HasQuota(Millis aNow, const Backend& aBackend)
--- a/briarglade/gateway/cold_start_limit.h
+++ b/briarglade/gateway/cold_start_limit.h
@@ -21,7 +21,7 @@
 #include "briarglade/base/ids.h"
 #include "briarglade/base/millis.h"
 #include "briarglade/base/recent_count.h"
-#include "briarglade/base/roster_place.h"
+#include "briarglade/gateway/cached_rank.h"
 
 namespace briarglade {
 
@@ -62,10 +62,7 @@
   struct Server
   {
     RecentCount m_sent{ kLimitWindow + kMaxArrivalJitter };
-    RosterPlace m_rank;
-    // The roster version that m_rank was computed from; zero if not computed
-    // yet.
-    uint64_t m_rosterVersion = 0;
+    CachedRank m_rank;
   };
 
   uint32_t LocalQuota(Millis aNow,
--- a/briarglade/gateway/server_rate_limits.cc
+++ b/briarglade/gateway/server_rate_limits.cc
@@ -152,17 +152,6 @@
   return std::max(aNow, NextByReserve(aServer.m_server, server, *rate));
 }
 
-uint32_t ServerRateLimits::LocalQuota(const HostId& aHost,
-                                      Server& aServer,
-                                      uint32_t aLimit)
-{
-  if (aServer.m_rosterVersion != m_quota->RosterVersion()) {
-    aServer.m_rosterVersion = m_quota->RosterVersion();
-    aServer.m_rank = m_quota->RankFor(aHost.Value());
-  }
-  return DealtTo(aServer.m_rank, aLimit);
-}
-
 // Returns when this node may send by its quota; nothing if that is zero.
 std::optional<Millis> ServerRateLimits::NextByQuota(Millis aNow,
                                                     const HostId& aHost,
@@ -173,7 +162,8 @@
     static_cast<double>(kWindow.Count()) / kMillisPerSecond;
   const auto perWindow =
     static_cast<uint32_t>(std::min<double>(aRate * seconds, UINT32_MAX));
-  const uint32_t quota = LocalQuota(aHost, aServer, std::max(1U, perWindow));
+  const uint32_t quota =
+    aServer.m_rank.LocalQuota(*m_quota, aHost, std::max(1U, perWindow));
   if (quota == 0) {
     return std::nullopt;
   }
--- a/briarglade/gateway/server_rate_limits.h
+++ b/briarglade/gateway/server_rate_limits.h
@@ -25,7 +25,7 @@
 #include "briarglade/base/ids.h"
 #include "briarglade/base/millis.h"
 #include "briarglade/base/recent_count.h"
-#include "briarglade/base/roster_place.h"
+#include "briarglade/gateway/cached_rank.h"
 #include "briarglade/gateway/rate_limit_notice.h"
 
 namespace briarglade {
@@ -86,14 +86,10 @@
     Millis m_lastSentAt = Millis(-1'000'000);
     // When this node learnt of the limit.
     Millis m_limitedSince;
-    RosterPlace m_rank;
-    // The roster version that m_rank was computed from; zero if not computed
-    // yet.
-    uint64_t m_rosterVersion = 0;
+    CachedRank m_rank;
   };
 
   bool Apply(Millis aNow, const HostId& aHost, Statement aStatement);
-  uint32_t LocalQuota(const HostId& aHost, Server& aServer, uint32_t aLimit);
   std::optional<Millis> NextByQuota(Millis aNow,
                                     const HostId& aHost,
                                     Server& aServer,
