Digests of both kinds name every server's rate limit in turn

What callers saw: nothing; found in the read-through.

Cause: digests to a zone's nodes and to other zones took their eight servers from one cursor. With 9 to 16 limited servers each kind always got the same half, so that a node that had missed a bulletin, or a restarted one, never heard of the others that way.

Change: each kind of digest has its own cursor.

--- a/briarglade/entry/internal/update_sending.cc
+++ b/briarglade/entry/internal/update_sending.cc
@@ -291,7 +291,8 @@
     digest.m_fleet = MakeFleetDigest(others, hasAllNodes);
     digest.m_refusals = m_state.m_gateway.m_harmDetector.Refusals(m_now);
     digest.m_rateLimits =
-      m_state.m_gateway.m_backendTable.RateLimits().NextNotices(m_now);
+      m_state.m_gateway.m_backendTable.RateLimits().NextNotices(
+        m_now, updates.m_lastLimitInDigests);
     Send(receivers, std::move(digest));
   }
   if (IsOwnRelay()) {
@@ -366,7 +367,8 @@
   digest.m_zoneAges = KnownZoneAges();
   digest.m_refusals = m_state.m_gateway.m_harmDetector.Refusals(m_now);
   digest.m_rateLimits =
-    m_state.m_gateway.m_backendTable.RateLimits().NextNotices(m_now);
+    m_state.m_gateway.m_backendTable.RateLimits().NextNotices(
+      m_now, updates.m_lastLimitInZoneDigests);
   std::vector<NodeId> receivers;
   for (const ZoneId& zone : m_state.m_directory.Zones()) {
     if (zone == m_state.m_settings.m_zone) {
--- a/briarglade/entry/peer_update_state.h
+++ b/briarglade/entry/peer_update_state.h
@@ -62,6 +62,9 @@
   Millis m_backupDigestsSentAt;
   Millis m_allNodesSentAt;
   Millis m_zoneDigestsSentAt;
+  // The servers whose rate limits the last digests of each kind named last.
+  HostId m_lastLimitInDigests;
+  HostId m_lastLimitInZoneDigests;
   bool m_hasUrgentDigest = false;
 
   // Groups that other nodes suspect, as reported by the relays, and when that
--- a/briarglade/gateway/server_rate_limits.cc
+++ b/briarglade/gateway/server_rate_limits.cc
@@ -100,7 +100,8 @@
                Statement{ aNotice.m_server.m_run, aNotice.m_rate, observedAt });
 }
 
-std::vector<RateLimitNotice> ServerRateLimits::NextNotices(Millis aNow)
+std::vector<RateLimitNotice> ServerRateLimits::NextNotices(Millis aNow,
+                                                           HostId& aLast) const
 {
   std::vector<HostId> stated;
   for (const auto& [host, server] : m_servers) {
@@ -109,8 +110,7 @@
     }
   }
   std::sort(stated.begin(), stated.end());
-  const auto next =
-    std::upper_bound(stated.begin(), stated.end(), m_lastNotified);
+  const auto next = std::upper_bound(stated.begin(), stated.end(), aLast);
   std::rotate(stated.begin(), next, stated.end());
   stated.resize(std::min(stated.size(), kMaxNotices));
   std::vector<RateLimitNotice> notices;
@@ -119,7 +119,7 @@
     notices.push_back(RateLimitNotice{ ServerRun{ host, statement.m_run },
                                        statement.m_rate,
                                        aNow - statement.m_observedAt });
-    m_lastNotified = host;
+    aLast = host;
   }
   return notices;
 }
--- a/briarglade/gateway/server_rate_limits.h
+++ b/briarglade/gateway/server_rate_limits.h
@@ -49,8 +49,9 @@
   // has changed.
   bool OnNotice(Millis aNow, const RateLimitNotice& aNotice);
   // Returns what is known about some servers, in turn, for nodes that have
-  // missed an earlier notice.
-  std::vector<RateLimitNotice> NextNotices(Millis aNow);
+  // missed an earlier notice. aLast is the last server that the same receivers
+  // were told about, and is set to the last one returned.
+  std::vector<RateLimitNotice> NextNotices(Millis aNow, HostId& aLast) const;
 
   // Returns the server's limit in requests per second, if it has stated one.
   std::optional<double> RateOf(const ServerRun& aServer) const;
@@ -100,8 +101,6 @@
 
   std::shared_ptr<const FleetQuota> m_quota;
   std::unordered_map<HostId, Server> m_servers;
-  // The last server that NextNotices() has returned.
-  HostId m_lastNotified;
 };
 
 } // namespace briarglade
--- a/briarglade/gateway/server_rate_limits_test.cc
+++ b/briarglade/gateway/server_rate_limits_test.cc
@@ -193,8 +193,13 @@
     limits.OnAnswer(Millis(1'000), Millis(900), server, kRate);
   }
   std::vector<HostId> named;
+  HostId last;
+  HostId lastOfOthers;
   for (int i = 0; i < 3; ++i) {
-    for (const RateLimitNotice& notice : limits.NextNotices(Millis(1'300))) {
+    // Other receivers are told in between.
+    limits.NextNotices(Millis(1'300), lastOfOthers);
+    for (const RateLimitNotice& notice :
+         limits.NextNotices(Millis(1'300), last)) {
       CHECK(notice.m_age == Millis(300));
       named.push_back(notice.m_server.m_server);
     }
@@ -203,7 +208,7 @@
   named.erase(std::unique(named.begin(), named.end()), named.end());
   CHECK(named.size() == kServers);
   limits.RemoveIdle(Millis(120'000));
-  CHECK(limits.NextNotices(Millis(120'000)).empty());
+  CHECK(limits.NextNotices(Millis(120'000), last).empty());
 }
 
 } // namespace
