The doubt that a node states with rows isn't passed on in digests

What callers saw: nothing; found in the read-through of the whole change.

Cause: lets a node that sends missing rows state all its doubt in its condition. The requester keeps conditions of other nodes and, as a relay, hands them on in its digests, so that a doubt meant for one node, also that of a node which alone was cut off from the store, reached the whole fleet and kept leaving servers in use there.

Change: a condition that comes with rows is kept without its doubt; the receiver itself still heeds it.

--- a/briarglade/entry/node_directory.cc
+++ b/briarglade/entry/node_directory.cc
@@ -65,7 +65,12 @@
     return;
   }
   found->second.m_incarnation = aUpdate.m_incarnation;
-  RecordCondition(aNow, found->second, aUpdate.m_condition);
+  NodeCondition condition = aUpdate.m_condition;
+  if (!aUpdate.m_rowChanges.empty()) {
+    // That doubt is about these rows, for this node alone.
+    condition.m_entryDoubt = Millis();
+  }
+  RecordCondition(aNow, found->second, condition);
 }
 
 bool NodeDirectory::OnStatus(Millis aNow, const NodeStatus& aStatus)
--- a/briarglade/entry/node_directory_test.cc
+++ b/briarglade/entry/node_directory_test.cc
@@ -167,5 +167,25 @@
   CHECK(world.Count() == 3);
 }
 
+TEST_CASE("the doubt that comes with rows is for their receiver alone: digests "
+          "do not pass it on")
+{
+  NodeDirectory directory(NodeRow{});
+  NodeRow row;
+  row.m_node = NodeId("n2");
+  row.m_incarnation = 2;
+  directory.OnRow(Millis(1'000), row.m_node, &row);
+  NodeNews update;
+  update.m_node = row.m_node;
+  update.m_incarnation = row.m_incarnation;
+  update.m_condition.m_entryDoubt = Millis(900);
+  directory.OnPeerUpdate(Millis(1'000), update);
+  const KnownNode& known = directory.Others().at(row.m_node);
+  CHECK(known.m_condition.m_entryDoubt == Millis(900));
+  update.m_rowChanges = { RowChanges() };
+  directory.OnPeerUpdate(Millis(1'100), update);
+  CHECK(known.m_condition.m_entryDoubt == Millis());
+}
+
 } // namespace
 } // namespace briarglade
