--- a/briarglade/gateway/internal/gateway_reduction.h
+++ b/briarglade/gateway/internal/gateway_reduction.h
@@ -165,6 +165,7 @@
   // Returns the request's exchange of a role, or nullptr if none is running.
   const GatewayExchange* FindExchange(RequestHandle aHandle,
                                       ExchangeRole aRole);
+  // Logs a server's limit in requests per second, or its end.
   void LogRateLimit(const ServerRun& aServer,
                     std::optional<double> aRate,
                     const char* aSource);
--- a/briarglade/gateway/rate_limit_notice.h
+++ b/briarglade/gateway/rate_limit_notice.h
@@ -9,7 +9,7 @@
 
 namespace briarglade {
 
-// As nodes tell each other.
+// One server's rate limit, as one node tells it to others.
 struct RateLimitNotice
 {
   ServerRun m_server;
--- a/briarglade/gateway/server_rate_limits.cc
+++ b/briarglade/gateway/server_rate_limits.cc
@@ -17,6 +17,7 @@
 // The longest time between two requests to a server, however low its limit is:
 // only an answer shows that the limit has ended.
 constexpr Millis kMaxInterval = Millis(30'000);
+// The same for a node without a valid quota, whose turns are rarer.
 constexpr Millis kMaxReserveInterval = Millis(3'600'000);
 // The part of a limit that nodes without a valid quota use, all together.
 constexpr double kReserveFraction = 0.25;
@@ -27,6 +28,8 @@
 constexpr Millis kEndedLifetime = Millis(10'000);
 // Number of servers in one call of NextNotices().
 constexpr size_t kMaxNotices = 8;
+// A limit that no answer has confirmed for this long is forgotten.
+constexpr Millis kLimitLifetime = kMaxInterval * 2;
 
 // Returns the time per request at a rate per second, aLongest at the most.
 Millis IntervalOf(double aRate, Millis aLongest)
@@ -204,7 +207,7 @@
   for (auto entry = m_servers.begin(); entry != m_servers.end();) {
     std::optional<Statement>& statement = entry->second.m_statement;
     const Millis lifetime =
-      statement && statement->m_rate ? kMaxInterval * 2 : kEndedLifetime;
+      statement && statement->m_rate ? kLimitLifetime : kEndedLifetime;
     if (statement && aNow - statement->m_observedAt >= lifetime) {
       statement.reset();
     }
