Log what an exchange's connection shows, and why a request is sent again

Change: exchange-failed says connection=new|kept, sent-bytes and passed-over; request-retried, the counterpart of request-not-retried, says whether "not run" or the idempotent route allows it; request-failed says how many servers may have run the request. No logic changes.

--- a/briarglade/entry/gateway_relay.cc
+++ b/briarglade/entry/gateway_relay.cc
@@ -265,6 +265,7 @@
   ended.m_answerBegan = m_streamStarted;
   ended.m_retryAfter = aExchange.m_facts.m_retryAfter;
   ended.m_load = aExchange.m_facts.m_load;
+  ended.m_trace = aEnd.m_trace;
   m_hooks.m_onEnded(ended);
 }
 
--- a/briarglade/gateway/exchange_ends.cc
+++ b/briarglade/gateway/exchange_ends.cc
@@ -140,7 +140,10 @@
     { "server", aExchange.m_server.m_server.Value() },
     { "end", ExchangeEndName(aEnded.m_end) },
     { "status", std::to_string(aEnded.m_status) },
-    { "took-ms", std::to_string((m_now - aExchange.m_sentAt).Count()) }
+    { "took-ms", std::to_string((m_now - aExchange.m_sentAt).Count()) },
+    { "connection", aEnded.m_trace.m_isKeptConnection ? "kept" : "new" },
+    { "sent-bytes", std::to_string(aEnded.m_trace.m_sentBytes) },
+    { "passed-over", std::to_string(aEnded.m_trace.m_passedOverAnswers) }
   };
   if (IsBrokenConnection(aEnded.m_end)) {
     const Millis answeredFor = m_now - aExchange.m_beganAt;
@@ -153,6 +156,20 @@
   LogRequest("exchange-failed", aRequest, std::move(fields));
 }
 
+// Logs what allows one more send after an exchange.
+void GatewayReduction::LogRetried(const GatewayRequest& aRequest,
+                                  const ExchangeClassification& aClassification)
+{
+  const bool isNotRun = aClassification.m_outcome == Outcome::NotRun;
+  LogRequest("request-retried",
+             aRequest,
+             { { "reason", isNotRun ? "not-run" : "idempotent" },
+               { "began", aRequest.m_answerBegan ? "yes" : "no" },
+               { "sends", std::to_string(aRequest.m_tried.size()) },
+               { "may-have-run", std::to_string(aRequest.m_mayHaveRunCount) },
+               { "left-ms", std::to_string(TimeLeft(aRequest).Count()) } });
+}
+
 void GatewayReduction::LogNotRetried(const GatewayRequest& aRequest,
                                      RetryBlock aBlock)
 {
@@ -179,7 +196,9 @@
     block = RetryBlock::Budget;
   }
   const bool mayRetry = block == RetryBlock::None;
-  if (!mayRetry) {
+  if (mayRetry) {
+    LogRetried(aRequest, aClassification);
+  } else {
     LogNotRetried(aRequest, block);
   }
   if (mayRetry && Start(aRequest)) {
--- a/briarglade/gateway/gateway.cc
+++ b/briarglade/gateway/gateway.cc
@@ -129,6 +129,7 @@
         { "began", aRequest.m_answerBegan ? "yes" : "no" },
         { "service", aRequest.m_request.m_service.Value() },
         { "sends", std::to_string(aRequest.m_tried.size()) },
+        { "may-have-run", std::to_string(aRequest.m_mayHaveRunCount) },
         { "retry-after-ms", std::to_string(answer.m_retryAfter.Count()) } });
   }
   m_effects.emplace_back(answer);
--- a/briarglade/gateway/gateway_event.h
+++ b/briarglade/gateway/gateway_event.h
@@ -122,6 +122,7 @@
   // The load that the server reported with its answer.
   std::optional<uint32_t> m_load;
   ExchangeRole m_role = ExchangeRole::Primary;
+  ExchangeTrace m_trace = {};
 };
 
 // The answer in progress reports that its server is shutting down.
--- a/briarglade/gateway/gateway_test.cc
+++ b/briarglade/gateway/gateway_test.cc
@@ -507,10 +507,15 @@
     world,
     "request-failed",
     { "request", "code", "cause-code", "began", "sends", "retry-after-ms" });
+  FindEvent(world, "request-failed", { "may-have-run" });
   world.End(served, ExchangeEnd::ResetBeforeAnswer);
   FindEvent(world,
             "exchange-failed",
             { "request", "server", "end", "status", "took-ms" });
+  FindEvent(
+    world, "exchange-failed", { "connection", "sent-bytes", "passed-over" });
+  FindEvent(
+    world, "request-retried", { "request", "reason", "sends", "may-have-run" });
   world.Do(BackendsChanged{ { MakeServer("y", 30) } });
   const RequestHandle next = world.Arrive(RouteKind::Idempotent);
   world.End(next, ExchangeEnd::Whole, 200);
--- a/briarglade/gateway/internal/gateway_reduction.h
+++ b/briarglade/gateway/internal/gateway_reduction.h
@@ -140,6 +140,8 @@
   RetryBlock FindRetryBlock(
     const GatewayRequest& aRequest,
     const ExchangeClassification& aClassification) const;
+  void LogRetried(const GatewayRequest& aRequest,
+                  const ExchangeClassification& aClassification);
   void LogNotRetried(const GatewayRequest& aRequest, RetryBlock aBlock);
   // Retries the request if that is safe and within its limits; otherwise
   // finishes it.
--- a/briarglade/net/http_call.cc
+++ b/briarglade/net/http_call.cc
@@ -156,6 +156,7 @@
   m_ended = true;
   m_timer.reset();
   m_idleTimer.reset();
+  aEnd.m_trace = Trace();
   if (m_connection) {
     m_connection->SetCall(nullptr);
     if (aKeepConnection) {
@@ -195,6 +196,17 @@
                            : ExchangeEnd::ResetBeforeSend;
 }
 
+ExchangeTrace HttpCall::Trace() const
+{
+  ExchangeTrace trace;
+  trace.m_passedOverAnswers = m_passedOverAnswers;
+  if (m_connection) {
+    trace.m_isKeptConnection = !m_isNewConnection;
+    trace.m_sentBytes = m_connection->SentBytes();
+  }
+  return trace;
+}
+
 void HttpCall::TellHead()
 {
   if (m_headTold || !m_parser->HasHead()) {
@@ -208,6 +220,7 @@
                               : AnswerMatch::ThisCall;
   if (match == AnswerMatch::OtherCall) {
     m_isPassedOver = true;
+    ++m_passedOverAnswers;
     m_head = HttpAnswerHead();
     return;
   }
--- a/briarglade/net/http_call.h
+++ b/briarglade/net/http_call.h
@@ -43,6 +43,7 @@
   // Ends the call without a word, since the client is being destroyed.
   void Abandon();
   ExchangeEnd FailureKind() const;
+  ExchangeTrace Trace() const;
   void TellHead();
   void TellData(std::string_view aData);
   void FinishWhole();
@@ -70,6 +71,7 @@
   // Bytes of interim answers, and of answers to other requests.
   size_t m_interimBytes = 0;
   size_t m_passedOverBytes = 0;
+  uint32_t m_passedOverAnswers = 0;
   // The answer that is being read belongs to another request.
   bool m_isPassedOver = false;
   bool m_isPaused = false;
--- a/briarglade/net/http_client.h
+++ b/briarglade/net/http_client.h
@@ -61,6 +61,7 @@
   uint16_t m_status = 0;
   // Whether nothing but the close of its connection ended a whole answer.
   bool m_isEndedByClose = false;
+  ExchangeTrace m_trace = {};
 };
 
 // The value of HttpCallSpec::m_maxIdleAge for a call that needs a connection of
--- a/briarglade/routing/request_event.h
+++ b/briarglade/routing/request_event.h
@@ -84,6 +84,18 @@
   Cancelled
 };
 
+// What the connection of an exchange shows about the request that it carried.
+// For the log: it tells why the request counts as run or not run.
+struct ExchangeTrace
+{
+  // Whether the connection had carried an earlier request.
+  bool m_isKeptConnection = false;
+  // Bytes of the request that the kernel took.
+  uint64_t m_sentBytes = 0;
+  // Answers to other requests that were read and dropped.
+  uint32_t m_passedOverAnswers = 0;
+};
+
 // The end of one attempt.
 struct AttemptEnded
 {
