--- a/standin/platform_stray_test.cc
+++ b/standin/platform_stray_test.cc
@@ -1,8 +1,10 @@
-// Tests of refusals that a faulty server writes once more on a kept connection,
-// through a whole entry node: none of them may count for a later request.
+// Tests of answers that a faulty server writes once more on a kept connection,
+// whole or cut off, through a whole entry node: none of them may count for a
+// later request.
 
 #include <doctest/doctest.h>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -16,10 +18,13 @@
 
 using nlohmann::json;
 
-constexpr char kProbe[] = "probe";
+constexpr char kOnce[] = "non_idempotent";
+constexpr char kRepeatable[] = "idempotent";
 constexpr int kServers = 2;
+// More than there are servers, so that some would come on a kept connection.
+constexpr int kProbes = 4;
 
-json Configuration()
+json Configuration(const char* aKind)
 {
   return { { "version", 1 },
            { "routes",
@@ -27,8 +32,8 @@
                  { "host", "desk.example" },
                  { "prefix", "/book/" },
                  { "service", "desk" },
-                 { "kind", "non_idempotent" },
-                 { "timeout_ms", 2'000 },
+                 { "kind", aKind },
+                 { "timeout_ms", 1'000 },
                  { "attempts", 2 },
                  { "public", true } } } },
            { "services",
@@ -48,14 +53,25 @@
          "Content-Length: 4\r\n\r\nbody";
 }
 
-std::string Served(const std::string& aRequest)
+std::string AttemptOf(const std::string& aRequest)
 {
   constexpr char kMark[] = "Attempt-Id: ";
   const size_t begin = aRequest.find(kMark) + sizeof(kMark) - 1;
-  const std::string attempt =
-    aRequest.substr(begin, aRequest.find("\r\n", begin) - begin);
-  return "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt +
-         "\r\nResponse-Signature: sig\r\nContent-Length: 6\r\n\r\nbooked";
+  return aRequest.substr(begin, aRequest.find("\r\n", begin) - begin);
+}
+
+// Returns a server's own answer: its status line, and a body of six bytes.
+std::string Answered(const std::string& aRequest,
+                     const std::string& aStatus,
+                     const std::string& aBody)
+{
+  return "HTTP/1.1 " + aStatus + "\r\nAttempt-Id: " + AttemptOf(aRequest) +
+         "\r\nResponse-Signature: sig\r\nContent-Length: 6\r\n\r\n" + aBody;
+}
+
+std::string Served(const std::string& aRequest)
+{
+  return Answered(aRequest, "200 OK", "booked");
 }
 
 bool Has(const std::string& aText, const std::string& aPart)
@@ -70,15 +86,15 @@
          Has(aAnswer, " 429 ") || Has(aAnswer, " 503 ");
 }
 
-// A node before servers that answer the first booking on a new connection well.
-// The probe meets a script, once it comes on a kept connection.
+// A node before servers that answer the first request on a new connection well.
+// Each later one on the same connection meets a script.
 class StrayWorld
 {
 public:
   using Script = std::function<RawAnswer(const std::string& aRequest)>;
 
-  explicit StrayWorld(Script aScript)
-    : m_world(Configuration())
+  StrayWorld(const char* aKind, Script aScript)
+    : m_world(Configuration(aKind))
     , m_script(std::move(aScript))
     , m_connections(kServers)
   {
@@ -92,17 +108,18 @@
     m_world.WaitFor(Booking("warm-up"), "200");
   }
 
-  // Sends the probe until it comes on a kept connection; returns its answer.
-  std::string Probe()
+  std::string Send(const std::string& aAttempt)
   {
-    std::string answer;
-    while (m_runs == 0) {
-      answer = m_world.Exchange(Booking(kProbe));
-    }
-    return answer;
+    return m_world.Exchange(Booking(aAttempt));
+  }
+  // How often a server ran a request.
+  int Runs(const std::string& aAttempt) const
+  {
+    const auto found = m_runs.find(aAttempt);
+    return found == m_runs.end() ? 0 : found->second;
   }
-  // How often the probe was sent, from the first time on a kept connection on.
-  int Runs() const { return m_runs; }
+  // How many requests came on a connection that had carried another one.
+  int OnKeptConnections() const { return m_onKept; }
 
 private:
   RawAnswer Play(int aServer, const std::string& aRequest)
@@ -112,12 +129,12 @@
     const bool isNew =
       std::exchange(m_connections[static_cast<size_t>(aServer)], connections) !=
       connections;
-    const bool isProbe = Has(aRequest, kProbe);
-    if (!isProbe || (isNew && m_runs == 0)) {
+    ++m_runs[AttemptOf(aRequest)];
+    if (isNew) {
       return RawAnswer{ Served(aRequest) };
     }
-    ++m_runs;
-    return m_runs == 1 ? m_script(aRequest) : RawAnswer{ Served(aRequest) };
+    ++m_onKept;
+    return m_script(aRequest);
   }
 
   NodeWorld m_world;
@@ -125,7 +142,8 @@
   std::vector<std::unique_ptr<RawServer>> m_servers;
   // The connections that each server had at its last request.
   std::vector<int> m_connections;
-  int m_runs = 0;
+  std::map<std::string, int> m_runs;
+  int m_onKept = 0;
 };
 
 // The refusals of an earlier request, each as it may be written once more.
@@ -143,25 +161,40 @@
 // What comes before a refusal.
 constexpr const char* kPrefixes[] = { "", "HTTP/1.1 103 Early Hints\r\n\r\n" };
 
-// Lets the probe meet each refusal under a name, while the server runs it.
-void MeetRefusals(const std::string& aName, bool aIsAnswered)
+// Sends requests of a kind in a row; where one comes on a kept connection, its
+// server writes the stray bytes, and behind them the right answer, or closes.
+// Those that may run once must; all others end with their own answer or none.
+void MeetStray(const char* aKind, const std::string& aStray, bool aIsAnswered)
+{
+  CAPTURE(aStray);
+  CAPTURE(aIsAnswered);
+  StrayWorld world(aKind, [&](const std::string& aRequest) {
+    return aIsAnswered ? RawAnswer{ aStray + Served(aRequest), RawEnd::Keep }
+                       : RawAnswer{ aStray, RawEnd::Close };
+  });
+  for (int i = 0; i < kProbes; ++i) {
+    const std::string attempt = "probe-" + std::to_string(i);
+    const std::string answer = world.Send(attempt);
+    CAPTURE(answer);
+    if (aKind == kOnce) {
+      CHECK(world.Runs(attempt) == 1);
+      CHECK_FALSE(PromisesNotRun(answer));
+    }
+    if (Has(answer, " 200 ")) {
+      CHECK(Has(answer, attempt));
+      CHECK(Has(answer, "booked"));
+    }
+  }
+  if (aKind == kRepeatable) {
+    CHECK(world.OnKeptConnections() > 0);
+  }
+}
+
+void MeetRefusals(const char* aKind, const std::string& aName, bool aIsAnswered)
 {
   for (const std::string& refusal : Refusals(aName)) {
     for (const char* prefix : kPrefixes) {
-      const std::string stray = prefix + refusal;
-      CAPTURE(stray);
-      StrayWorld world([&](const std::string& aRequest) {
-        return aIsAnswered ? RawAnswer{ stray + Served(aRequest), RawEnd::Keep }
-                           : RawAnswer{ stray, RawEnd::Close };
-      });
-      const std::string answer = world.Probe();
-      CAPTURE(answer);
-      CHECK(world.Runs() == 1);
-      CHECK_FALSE(PromisesNotRun(answer));
-      if (aIsAnswered && !aName.empty()) {
-        CHECK(Has(answer, " 200 "));
-        CHECK(Has(answer, "booked"));
-      }
+      MeetStray(aKind, prefix + refusal, aIsAnswered);
     }
   }
 }
@@ -169,15 +202,68 @@
 TEST_CASE("REFUSED, TWICE: another request's refusal on a kept connection "
           "isn't the next request's")
 {
-  MeetRefusals("Attempt-Id: earlier\r\n", true);
-  MeetRefusals("Attempt-Id: earlier\r\n", false);
+  for (const char* kind : { kOnce, kRepeatable }) {
+    MeetRefusals(kind, "Attempt-Id: earlier\r\n", true);
+    MeetRefusals(kind, "Attempt-Id: earlier\r\n", false);
+  }
 }
 
 TEST_CASE("REFUSED, TWICE: a refusal that names no request counts for none on "
           "a kept connection")
 {
-  MeetRefusals("", true);
-  MeetRefusals("", false);
+  for (const char* kind : { kOnce, kRepeatable }) {
+    MeetRefusals(kind, "", true);
+    MeetRefusals(kind, "", false);
+  }
+}
+
+// Cuts an answer off within each line of its head.
+std::vector<std::string> CutHeads(const std::string& aAnswer)
+{
+  std::vector<std::string> cut;
+  const size_t headEnd = aAnswer.find("\r\n\r\n");
+  for (size_t end = aAnswer.find("\r\n"); end <= headEnd;
+       end = aAnswer.find("\r\n", end + 1)) {
+    cut.push_back(aAnswer.substr(0, end));
+    cut.push_back(aAnswer.substr(0, end - 1));
+  }
+  return cut;
+}
+
+TEST_CASE("REFUSED, TWICE: a refusal that is cut off and written before the "
+          "next answer isn't the next request's")
+{
+  for (const char* name : { "Attempt-Id: earlier\r\n", "" }) {
+    for (const std::string& refusal : Refusals(name)) {
+      for (const std::string& cut : CutHeads(refusal)) {
+        MeetStray(kOnce, cut, true);
+      }
+    }
+  }
+}
+
+TEST_CASE("MIXED: a success that is cut off and written before a failure "
+          "doesn't make a success of it")
+{
+  const std::string success =
+    "HTTP/1.1 200 OK\r\nResponse-Signature: earlier\r\nServer-Load: 6,2,6\r\n"
+    "Content-Length: 6\r\n\r\nbooked";
+  for (const std::string& cut : CutHeads(success)) {
+    for (const char* kind : { kOnce, kRepeatable }) {
+      CAPTURE(cut);
+      StrayWorld world(kind, [&](const std::string& aRequest) {
+        return RawAnswer{
+          cut + Answered(aRequest, "500 Internal Server Error", "failed"),
+          RawEnd::Keep
+        };
+      });
+      for (int i = 0; i < kProbes; ++i) {
+        const std::string answer = world.Send("probe-" + std::to_string(i));
+        CAPTURE(answer);
+        CHECK_FALSE((Has(answer, " 200 ") && Has(answer, "failed")));
+      }
+    }
+  }
 }
 
 } // namespace
