The bound on an answer's body holds also if the body comes with the head

What callers could see: nothing at once; a node that reads an answer of a stated length beyond the bound (8 MB) without an end, up to its timeout, and keeps it all. Cause: the parser library reports the length over its limit when the head is done, but goes on in the same call if a part of the body is there, and forgets it. Only answers; requests keep the error. Change: the check stands where a body begins.

--- a/briarglade/net/internal/http_message_parser.cc
+++ b/briarglade/net/internal/http_message_parser.cc
@@ -196,6 +196,19 @@
     HttpHeader{ std::string(aName.data(), aName.size()), std::string(value) });
 }
 
+// The library forgets its own check of the length if a part of the body comes
+// together with the head.
+template<bool isRequest>
+void HttpMessageParser<isRequest>::on_body_init_impl(
+  const boost::optional<uint64_t>& aLength,
+  ErrorCode& aError)
+{
+  aError = {};
+  if (aLength && *aLength > m_limits.m_maxBodyBytes) {
+    aError = http::make_error_code(http::error::body_limit);
+  }
+}
+
 template<bool isRequest>
 size_t HttpMessageParser<isRequest>::on_body_impl(Text aBody, ErrorCode& aError)
 {
--- a/briarglade/net/internal/http_message_parser.h
+++ b/briarglade/net/internal/http_message_parser.h
@@ -87,11 +87,8 @@
                      Text aValue,
                      ErrorCode& aError) override;
   void on_header_impl(ErrorCode& aError) override { aError = {}; }
-  void on_body_init_impl(const boost::optional<uint64_t>&,
-                         ErrorCode& aError) override
-  {
-    aError = {};
-  }
+  void on_body_init_impl(const boost::optional<uint64_t>& aLength,
+                         ErrorCode& aError) override;
   size_t on_body_impl(Text aBody, ErrorCode& aError) override;
   void on_chunk_header_impl(uint64_t, Text, ErrorCode& aError) override
   {
--- a/briarglade/net/internal/http_message_parser_test.cc
+++ b/briarglade/net/internal/http_message_parser_test.cc
@@ -18,10 +18,11 @@
   size_t m_headers = 0;
 };
 
-// Parses a request whose bytes come in pieces of one size.
+// Parses a message whose bytes come in pieces of one size.
+template<bool isRequest = true>
 Parsed ParseInPieces(const std::string& aBytes, size_t aPiece)
 {
-  HttpMessageParser<true> parser(kLimits);
+  HttpMessageParser<isRequest> parser(kLimits);
   Parsed parsed;
   std::string pending;
   for (size_t at = 0; at < aBytes.size(); at += aPiece) {
@@ -55,6 +56,23 @@
   }
 }
 
+TEST_CASE("a body that is too long is refused in whatever pieces it comes")
+{
+  const std::string message =
+    "X-Note: a\r\nContent-Length: 1025\r\n\r\n" + std::string(1'025, 'x');
+  const std::string request = kHead + message;
+  const std::string answer = "HTTP/1.1 200 OK\r\n" + message;
+  for (size_t piece = 1; piece <= request.size(); ++piece) {
+    CAPTURE(piece);
+    const Parsed parsed = ParseInPieces(request, piece);
+    CHECK(parsed.m_failure == HttpParseFailure::BodyTooLarge);
+    CHECK_FALSE(parsed.m_isDone);
+    const Parsed answered = ParseInPieces<false>(answer, piece);
+    CHECK(answered.m_failure == HttpParseFailure::BodyTooLarge);
+    CHECK_FALSE(answered.m_isDone);
+  }
+}
+
 TEST_CASE("no byte of a head goes unseen in whatever pieces it comes")
 {
   for (const std::string& line : { std::string("X-Note: a\x01z\r\n"),
