An answer that is cut off within its head isn't read as one with the next one

What callers saw: in the soak, bookings answered 200 that had failed, or that had not run at all (MIXED; requests may also be resumed or retried on such an answer). Cause: a late second answer that ends within its head is joined by the next answer's status line and headers, the right id and signature among them. Change: a status line within the reason or a header of an answer is an error, like other heads that two readers could read differently. The call then ends as wrong-answer: it may have run.

--- a/briarglade/net/internal/http_message_parser.cc
+++ b/briarglade/net/internal/http_message_parser.cc
@@ -26,6 +26,31 @@
          strncasecmp(aText.data(), aOther.data(), aText.size()) == 0;
 }
 
+bool IsDigit(char aByte)
+{
+  return aByte >= '0' && aByte <= '9';
+}
+
+// Returns whether the beginning of a status line, such as "HTTP/1.1 200",
+// stands in a text.
+bool HoldsStatusLine(std::string_view aText)
+{
+  constexpr std::string_view kProtocol = "HTTP/";
+  constexpr std::string_view kPattern = "HTTP/0.0 000";
+  for (size_t at = aText.find(kProtocol);
+       at != std::string_view::npos && aText.size() - at >= kPattern.size();
+       at = aText.find(kProtocol, at + 1)) {
+    const std::string_view found = aText.substr(at, kPattern.size());
+    const auto matches = [](char aByte, char aWanted) {
+      return aWanted == '0' ? IsDigit(aByte) : aByte == aWanted;
+    };
+    if (std::equal(found.begin(), found.end(), kPattern.begin(), matches)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 } // namespace
 
 template<bool isRequest>
@@ -157,11 +182,15 @@
 
 template<bool isRequest>
 void HttpMessageParser<isRequest>::on_response_impl(int aStatus,
-                                                    Text,
+                                                    Text aReason,
                                                     int,
                                                     ErrorCode& aError)
 {
   aError = {};
+  if (HoldsStatusLine(std::string_view(aReason.data(), aReason.size()))) {
+    aError = http::make_error_code(http::error::bad_reason);
+    return;
+  }
   m_status = static_cast<uint16_t>(aStatus);
 }
 
@@ -187,6 +216,10 @@
     aError = http::make_error_code(http::error::bad_field);
     return;
   }
+  if (!isRequest && HoldsStatusLine(value)) {
+    aError = http::make_error_code(http::error::bad_value);
+    return;
+  }
   if (aField == http::field::transfer_encoding &&
       !EqualsIgnoringCase(value, "chunked")) {
     aError = http::make_error_code(http::error::bad_transfer_encoding);
--- a/briarglade/net/internal/http_message_parser_test.cc
+++ b/briarglade/net/internal/http_message_parser_test.cc
@@ -73,6 +73,34 @@
   }
 }
 
+TEST_CASE(
+  "an answer that is cut off within its head isn't read as one with the "
+  "next one")
+{
+  const std::string first = "HTTP/1.1 421 Misdirected Request\r\nX-Mark: 1\r\n"
+                            "X-Next: 6,2,6\r\nContent-Length: 0\r\n\r\n";
+  const std::string second =
+    "HTTP/1.1 200 OK\r\nX-Name: mine\r\nContent-Length: 2\r\n\r\nok";
+  for (size_t cut = 1; cut < first.size(); ++cut) {
+    for (const size_t piece : { size_t{ 1 }, size_t{ 7 }, size_t{ 1'000 } }) {
+      CAPTURE(cut);
+      CAPTURE(piece);
+      const Parsed parsed =
+        ParseInPieces<false>(first.substr(0, cut) + second, piece);
+      CHECK(parsed.m_failure == HttpParseFailure::Malformed);
+      CHECK_FALSE(parsed.m_isDone);
+    }
+  }
+}
+
+TEST_CASE("a header may name a protocol")
+{
+  const std::string answer =
+    "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 front\r\nUpgrade: HTTP/2.0\r\n"
+    "Content-Length: 2\r\n\r\nok";
+  CHECK(ParseInPieces<false>(answer, answer.size()).m_isDone);
+}
+
 TEST_CASE("no byte of a head goes unseen in whatever pieces it comes")
 {
   for (const std::string& line : { std::string("X-Note: a\x01z\r\n"),
