--- a/scripts/lib/soak_callers.py
+++ b/scripts/lib/soak_callers.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import os
+import re
 
 from soak_http import Broken, chunks, message, read_body, read_head, reset
 from soak_ledger import Request
+from soak_servers import EVENTS
 
 OK = 200
 # How long after its deadline a caller still waits for an answer, in seconds.
@@ -45,16 +47,17 @@
     def _make(self):
         """Draws a request. Returns it with its headers and body."""
         world, draw = self.world, self.world.random
-        route = draw.choices(["book", "look", "flip", "once", "draft"], [50, 10, 15, 10, 15])[0]
+        route = draw.choices(["book", "look", "flip", "once", "draft", "note"],
+                             [45, 10, 15, 10, 10, 10])[0]
         size = draw.choices([600, 100_000, 1_500_000], [96, 3, 1])[0]
         body = os.urandom(size // 2).hex().encode()
         request = Request(world.new_id("a"), route, body, world.judge(route))
         deadline = draw.choice([300, 1000, 1500, 4000])
         headers = {"Host": "desk.example", "Attempt-Id": request.attempt,
                    "Deadline-Remaining": deadline}
-        if route in ("once", "draft"):
+        if route in ("once", "draft", "note"):
             headers["Accept"] = "text/event-stream"
-        if route == "draft":
+        if route in ("draft", "note"):
             headers.update({"Model": "m0", "Token-Counts": "100,30"})
         return request, headers, body, deadline / 1000
 
@@ -74,7 +77,9 @@
         status = int(line.split(" ")[1])
         if answered.get("transfer-encoding") == "chunked":
             text = b"".join([part async for part in chunks(self.reader)])
-            is_whole = text.count(request.digest.encode()) == 3
+            events = re.findall(rb"id: (\d+)\ndata: (\w+)\n\n", text)
+            is_whole = events == [(b"%d" % number, request.digest.encode())
+                                  for number in range(1, EVENTS + 1)]
         else:
             text = await read_body(self.reader, answered)
             is_whole = text == request.digest.encode()
--- a/scripts/lib/soak_servers.py
+++ b/scripts/lib/soak_servers.py
@@ -8,6 +8,7 @@
 
 from soak_http import Broken, message, read_body, read_head, reset
 
+EVENTS = 3  # Of a stream.
 CHUNK = 30  # Bytes of a piece when an answer is written slowly.
 # Troubles after which the request has not run.
 NOT_RUN = ["refuse", "refuse-again", "refuse-429", "misdirect", "reset-before", "close-before",
@@ -290,7 +291,8 @@
             await asyncio.sleep(draw.uniform(0.3, 3))
         await asyncio.sleep(draw.expovariate(1 / 0.015))
         if headers.get("accept") == "text/event-stream":
-            return await self._stream(attempt, digest, trouble)
+            first = int(headers.get("last-event-id", 0)) + 1
+            return await self._stream(attempt, digest, first, trouble)
         answer = self._answer(headers, digest)
         if trouble == "reset-after":
             return self.end(is_reset=True)
@@ -320,8 +322,8 @@
             self.repeat(answer, attempt)
         return True
 
-    async def _stream(self, attempt, digest, trouble):
-        """Answers with a stream of three events."""
+    async def _stream(self, attempt, digest, first, trouble):
+        """Answers with a stream of three events, or with those from the first one on."""
         draw = self.world.random
         head = ("HTTP/1.1 200 OK\r\n"
                 f"Attempt-Id: {attempt}\r\nResponse-Signature: {self.server.id}.{attempt}\r\n"
@@ -329,7 +331,7 @@
         if trouble == "reset-after":
             return self.end(is_reset=True)
         await self.send(head.encode())
-        for number in range(1, 4):
+        for number in range(first, EVENTS + 1):
             if trouble == "cut-answer" and draw.random() < 0.5:
                 return self.end(is_reset=draw.random() < 0.5)
             event = f"id: {number}\ndata: {digest}\n\n".encode()
