--- a/briarglade/net/internal/http_message_parser.h
+++ b/briarglade/net/internal/http_message_parser.h
@@ -3,10 +3,9 @@
 // Stricter than the library where two readers could disagree on where a message
 // ends: line ends without a carriage return, folded headers, control bytes, and
 // transfer codings other than "chunked" are errors, and so is a status line
-// within an answer's head: there one answer was cut off and another one follows.
-// Chunk extensions and
-// trailers are read and dropped; what stands between two parts of a body may be
-// as long as a head.
+// within an answer's head: there one answer was cut off and another one
+// follows. Chunk extensions and trailers are read and dropped; what stands
+// between two parts of a body may be as long as a head.
 //
 // Example:
 //   HttpMessageParser<true> parser(limits);
--- a/standin/platform_stray_test.cc
+++ b/standin/platform_stray_test.cc
@@ -10,6 +10,8 @@
 #include <utility>
 #include <vector>
 
+#include "briarglade/grouping/group_order.h"
+#include "platform/servers.h"
 #include "standin/platform_world_test.h"
 #include "standin/raw_server.h"
 
@@ -272,5 +274,103 @@
   }
 }
 
+// A server and a client whose connection to it has carried a request. Behind
+// the answer to that, the server writes stray bytes before each next answer.
+class ControlWorld
+{
+public:
+  ControlWorld(std::string aStray, std::string aAnswer)
+    : m_stray(std::move(aStray))
+    , m_answer(std::move(aAnswer))
+    , m_server(m_loop, [this](const std::string&) { return Play(); })
+  {
+    HttpCallSpec spec;
+    spec.m_endpoint = Address();
+    spec.m_body = "body";
+    spec.m_onEnd = [this](const HttpCallEnd&) { m_loop.Stop(); };
+    m_client.Start(std::move(spec));
+    m_loop.Run();
+  }
+
+  Endpoint Address() const { return Endpoint{ "127.0.0.1", m_server.Port() }; }
+
+  OrderStatus Order()
+  {
+    GroupOrder order;
+    order.m_kind = OrderKind::Open;
+    order.m_host = HostId("i-1");
+    order.m_endpoint = Address();
+    OrderStatus status = OrderStatus::Unknown;
+    platform::SendOrder(m_client, order, kTimeout, [&](OrderAnswered aEnd) {
+      status = aEnd.m_status;
+      m_loop.Stop();
+    });
+    m_loop.Run();
+    return status;
+  }
+
+  Result<ServerRecord> Probe()
+  {
+    ServerRecord record;
+    record.m_host = HostId("i-1");
+    record.m_endpoint = Address();
+    Result<ServerRecord> probed = record;
+    platform::ProbeServer(
+      m_client, record, kTimeout, [&](Result<ServerRecord> aProbed) {
+        probed = std::move(aProbed);
+        m_loop.Stop();
+      });
+    m_loop.Run();
+    return probed;
+  }
+
+private:
+  static constexpr Millis kTimeout = Millis(500);
+
+  RawAnswer Play()
+  {
+    const bool isNew =
+      std::exchange(m_accepted, m_server.AcceptedCount()) != m_accepted;
+    if (m_isWarm) {
+      return RawAnswer{ (isNew ? "" : m_stray) + m_answer };
+    }
+    m_isWarm = true;
+    return RawAnswer{ "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" };
+  }
+
+  EventLoop m_loop;
+  HttpClient m_client{ m_loop, HttpClientLimits() };
+  std::string m_stray;
+  std::string m_answer;
+  bool m_isWarm = false;
+  int m_accepted = 0;
+  RawServer m_server;
+};
+
+TEST_CASE(
+  "a second answer to a request isn't the answer to an order or a probe")
+{
+  const std::string strays[] = {
+    "HTTP/1.1 200 OK\r\nAttempt-Id: earlier\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: earlier\r\n"
+    "Content-Length: 0\r\n\r\n",
+    "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+  };
+  for (const std::string& stray : strays) {
+    CAPTURE(stray);
+    ControlWorld orders(stray,
+                        "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n");
+    CHECK(orders.Order() == OrderStatus::Conflict);
+    ControlWorld probes(stray,
+                        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    const Result<ServerRecord> probed = probes.Probe();
+    const Error* error = GetError(probed);
+    // A server is gone only by its own word.
+    const bool isGone =
+      error != nullptr && error->m_code == ResultCode::BackendFailed;
+    CHECK_FALSE(isGone);
+  }
+}
+
 } // namespace
 } // namespace briarglade::standin
--- a/standin/raw_server.cc
+++ b/standin/raw_server.cc
@@ -9,6 +9,7 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <string_view>
 #include <sys/socket.h>
 #include <utility>
 
@@ -16,6 +17,26 @@
 
 namespace briarglade::standin {
 
+namespace {
+
+// Returns whether the head of a request and the body of the length that it
+// states have come.
+bool IsWhole(const std::string& aRequest)
+{
+  constexpr std::string_view kHeadEnd = "\r\n\r\n";
+  constexpr std::string_view kLength = "Content-Length: ";
+  const size_t headEnd = aRequest.find(kHeadEnd);
+  if (headEnd == std::string::npos) {
+    return false;
+  }
+  const size_t stated = aRequest.find(kLength);
+  const size_t length =
+    stated < headEnd ? std::stoul(aRequest.substr(stated + kLength.size())) : 0;
+  return aRequest.size() >= headEnd + kHeadEnd.size() + length;
+}
+
+} // namespace
+
 RawServer::RawServer(EventLoop& aLoop, std::string aAnswer, bool aCloses)
   : RawServer(
       aLoop,
@@ -90,12 +111,7 @@
   evbuffer* input = bufferevent_get_input(aConnection);
   std::string request(evbuffer_get_length(input), '\0');
   evbuffer_copyout(input, request.data(), request.size());
-  const bool hasBody = request.find("Content-Length") != std::string::npos;
-  const std::string end = hasBody ? "\r\n\r\nbody" : "\r\n\r\n";
-  const bool isWhole =
-    request.size() >= end.size() &&
-    request.compare(request.size() - end.size(), end.size(), end) == 0;
-  if (!isWhole) {
+  if (!IsWhole(request)) {
     return;
   }
   evbuffer_drain(input, request.size());
--- a/standin/raw_server.h
+++ b/standin/raw_server.h
@@ -42,11 +42,11 @@
 public:
   using Script = std::function<RawAnswer(const std::string& aRequest)>;
 
-  // Asks the script for the answer to each whole request; a body must be the
-  // text "body".
+  // Asks the script for the answer to each whole request; a body must have a
+  // stated length.
   RawServer(EventLoop& aLoop, Script aScript);
-  // Answers each piece of a request that ends in its body "body", or in an
-  // empty line, with the bytes; closes the connection afterwards if told to.
+  // Answers each whole request with the bytes; closes the connection afterwards
+  // if told to.
   RawServer(EventLoop& aLoop, std::string aAnswer, bool aCloses);
   ~RawServer();
   RawServer(const RawServer&) = delete;
