A node without a configuration bounds requests as one that states no limits does

Callers don't come back after 413. Cause: until a configuration is known, the HTTP server's own bound of 1 MB held, so that the request was refused before anybody could answer "no configuration yet". Change: the defaults of the callers' limits (4 MB, those of a configuration that states none) hold from the start. Evidence: platform_node_test "DENIED: a node that knows no configuration yet ...": 413 before, 503 with Retry-After now.

--- a/briarglade/entry/entry_node.cc
+++ b/briarglade/entry/entry_node.cc
@@ -79,6 +79,8 @@
 
 std::optional<Error> EntryNode::Start()
 {
+  // Until the operators' limits are known.
+  SetLimits(CallerLimits());
   m_callerServer.SetHandler(
     [this](const auto& aExchange) { HandleCaller(aExchange); });
   m_callerServer.SetRejectionObserver([this](const HttpRejection& aRejection) {
--- a/standin/platform_node_test.cc
+++ b/standin/platform_node_test.cc
@@ -344,6 +344,20 @@
   }
 }
 
+TEST_CASE("DENIED: a node that knows no configuration yet asks the caller of a "
+          "long request to come back")
+{
+  NodeWorld world(json::object());
+  const std::string body(3'000'000, 'x');
+  const std::string answer = world.Exchange(
+    "POST /book/slot HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: long\r\n"
+    "Connection: close\r\nContent-Length: " +
+    std::to_string(body.size()) + "\r\n\r\n" + body);
+  CAPTURE(answer);
+  CHECK(answer.find(" 503 ") != std::string::npos);
+  CHECK(answer.find("Retry-After: ") != std::string::npos);
+}
+
 TEST_CASE(
   "a configuration that can't be read leaves the last good one in force")
 {
