--- a/standin/platform_stray_test.cc
+++ b/standin/platform_stray_test.cc
@@ -303,10 +303,11 @@
     order.m_host = HostId("i-1");
     order.m_endpoint = Address();
     OrderStatus status = OrderStatus::Unknown;
-    platform::SendOrder(m_client, order, kTimeout, [&](OrderAnswered aEnd) {
-      status = aEnd.m_status;
-      m_loop.Stop();
-    });
+    platform::SendOrder(
+      m_client, order, kTimeout, [&](const OrderAnswered& aEnd) {
+        status = aEnd.m_status;
+        m_loop.Stop();
+      });
     m_loop.Run();
     return status;
   }
