--- a/standin/platform_stray_test.cc
+++ b/standin/platform_stray_test.cc
@@ -252,6 +252,41 @@
   }
 }
 
+TEST_CASE(
+  "REFUSED, TWICE: a second refusal of a request's first send isn't the "
+  "answer to its next send to the same server")
+{
+  NodeWorld world(Configuration(kOnce));
+  const std::string refusal = Refusals("Attempt-Id: probe\r\n").front();
+  bool isRefused = false;
+  int runs = 0;
+  int accepted = 0;
+  const auto play = [&](const std::string& aRequest, int aAccepted) {
+    const bool isNew = std::exchange(accepted, aAccepted) != aAccepted;
+    if (!Has(aRequest, "probe")) {
+      return RawAnswer{ Served(aRequest) };
+    }
+    if (!std::exchange(isRefused, true)) {
+      return RawAnswer{ refusal };
+    }
+    ++runs;
+    return RawAnswer{ (isNew ? "" : refusal) + Served(aRequest) };
+  };
+  RawServer server(world.Loop(), [&](const std::string& aRequest) {
+    return play(aRequest, server.AcceptedCount());
+  });
+  // Its runs under three ids: an entry that is listed anew counts as another.
+  for (const char* id : { "desk-1", "desk-2", "desk-3" }) {
+    world.AddServer(id, "desk", server.Port());
+  }
+  world.WaitFor(Booking("warm-up"), "200");
+  const std::string answer = world.Exchange(Booking("probe"));
+  CAPTURE(answer);
+  CHECK(runs == 1);
+  CHECK(Has(answer, " 200 "));
+  CHECK(Has(answer, "booked"));
+}
+
 TEST_CASE("MIXED: a success that is cut off and written before a failure "
           "doesn't make a success of it")
 {
