--- a/scripts/lib/soak_servers.py
+++ b/scripts/lib/soak_servers.py
@@ -34,6 +34,7 @@
         self.running = 0
         self.orders = 0
         self.group = None
+        self.is_down = False
         self.links = set()
         self.tasks = set()
         self._server = None
@@ -46,6 +47,9 @@
 
     async def restart(self, down_s, keeps_id):
         """Ends all at once and starts again at the same address."""
+        if self.is_down:
+            return
+        self.is_down = True
         self._server.close()
         for writer in list(self.links):
             reset(writer)
@@ -57,6 +61,7 @@
             self.id = self.world.new_id("i")
         self.born, self.running, self.orders, self.group = int(time.time() * 1000), 0, 0, None
         await self.start()
+        self.is_down = False
 
     def register(self, state="ready"):
         entry = {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": "zone-a",
