A server that says it leaves gets no request even within 20 ms of a change

What callers could see: a request sent to a server up to 20 ms after its own answer said that it leaves. Its log: server-leaving at 05.064, the next request sent there at 05.065. Cause: the list of backends is made anew at most every 20 ms, and had just been. Change: this word makes it due at once.

--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -303,6 +303,8 @@
       RunOf(known->second) == aServer.m_run) {
     known->second.m_isDraining = true;
     m_state.m_areBackendsStale = true;
+    // The next request must not go there, however new the list is.
+    m_state.m_backendsUpdatedAt = m_now - kBackendsPeriod;
   }
   return true;
 }
--- a/briarglade/entry/shutdown_test.cc
+++ b/briarglade/entry/shutdown_test.cc
@@ -1,4 +1,5 @@
-// Tests of a node that was asked to stop and still receives requests.
+// Tests of a node that was asked to stop and still receives requests, and of a
+// server that says it leaves.
 
 #include <doctest/doctest.h>
 
@@ -233,5 +234,78 @@
   CHECK(world.RegisteredCount() == 3);
 }
 
+// One node and two servers of a plain service.
+class LeavingServerWorld : public FleetWorld
+{
+public:
+  LeavingServerWorld()
+    : FleetWorld(MakeOptions())
+  {
+    ServiceSpec service;
+    service.m_id = m_service;
+    Config().m_services.emplace(service.m_id, service);
+    RouteRule route;
+    route.m_host = "desk.example";
+    route.m_prefix = "/desk/";
+    route.m_services = { WeightedService{ service.m_id, 1 } };
+    Config().m_routes = { route };
+    Configure(2);
+    Enter("s1");
+    Enter("s2");
+    Run(Millis(5'000));
+  }
+
+  void Enter(const std::string& aHost)
+  {
+    ServerRecord server;
+    server.m_host = HostId(aHost);
+    server.m_service = m_service;
+    server.m_slots = 100;
+    AddServer(server);
+  }
+  RequestHandle Submit()
+  {
+    RequestReceived received;
+    received.m_handle = RequestHandle(++m_lastRequest);
+    received.m_path = "/desk/";
+    received.m_request.m_host = "desk.example";
+    received.m_request.m_maxWait = kLongWait;
+    received.m_fingerprint = Fingerprint(m_lastRequest);
+    Dispatch(0, received);
+    return received.m_handle;
+  }
+
+private:
+  static FleetOptions MakeOptions()
+  {
+    FleetOptions options;
+    options.m_nodes = 1;
+    options.m_answerTime = kAnswerTime;
+    return options;
+  }
+
+  const ServiceId m_service = ServiceId("desk");
+  uint64_t m_lastRequest = 0;
+};
+
+TEST_CASE("DRAIN: a server that says it leaves gets no more requests, also if "
+          "the list of servers has just changed")
+{
+  for (int steps = 0; steps < 6; ++steps) {
+    CAPTURE(steps);
+    LeavingServerWorld world;
+    const RequestHandle first = world.Submit();
+    const std::string leaving = world.ServedBy("s1").empty() ? "s2" : "s1";
+    REQUIRE(world.ServedBy(leaving).size() == 1);
+    world.Enter("s3");
+    world.Run(FleetWorld::kStep * steps);
+    world.Dispatch(0, ServerLeaving{ first });
+    for (int i = 0; i < 20; ++i) {
+      world.Submit();
+    }
+    CHECK(world.ServedBy(leaving).size() == 1);
+  }
+}
+
 } // namespace
 } // namespace briarglade
