Logs say who told a node of a server's membership, and what an order was decided on

Cause: words about memberships were applied in three places (row, report, announcement), each with its own rule and none with a log line; order-answered had neither generation nor token; a survey left no line.

No decision changes.

--- a/briarglade/entry/entry_event.h
+++ b/briarglade/entry/entry_event.h
@@ -44,6 +44,8 @@
 {
   HostId m_host;
   Result<ServerRecord> m_record;
+  // When the probe was sent, by this node's clock.
+  Millis m_requestedAt;
 };
 
 // A message from another node has been received.
--- a/briarglade/entry/entry_node.cc
+++ b/briarglade/entry/entry_node.cc
@@ -172,8 +172,9 @@
         m_binding.m_probe(
           aProbe.m_server,
           kProbeTimeout,
-          [this, host = aProbe.m_server.m_host](Result<ServerRecord> aRecord) {
-            Dispatch(ServerProbed{ host, std::move(aRecord) });
+          [this, host = aProbe.m_server.m_host, requestedAt = EventLoop::Now()](
+            Result<ServerRecord> aRecord) {
+            Dispatch(ServerProbed{ host, std::move(aRecord), requestedAt });
           });
       },
       [&](const SendPeerUpdate& aSend) { SendUpdate(aSend); },
--- a/briarglade/entry/internal/control_duties.cc
+++ b/briarglade/entry/internal/control_duties.cc
@@ -16,6 +16,19 @@
 // The shortest time between two control steps that responses trigger.
 constexpr Millis kControlPeriod = Millis(20);
 
+// Returns a membership as GROUP/GENERATION/RANK/PHASE, or "none".
+std::string DescribeMembership(
+  const std::optional<GroupMembership>& aMembership)
+{
+  if (!aMembership) {
+    return "none";
+  }
+  return aMembership->m_group.Value() + "/" +
+         std::to_string(aMembership->m_generation.Value()) + "/" +
+         std::to_string(aMembership->m_rank) + "/" +
+         GroupPhaseName(aMembership->m_phase);
+}
+
 } // namespace
 
 void EntryReduction::On(const OwnRowWritten& aWritten)
@@ -131,12 +144,7 @@
 
 void EntryReduction::On(const OrderAnswered& aAnswered)
 {
-  Log(LogLevel::Info,
-      "order-answered",
-      { { "order", OrderKindName(aAnswered.m_order.m_kind) },
-        { "server", aAnswered.m_order.m_host.Value() },
-        { "group", aAnswered.m_order.m_group.Value() },
-        { "status", OrderStatusName(aAnswered.m_status) } });
+  LogOrderAnswered(aAnswered);
   if (!m_state.m_control.OnOrderAnswered(m_now, aAnswered)) {
     m_state.m_lease.OnOrderRefused();
     TickLease();
@@ -144,6 +152,58 @@
   TickControlSoon();
 }
 
+// Logs the outcome of an order together with what the holder knew of the server
+// when it decided on the order.
+void EntryReduction::LogOrderAnswered(const OrderAnswered& aAnswered)
+{
+  const GroupOrder& order = aAnswered.m_order;
+  const OrderBasis& basis = order.m_basis;
+  Log(LogLevel::Info,
+      "order-answered",
+      { { "order", OrderKindName(order.m_kind) },
+        { "server", order.m_host.Value() },
+        { "group", order.m_group.Value() },
+        { "generation", std::to_string(order.m_generation.Value()) },
+        { "token", std::to_string(order.m_fencing.Value()) },
+        { "status", OrderStatusName(aAnswered.m_status) },
+        { "took-ms", std::to_string((m_now - basis.m_decidedAt).Count()) },
+        { "known-group", basis.m_group.Value() },
+        { "known-from", UpdateSourceName(basis.m_source) },
+        { "known-age-ms",
+          std::to_string((basis.m_decidedAt - basis.m_knownAsOf).Count()) } });
+}
+
+// Applies an update about a server's membership. Logs it if it changes or
+// contradicts what this node believes.
+void EntryReduction::ApplyMembership(ServerRecord& aServer,
+                                     const MembershipUpdate& aUpdate)
+{
+  const std::optional<GroupMembership> known = aServer.m_groupMembership;
+  const MembershipHistory history = aServer.m_membershipHistory;
+  const UpdateOutcome outcome =
+    aServer.m_membershipHistory.Apply(aUpdate, aServer.m_groupMembership);
+  if (outcome == UpdateOutcome::Applied) {
+    m_state.m_areBackendsStale = true;
+  }
+  const bool isChange = !(known == aUpdate.m_membership);
+  const bool isRepeated = aUpdate.m_source == UpdateSource::Announcement &&
+                          outcome == UpdateOutcome::Outdated;
+  if (!isChange || isRepeated) {
+    return;
+  }
+  Log(LogLevel::Info,
+      "server-membership",
+      { { "server", aServer.m_host.Value() },
+        { "from", UpdateSourceName(aUpdate.m_source) },
+        { "outcome", UpdateOutcomeName(outcome) },
+        { "age-ms", std::to_string((m_now - aUpdate.m_asOf).Count()) },
+        { "sequence", std::to_string(aServer.m_sequence) },
+        { "group", DescribeMembership(aUpdate.m_membership) },
+        { "known-group", DescribeMembership(known) },
+        { "known-from", UpdateSourceName(history.Source()) },
+        { "known-age-ms", std::to_string((m_now - history.AsOf()).Count()) } });
+}
+
 // Runs a control step after a response. Hundreds of responses may arrive at
 // once, and each step examines every server, so a step that is due too soon is
 // left to the next response or the next tick.
@@ -162,12 +222,11 @@
   const auto known = m_state.m_servers.find(aProbed.m_host);
   if (record != nullptr && known != m_state.m_servers.end() &&
       known->second.m_startedAt <= record->m_startedAt) {
-    // A server's response is usually newer than its entry in the store, but may
-    // have been in transit while the store delivered a newer entry.
-    if (!IsOutdatedMembership(record->m_groupMembership,
-                              known->second.m_groupMembership)) {
-      known->second.m_groupMembership = record->m_groupMembership;
-    }
+    MembershipUpdate update;
+    update.m_source = UpdateSource::Report;
+    update.m_asOf = aProbed.m_requestedAt;
+    update.m_membership = record->m_groupMembership;
+    ApplyMembership(known->second, update);
     known->second.m_staged = record->m_staged;
     known->second.m_slowdown = record->m_slowdown;
     m_state.m_areBackendsStale = true;
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -153,6 +153,8 @@
   void TickLease();
   void TickControl();
   void TickControlSoon();
+  void ApplyMembership(ServerRecord& aServer, const MembershipUpdate& aUpdate);
+  void LogOrderAnswered(const OrderAnswered& aAnswered);
   void ContinueLeaving();
   Millis ExitTime() const;
   void Deregister();
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -242,12 +242,17 @@
   if (!isNew && !isSameRun) {
     ReportServerLost(known->second);
   }
-  if (isSameRun && IsOutdatedMembership(record.m_groupMembership,
-                                        known->second.m_groupMembership)) {
-    // The server itself has reported a newer state since.
+  MembershipUpdate update;
+  update.m_asOf = m_now;
+  update.m_membership = record.m_groupMembership;
+  record.m_groupMembership.reset();
+  if (isSameRun) {
     record.m_groupMembership = known->second.m_groupMembership;
+    record.m_membershipHistory = known->second.m_membershipHistory;
   }
-  m_state.m_servers[aRow.m_host] = std::move(record);
+  ServerRecord& server = m_state.m_servers[aRow.m_host];
+  server = std::move(record);
+  ApplyMembership(server, update);
   m_state.m_areBackendsStale = true;
 }
 
--- a/briarglade/entry/internal/update_receiving.cc
+++ b/briarglade/entry/internal/update_receiving.cc
@@ -194,11 +194,7 @@
   for (const OpenedGroup& group : aGroups) {
     for (size_t rank = 0; rank < group.m_members.size(); ++rank) {
       const auto server = m_state.m_servers.find(group.m_members[rank]);
-      const bool isNewer =
-        server != m_state.m_servers.end() &&
-        (!server->second.m_groupMembership ||
-         server->second.m_groupMembership->m_generation < group.m_generation);
-      if (!isNewer) {
+      if (server == m_state.m_servers.end()) {
         continue;
       }
       GroupMembership membership;
@@ -206,8 +202,11 @@
       membership.m_generation = group.m_generation;
       membership.m_rank = static_cast<uint32_t>(rank);
       membership.m_phase = rank == 0 ? GroupPhase::Open : GroupPhase::Ready;
-      server->second.m_groupMembership = membership;
-      m_state.m_areBackendsStale = true;
+      MembershipUpdate update;
+      update.m_source = UpdateSource::Announcement;
+      update.m_asOf = m_now;
+      update.m_membership = membership;
+      ApplyMembership(server->second, update);
     }
   }
 }
--- a/briarglade/grouping/group_control.cc
+++ b/briarglade/grouping/group_control.cc
@@ -52,6 +52,8 @@
   m_standbys.clear();
   m_isSurveying = true;
   m_pendingReports.clear();
+  m_surveyedCount = 0;
+  m_failedReports = 0;
 }
 
 std::vector<ReplicaGroup> GroupControl::OpenedGroups() const
@@ -124,9 +126,22 @@
     order.m_members = aGroup.m_members;
   }
   order.m_fencing = m_token;
+  order.m_basis = BasisOf(server->second);
   m_effects.emplace_back(std::move(order));
 }
 
+OrderBasis GroupControl::BasisOf(const ServerRecord& aServer) const
+{
+  OrderBasis basis;
+  basis.m_decidedAt = m_now;
+  if (aServer.m_groupMembership) {
+    basis.m_group = aServer.m_groupMembership->m_group;
+  }
+  basis.m_source = aServer.m_membershipHistory.Source();
+  basis.m_knownAsOf = aServer.m_membershipHistory.AsOf();
+  return basis;
+}
+
 bool GroupControl::IsDead(const HostId& aHost) const
 {
   const auto suspect = m_suspectedHosts.find(aHost);
@@ -209,6 +224,7 @@
     for (const auto& [host, server] : m_view->m_servers) {
       if (!server.m_domain.IsEmpty()) {
         m_pendingReports.insert(host);
+        ++m_surveyedCount;
         m_effects.emplace_back(ProbeHost{ host });
       }
     }
@@ -217,6 +233,12 @@
   m_isSurveying = m_isSurveying && !m_pendingReports.empty() &&
                   m_now - m_leaseAcquiredAt < kSurveyTime;
   if (wasSurveying && !m_isSurveying) {
+    Log("survey-ended",
+        { { "token", std::to_string(m_token.Value()) },
+          { "asked", std::to_string(m_surveyedCount) },
+          { "unanswered", std::to_string(m_pendingReports.size()) },
+          { "failed", std::to_string(m_failedReports) },
+          { "took-ms", std::to_string((m_now - m_leaseAcquiredAt).Count()) } });
     RecordInheritedLoads();
   }
   return m_isSurveying;
@@ -300,8 +322,9 @@
       suspect.m_deadAt = aNow;
     }
   }
-  m_pendingReports.erase(aHost);
+  const bool isSurveyed = m_pendingReports.erase(aHost) > 0;
   if (aRecord == nullptr) {
+    m_failedReports += isSurveyed ? 1 : 0;
     return;
   }
   for (auto& [id, ending] : m_endingGroups) {
--- a/briarglade/grouping/group_control.h
+++ b/briarglade/grouping/group_control.h
@@ -157,6 +157,7 @@
   void EndGroup(const ReplicaGroup& aGroup,
                 const char* aReason,
                 bool aIsGraceful = false);
+  void LogEnding(const ReplicaGroup& aGroup, const char* aReason);
   void FillMissingMembers(ReplicaGroup& aGroup) const;
   void OrderEnd(EndingGroup& aEnding);
   void OrderMembersToLeave(const EndingGroup& aEnding);
@@ -177,6 +178,7 @@
                     ReplicaGroup aGroup,
                     uint32_t aLoads);
 
+  OrderBasis BasisOf(const ServerRecord& aServer) const;
   bool IsDead(const HostId& aHost) const;
   void UpdateAssignedHosts();
   bool IsAssigned(const HostId& aHost) const;
@@ -221,6 +223,9 @@
   // A new lease holder first waits for the reports of these servers.
   bool m_isSurveying = false;
   std::set<HostId> m_pendingReports;
+  // The number of servers that it asked, and of those that gave no report.
+  size_t m_surveyedCount = 0;
+  size_t m_failedReports = 0;
   // The free hosts of a domain, and since when they have not changed.
   struct FreeHosts
   {
--- a/briarglade/grouping/group_ending.cc
+++ b/briarglade/grouping/group_ending.cc
@@ -48,8 +48,26 @@
   ending.m_since = m_now;
   ending.m_orderedAt = m_now - kOrderRetryTime;
   m_endingGroups.emplace(aGroup.m_id, std::move(ending));
+  LogEnding(aGroup, aReason);
+}
+
+// Logs the end of a group together with what is known of its leader.
+void GroupControl::LogEnding(const ReplicaGroup& aGroup, const char* aReason)
+{
+  const auto leader = m_view->m_servers.find(aGroup.Leader());
+  const bool isKnown = leader != m_view->m_servers.end();
+  const OrderBasis basis = isKnown ? BasisOf(leader->second) : OrderBasis();
   Log("group-ending",
-      { { "group", aGroup.m_id.Value() }, { "reason", aReason } });
+      { { "group", aGroup.m_id.Value() },
+        { "reason", aReason },
+        { "token", std::to_string(m_token.Value()) },
+        { "leader", aGroup.Leader().Value() },
+        { "leader-phase", GroupPhaseName(aGroup.m_leaderPhase) },
+        { "known-from", isKnown ? UpdateSourceName(basis.m_source) : "none" },
+        { "known-age-ms",
+          isKnown ? std::to_string((m_now - basis.m_knownAsOf).Count())
+                  : "none" },
+        { "members", JoinIds(aGroup.m_members) } });
 }
 
 // Returns whether a group with a draining member should end now. A draining
--- a/briarglade/grouping/group_forming.cc
+++ b/briarglade/grouping/group_forming.cc
@@ -225,6 +225,8 @@
         { "service", aService.m_id.Value() },
         { "domain", aGroup.m_domain.Value() },
         { "leader", aGroup.Leader().Value() },
+        { "token", std::to_string(m_token.Value()) },
+        { "members", JoinIds(aGroup.m_members) },
         { "loads", std::to_string(aLoads) } });
   FormingGroup forming;
   forming.m_since = m_now;
--- a/briarglade/grouping/group_order.h
+++ b/briarglade/grouping/group_order.h
@@ -7,6 +7,8 @@
 
 #include "briarglade/base/endpoint.h"
 #include "briarglade/base/ids.h"
+#include "briarglade/base/millis.h"
+#include "briarglade/grouping/membership_update.h"
 
 namespace briarglade {
 
@@ -27,6 +29,17 @@
 // Returns the lower-case name of an order kind, for logs.
 const char* OrderKindName(OrderKind aKind);
 
+// What the lease holder knew of a server when it decided on an order, for logs.
+struct OrderBasis
+{
+  Millis m_decidedAt;
+  // The group that the server was known to be in, or empty; who said so, and as
+  // of when.
+  GroupId m_group;
+  UpdateSource m_source = UpdateSource::Row;
+  Millis m_knownAsOf;
+};
+
 struct GroupOrder
 {
   // Identifies the order in the server's answer.
@@ -40,6 +53,7 @@
   // The members by rank; the first is the leader. Only set for Join.
   std::vector<HostId> m_members;
   FencingToken m_fencing;
+  OrderBasis m_basis;
 };
 
 // The outcome of an order, known once its exchange with the server has ended.
--- a/briarglade/grouping/group_view.cc
+++ b/briarglade/grouping/group_view.cc
@@ -56,6 +56,15 @@
 
 } // namespace
 
+std::string JoinIds(const std::vector<HostId>& aMembers)
+{
+  std::string text;
+  for (const HostId& member : aMembers) {
+    text += (text.empty() ? "" : ",") + member.Value();
+  }
+  return text;
+}
+
 GroupId MakeGroupId(const ModelId& aModel, Generation aGeneration)
 {
   return GroupId(aModel.Value() + kSeparator +
--- a/briarglade/grouping/group_view.h
+++ b/briarglade/grouping/group_view.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <map>
+#include <string>
 #include <vector>
 
 #include "briarglade/base/ids.h"
@@ -44,6 +45,9 @@
 
 using GroupMap = std::map<GroupId, ReplicaGroup>;
 
+// Returns the members' ids in the order of their ranks, separated by commas,
+// for logs.
+std::string JoinIds(const std::vector<HostId>& aMembers);
 // Returns the id of a group. It contains the model name and the generation.
 GroupId MakeGroupId(const ModelId& aModel, Generation aGeneration);
 // Returns the id of a standby group. It consists of one spare host, which joins
--- a/briarglade/grouping/server_record.h
+++ b/briarglade/grouping/server_record.h
@@ -10,52 +10,11 @@
 #include "briarglade/base/endpoint.h"
 #include "briarglade/base/ids.h"
 #include "briarglade/base/millis.h"
+#include "briarglade/grouping/group_membership.h"
+#include "briarglade/grouping/membership_history.h"
 
 namespace briarglade {
 
-// The phase of a group as reported by one of its members.
-enum class GroupPhase
-{
-  // The member is loading the model.
-  Joining,
-  // The member is ready to serve once the group is opened.
-  Ready,
-  // The leader serves requests.
-  Open,
-  // The leader finishes its running requests and accepts no new ones.
-  Closing,
-  // The leader has abandoned the group.
-  Broken
-};
-
-// A server's membership in a group.
-struct GroupMembership
-{
-  GroupId m_group;
-  Generation m_generation;
-  // 0 is the leader, which receives the requests.
-  uint32_t m_rank = 0;
-  GroupPhase m_phase = GroupPhase::Joining;
-
-  bool operator==(const GroupMembership& aOther) const
-  {
-    return m_group == aOther.m_group && m_generation == aOther.m_generation &&
-           m_rank == aOther.m_rank && m_phase == aOther.m_phase;
-  }
-};
-
-// Returns whether a reported membership is older than the known one of the same
-// server process: within a generation, a member never returns to Joining.
-inline bool IsOutdatedMembership(
-  const std::optional<GroupMembership>& aReported,
-  const std::optional<GroupMembership>& aKnown)
-{
-  return aReported && aKnown && aReported->m_group == aKnown->m_group &&
-         aReported->m_generation == aKnown->m_generation &&
-         aReported->m_phase == GroupPhase::Joining &&
-         aKnown->m_phase != GroupPhase::Joining;
-}
-
 struct ServerRecord
 {
   HostId m_host;
@@ -85,6 +44,8 @@
   std::vector<ModelId> m_staged;
   // Empty if the server is in no group.
   std::optional<GroupMembership> m_groupMembership;
+  // Where a node's belief about the membership comes from.
+  MembershipHistory m_membershipHistory;
   // Factor by which the engine is slower than normal; 1 is normal speed.
   double m_slowdown = 1;
 
