The build by the deploy file's line passes again: no copy into an unset optional

Cause: g++ 12 takes the member of an optional that is assigned from another one for uninitialized, and warnings are errors.

Change: the known membership is swapped into the new record.

--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -244,13 +244,12 @@
   }
   MembershipUpdate update;
   update.m_asOf = m_now;
-  update.m_membership = record.m_groupMembership;
-  record.m_groupMembership.reset();
+  update.m_membership = std::exchange(record.m_groupMembership, std::nullopt);
+  ServerRecord& server = m_state.m_servers[aRow.m_host];
   if (isSameRun) {
-    record.m_groupMembership = known->second.m_groupMembership;
-    record.m_membershipHistory = known->second.m_membershipHistory;
+    std::swap(record.m_groupMembership, server.m_groupMembership);
+    record.m_membershipHistory = server.m_membershipHistory;
   }
-  ServerRecord& server = m_state.m_servers[aRow.m_host];
   server = std::move(record);
   ApplyMembership(server, update);
   m_state.m_areBackendsStale = true;
