--- a/briarglade/entry/fleet_world_test.h
+++ b/briarglade/entry/fleet_world_test.h
@@ -111,6 +111,24 @@
   {
     Put(Feed::Servers, aHost, std::nullopt);
   }
+  void SetStoreStatusOfAll(StoreStatus aStatus)
+  {
+    for (size_t node = 0; node < m_nodes.size(); ++node) {
+      SetStoreStatus(node, aStatus);
+    }
+  }
+  // Ends the calls that wait for changes, without the changes.
+  void BreakWatches(StoreStatus aStatus)
+  {
+    for (const Watch& watch : m_watches) {
+      FeedAnswered answer;
+      answer.m_call = watch.m_call.m_call;
+      answer.m_feed = watch.m_call.m_feed;
+      answer.m_status = aStatus;
+      Send(watch.m_node, kStep, answer);
+    }
+    m_watches.clear();
+  }
 
   // Keeps a copy of the store, and lets the store come back from it. Its
   // writers do not write again by themselves.
@@ -120,14 +138,7 @@
     m_rows = m_copy.m_rows;
     m_version = m_copy.m_version;
     m_era = m_era.Next();
-    for (const Watch& watch : m_watches) {
-      FeedAnswered answer;
-      answer.m_call = watch.m_call.m_call;
-      answer.m_feed = watch.m_call.m_feed;
-      answer.m_status = StoreStatus::HistoryGone;
-      Send(watch.m_node, kStep, answer);
-    }
-    m_watches.clear();
+    BreakWatches(StoreStatus::HistoryGone);
   }
   StoreEra Era() const { return m_era; }
 
@@ -214,6 +225,27 @@
     m_onRestart = std::move(aOnRestart);
   }
   CrashingServers& Servers() { return m_crashingServers; }
+  // Sets hooks that carry out the nodes' orders and probes, and that run once
+  // in each step. SendEvent() returns their results.
+  void SetServerHooks(
+    std::function<void(size_t aNode, const GroupOrder&)> aOnOrder,
+    std::function<void(size_t aNode, const ProbeServerNow&)> aOnProbe,
+    std::function<void()> aOnStep)
+  {
+    m_onOrder = std::move(aOnOrder);
+    m_onProbe = std::move(aOnProbe);
+    m_onStep = std::move(aOnStep);
+  }
+  // Sets a hook that gets the nodes' log events.
+  void SetLogHook(std::function<void(size_t aNode, const LogEvent&)> aHook)
+  {
+    m_onLog = std::move(aHook);
+  }
+  // Delivers an event to a node's present process after a delay.
+  void SendEvent(size_t aNode, Millis aDelay, EntryEvent aEvent)
+  {
+    Send(aNode, aDelay, std::move(aEvent));
+  }
   // Returns the shared parts of each request that was refused as harmful.
   const std::vector<std::vector<PromptPartId>>& RefusedAsHarmful() const
   {
@@ -232,6 +264,9 @@
     for (; m_now < end; m_now += kStep) {
       WakeNodes();
       StepServers();
+      if (m_onStep) {
+        m_onStep();
+      }
       Deliver();
       AnswerWatches();
       for (size_t i = 0; i < m_nodes.size(); ++i) {
@@ -258,6 +293,16 @@
             m_crashingServers.Cancel(aCancel.m_handle);
           },
           [&](const ProbeServerNow& aProbe) { Probe(aNode, aProbe); },
+          [&](const GroupOrder& aOrder) {
+            if (m_onOrder) {
+              m_onOrder(aNode, aOrder);
+            }
+          },
+          [&](const LogEvent& aEvent) {
+            if (m_onLog) {
+              m_onLog(aNode, aEvent);
+            }
+          },
           [&](const AnswerCaller& aAnswer) {
             ++m_refused;
             m_lastRejection = aAnswer.m_code;
@@ -532,6 +577,10 @@
   // A server that is down refuses the connection.
   void Probe(size_t aNode, const ProbeServerNow& aProbe)
   {
+    if (m_onProbe) {
+      m_onProbe(aNode, aProbe);
+      return;
+    }
     if (!m_onRestart) {
       return;
     }
@@ -783,6 +832,10 @@
   CrashingServers m_crashingServers;
   std::function<void(const HostId&)> m_onRestart;
   std::function<void(RequestReceived&)> m_requestHook;
+  std::function<void(size_t, const GroupOrder&)> m_onOrder;
+  std::function<void(size_t, const ProbeServerNow&)> m_onProbe;
+  std::function<void()> m_onStep;
+  std::function<void(size_t, const LogEvent&)> m_onLog;
   std::map<RequestHandle, std::vector<PromptPartId>> m_sharedParts;
   std::vector<std::vector<PromptPartId>> m_refusedAsHarmful;
   // The number of crashes after which the server was started again.
--- a/briarglade/entry/reduce_entry_test.cc
+++ b/briarglade/entry/reduce_entry_test.cc
@@ -87,12 +87,6 @@
       .m_servers.at(HostId(aHost))
       .m_groupMembership->m_phase;
   }
-  void SetStoreStatusOfAll(StoreStatus aStatus)
-  {
-    for (size_t node = 0; node < NodeCount(); ++node) {
-      SetStoreStatus(node, aStatus);
-    }
-  }
   // Returns the number of nodes that know the server.
   int NodesThatKnow(const std::string& aHost) const
   {
--- a/briarglade/grouping/fake_servers_test.h
+++ b/briarglade/grouping/fake_servers_test.h
@@ -94,6 +94,16 @@
     server.m_members.clear();
   }
   bool IsUp(const HostId& aHost) const { return m_servers.at(aHost).m_isUp; }
+  // Returns the leader of an open group, or an empty id.
+  HostId OpenLeader() const
+  {
+    for (const auto& [host, server] : m_servers) {
+      if (IsOpen(server)) {
+        return host;
+      }
+    }
+    return HostId();
+  }
   // Removes the weights from a host.
   void ClearWeights(const HostId& aHost)
   {
