TWO: a row of the store no longer undoes what a server has reported since

Cause: each way by which a node learns of a server's membership had its own rule for what is newer, and the last one to arrive won. A row is as old as its writing, not as its reading: "no group", written between two groups just before the store went away, replaced a report of seconds later. The leader counted as free, its group as broken.

Change: MembershipHistory is the one rule for rows, reports, announcements and accepted orders. The memberships of one process only advance (generation, then stage); rows are in order among themselves, so that "no group" ends only a group that a row has shown; reports are ordered by the number of orders that the server had accepted (its report's "sequence"), and else by when they were requested. Where a row may be either, the node goes on and asks the server. An accepted order to leave counts at once; the model that a host joins without delay is remembered over it.

--- a/briarglade/entry/internal/control_duties.cc
+++ b/briarglade/entry/internal/control_duties.cc
@@ -15,6 +15,13 @@
 constexpr Millis kSuspectsLifetime = Millis(1'200);
 // The shortest time between two control steps that responses trigger.
 constexpr Millis kControlPeriod = Millis(20);
+// A server whose membership is ambiguous is asked again after this long.
+constexpr Millis kAmbiguousRetryTime = Millis(1'000);
+
+std::string CountText(const std::optional<uint64_t>& aCount)
+{
+  return aCount ? std::to_string(*aCount) : "none";
+}
 
 // Returns a membership as GROUP/GENERATION/RANK/PHASE, or "none".
 std::string DescribeMembership(
@@ -145,6 +152,7 @@
 void EntryReduction::On(const OrderAnswered& aAnswered)
 {
   LogOrderAnswered(aAnswered);
+  RecordOrder(aAnswered);
   if (!m_state.m_control.OnOrderAnswered(m_now, aAnswered)) {
     m_state.m_lease.OnOrderRefused();
     TickLease();
@@ -166,6 +174,7 @@
         { "generation", std::to_string(order.m_generation.Value()) },
         { "token", std::to_string(order.m_fencing.Value()) },
         { "status", OrderStatusName(aAnswered.m_status) },
+        { "expected-orders", CountText(order.m_expectedOrders) },
         { "took-ms", std::to_string((m_now - basis.m_decidedAt).Count()) },
         { "known-group", basis.m_group.Value() },
         { "known-from", UpdateSourceName(basis.m_source) },
@@ -173,6 +182,66 @@
           std::to_string((basis.m_decidedAt - basis.m_knownAsOf).Count()) } });
 }
 
+// Applies what the outcome of an order shows about the server's membership. An
+// order that may have been accepted outdates the server's last report.
+void EntryReduction::RecordOrder(const OrderAnswered& aAnswered)
+{
+  const GroupOrder& order = aAnswered.m_order;
+  const auto server = m_state.m_servers.find(order.m_host);
+  if (server == m_state.m_servers.end()) {
+    return;
+  }
+  ServerRecord& record = server->second;
+  const bool hasLeft = order.m_kind == OrderKind::Leave &&
+                       (aAnswered.m_status == OrderStatus::Accepted ||
+                        aAnswered.m_status == OrderStatus::Done);
+  const bool wasMember = record.m_groupMembership &&
+                         record.m_groupMembership->m_group == order.m_group;
+  if (hasLeft && wasMember) {
+    MembershipUpdate update;
+    update.m_source = UpdateSource::Order;
+    update.m_asOf = m_now;
+    update.m_startedAt = record.m_membershipHistory.StartedAt();
+    ApplyMembership(record, update);
+  }
+  record.m_membershipHistory.InvalidateReport();
+}
+
+// Asks a server whose membership is ambiguous, if this node's decisions depend
+// on it: the lease holder's on every server, another node's on the leader of a
+// group that serves.
+void EntryReduction::AskIfAmbiguous(const ServerRecord& aServer)
+{
+  const auto group =
+    aServer.m_groupMembership && aServer.m_groupMembership->m_rank == 0
+      ? m_state.m_groups.find(aServer.m_groupMembership->m_group)
+      : m_state.m_groups.end();
+  const bool leadsGroup =
+    group != m_state.m_groups.end() && IsServing(group->second);
+  if (m_state.m_control.IsActive() || leadsGroup) {
+    m_state.m_ambiguousServers[aServer.m_host] = m_now;
+    m_effects.emplace_back(ProbeServerNow{ aServer });
+  }
+}
+
+// Asks the servers whose membership is still ambiguous again.
+void EntryReduction::AskAmbiguousAgain()
+{
+  for (auto entry = m_state.m_ambiguousServers.begin();
+       entry != m_state.m_ambiguousServers.end();) {
+    const auto server = m_state.m_servers.find(entry->first);
+    if (server == m_state.m_servers.end()) {
+      entry = m_state.m_ambiguousServers.erase(entry);
+      continue;
+    }
+    if (m_now - entry->second >= kAmbiguousRetryTime) {
+      entry->second = m_now;
+      m_effects.emplace_back(ProbeServerNow{ server->second });
+    }
+    ++entry;
+  }
+}
+
 // Applies an update about a server's membership. Logs it if it changes or
 // contradicts what this node believes.
 void EntryReduction::ApplyMembership(ServerRecord& aServer,
@@ -185,6 +254,11 @@
   if (outcome == UpdateOutcome::Applied) {
     m_state.m_areBackendsStale = true;
   }
+  if (outcome == UpdateOutcome::Ambiguous) {
+    AskIfAmbiguous(aServer);
+  } else if (outcome != UpdateOutcome::Outdated) {
+    m_state.m_ambiguousServers.erase(aServer.m_host);
+  }
   const bool isChange = !(known == aUpdate.m_membership);
   const bool isRepeated = aUpdate.m_source == UpdateSource::Announcement &&
                           outcome == UpdateOutcome::Outdated;
@@ -201,7 +275,9 @@
         { "group", DescribeMembership(aUpdate.m_membership) },
         { "known-group", DescribeMembership(known) },
         { "known-from", UpdateSourceName(history.Source()) },
-        { "known-age-ms", std::to_string((m_now - history.AsOf()).Count()) } });
+        { "known-age-ms", std::to_string((m_now - history.AsOf()).Count()) },
+        { "orders", CountText(aUpdate.m_orderCount) },
+        { "known-orders", CountText(history.OrderCount()) } });
 }
 
 // Runs a control step after a response. Hundreds of responses may arrive at
@@ -225,7 +301,9 @@
     MembershipUpdate update;
     update.m_source = UpdateSource::Report;
     update.m_asOf = aProbed.m_requestedAt;
+    update.m_startedAt = record->m_startedAt;
     update.m_membership = record->m_groupMembership;
+    update.m_orderCount = record->m_orderCount;
     ApplyMembership(known->second, update);
     known->second.m_staged = record->m_staged;
     known->second.m_slowdown = record->m_slowdown;
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -155,6 +155,9 @@
   void TickControlSoon();
   void ApplyMembership(ServerRecord& aServer, const MembershipUpdate& aUpdate);
   void LogOrderAnswered(const OrderAnswered& aAnswered);
+  void RecordOrder(const OrderAnswered& aAnswered);
+  void AskIfAmbiguous(const ServerRecord& aServer);
+  void AskAmbiguousAgain();
   void ContinueLeaving();
   Millis ExitTime() const;
   void Deregister();
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -237,19 +237,16 @@
           { "service", record.m_service.Value() },
           { "zone", record.m_zone.Value() } });
   }
-  const bool isSameRun =
-    !isNew && known->second.m_startedAt == record.m_startedAt;
-  if (!isNew && !isSameRun) {
+  if (!isNew && known->second.m_startedAt != record.m_startedAt) {
     ReportServerLost(known->second);
   }
   MembershipUpdate update;
   update.m_asOf = m_now;
+  update.m_startedAt = record.m_startedAt;
   update.m_membership = std::exchange(record.m_groupMembership, std::nullopt);
   ServerRecord& server = m_state.m_servers[aRow.m_host];
-  if (isSameRun) {
-    std::swap(record.m_groupMembership, server.m_groupMembership);
-    record.m_membershipHistory = server.m_membershipHistory;
-  }
+  std::swap(record.m_groupMembership, server.m_groupMembership);
+  record.m_membershipHistory = server.m_membershipHistory;
   server = std::move(record);
   ApplyMembership(server, update);
   m_state.m_areBackendsStale = true;
--- a/briarglade/entry/internal/update_receiving.cc
+++ b/briarglade/entry/internal/update_receiving.cc
@@ -205,6 +205,7 @@
       MembershipUpdate update;
       update.m_source = UpdateSource::Announcement;
       update.m_asOf = m_now;
+      update.m_startedAt = server->second.m_membershipHistory.StartedAt();
       update.m_membership = membership;
       ApplyMembership(server->second, update);
     }
--- a/briarglade/entry/reduce_entry.cc
+++ b/briarglade/entry/reduce_entry.cc
@@ -74,6 +74,7 @@
   Register();
   UpdateRoster();
   TickLease();
+  AskAmbiguousAgain();
   TickControl();
   const size_t suspects = OwnSuspects().size();
   DispatchToGateway(GatewayTick{});
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -89,6 +89,9 @@
   // When each zone that had been taken out came back in.
   std::map<ZoneId, Millis> m_zonesReturnedAt;
   ServerMap m_servers;
+  // Servers of which an entry may be older or newer than what is known of their
+  // group, and when each was last asked.
+  std::map<HostId, Millis> m_ambiguousServers;
   LeavingServers m_leavingServers;
   // Runs of servers that broke off exchanges and are being probed.
   std::map<HostId, BootId> m_serversChecked;
--- a/briarglade/grouping/group_control.cc
+++ b/briarglade/grouping/group_control.cc
@@ -50,6 +50,7 @@
   m_openedGroups.clear();
   m_suspectedHosts.clear();
   m_standbys.clear();
+  m_reportsRequestedAt.clear();
   m_isSurveying = true;
   m_pendingReports.clear();
   m_surveyedCount = 0;
@@ -130,6 +131,16 @@
   m_effects.emplace_back(std::move(order));
 }
 
+// Asks a server for a report, unless that was done a moment ago.
+void GroupControl::RequestReport(const HostId& aHost)
+{
+  const auto [entry, isNew] = m_reportsRequestedAt.try_emplace(aHost, m_now);
+  if (isNew || m_now - entry->second >= kProbePeriod) {
+    entry->second = m_now;
+    m_effects.emplace_back(ProbeHost{ aHost });
+  }
+}
+
 OrderBasis GroupControl::BasisOf(const ServerRecord& aServer) const
 {
   OrderBasis basis;
@@ -167,31 +178,34 @@
   }
 }
 
-// Returns whether the host belongs to a group that serves, is being formed or
-// has not ended yet.
-bool GroupControl::IsAssigned(const HostId& aHost) const
+// Returns whether the server is in a group that may serve: one that has not
+// ended, and that the server has not left.
+bool GroupControl::IsInLivingGroup(const ServerRecord& aServer) const
 {
-  if (m_assignedHosts.count(aHost) > 0) {
-    return true;
-  }
-  const auto server = m_view->m_servers.find(aHost);
-  if (server == m_view->m_servers.end() || !server->second.m_groupMembership) {
+  if (!aServer.m_groupMembership) {
     return false;
   }
-  const GroupId& group = server->second.m_groupMembership->m_group;
+  const GroupId& group = aServer.m_groupMembership->m_group;
   const auto ending = m_endingGroups.find(group);
-  const bool hasLeft =
-    ending != m_endingGroups.end() &&
-    (ending->second.m_isEnded || ending->second.m_left.count(aHost) > 0);
+  const bool hasLeft = ending != m_endingGroups.end() &&
+                       (ending->second.m_isEnded ||
+                        ending->second.m_left.count(aServer.m_host) > 0);
   return m_view->m_groups.count(group) > 0 && !hasLeft;
 }
 
+// Returns whether the server is in a group that may serve, or belongs to one
+// that is being formed or has not ended yet.
+bool GroupControl::IsAssigned(const ServerRecord& aServer) const
+{
+  return m_assignedHosts.count(aServer.m_host) > 0 || IsInLivingGroup(aServer);
+}
+
 bool GroupControl::IsFree(const ServerRecord& aServer) const
 {
   return !aServer.m_isDraining && !aServer.m_hasEntryExpired &&
          !aServer.m_domain.IsEmpty() &&
          m_view->m_zonesOut.count(aServer.m_zone) == 0 &&
-         !IsDead(aServer.m_host) && !IsAssigned(aServer.m_host);
+         !IsDead(aServer.m_host) && !IsAssigned(aServer);
 }
 
 // Counts the groups of each model that serve or are being formed, in one domain
@@ -311,6 +325,9 @@
                             const HostId& aHost,
                             const ServerRecord* aRecord)
 {
+  if (aRecord != nullptr) {
+    m_reportsRequestedAt.erase(aHost);
+  }
   const auto found = m_suspectedHosts.find(aHost);
   if (found != m_suspectedHosts.end()) {
     SuspectedHost& suspect = found->second;
--- a/briarglade/grouping/group_control.h
+++ b/briarglade/grouping/group_control.h
@@ -2,7 +2,7 @@
 // opens each one once every member is ready, and ends groups that have lost a
 // member, so that their hosts can form new ones.
 //
-// Three rules ensure that a host is in at most one group, even if answers are
+// Four rules ensure that a host is in at most one group, even if answers are
 // lost or orders are carried out late:
 //  - Each new group has a higher generation than all earlier ones, and a server
 //    refuses to join a group of a lower generation.
@@ -10,6 +10,10 @@
 //    ready in that group and generation.
 //  - A host of a group joins another one only after the group's leader has left
 //    the group or stopped running, or the host itself has left the group.
+//  - A host joins only in the state that it has itself reported to this holder:
+//    the order states how many orders the server had accepted by then, and the
+//    server refuses it if it has accepted another one since. So neither an old
+//    entry nor another holder's or a late order can take a host out of a group.
 //
 // Example:
 //   GroupControl control(self, incarnation, bounds);
@@ -165,7 +169,7 @@
   void ProgressEndings();
   void ProbeSuspects();
   void ProgressForming();
-  void OrderJoins(FormingGroup& aForming);
+  bool OrderJoins(FormingGroup& aForming);
   bool CheckReady(FormingGroup& aForming);
   bool IsProbeDue(const FormingGroup& aForming) const;
   void OrderOpen(FormingGroup& aForming);
@@ -178,10 +182,12 @@
                     ReplicaGroup aGroup,
                     uint32_t aLoads);
 
+  void RequestReport(const HostId& aHost);
   OrderBasis BasisOf(const ServerRecord& aServer) const;
   bool IsDead(const HostId& aHost) const;
   void UpdateAssignedHosts();
-  bool IsAssigned(const HostId& aHost) const;
+  bool IsInLivingGroup(const ServerRecord& aServer) const;
+  bool IsAssigned(const ServerRecord& aServer) const;
   bool IsFree(const ServerRecord& aServer) const;
   FreeHost MakeFreeHost(const ServerRecord& aServer) const;
   bool HasSettled(const DomainId& aDomain,
@@ -212,6 +218,8 @@
   };
   std::map<GroupId, OpenedGroup> m_openedGroups;
   std::map<HostId, SuspectedHost> m_suspectedHosts;
+  // When servers were last asked for a report that an order needs.
+  std::map<HostId, Millis> m_reportsRequestedAt;
   // The model for which a spare was last ordered to stand by, and when.
   struct Standby
   {
--- a/briarglade/grouping/group_forming.cc
+++ b/briarglade/grouping/group_forming.cc
@@ -61,20 +61,42 @@
   return group;
 }
 
+bool IsMemberOf(const ServerRecord& aServer, const ReplicaGroup& aGroup)
+{
+  return aServer.m_groupMembership &&
+         aServer.m_groupMembership->m_group == aGroup.m_id &&
+         aServer.m_groupMembership->m_generation == aGroup.m_generation;
+}
+
 } // namespace
 
-void GroupControl::OrderJoins(FormingGroup& aForming)
+// Orders the members that have not accepted yet to join. Returns false if one
+// of them is in another group.
+bool GroupControl::OrderJoins(FormingGroup& aForming)
 {
   for (const HostId& member : aForming.m_group.m_members) {
+    const auto server = m_view->m_servers.find(member);
+    if (server == m_view->m_servers.end() ||
+        aForming.m_joined.count(member) > 0) {
+      continue;
+    }
     const auto ordered = aForming.m_orderedAt.find(member);
-    const bool isDue = ordered == aForming.m_orderedAt.end() ||
-                       (aForming.m_joined.count(member) == 0 &&
-                        m_now - ordered->second >= kOrderRetryTime);
-    if (isDue) {
+    const bool isFirst = ordered == aForming.m_orderedAt.end();
+    if (!isFirst && m_now - ordered->second < kOrderRetryTime) {
+      continue;
+    }
+    const ServerRecord& record = server->second;
+    if (IsMemberOf(record, aForming.m_group)) {
+      // It has carried out an order that it has not answered.
+      aForming.m_joined.insert(member);
+    } else if (IsInLivingGroup(record)) {
+      return false;
+    } else {
       aForming.m_orderedAt[member] = m_now;
       Order(OrderKind::Join, member, aForming.m_group);
     }
   }
+  return true;
 }
 
 // Returns whether every member itself has reported that it is ready.
@@ -160,7 +182,9 @@
       ++entry;
       continue;
     }
-    OrderJoins(forming);
+    if (!OrderJoins(forming)) {
+      failed.emplace_back(group, "member-taken");
+    }
     const bool isReady = CheckReady(forming);
     if (isReady && forming.m_isInherited) {
       failed.emplace_back(group, "formed-by-earlier-holder");
@@ -272,9 +296,9 @@
   FreeHost host;
   host.m_host = aServer.m_host;
   host.m_staged = aServer.m_staged;
-  if (aServer.m_groupMembership) {
-    host.m_warmModel = ModelOf(aServer.m_groupMembership->m_group);
-  }
+  // A server that has left a group still joins the next one of the model
+  // without delay.
+  host.m_warmModel = ModelOf(aServer.m_membershipHistory.LastGroup());
   // The report may not show the effect of a recent order to stand by yet.
   const auto standby = m_standbys.find(aServer.m_host);
   if (standby != m_standbys.end() &&
--- a/briarglade/grouping/group_order.h
+++ b/briarglade/grouping/group_order.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "briarglade/base/endpoint.h"
@@ -53,6 +54,10 @@
   // The members by rank; the first is the leader. Only set for Join.
   std::vector<HostId> m_members;
   FencingToken m_fencing;
+  // The server rejects the order with a conflict unless it has accepted exactly
+  // this number of orders. Ensures that it still is in the state that it
+  // reported, however late the order is carried out.
+  std::optional<uint64_t> m_expectedOrders;
   OrderBasis m_basis;
 };
 
--- a/briarglade/grouping/membership_update.cc
+++ b/briarglade/grouping/membership_update.cc
@@ -30,6 +30,8 @@
       return "report";
     case UpdateSource::Announcement:
       return "announcement";
+    case UpdateSource::Order:
+      return "order";
   }
   return "unknown";
 }
@@ -43,6 +45,8 @@
       return "confirmed";
     case UpdateOutcome::Outdated:
       return "outdated";
+    case UpdateOutcome::Ambiguous:
+      return "ambiguous";
   }
   return "unknown";
 }
--- a/briarglade/grouping/membership_update.h
+++ b/briarglade/grouping/membership_update.h
@@ -20,7 +20,9 @@
   // The server's answer to this node's probe.
   Report,
   // The lease holder's news that it has opened the group.
-  Announcement
+  Announcement,
+  // The server's acceptance of an order of this node.
+  Order
 };
 
 // Returns the lower-case name of a source, for logs.
@@ -29,11 +31,15 @@
 struct MembershipUpdate
 {
   UpdateSource m_source = UpdateSource::Row;
-  // By this node's clock: when the report was requested, or when the row or the
-  // announcement was received.
+  // By this node's clock: when the report was requested, or when the row, the
+  // announcement or the answer to the order was received.
   Millis m_asOf;
+  // Start time of the server process, in milliseconds since the Unix epoch.
+  int64_t m_startedAt = 0;
   // Empty if the server is in no group.
   std::optional<GroupMembership> m_membership;
+  // Number of orders that the process had accepted; only reports state it.
+  std::optional<uint64_t> m_orderCount;
 };
 
 enum class UpdateOutcome
@@ -43,7 +49,10 @@
   // The node believed the same already.
   Confirmed,
   // The update is older than what the node believes.
-  Outdated
+  Outdated,
+  // The update may be older or newer. The node goes on with what it believed;
+  // only the server itself can tell.
+  Ambiguous
 };
 
 // Returns the lower-case name of an outcome, for logs.
--- a/briarglade/grouping/server_record.h
+++ b/briarglade/grouping/server_record.h
@@ -44,6 +44,9 @@
   std::vector<ModelId> m_staged;
   // Empty if the server is in no group.
   std::optional<GroupMembership> m_groupMembership;
+  // Number of orders that this process of the server had accepted; only reports
+  // state it.
+  std::optional<uint64_t> m_orderCount;
   // Where a node's belief about the membership comes from.
   MembershipHistory m_membershipHistory;
   // Factor by which the engine is slower than normal; 1 is normal speed.
