--- a/briarglade/grouping/group_control.cc
+++ b/briarglade/grouping/group_control.cc
@@ -125,6 +125,7 @@
   order.m_model = aGroup.m_model;
   if (aKind == OrderKind::Join) {
     order.m_members = aGroup.m_members;
+    order.m_expectedOrders = server->second.m_membershipHistory.OrderCount();
   }
   order.m_fencing = m_token;
   order.m_basis = BasisOf(server->second);
--- a/briarglade/grouping/group_forming.cc
+++ b/briarglade/grouping/group_forming.cc
@@ -89,6 +89,8 @@
     if (IsMemberOf(record, aForming.m_group)) {
       // It has carried out an order that it has not answered.
       aForming.m_joined.insert(member);
+    } else if (!record.m_membershipHistory.IsReported()) {
+      RequestReport(member);
     } else if (IsInLivingGroup(record)) {
       return false;
     } else {
@@ -378,8 +380,13 @@
     m_loadBudget.SetUnbounded(!m_view->m_hasTraffic);
     std::map<DomainId, std::vector<const ServerRecord*>> free;
     for (const auto& [host, server] : m_view->m_servers) {
-      if (server.m_service == id && IsFree(server)) {
+      if (server.m_service != id || !IsFree(server)) {
+        continue;
+      }
+      if (server.m_membershipHistory.IsReported()) {
         free[server.m_domain].push_back(&server);
+      } else {
+        RequestReport(host);
       }
     }
     for (const auto& [domain, servers] : free) {
--- a/standin/platform_member.cc
+++ b/standin/platform_member.cc
@@ -81,6 +81,9 @@
     }
     m_fencing = fencing;
   }
+  if (aOrder.value("expected", m_orders) != m_orders) {
+    return kConflict;
+  }
   const std::string operation = aOrder.value("operation", "");
   uint16_t status = kConflict;
   if (operation == "join") {
--- a/standin/platform_member_test.cc
+++ b/standin/platform_member_test.cc
@@ -76,6 +76,22 @@
   CHECK(member.Take(Millis(0), others) == kPreconditionFailed);
 }
 
+TEST_CASE("an order that expects another number of orders changes nothing")
+{
+  PlatformMember member = MakeMember("a");
+  json join = Join("g2", 2, 5);
+  join["expected"] = 1;
+  CHECK(member.Take(Millis(0), join) == kConflict);
+  CHECK_FALSE(member.IsInGroup());
+  join["expected"] = 0;
+  CHECK(member.Take(Millis(0), join) == kAccepted);
+  CHECK(member.Describe()["sequence"] == 1);
+  json next = Join("g3", 3, 5);
+  next["expected"] = 0;
+  CHECK(member.Take(Millis(0), next) == kConflict);
+  CHECK(member.Group() == "g2");
+}
+
 TEST_CASE("the audit notices a request in an incomplete group")
 {
   PlatformMember a = MakeMember("a");
