A new holder asks again before it ends a group of which it lacks a member

A group that served was ended by a holder that had just started, its members were told to leave, and its requests stood still.

Cause: the survey counted a server whose probe failed as asked. Where that server's entry was older than its group, the group had no leader or an empty rank, which was taken for broken: "no answer" for "not there".

--- a/briarglade/entry/two_groups_test.cc
+++ b/briarglade/entry/two_groups_test.cc
@@ -116,6 +116,36 @@
   CHECK(world.Servers().ServingGroups() == 1);
 }
 
+TEST_CASE("a holder that has just started does not end a group whose leader "
+          "gave no report to its survey")
+{
+  OutageWorld world;
+  REQUIRE(world.Servers().OpenLeader() == world.FormerLeader());
+  for (size_t node = 0; node < world.NodeCount(); ++node) {
+    world.Kill(node);
+  }
+  // The servers can't write yet, so the entries lack the leader's group.
+  world.SetStoreDownForNodes(false);
+  for (size_t node = 0; node < world.NodeCount(); ++node) {
+    world.Start(node);
+    world.SetReachable(node, world.FormerLeader(), false);
+  }
+  while (world.Holder() == world.NodeCount()) {
+    world.Run(GroupWorld::kStep);
+  }
+  world.Run(Millis(600));
+  CHECK(world.Servers().ServingGroups() == 1);
+  for (size_t node = 0; node < world.NodeCount(); ++node) {
+    world.SetReachable(node, world.FormerLeader(), true);
+  }
+  world.Run(Millis(1'000));
+  world.SetStoreDownForServers(false);
+  world.Run(Millis(5'000));
+  CHECK(world.Servers().ServingGroups() == 1);
+  CHECK(world.Servers().OpenLeader() == world.FormerLeader());
+  CHECK(world.Servers().Violations().empty());
+}
+
 // A random history of faults of the store, nodes, servers and links.
 class History
 {
--- a/briarglade/grouping/group_control.cc
+++ b/briarglade/grouping/group_control.cc
@@ -51,6 +51,8 @@
   m_suspectedHosts.clear();
   m_standbys.clear();
   m_reportsRequestedAt.clear();
+  m_heardHosts.clear();
+  m_unheardSince.clear();
   m_isSurveying = true;
   m_pendingReports.clear();
   m_surveyedCount = 0;
@@ -328,6 +330,8 @@
 {
   if (aRecord != nullptr) {
     m_reportsRequestedAt.erase(aHost);
+    m_heardHosts.insert(aHost);
+    m_unheardSince.erase(aHost);
   }
   const auto found = m_suspectedHosts.find(aHost);
   if (found != m_suspectedHosts.end()) {
--- a/briarglade/grouping/group_control.h
+++ b/briarglade/grouping/group_control.h
@@ -155,6 +155,7 @@
 
   bool SurveyServers();
   void RecordInheritedLoads();
+  bool MayHaveUnknownMember(const ReplicaGroup& aGroup);
   void ExpireOpenedGroups();
   void EndBrokenGroups();
   bool ShouldEndDrainingGroup(const ReplicaGroup& aGroup) const;
@@ -218,7 +219,11 @@
   };
   std::map<GroupId, OpenedGroup> m_openedGroups;
   std::map<HostId, SuspectedHost> m_suspectedHosts;
-  // When servers were last asked for a report that an order needs.
+  // Servers that have given a report to this holder, and since when the others
+  // have been asked for one.
+  std::set<HostId> m_heardHosts;
+  std::map<HostId, Millis> m_unheardSince;
+  // When servers were last asked for a report that a decision needs.
   std::map<HostId, Millis> m_reportsRequestedAt;
   // The model for which a spare was last ordered to stand by, and when.
   struct Standby
--- a/briarglade/grouping/group_ending.cc
+++ b/briarglade/grouping/group_ending.cc
@@ -15,6 +15,9 @@
 
 // Time that a group with a draining member has to finish its running requests.
 constexpr Millis kFinishTime = Millis(6'000);
+// A server that has given a new holder no report for this long is not waited
+// for any longer.
+constexpr Millis kReportTimeout = Millis(2'000);
 
 // Returns whether the leader's own report shows that it no longer leads the
 // group. A report of no group or of an older one may be outdated and shows
@@ -96,12 +99,39 @@
   return ready >= leaving;
 }
 
+// Returns whether a rank of the group that no server is known to hold may be
+// held by a server that has given this holder no report yet. Asks these
+// servers.
+bool GroupControl::MayHaveUnknownMember(const ReplicaGroup& aGroup)
+{
+  const auto isEmpty = [](const HostId& aMember) { return aMember.IsEmpty(); };
+  if (std::none_of(aGroup.m_members.begin(), aGroup.m_members.end(), isEmpty)) {
+    return false;
+  }
+  bool isAwaited = false;
+  for (const auto& [host, server] : m_view->m_servers) {
+    const bool mayBeMember = server.m_domain == aGroup.m_domain &&
+                             server.m_service == aGroup.m_service &&
+                             m_heardHosts.count(host) == 0 && !IsDead(host);
+    if (!mayBeMember) {
+      continue;
+    }
+    const Millis since = m_unheardSince.try_emplace(host, m_now).first->second;
+    if (m_now - since < kReportTimeout) {
+      RequestReport(host);
+      isAwaited = true;
+    }
+  }
+  return isAwaited;
+}
+
 // Ends groups that have been abandoned or lost a member, and groups with a
 // draining member that should be replaced now.
 void GroupControl::EndBrokenGroups()
 {
   for (const auto& [id, group] : m_view->m_groups) {
-    if (m_formingGroups.count(id) > 0 || m_endingGroups.count(id) > 0) {
+    if (m_formingGroups.count(id) > 0 || m_endingGroups.count(id) > 0 ||
+        MayHaveUnknownMember(group)) {
       continue;
     }
     const auto isLost = [&](const HostId& aMember) {
