Order of reports: a closed group, a late report after an order, a lost count

A group that was closing counted as closing for good while the store was away; a report from before an accepted order counted as current again.

Cause: "ready" after "closing" was taken for older because no order lies in between; the number of accepted orders was forgotten whenever another source was applied; an order's end had no time.

--- a/briarglade/entry/internal/control_duties.cc
+++ b/briarglade/entry/internal/control_duties.cc
@@ -204,7 +204,7 @@
     update.m_startedAt = record.m_membershipHistory.StartedAt();
     ApplyMembership(record, update);
   }
-  record.m_membershipHistory.InvalidateReport();
+  record.m_membershipHistory.InvalidateReport(m_now);
 }
 
 // Asks a server whose membership is ambiguous, if this node's decisions depend
