A holder goes on if a service loses its engine while one of its groups opens

Cause: the group was marked as failed, but the loop went on with the missing engine.

Change: a group without a configured model is only ended.

--- a/briarglade/grouping/group_forming.cc
+++ b/briarglade/grouping/group_forming.cc
@@ -174,6 +174,10 @@
     } else if (m_now - forming.m_since > longest) {
       failed.emplace_back(group, "not-ready");
     }
+    if (model == nullptr) {
+      ++entry;
+      continue;
+    }
     if (forming.m_isOpened) {
       // Only the leader reports when it starts to serve.
       if (m_now - forming.m_openedAt >= engine->m_formationTime &&
