TWO: servers of a model that is no longer configured leave before they join

A configuration without a model made the leader of its open group count as free, and a join took it out of that group; the server's number of orders matched, as nothing had changed there.

Cause: a group was living only if it could be derived from the configuration: "not configured" taken for "not there".

Change: a membership that isn't a standby one, broken, or of an ended group is a living group, configured or not; servers of such groups are ordered to leave and are free once they have. Beside it: an ending whose leader isn't known is forgotten once its group is gone (it was announced until the lease changed), the log says "unknown" for such a leader's phase, and a host that owes a report is asked every 100 ms, not at every step.

--- a/briarglade/grouping/group_control.cc
+++ b/briarglade/grouping/group_control.cc
@@ -16,6 +16,9 @@
 // consecutive unanswered probes after which it is considered dead.
 constexpr Millis kProbePeriod = Millis(250);
 constexpr uint32_t kDeadAfterProbes = 1;
+// A server that owes a report which a decision needs is asked again after this
+// long.
+constexpr Millis kReportRetryTime = Millis(100);
 // A dead host counts as alive again once its server reports a restart, or else
 // after this time, when it is tried again.
 constexpr Millis kDeadHostTimeout = Millis(15'000);
@@ -53,6 +56,7 @@
   m_reportsRequestedAt.clear();
   m_heardHosts.clear();
   m_unheardSince.clear();
+  m_unconfiguredOrderedAt.clear();
   m_isSurveying = true;
   m_pendingReports.clear();
   m_surveyedCount = 0;
@@ -138,7 +142,7 @@
 void GroupControl::RequestReport(const HostId& aHost)
 {
   const auto [entry, isNew] = m_reportsRequestedAt.try_emplace(aHost, m_now);
-  if (isNew || m_now - entry->second >= kProbePeriod) {
+  if (isNew || m_now - entry->second >= kReportRetryTime) {
     entry->second = m_now;
     m_effects.emplace_back(ProbeHost{ aHost });
   }
@@ -181,6 +185,16 @@
   }
 }
 
+// Returns whether the server is in a group, not a standby one, of a model that
+// is not in the configuration. The group may still be open.
+bool GroupControl::IsInUnconfiguredGroup(const ServerRecord& aServer) const
+{
+  return aServer.m_groupMembership &&
+         aServer.m_groupMembership->m_phase != GroupPhase::Broken &&
+         !IsStandby(aServer.m_groupMembership->m_group) &&
+         m_view->m_groups.count(aServer.m_groupMembership->m_group) == 0;
+}
+
 // Returns whether the server is in a group that may serve: one that has not
 // ended, and that the server has not left.
 bool GroupControl::IsInLivingGroup(const ServerRecord& aServer) const
@@ -193,7 +207,8 @@
   const bool hasLeft = ending != m_endingGroups.end() &&
                        (ending->second.m_isEnded ||
                         ending->second.m_left.count(aServer.m_host) > 0);
-  return m_view->m_groups.count(group) > 0 && !hasLeft;
+  const bool isKnown = m_view->m_groups.count(group) > 0;
+  return !hasLeft && (isKnown || IsInUnconfiguredGroup(aServer));
 }
 
 // Returns whether the server is in a group that may serve, or belongs to one
@@ -329,7 +344,6 @@
                             const ServerRecord* aRecord)
 {
   if (aRecord != nullptr) {
-    m_reportsRequestedAt.erase(aHost);
     m_heardHosts.insert(aHost);
     m_unheardSince.erase(aHost);
   }
@@ -412,6 +426,7 @@
     ProbeSuspects();
     AwaitInheritedGroups();
     EndBrokenGroups();
+    EndUnconfiguredGroups();
     ProgressEndings();
     ProgressForming();
     UpdateAssignedHosts();
--- a/briarglade/grouping/group_control.h
+++ b/briarglade/grouping/group_control.h
@@ -12,8 +12,8 @@
 //    the group or stopped running, or the host itself has left the group.
 //  - A host joins only in the state that it has itself reported to this holder:
 //    the order states how many orders the server had accepted by then, and the
-//    server refuses it if it has accepted another one since. So neither an old
-//    entry nor another holder's or a late order can take a host out of a group.
+//    server refuses it if it has accepted another one since, from whomever and
+//    however late.
 //
 // Example:
 //   GroupControl control(self, incarnation, bounds);
@@ -167,6 +167,7 @@
   void OrderEnd(EndingGroup& aEnding);
   void OrderMembersToLeave(const EndingGroup& aEnding);
   static void MarkLeft(EndingGroup& aEnding, const HostId& aHost);
+  void EndUnconfiguredGroups();
   void ProgressEndings();
   void ProbeSuspects();
   void ProgressForming();
@@ -187,6 +188,7 @@
   OrderBasis BasisOf(const ServerRecord& aServer) const;
   bool IsDead(const HostId& aHost) const;
   void UpdateAssignedHosts();
+  bool IsInUnconfiguredGroup(const ServerRecord& aServer) const;
   bool IsInLivingGroup(const ServerRecord& aServer) const;
   bool IsAssigned(const ServerRecord& aServer) const;
   bool IsFree(const ServerRecord& aServer) const;
@@ -223,6 +225,9 @@
   // have been asked for one.
   std::set<HostId> m_heardHosts;
   std::map<HostId, Millis> m_unheardSince;
+  // When the servers of groups without a configured model were last ordered to
+  // leave.
+  std::map<HostId, Millis> m_unconfiguredOrderedAt;
   // When servers were last asked for a report that a decision needs.
   std::map<HostId, Millis> m_reportsRequestedAt;
   // The model for which a spare was last ordered to stand by, and when.
--- a/briarglade/grouping/group_control_test.cc
+++ b/briarglade/grouping/group_control_test.cc
@@ -217,6 +217,44 @@
   CHECK(times[kP95] <= Millis(2'500));
 }
 
+TEST_CASE("TWO: when a model is removed from the configuration, its servers "
+          "leave their groups before they join others")
+{
+  Simulation simulation;
+  simulation.Run(Millis(20'000));
+  EngineSpec& engine = *simulation.m_config.m_services.begin()->second.m_engine;
+  engine.m_models = { *engine.FindModel(ModelId("small")) };
+  simulation.Run(Millis(20'000));
+  CHECK(simulation.m_servers.Violations().empty());
+  // Three hosts of each domain at the least remain spares.
+  CHECK(simulation.m_servers.ServingGroups() >= 3);
+  for (const auto& [host, server] : simulation.m_view) {
+    const bool isMember =
+      server.m_groupMembership && !IsStandby(server.m_groupMembership->m_group);
+    CHECK_FALSE((isMember &&
+                 ModelOf(server.m_groupMembership->m_group) == ModelId("big")));
+  }
+}
+
+TEST_CASE("a holder whose service loses its engine while a group opens goes on")
+{
+  Simulation simulation;
+  const auto isOpening = [&] {
+    const auto hosts = simulation.m_servers.Hosts();
+    return std::any_of(hosts.begin(), hosts.end(), [&](const HostId& aHost) {
+      const auto& membership =
+        simulation.m_servers.Report(aHost)->m_groupMembership;
+      return membership && membership->m_phase == GroupPhase::Open;
+    });
+  };
+  while (!isOpening()) {
+    simulation.Step();
+  }
+  simulation.m_config.m_services.begin()->second.m_engine.reset();
+  simulation.Run(Millis(2'000));
+  CHECK(simulation.m_servers.Violations().empty());
+}
+
 TEST_CASE("a suspicion that the members disprove ends no group")
 {
   Simulation simulation;
--- a/briarglade/grouping/group_ending.cc
+++ b/briarglade/grouping/group_ending.cc
@@ -65,7 +65,8 @@
         { "reason", aReason },
         { "token", std::to_string(m_token.Value()) },
         { "leader", aGroup.Leader().Value() },
-        { "leader-phase", GroupPhaseName(aGroup.m_leaderPhase) },
+        { "leader-phase",
+          isKnown ? GroupPhaseName(aGroup.m_leaderPhase) : "unknown" },
         { "known-from", isKnown ? UpdateSourceName(basis.m_source) : "none" },
         { "known-age-ms",
           isKnown ? std::to_string((m_now - basis.m_knownAsOf).Count())
@@ -198,6 +199,34 @@
   aEnding.m_isEnded = aEnding.m_isEnded || aHost == aEnding.m_group.Leader();
 }
 
+// Orders the servers of groups whose model is no longer in the configuration to
+// leave. They are free once they have left.
+void GroupControl::EndUnconfiguredGroups()
+{
+  for (const auto& [host, server] : m_view->m_servers) {
+    if (!IsInUnconfiguredGroup(server) || IsDead(host)) {
+      m_unconfiguredOrderedAt.erase(host);
+      continue;
+    }
+    const auto [ordered, isFirst] =
+      m_unconfiguredOrderedAt.try_emplace(host, m_now);
+    if (!isFirst && m_now - ordered->second < kOrderRetryTime) {
+      continue;
+    }
+    ordered->second = m_now;
+    if (isFirst) {
+      Log("group-unconfigured",
+          { { "group", server.m_groupMembership->m_group.Value() },
+            { "server", host.Value() },
+            { "token", std::to_string(m_token.Value()) } });
+    }
+    ReplicaGroup group;
+    group.m_id = server.m_groupMembership->m_group;
+    group.m_generation = server.m_groupMembership->m_generation;
+    Order(OrderKind::Leave, host, group);
+  }
+}
+
 // Retries orders and collects reports until the hosts of each ending group may
 // be used again.
 void GroupControl::ProgressEndings()
@@ -226,8 +255,8 @@
       ending.m_orderedAt = m_now;
       OrderMembersToLeave(ending);
     }
-    const bool isRemoved =
-      ending.m_isEnded && m_view->m_groups.count(group.m_id) == 0;
+    const bool isOver = ending.m_isEnded || group.Leader().IsEmpty();
+    const bool isRemoved = isOver && m_view->m_groups.count(group.m_id) == 0;
     if (isRemoved) {
       entry = m_endingGroups.erase(entry);
     } else {
