A server that a probe shows to be gone is not waited for

Cause: the guard waited up to 2 s also for servers that refuse connections or whose address another server has: that is an answer.

Change: GroupControl is told whether a failed probe showed that the server has ended, and counts it as heard.

--- a/briarglade/entry/internal/control_duties.cc
+++ b/briarglade/entry/internal/control_duties.cc
@@ -309,7 +309,10 @@
     known->second.m_slowdown = record->m_slowdown;
     m_state.m_areBackendsStale = true;
   }
-  m_state.m_control.OnProbed(m_now, aProbed.m_host, record);
+  const Error* error = GetError(aProbed.m_record);
+  const bool isGone =
+    error != nullptr && error->m_code == ResultCode::BackendFailed;
+  m_state.m_control.OnProbed(m_now, aProbed.m_host, record, isGone);
   TickControlSoon();
 }
 
--- a/briarglade/grouping/group_control.cc
+++ b/briarglade/grouping/group_control.cc
@@ -341,9 +341,10 @@
 
 void GroupControl::OnProbed(Millis aNow,
                             const HostId& aHost,
-                            const ServerRecord* aRecord)
+                            const ServerRecord* aRecord,
+                            bool aIsGone)
 {
-  if (aRecord != nullptr) {
+  if (aRecord != nullptr || aIsGone) {
     m_heardHosts.insert(aHost);
     m_unheardSince.erase(aHost);
   }
--- a/briarglade/grouping/group_control.h
+++ b/briarglade/grouping/group_control.h
@@ -98,8 +98,12 @@
   // Processes the outcome of an order. Returns false if it shows that a newer
   // lease holder exists.
   bool OnOrderAnswered(Millis aNow, const OrderAnswered& aAnswered);
-  // Processes the outcome of a probe; aRecord is null if the probe failed.
-  void OnProbed(Millis aNow, const HostId& aHost, const ServerRecord* aRecord);
+  // Processes the outcome of a probe; aRecord is null if the probe failed, and
+  // aIsGone tells whether the failure showed that the server has ended.
+  void OnProbed(Millis aNow,
+                const HostId& aHost,
+                const ServerRecord* aRecord,
+                bool aIsGone);
 
 private:
   // A group that is being formed.
@@ -221,8 +225,8 @@
   };
   std::map<GroupId, OpenedGroup> m_openedGroups;
   std::map<HostId, SuspectedHost> m_suspectedHosts;
-  // Servers that have given a report to this holder, and since when the others
-  // have been asked for one.
+  // Servers that have given this holder a report or are gone, and since when
+  // the others have been asked for one.
   std::set<HostId> m_heardHosts;
   std::map<HostId, Millis> m_unheardSince;
   // When the servers of groups without a configured model were last ordered to
