--- a/briarglade/entry/entry_node.cc
+++ b/briarglade/entry/entry_node.cc
@@ -11,6 +11,7 @@
 #include "briarglade/base/overloaded.h"
 #include "briarglade/entry/gateway_relay.h"
 #include "briarglade/membership/envelope.h"
+#include "briarglade/net/answer_budget.h"
 #include "briarglade/net/event_loop.h"
 #include "briarglade/net/http_exchange.h"
 
@@ -66,10 +67,20 @@
   , m_state(
       MakeEntryState(aSettings, m_incarnation, m_binding.m_store.m_decode))
 {
+  m_client.Budget()->OnCut([this](const AnswerCut& aCut) {
+    m_log.Write(
+      LogEvent{ LogLevel::Warn,
+                "answer-cut",
+                { { "request", aCut.m_request },
+                  { "held-bytes", std::to_string(aCut.m_heldBytes) },
+                  { "all-held-bytes", std::to_string(aCut.m_allHeldBytes) },
+                  { "max-bytes", std::to_string(aCut.m_maxBytes) } } });
+  });
 }
 
 EntryNode::~EntryNode()
 {
+  m_client.Budget()->OnCut(nullptr);
   // Closing a connection calls handlers that use members of this object.
   m_callerServer.CloseConnections();
   m_directoryServer.CloseConnections();
--- a/briarglade/entry/entry_settings.h
+++ b/briarglade/entry/entry_settings.h
@@ -69,6 +69,8 @@
   EntryBounds m_bounds;
   // The process's limit on open file descriptors.
   uint32_t m_fileDescriptors = 4'096;
+  // The memory that the process may use, in bytes.
+  uint64_t m_memoryBytes = 256ULL * 1024 * 1024;
   // The processor time that the node may use, in thousandths of a core.
   uint32_t m_processorShare = 1'000;
 };
--- a/briarglade/entry/gateway_relay.cc
+++ b/briarglade/entry/gateway_relay.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "briarglade/net/answer_hold.h"
 #include "briarglade/net/back_pressure.h"
 #include "briarglade/net/event_loop.h"
 #include "briarglade/net/http_call.h"
@@ -48,6 +49,9 @@
 {
   const auto exchange = std::make_shared<Exchange>();
   exchange->m_events = EventStream(m_lastEvent);
+  exchange->m_hold =
+    std::make_shared<AnswerHold>(aClient.Budget(), m_request.m_attemptName);
+  exchange->m_hold->OnCut([held = exchange.get()] { CutAnswer(*held); });
   (aSend.m_role == ExchangeRole::Hedge ? m_hedge : m_primary) = exchange;
   m_isStream = aSend.m_isStream;
   m_account = aSend.m_account;
@@ -172,6 +176,15 @@
   } else if (aExchange.m_answerKind == AnswerKind::Whole) {
     aExchange.m_body.append(aData);
   }
+  aExchange.m_hold->SetBytes(aExchange.m_body.capacity() +
+                             aExchange.m_events.HeldBytes());
+}
+
+void GatewayRelay::CutAnswer(Exchange& aExchange)
+{
+  aExchange.m_body = std::string();
+  aExchange.m_events = EventStream(std::nullopt);
+  aExchange.m_call->Cancel(ExchangeEnd::WrongAnswer);
 }
 
 void GatewayRelay::StartAnswer()
@@ -250,6 +263,12 @@
 void GatewayRelay::OnEnd(Exchange& aExchange, const HttpCallEnd& aEnd)
 {
   aExchange.m_call.reset();
+  // What is kept now is a whole answer that is forwarded, or nothing.
+  aExchange.m_hold->OnCut(nullptr);
+  if (aEnd.m_end != ExchangeEnd::Whole) {
+    aExchange.m_body = std::string();
+    aExchange.m_hold->SetBytes(0);
+  }
   const std::optional<ExchangeRole> role = RoleOf(aExchange);
   if (!role) {
     return;
@@ -273,6 +292,7 @@
     m_caller->EndStream();
     return;
   }
+  m_caller->HoldUntilTaken(m_primary->m_hold);
   m_caller->Respond(m_primary->m_facts.m_status,
                     m_codec.m_encodeAnswer(m_primary->m_head.m_headers),
                     m_primary->m_body);
--- a/briarglade/entry/gateway_relay.h
+++ b/briarglade/entry/gateway_relay.h
@@ -21,6 +21,7 @@
 
 namespace briarglade {
 
+class AnswerHold;
 class HttpCall;
 class HttpExchange;
 
@@ -93,6 +94,8 @@
     HttpAnswerHead m_head;
     std::string m_body;
     EventStream m_events;
+    // Accounts for the bytes that are kept, until the caller has taken them.
+    std::shared_ptr<AnswerHold> m_hold;
     bool m_hasEvents = false;
     bool m_isStreamMalformed = false;
   };
@@ -103,6 +106,8 @@
   void OnHead(Exchange& aExchange, const HttpAnswerHead& aHead);
   void OnData(Exchange& aExchange, std::string_view aData);
   void OnEvents(Exchange& aExchange, std::string_view aData);
+  // Frees what was kept of the answer and gives the exchange up.
+  static void CutAnswer(Exchange& aExchange);
   void OnEnd(Exchange& aExchange, const HttpCallEnd& aEnd);
   ExchangeEnd ClassifyEnd(const Exchange& aExchange,
                           const HttpCallEnd& aEnd) const;
--- a/briarglade/gateway/event_stream.h
+++ b/briarglade/gateway/event_stream.h
@@ -50,6 +50,11 @@
   bool IsResumable() const { return m_isPositionKnown; }
   // Returns whether an incomplete event is buffered.
   bool IsWithinEvent() const { return !m_partial.empty(); }
+  // Returns the bytes that the stream keeps in memory.
+  size_t HeldBytes() const
+  {
+    return m_partial.capacity() + m_joined.capacity();
+  }
 
 private:
   bool AcceptEvent(std::string_view aEvent);
--- a/briarglade/net/http_client.cc
+++ b/briarglade/net/http_client.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "briarglade/net/answer_budget.h"
 #include "briarglade/net/event_loop.h"
 #include "briarglade/net/http_call.h"
 #include "briarglade/net/internal/pooled_connection.h"
@@ -14,6 +15,7 @@
 HttpClient::HttpClient(EventLoop& aLoop, HttpClientLimits aLimits)
   : m_loop(aLoop)
   , m_limits(aLimits)
+  , m_budget(std::make_shared<AnswerBudget>(aLimits.m_maxHeldBytes))
 {
 }
 
--- a/briarglade/net/http_client.h
+++ b/briarglade/net/http_client.h
@@ -31,6 +31,7 @@
 
 namespace briarglade {
 
+class AnswerBudget;
 class EventLoop;
 class HttpCall;
 class PooledConnection;
@@ -108,8 +109,10 @@
   size_t m_maxIdlePerEndpoint = 64;
   size_t m_maxConnections = 8192;
   size_t m_maxHeaderBytes = 32 * 1024;
-  // Several answers of this size must fit on a small host.
+  // The longest body of one answer.
   size_t m_maxBodyBytes = 8 * 1024 * 1024;
+  // The bound on the bytes of all answers that are held at one time.
+  size_t m_maxHeldBytes = 64 * 1024 * 1024;
   // How long a connection is kept where the server doesn't say.
   Millis m_idleLifetime = Millis(60'000);
 };
@@ -127,6 +130,8 @@
 
   // Returns the number of connections, idle ones included.
   size_t ConnectionCount() const { return m_connectionCount; }
+  // Returns what accounts for the answers of this client that are kept.
+  const std::shared_ptr<AnswerBudget>& Budget() const { return m_budget; }
 
 private:
   friend class HttpCall;
@@ -142,6 +147,7 @@
 
   EventLoop& m_loop;
   HttpClientLimits m_limits;
+  std::shared_ptr<AnswerBudget> m_budget;
   std::map<Endpoint, std::vector<std::unique_ptr<PooledConnection>>> m_idle;
   std::vector<std::unique_ptr<PooledConnection>> m_discarded;
   std::unordered_set<std::shared_ptr<HttpCall>> m_running;
--- a/briarglade/net/http_exchange.cc
+++ b/briarglade/net/http_exchange.cc
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "briarglade/net/answer_hold.h"
 #include "briarglade/net/internal/http_connection.h"
 
 namespace briarglade {
@@ -123,6 +124,13 @@
   connection->CutSoon();
 }
 
+void HttpExchange::HoldUntilTaken(std::shared_ptr<AnswerHold> aHold)
+{
+  if (IsOpen()) {
+    m_connection->HoldUntilTaken(std::move(aHold));
+  }
+}
+
 size_t HttpExchange::UnsentBytes() const
 {
   return IsOpen() ? m_connection->UnsentBytes() : 0;
--- a/briarglade/net/http_exchange.h
+++ b/briarglade/net/http_exchange.h
@@ -16,6 +16,7 @@
 
 namespace briarglade {
 
+class AnswerHold;
 class HttpConnection;
 
 class HttpExchange
@@ -53,6 +54,9 @@
   // Cuts the connection, so that the caller can't take the answer for whole.
   void Abort();
 
+  // Keeps the hold of the answer that follows until the caller has taken it.
+  // If it is cut, so is the connection.
+  void HoldUntilTaken(std::shared_ptr<AnswerHold> aHold);
   // Bytes written that the caller hasn't taken yet.
   size_t UnsentBytes() const;
   // Called when all written bytes have been taken.
--- a/briarglade/net/internal/http_connection.cc
+++ b/briarglade/net/internal/http_connection.cc
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <utility>
 
+#include "briarglade/net/answer_hold.h"
 #include "briarglade/net/http_exchange.h"
 #include "briarglade/net/http_server.h"
 #include "briarglade/net/internal/socket_io.h"
@@ -57,6 +58,7 @@
   m_phase = Phase::Cut;
   m_server.m_connections.erase(this);
   EndExchange();
+  ReleaseHolds();
   bufferevent_free(m_bufferevent);
 }
 
@@ -84,12 +86,32 @@
   return !m_keepsAfterRequest || m_server.m_isDraining;
 }
 
+void HttpConnection::HoldUntilTaken(std::shared_ptr<AnswerHold> aHold)
+{
+  aHold->OnCut([this] { CutSoon(); });
+  m_holds.push_back(std::move(aHold));
+}
+
+void HttpConnection::ReleaseHolds()
+{
+  for (const std::shared_ptr<AnswerHold>& hold : m_holds) {
+    hold->OnCut(nullptr);
+  }
+  m_holds.clear();
+}
+
 void HttpConnection::FinishAnswer(bool aKeep)
 {
+  if (UnsentBytes() == 0) {
+    ReleaseHolds();
+  }
   if (m_exchange) {
     m_exchange->Detach();
     m_exchange.reset();
   }
+  if (m_phase == Phase::Cut) {
+    return;
+  }
   if (!aKeep) {
     m_phase = Phase::Closing;
     m_timer->Start(m_server.m_limits.m_writeStall);
@@ -157,6 +179,7 @@
   if (self->UnsentBytes() > 0) {
     return;
   }
+  self->ReleaseHolds();
   if (self->m_phase == Phase::Closing) {
     self->CloseGently();
     return;
--- a/briarglade/net/internal/http_connection.h
+++ b/briarglade/net/internal/http_connection.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "briarglade/base/result_code.h"
 #include "briarglade/net/event_loop.h"
@@ -19,6 +20,7 @@
 
 namespace briarglade {
 
+class AnswerHold;
 class HttpExchange;
 class HttpServer;
 
@@ -36,6 +38,9 @@
   // Sends it with the next part, or at the end of this turn of the loop.
   void SendLater(const std::string& aText);
   size_t UnsentBytes() const;
+  // Keeps the hold of the present answer until all sent bytes have been taken.
+  // If the answer is cut, so is the connection.
+  void HoldUntilTaken(std::shared_ptr<AnswerHold> aHold);
   // The present answer has been handed over as a whole. Without keeping, the
   // connection is closed once the answer has been taken.
   void FinishAnswer(bool aKeep);
@@ -73,6 +78,7 @@
   void OnTimer();
   void CloseGently();
   void EndExchange();
+  void ReleaseHolds();
 
   HttpServer& m_server;
   bufferevent* m_bufferevent;
@@ -80,6 +86,8 @@
   std::optional<internal::HttpMessageParser<true>> m_parser;
   std::string m_body;
   std::shared_ptr<HttpExchange> m_exchange;
+  // The holds of answers that haven't been taken yet.
+  std::vector<std::shared_ptr<AnswerHold>> m_holds;
   Phase m_phase = Phase::Reading;
   bool m_inRead = false;
   bool m_keepsAfterRequest = true;
--- a/standin/http_server_test.cc
+++ b/standin/http_server_test.cc
@@ -12,6 +12,8 @@
 #include <unistd.h>
 #include <vector>
 
+#include "briarglade/net/answer_budget.h"
+#include "briarglade/net/answer_hold.h"
 #include "briarglade/net/event_loop.h"
 #include "briarglade/net/http_exchange.h"
 #include "standin/raw_client.h"
@@ -302,5 +304,40 @@
   CHECK(client.Received().find("\r\n0\r\n") == std::string::npos);
 }
 
+TEST_CASE("an answer counts until its caller has taken it, and a caller that "
+          "takes nothing is cut above the bound")
+{
+  constexpr size_t kAnswerBytes = 16 * 1024 * 1024;
+  for (const bool isTaken : { true, false }) {
+    CAPTURE(isTaken);
+    EventLoop loop;
+    const auto budget = std::make_shared<AnswerBudget>(kAnswerBytes);
+    HttpServer server(loop, HttpServerLimits());
+    server.SetHandler([&](const std::shared_ptr<HttpExchange>& aExchange) {
+      const auto hold = std::make_shared<AnswerHold>(budget, "slow");
+      hold->SetBytes(kAnswerBytes);
+      aExchange->CloseAfterwards();
+      aExchange->HoldUntilTaken(hold);
+      aExchange->Respond(200, {}, std::string(kAnswerBytes, 'x'));
+      loop.Stop();
+    });
+    RawClient client(loop, server.Listen({ "127.0.0.1", 0 }));
+    client.PauseReading();
+    client.Send("GET / HTTP/1.1\r\n\r\n");
+    loop.Run();
+    CHECK(budget->HeldBytes() == kAnswerBytes);
+    client.OnEnd([&] { loop.Stop(); });
+    if (!isTaken) {
+      AnswerHold other(budget, "other");
+      other.SetBytes(1);
+      CHECK(budget->HeldBytes() == 1);
+    }
+    client.ResumeReading();
+    loop.Run();
+    CHECK((client.Received().size() > kAnswerBytes) == isTaken);
+    CHECK(budget->HeldBytes() == 0);
+  }
+}
+
 } // namespace
 } // namespace briarglade::standin
--- a/standin/raw_client.cc
+++ b/standin/raw_client.cc
@@ -61,6 +61,11 @@
   bufferevent_disable(m_bufferevent, EV_READ);
 }
 
+void RawClient::ResumeReading()
+{
+  bufferevent_enable(m_bufferevent, EV_READ);
+}
+
 void RawClient::CloseSending()
 {
   shutdown(bufferevent_getfd(m_bufferevent), SHUT_WR);
--- a/standin/raw_client.h
+++ b/standin/raw_client.h
@@ -31,6 +31,8 @@
   void Send(const std::string& aBytes);
   // Takes nothing more from the connection.
   void PauseReading();
+  // Takes what comes again.
+  void ResumeReading();
   // Closes the sending half of the connection.
   void CloseSending();
   // Calls back with everything received, each time more has come.
