--- a/briarglade/net/http_call.cc
+++ b/briarglade/net/http_call.cc
@@ -79,8 +79,11 @@
 
 void HttpCall::ExpectAnswer()
 {
+  const HttpClientLimits& limits = m_client.m_limits;
   m_parser.emplace(internal::HttpParseLimits{
-    m_client.m_limits.m_maxHeaderBytes, m_client.m_limits.m_maxBodyBytes });
+    limits.m_maxHeaderBytes,
+    std::min(limits.m_maxBodyBytes,
+             m_spec.m_maxBodyBytes.value_or(limits.m_maxBodyBytes)) });
   m_head = HttpAnswerHead();
   m_headTold = false;
   m_isPassedOver = false;
--- a/briarglade/net/http_client.h
+++ b/briarglade/net/http_client.h
@@ -90,6 +90,8 @@
   // Keeps the connection for another call only while fewer than this are idle
   // to the endpoint; nothing: as many as the client keeps.
   std::optional<size_t> m_maxIdle;
+  // The longest body of an answer; nothing: as long as the client allows.
+  std::optional<size_t> m_maxBodyBytes;
   // An answer without a declared end is whole if its connection is closed in an
   // orderly way.
   bool m_closeEndsAnswer = false;
--- a/standin/platform_answers_test.cc
+++ b/standin/platform_answers_test.cc
@@ -1,12 +1,17 @@
-// Tests of what answers may take of the node's memory.
+// Tests of what answers may take of the node's memory: all together, and those
+// of servers to the node's own calls.
 
 #include <algorithm>
 #include <doctest/doctest.h>
 #include <malloc.h>
 #include <memory>
+#include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
+#include "briarglade/net/http_call.h"
+#include "platform/servers.h"
 #include "standin/platform_world_test.h"
 #include "standin/raw_server.h"
 
@@ -139,5 +144,31 @@
   CHECK(most - before < kMostBytes);
 }
 
+TEST_CASE("a report longer than any report is not read to its end")
+{
+  EventLoop loop;
+  HttpClient client(loop, HttpClientLimits());
+  const std::string report = "{\"models\": []}";
+  for (const bool isLong : { false, true }) {
+    CAPTURE(isLong);
+    const std::string body = report + std::string(isLong ? 100'000 : 0, ' ');
+    RawServer server(loop,
+                     "HTTP/1.1 200 OK\r\nContent-Length: " +
+                       std::to_string(body.size()) + "\r\n\r\n" + body,
+                     false);
+    ServerRecord record;
+    record.m_endpoint = Endpoint{ "127.0.0.1", server.Port() };
+    std::optional<Result<ServerRecord>> result;
+    platform::ProbeServer(
+      client, record, Millis(5'000), [&](Result<ServerRecord> aResult) {
+        result = std::move(aResult);
+        loop.Stop();
+      });
+    loop.Run();
+    REQUIRE(result);
+    CHECK((GetError(*result) != nullptr) == isLong);
+  }
+}
+
 } // namespace
 } // namespace briarglade::standin
