--- a/briarglade/net/http_client.h
+++ b/briarglade/net/http_client.h
@@ -31,6 +31,7 @@
 
 namespace briarglade {
 
+class AnswerBudget;
 class EventLoop;
 class HttpCall;
 class PooledConnection;
@@ -89,6 +90,8 @@
   // Keeps the connection for another call only while fewer than this are idle
   // to the endpoint; nothing: as many as the client keeps.
   std::optional<size_t> m_maxIdle;
+  // The longest body of an answer; nothing: as long as the client allows.
+  std::optional<size_t> m_maxBodyBytes;
   // An answer without a declared end is whole if its connection is closed in an
   // orderly way.
   bool m_closeEndsAnswer = false;
@@ -108,8 +111,10 @@
   size_t m_maxIdlePerEndpoint = 64;
   size_t m_maxConnections = 8192;
   size_t m_maxHeaderBytes = 32 * 1024;
-  // Several answers of this size must fit on a small host.
+  // The longest body of one answer.
   size_t m_maxBodyBytes = 8 * 1024 * 1024;
+  // The bound on the bytes of all answers that are held at one time.
+  size_t m_maxHeldBytes = 64 * 1024 * 1024;
   // How long a connection is kept where the server doesn't say.
   Millis m_idleLifetime = Millis(60'000);
 };
@@ -127,6 +132,8 @@
 
   // Returns the number of connections, idle ones included.
   size_t ConnectionCount() const { return m_connectionCount; }
+  // Returns what accounts for the answers of this client that are kept.
+  const std::shared_ptr<AnswerBudget>& Budget() const { return m_budget; }
 
 private:
   friend class HttpCall;
@@ -142,6 +149,7 @@
 
   EventLoop& m_loop;
   HttpClientLimits m_limits;
+  std::shared_ptr<AnswerBudget> m_budget;
   std::map<Endpoint, std::vector<std::unique_ptr<PooledConnection>>> m_idle;
   std::vector<std::unique_ptr<PooledConnection>> m_discarded;
   std::unordered_set<std::shared_ptr<HttpCall>> m_running;
