Stand-in: entries that stay, late reports, silent doors; a refused join is no TWO

Whole processes couldn't show it: the stand-in lacked what the record has.

Cause: a model server of the stand-in wrote its entry even while nobody else reached the store, so that no row was older than what the server had reported; a store that fell silent still answered the watches that waited; and the audit counted a join before it knew whether the server accepts it, so that one refused by its "expected" would have counted as TWO.

Change: flags keeps_entry and report_delay_ms of /admin/server; a silent door answers no call that waits; the audit looks at accepted joins only (tried on a copy of the member). Nodes of scripts/lib/platform_cluster.py can be of another build.

--- a/scripts/lib/platform_cluster.py
+++ b/scripts/lib/platform_cluster.py
@@ -72,8 +72,9 @@
 class EntryNode:
     """One `briarglade serve`, with an address of its own on loopback."""
 
-    def __init__(self, name, zone, store_port, directory):
+    def __init__(self, name, zone, store_port, directory, program=None):
         self.name = name
+        self.program = program or os.path.join(BUILD, "briarglade")
         # An address that no other run on this machine uses at the same time.
         self.ip = f"127.{1 + os.getpid() // 250 % 250}.{1 + os.getpid() % 250}.{next(NUMBERS)}"
         names = ["callers", "ready", "directory", "peers", "metrics"]
@@ -89,7 +90,7 @@
     def start(self):
         with open(self.log_path, "ab") as log:
             self.popen = subprocess.Popen(
-                [os.path.join(BUILD, "briarglade"), "serve"], stdout=log, stderr=log,
+                [self.program, "serve"], stdout=log, stderr=log,
                 env=dict(os.environ, BRIARGLADE_CONFIG=self.settings_path))
 
     def is_running(self):
@@ -160,7 +161,7 @@
 class PlatformCluster:
     """The platform's stand-in and entry nodes on it."""
 
-    def __init__(self, nodes=3, flags=()):
+    def __init__(self, nodes=3, flags=(), program=None):
         self.nodes = {}
         self.platform = None
         try:
@@ -174,7 +175,7 @@
                 name = f"node-{number}"
                 self.nodes[name] = EntryNode(
                     name, ZONES[(number - 1) % len(ZONES)],
-                    self.platform.ports[f"store-{number}"], self.directory)
+                    self.platform.ports[f"store-{number}"], self.directory, program)
         except BaseException:
             self.close()
             raise
--- a/standin/platform_role.cc
+++ b/standin/platform_role.cc
@@ -124,6 +124,8 @@
     faults.m_wrongAttempt = aCall.value("wrong_attempt", false);
     faults.m_delay = Millis(aCall.value("delay_ms", int64_t{ 0 }));
     faults.m_orderLag = Millis(aCall.value("order_lag_ms", int64_t{ 0 }));
+    faults.m_keepsEntry = aCall.value("keeps_entry", false);
+    faults.m_reportDelay = Millis(aCall.value("report_delay_ms", int64_t{ 0 }));
     for (const auto& server : m_servers) {
       if (server->Host() != aCall.value("host", server->Host())) {
         continue;
--- a/standin/platform_server.cc
+++ b/standin/platform_server.cc
@@ -22,6 +22,7 @@
 namespace {
 
 constexpr uint16_t kOk = 200;
+constexpr uint16_t kAccepted = 202;
 constexpr uint16_t kBadRequest = 400;
 constexpr uint16_t kMisdirected = 421;
 constexpr uint16_t kServerError = 500;
@@ -146,7 +147,7 @@
   entry.emplace("sequence", 0);
   // The store holds the entry as it is only while more than a counter changes.
   const std::string text = entry.dump();
-  if (m_store.Find(kServersTable, m_id) != text) {
+  if (!m_faults.m_keepsEntry && m_store.Find(kServersTable, m_id) != text) {
     m_store.Put(kServersTable, m_id, text);
   }
   m_heartbeatTimer->Start(m_options.m_heartbeat);
@@ -247,8 +248,14 @@
   report["waiting"] = 0;
   report["pace"] = 1.0;
   report["born"] = m_startedAt;
-  aExchange->Respond(
-    kOk, { { "Content-Type", "application/json" } }, report.dump());
+  const auto answer = [aExchange, text = report.dump()] {
+    aExchange->Respond(kOk, { { "Content-Type", "application/json" } }, text);
+  };
+  if (m_faults.m_reportDelay > Millis()) {
+    m_later.After(m_faults.m_reportDelay, answer);
+  } else {
+    answer();
+  }
 }
 
 void PlatformServer::HandleHealth(const Exchange& aExchange)
@@ -266,10 +273,14 @@
   if (!m_member) {
     return kBadRequest;
   }
-  if (aOrder.is_object() && aOrder.value("operation", "") == "join") {
+  const Millis now = EventLoop::Now();
+  const bool isJoin =
+    aOrder.is_object() && aOrder.value("operation", "") == "join";
+  // A join that is refused takes nobody out of a group.
+  if (isJoin && PlatformMember(*m_member).Take(now, aOrder) == kAccepted) {
     m_audit.BeforeJoin(*m_member, aOrder.value("group", ""));
   }
-  const uint16_t status = m_member->Take(EventLoop::Now(), aOrder);
+  const uint16_t status = m_member->Take(now, aOrder);
   if (m_member->Phase() != GroupPhase::Open) {
     FailStreams();
   }
--- a/standin/platform_server.h
+++ b/standin/platform_server.h
@@ -74,6 +74,10 @@
   Millis m_delay;
   // Not zero: orders are carried out after this time and aren't answered.
   Millis m_orderLag;
+  // Doesn't write its entry: the store keeps what it holds.
+  bool m_keepsEntry = false;
+  // Not zero: a report is answered after this time, as it was when asked for.
+  Millis m_reportDelay;
 };
 
 class PlatformServer
--- a/standin/platform_store.cc
+++ b/standin/platform_store.cc
@@ -216,7 +216,7 @@
     } else if (aExchange->Path() == kRowsReadPath) {
       Respond(aExchange, Read(aExchange->Query()));
     } else if (aExchange->Path() == kRowsWatchPath) {
-      HandleWatch(aExchange);
+      HandleWatch(aDoor, aExchange);
     } else {
       Respond(aExchange, Answer{ kNotFound, {} });
     }
@@ -346,7 +346,7 @@
   return answer;
 }
 
-void PlatformStore::HandleWatch(const Exchange& aExchange)
+void PlatformStore::HandleWatch(const Door& aDoor, const Exchange& aExchange)
 {
   const std::string& query = aExchange->Query();
   const std::string table = Parameter(query, "table");
@@ -359,7 +359,7 @@
     Respond(aExchange, Changes(table, after));
     return;
   }
-  m_watchers.push_back(Watcher{ aExchange, table, after });
+  m_watchers.push_back(Watcher{ &aDoor, aExchange, table, after });
   const Millis wait = std::min(
     kMaxWait, Millis(static_cast<int64_t>(NumberParameter(query, "wait_ms"))));
   m_later.After(wait, [this, aExchange] { EndWatch(aExchange); });
@@ -373,7 +373,9 @@
       return aWatcher.m_exchange == aExchange;
     });
   if (watcher != m_watchers.end()) {
-    Respond(aExchange, Answer{ kOk, MakeBody() });
+    if (!watcher->m_door->m_faults.m_isSilent) {
+      Respond(aExchange, Answer{ kOk, MakeBody() });
+    }
     m_watchers.erase(watcher);
   }
 }
@@ -381,7 +383,8 @@
 void PlatformStore::AnswerWatchers()
 {
   for (auto watcher = m_watchers.begin(); watcher != m_watchers.end();) {
-    if (HasChanges(watcher->m_table, watcher->m_after)) {
+    if (!watcher->m_door->m_faults.m_isSilent &&
+        HasChanges(watcher->m_table, watcher->m_after)) {
       Respond(watcher->m_exchange, Changes(watcher->m_table, watcher->m_after));
       watcher = m_watchers.erase(watcher);
     } else {
--- a/standin/platform_store.h
+++ b/standin/platform_store.h
@@ -44,7 +44,7 @@
   // Answers that nothing was done, or that there are too many calls.
   bool m_isDown = false;
   bool m_isBusy = false;
-  // Takes calls and never answers.
+  // Takes calls and never answers, those that wait for a change included.
   bool m_isSilent = false;
   // Added to each answer.
   Millis m_delay;
@@ -114,6 +114,7 @@
   // A call that waits for a change.
   struct Watcher
   {
+    const Door* m_door = nullptr;
     Exchange m_exchange;
     std::string m_table;
     uint64_t m_after = 0;
@@ -127,7 +128,7 @@
 
   void Handle(Door& aDoor, const Exchange& aExchange);
   void HandleWrite(Door& aDoor, const Exchange& aExchange);
-  void HandleWatch(const Exchange& aExchange);
+  void HandleWatch(const Door& aDoor, const Exchange& aExchange);
   Answer Write(const nlohmann::json& aCall);
   Answer Read(const std::string& aQuery) const;
   Answer Changes(const std::string& aTable, uint64_t aAfter) const;
--- a/standin/platform_store_test.cc
+++ b/standin/platform_store_test.cc
@@ -103,6 +103,34 @@
   CHECK_FALSE(removed.m_rows[0].m_value);
 }
 
+TEST_CASE(
+  "a door that falls silent answers no watch that waits, also not after "
+  "its time")
+{
+  World world;
+  world.Write(world.m_hooks, "a", std::nullopt);
+  const StoreVersion version = world.Read(world.m_hooks).m_version;
+  PlatformStoreFaults silent;
+  silent.m_isSilent = true;
+  bool isAnswered = false;
+  world.m_hooks.m_watch(
+    WatchFeed{ Feed::Own, version, Millis(50), FeedCallId() },
+    [&](const FeedAnswered& aAnswer) {
+      isAnswered = isAnswered || aAnswer.m_status == StoreStatus::Ok;
+    });
+  const auto silence =
+    world.m_loop.MakeTimer([&] { world.m_store.SetFaults("one", silent); });
+  silence->Start(Millis(20));
+  const auto end = world.m_loop.MakeTimer([&] { world.m_loop.Stop(); });
+  end->Start(Millis(30));
+  world.m_loop.Run();
+  CHECK(world.Write(world.m_otherHooks, "b", std::nullopt).m_status ==
+        StoreStatus::Ok);
+  end->Start(Millis(60));
+  world.m_loop.Run();
+  CHECK_FALSE(isAnswered);
+}
+
 TEST_CASE("without its history the store asks for a whole read")
 {
   World world;
