Free hosts settle by who is free, not by whose report is at hand

What callers saw: nothing; found by the review.

Cause: a host dropped out of a domain's free hosts whenever its report was outdated by a row or an order, and each such change started the second of settling, and the 15 s between two changes of spares, anew.

Change: all free hosts count for settling; only those with a report are planned with.

--- a/briarglade/grouping/group_forming.cc
+++ b/briarglade/grouping/group_forming.cc
@@ -346,7 +346,11 @@
   input.m_maySwitchSpares = m_now - known.m_since >= kSwitchTime &&
                             m_now - known.m_switchedAt >= kSwitchTime;
   for (const ServerRecord* server : aFree) {
-    input.m_free.push_back(MakeFreeHost(*server));
+    if (server->m_membershipHistory.IsReported()) {
+      input.m_free.push_back(MakeFreeHost(*server));
+    } else {
+      RequestReport(server->m_host);
+    }
   }
   const std::vector<PlannedGroup> planned = PlanGroups(input);
   for (const PlannedGroup& plan : planned) {
@@ -384,13 +388,8 @@
     m_loadBudget.SetUnbounded(!m_view->m_hasTraffic);
     std::map<DomainId, std::vector<const ServerRecord*>> free;
     for (const auto& [host, server] : m_view->m_servers) {
-      if (server.m_service != id || !IsFree(server)) {
-        continue;
-      }
-      if (server.m_membershipHistory.IsReported()) {
+      if (server.m_service == id && IsFree(server)) {
         free[server.m_domain].push_back(&server);
-      } else {
-        RequestReport(host);
       }
     }
     for (const auto& [domain, servers] : free) {
