The lease holder forgets servers that are no longer listed

Change: once more servers are noted than are listed, those that aren't listed are dropped.

Measured, arm64: grouping_test 45 of 45; no test of its own (the state isn't visible from outside).

--- a/briarglade/grouping/group_control.cc
+++ b/briarglade/grouping/group_control.cc
@@ -148,6 +148,26 @@
   }
 }
 
+// Drops what is kept of servers that are no longer listed, once there are any.
+void GroupControl::ForgetRemovedHosts()
+{
+  const size_t listed = m_view->m_servers.size();
+  if (m_heardHosts.size() <= listed && m_reportsRequestedAt.size() <= listed &&
+      m_unheardSince.size() <= listed &&
+      m_unconfiguredOrderedAt.size() <= listed) {
+    return;
+  }
+  const auto isRemoved = [this](const auto& aEntry) {
+    return m_view->m_servers.count(aEntry.first) == 0;
+  };
+  EraseIf(m_reportsRequestedAt, isRemoved);
+  EraseIf(m_unheardSince, isRemoved);
+  EraseIf(m_unconfiguredOrderedAt, isRemoved);
+  EraseIf(m_heardHosts, [this](const HostId& aHost) {
+    return m_view->m_servers.count(aHost) == 0;
+  });
+}
+
 OrderBasis GroupControl::BasisOf(const ServerRecord& aServer) const
 {
   OrderBasis basis;
@@ -423,6 +443,7 @@
   m_view = &aView;
   if (!SurveyServers()) {
     ExpireOpenedGroups();
+    ForgetRemovedHosts();
     UpdateAssignedHosts();
     ProbeSuspects();
     AwaitInheritedGroups();
--- a/briarglade/grouping/group_control.h
+++ b/briarglade/grouping/group_control.h
@@ -189,6 +189,7 @@
                     uint32_t aLoads);
 
   void RequestReport(const HostId& aHost);
+  void ForgetRemovedHosts();
   OrderBasis BasisOf(const ServerRecord& aServer) const;
   bool IsDead(const HostId& aHost) const;
   void UpdateAssignedHosts();
