LOST: a stopping node judges late requests by their arrival, not by its tick

Cause: requests that may outlast the process were refused only in the phase Draining, which begins with the first tick at or after three lifetimes of an address list, 3.0 s. Nothing was left for the time from the signal to the process, for the tick, and for directories that hear of the stop late.

Change: from 150 ms (a scheduling period and a tick) before the end of the address lists, the time of arrival decides.

--- a/briarglade/entry/entry_settings.h
+++ b/briarglade/entry/entry_settings.h
@@ -16,6 +16,8 @@
 // How long callers may cache a list of addresses. Some callers keep it three
 // times as long.
 constexpr Millis kAddressLifetime = Millis(1'000);
+// Some callers keep using an address list for this many of its lifetimes.
+constexpr int64_t kAddressCacheLifetimes = 3;
 
 // Bounds that the operators require of every node or the platform guarantees.
 struct EntryBounds
--- a/briarglade/entry/internal/caller_requests.cc
+++ b/briarglade/entry/internal/caller_requests.cc
@@ -33,13 +33,15 @@
     AnswerCaller{ aReceived.m_handle, aCode, aRetryAfter });
 }
 
-// Returns whether this node may have to exit before it has answered the
-// request. Callers who use a current address list no longer come here then.
+// Returns whether the request comes late to a node that is shutting down, which
+// may have to exit before it has answered. The time of arrival decides, not the
+// phase, which only a tick changes.
 bool EntryReduction::MayOutlastThisNode(
   const CallerRequestArrived& aRequest) const
 {
   const Millis latestEnd = std::min(aRequest.m_deadline, aRequest.m_answerBy);
-  return m_state.m_phase == EntryPhase::Draining && latestEnd > ExitTime();
+  return m_state.m_phase != EntryPhase::Serving &&
+         m_now >= LateRequestsSince() && latestEnd > ExitTime();
 }
 
 void EntryReduction::On(const RequestReceived& aReceived)
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -160,6 +160,7 @@
   void AskAmbiguousAgain();
   void ContinueLeaving();
   Millis ExitTime() const;
+  Millis LateRequestsSince() const;
   void Deregister();
   bool IsDeregistered() const;
   bool MayOutlastThisNode(const CallerRequestArrived& aRequest) const;
--- a/briarglade/entry/reduce_entry.cc
+++ b/briarglade/entry/reduce_entry.cc
@@ -19,8 +19,13 @@
 
 // A write of this node's own row is retried after this long without a response.
 constexpr Millis kRegisterRetryTime = Millis(1'000);
-// Some callers keep using an address list for this many of its lifetimes.
-constexpr int64_t kAddressCacheLifetimes = 3;
+// A process that shuts down serves callers at least until those that got its
+// address before the stop have a newer list.
+constexpr Millis kServeTime = kAddressLifetime * kAddressCacheLifetimes;
+// A process may see the request to stop this long after it was sent: it may
+// have no processor for a scheduling period of 100 ms, and its timer fires
+// every 50 ms.
+constexpr Millis kStopDelay = Millis(150);
 // A process that shuts down exits this long before it would be killed.
 constexpr Millis kGraceMargin = Millis(500);
 // A process that shuts down waits at most this long for the store to remove its
@@ -145,6 +150,14 @@
          kGraceMargin;
 }
 
+// Returns since when a request must be able to end before this node exits.
+// Callers whose lists name this node a little longer than kServeTime, because
+// another node's directory learned of the stop late, are refused from then on.
+Millis EntryReduction::LateRequestsSince() const
+{
+  return m_state.m_leavingSince + kServeTime - kStopDelay;
+}
+
 // Removes the row by which the other nodes find this one. Until then they keep
 // this node informed, so that its directory names nodes that live.
 void EntryReduction::Deregister()
@@ -174,8 +187,7 @@
 void EntryReduction::ContinueLeaving()
 {
   const Millis elapsed = m_now - m_state.m_leavingSince;
-  const Millis serveTime = kAddressLifetime * kAddressCacheLifetimes;
-  if (m_state.m_phase == EntryPhase::Leaving && elapsed >= serveTime) {
+  if (m_state.m_phase == EntryPhase::Leaving && elapsed >= kServeTime) {
     m_state.m_phase = EntryPhase::Draining;
     m_effects.emplace_back(DrainCallers{});
   }
--- a/briarglade/entry/shutdown_test.cc
+++ b/briarglade/entry/shutdown_test.cc
@@ -17,6 +17,7 @@
 constexpr Millis kContactTime = Millis(3'000);
 constexpr Millis kAnswerTime = Millis(7'000);
 constexpr Millis kLongWait = Millis(20'000);
+constexpr Millis kStep = FleetWorld::kStep;
 
 // Two nodes, of which one was asked to stop, and a server.
 class ShutdownWorld : public FleetWorld
@@ -90,6 +91,27 @@
   CHECK(world.LastRejection() == ResultCode::ShuttingDown);
 }
 
+TEST_CASE("LOST: a request sent after callers have left a stopping node is "
+          "refused if it may outlast the node, however late the node saw the "
+          "request to stop and whatever the phase of its timer")
+{
+  // The sum of the chain: signal to process and tick (150 ms), and the time for
+  // which a directory that heard late still names the node.
+  constexpr Millis kLatestSignal = Millis(150);
+  constexpr Millis kLatestList = Millis(150);
+  for (Millis signal; signal <= kLatestSignal; signal = signal + kStep) {
+    for (Millis list; list <= kLatestList; list = list + kStep) {
+      CAPTURE(signal.Count());
+      CAPTURE(list.Count());
+      ShutdownWorld world;
+      world.RunUntilAfterStop(kAddressUse + list - signal);
+      world.Submit(kLongWait);
+      CHECK(world.LateSentCount() == 0);
+      CHECK(world.LastRejection() == ResultCode::ShuttingDown);
+    }
+  }
+}
+
 TEST_CASE("a late request that ends before the stopping node does is served")
 {
   ShutdownWorld world;
