ORDER: Last-Event-Id is passed on as it came, whatever its length

Cause: the header was read as a number of at most 18 digits, removed, and set again only if it could be read. Ids on the way back were read as 64 bits, so the node issued ids that it could not take back.

Change: the caller's header is forwarded as it came unless the node itself resumes the stream; then the last event's id replaces it, as the server wrote it ("007" stays "007"). Ids are compared only if they are decimal numbers of 64 bits with at most 20 digits. Behind any other id the node doesn't resume. If the caller resumes, an id that can't be compared is forwarded: before, a step from 64 bits to more broke the stream.

Tests: the existing tests of EventStream name ids as text now, and are as strict; "a continued stream begins with an id" runs for both kinds of resumption.

--- a/briarglade/entry/gateway_relay.cc
+++ b/briarglade/entry/gateway_relay.cc
@@ -48,7 +48,9 @@
                          Millis aNow)
 {
   const auto exchange = std::make_shared<Exchange>();
-  exchange->m_events = EventStream(m_lastEvent);
+  const bool hasProgressed = m_lastEvent != m_request.m_lastEvent;
+  exchange->m_events = EventStream(
+    m_lastEvent, hasProgressed ? ResumedBy::Node : ResumedBy::Caller);
   exchange->m_hold =
     std::make_shared<AnswerHold>(aClient.Budget(), m_request.m_attemptName);
   exchange->m_hold->OnCut([held = exchange.get()] { CutAnswer(*held); });
@@ -60,7 +62,9 @@
   head.m_account = aSend.m_account;
   head.m_timeLeft = std::max(Millis(1), aSend.m_deadline - aNow);
   head.m_urgency = aSend.m_urgency;
-  head.m_lastEvent = m_lastEvent;
+  if (hasProgressed) {
+    head.m_lastEvent = m_lastEvent;
+  }
   HttpCallSpec spec;
   spec.m_endpoint = aSend.m_endpoint;
   spec.m_method = m_caller->Method();
@@ -183,7 +187,7 @@
 void GatewayRelay::CutAnswer(Exchange& aExchange)
 {
   aExchange.m_body = std::string();
-  aExchange.m_events = EventStream(std::nullopt);
+  aExchange.m_events = EventStream();
   aExchange.m_call->Cancel(ExchangeEnd::WrongAnswer);
 }
 
--- a/briarglade/entry/gateway_relay.h
+++ b/briarglade/entry/gateway_relay.h
@@ -131,7 +131,7 @@
 
   // The answer to the caller.
   // The last event that the caller has; another server continues after it.
-  std::optional<uint64_t> m_lastEvent;
+  std::optional<std::string> m_lastEvent;
   bool m_streamStarted = false;
 };
 
--- a/briarglade/entry/wire_codec.h
+++ b/briarglade/entry/wire_codec.h
@@ -38,8 +38,9 @@
   std::vector<PromptPartId> m_sharedParts;
   // The maximum time that the caller waits for the answer.
   std::optional<Millis> m_maxWait;
-  // The last event of a stream that the caller has received.
-  std::optional<uint64_t> m_lastEvent;
+  // The id of the last event of a stream that the caller has received, as it
+  // came.
+  std::optional<std::string> m_lastEvent;
 };
 
 // A caller's query for the addresses of entry nodes.
@@ -58,7 +59,9 @@
   Millis m_timeLeft;
   // Zero is the most urgent value.
   int32_t m_urgency = 0;
-  std::optional<uint64_t> m_lastEvent;
+  // The id of the last event that the caller has of this answer. Without one,
+  // the caller's own header is passed on as it came.
+  std::optional<std::string> m_lastEvent;
 };
 
 // The decoded head of a backend server's answer.
--- a/briarglade/gateway/event_stream.cc
+++ b/briarglade/gateway/event_stream.cc
@@ -43,9 +43,16 @@
   return aText.substr(0, aText.find_last_not_of(kSpace) + 1);
 }
 
+// The digits of the largest number of 64 bits. Bounds the length of the id that
+// is sent to the next server if zeros precede the number.
+constexpr size_t kMaxIdDigits = 20;
+
 // Returns an id, or nullopt if the text is no unsigned number of 64 bits.
 std::optional<uint64_t> ParseId(std::string_view aText)
 {
+  if (aText.size() > kMaxIdDigits) {
+    return std::nullopt;
+  }
   uint64_t id = 0;
   const char* end = aText.data() + aText.size();
   const auto [stop, error] = std::from_chars(aText.data(), end, id);
@@ -56,7 +63,10 @@
 // What an event says of its position in the stream.
 struct EventPosition
 {
-  std::optional<uint64_t> m_id;
+  // The id as written; empty if there is none.
+  std::string_view m_id;
+  // The number that the id is, if it can be compared.
+  std::optional<uint64_t> m_number;
   // Whether it has lines other than comments.
   bool m_hasContent = false;
 };
@@ -73,7 +83,8 @@
     const bool isComment = !line.empty() && line.front() == ':';
     position.m_hasContent |= !isComment && !Trim(line).empty();
     if (line.substr(0, kField.size()) == kField) {
-      position.m_id = ParseId(Trim(line.substr(kField.size())));
+      position.m_id = Trim(line.substr(kField.size()));
+      position.m_number = ParseId(position.m_id);
     }
   }
   return position;
@@ -81,6 +92,15 @@
 
 } // namespace
 
+EventStream::EventStream(std::optional<std::string> aLastEvent,
+                         ResumedBy aResumedBy)
+  : m_lastEvent(std::move(aLastEvent))
+  , m_lastNumber(m_lastEvent ? ParseId(*m_lastEvent) : std::nullopt)
+  , m_resumedBy(aResumedBy)
+  , m_awaitsFirstId(m_lastNumber.has_value())
+{
+}
+
 bool EventStream::AcceptEvent(std::string_view aEvent)
 {
   if (aEvent.size() > kMaxEventBytes) {
@@ -90,14 +110,18 @@
   if (!position.m_hasContent) {
     return true; // a comment
   }
-  if (!position.m_id) {
+  if (!position.m_number) {
     m_isPositionKnown = false;
+    const bool isFirstId =
+      !position.m_id.empty() && m_resumedBy == ResumedBy::Caller;
+    m_awaitsFirstId = m_awaitsFirstId && !isFirstId;
     return !m_awaitsFirstId;
   }
-  if (m_lastEvent && *position.m_id <= *m_lastEvent) {
+  if (m_lastNumber && *position.m_number <= *m_lastNumber) {
     return false;
   }
-  m_lastEvent = position.m_id;
+  m_lastEvent = std::string(position.m_id);
+  m_lastNumber = position.m_number;
   m_isPositionKnown = true;
   m_awaitsFirstId = false;
   return true;
--- a/standin/platform_callers.cc
+++ b/standin/platform_callers.cc
@@ -187,9 +187,10 @@
     aRequest->m_text + "." + std::to_string(aRequest->m_retries);
   aRequest->m_head = HttpAnswerHead();
   aRequest->m_body.clear();
-  aRequest->m_events = EventStream(aRequest->m_eventCount > 0
-                                     ? std::optional(aRequest->m_eventCount)
-                                     : std::nullopt);
+  aRequest->m_events =
+    aRequest->m_eventCount > 0
+      ? EventStream(std::to_string(aRequest->m_eventCount), ResumedBy::Node)
+      : EventStream();
   HttpCallSpec spec = MakeSpec(aRequest);
   spec.m_onHead = [aRequest](const HttpAnswerHead& aHead) {
     aRequest->m_head = aHead;
--- a/standin/platform_resumed_test.cc
+++ b/standin/platform_resumed_test.cc
@@ -251,5 +251,117 @@
   CHECK(IsComplete(outcome.m_answer));
 }
 
+std::string EventNamed(const std::string& aId)
+{
+  return "id: " + aId + "\ndata: part\n\n";
+}
+
+// Two events, behind which the connection is closed.
+RawAnswer BrokenBehind(const std::string& aFirstId, const std::string& aId)
+{
+  return { StreamHead() + Chunk(EventNamed(aFirstId) + EventNamed(aId)),
+           RawEnd::Close };
+}
+
+TEST_CASE(
+  "ORDER: a caller's own resumption names its event as it came, whatever "
+  "the ids are")
+{
+  struct Row
+  {
+    std::string m_last;
+    std::string m_next;
+  };
+  const Row rows[] = {
+    { "1790000000000000006", "1790000000000000007" },
+    { "007", "008" },
+    // Numbers of more than 64 bits, and the step to them.
+    { "18446744073709551615", "18446744073709551616" },
+    { "99999999999999999999", "100000000000000000000" },
+    { std::string(300, '7'), std::string(299, '7') + "8" },
+    // Ids that have no order, before and after ids that have one.
+    { "part-9", "part-10" },
+    { "7/b", "8" },
+    { "12", "13-a" },
+    { "-5", "-4" },
+    { "+5", "+6" },
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.m_last);
+    const std::string header = "Last-Event-Id: " + row.m_last + "\r\n";
+    const std::string events = EventNamed(row.m_next);
+    const Outcome outcome = Play({ { WholeStream(events) } }, header);
+    CAPTURE(outcome.m_answer);
+    REQUIRE(outcome.m_requests.size() == 1);
+    CHECK(Has(outcome.m_requests[0], "\r\n" + header));
+    CHECK(BodyOf(outcome.m_answer) == events);
+    CHECK(IsComplete(outcome.m_answer));
+  }
+}
+
+TEST_CASE("ORDER: a server that is tried next before any event is told the "
+          "caller's own id as it came")
+{
+  const std::string header = "Last-Event-Id: part-9\r\n";
+  const std::string events = EventNamed("part-10");
+  const Outcome outcome =
+    Play({ { "", RawEnd::Reset }, { WholeStream(events) } }, header);
+  CAPTURE(outcome.m_answer);
+  REQUIRE(outcome.m_requests.size() == 2);
+  CHECK(Has(outcome.m_requests[1], "\r\n" + header));
+  CHECK(BodyOf(outcome.m_answer) == events);
+  CHECK(IsComplete(outcome.m_answer));
+}
+
+TEST_CASE(
+  "ORDER: the node resumes a stream with the id as the server wrote it, "
+  "in place of the caller's own")
+{
+  struct Row
+  {
+    std::string m_first;
+    std::string m_last;
+    std::string m_next;
+  };
+  const Row rows[] = {
+    { "1790000000000000006", "1790000000000000007", "1790000000000000008" },
+    { "18446744073709551613", "18446744073709551614", "18446744073709551615" },
+    { "007", "008", "009" },
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.m_last);
+    const Outcome outcome = Play({ BrokenBehind(row.m_first, row.m_last),
+                                   { WholeStream(EventNamed(row.m_next)) } },
+                                 "Last-Event-Id: part-9\r\n");
+    CAPTURE(outcome.m_answer);
+    REQUIRE(outcome.m_requests.size() == 2);
+    CHECK(
+      Has(outcome.m_requests[1], "\r\nLast-Event-Id: " + row.m_last + "\r\n"));
+    CHECK_FALSE(Has(outcome.m_requests[1], "part-9"));
+    CHECK(BodyOf(outcome.m_answer) == EventNamed(row.m_first) +
+                                        EventNamed(row.m_last) +
+                                        EventNamed(row.m_next));
+    CHECK(IsComplete(outcome.m_answer));
+  }
+}
+
+TEST_CASE("ORDER: the node doesn't resume a stream whose ids it can't compare")
+{
+  for (const char* id : { "18446744073709551616",
+                          "100000000000000000000",
+                          "000000000000000000002",
+                          "part-2",
+                          "-2",
+                          "" }) {
+    CAPTURE(std::string(id));
+    const Outcome outcome =
+      Play({ BrokenBehind("1", id), { WholeStream(Event(3)) } });
+    CAPTURE(outcome.m_answer);
+    CHECK(outcome.m_requests.size() == 1);
+    CHECK(BodyOf(outcome.m_answer) == EventNamed("1") + EventNamed(id));
+    CHECK_FALSE(IsComplete(outcome.m_answer));
+  }
+}
+
 } // namespace
 } // namespace briarglade::standin
