Numbers in headers: one rule for text that is too long, signed or no number

Callers saw: nothing yet; found while mending ORDER. Token-Counts of counted as 1 (cut to 32 bits); a server's load of "-1,2,8" as a very large one, and two large loads overflowed; Retry-After of "0x10" or "5 s" was read in part; a Keep-Alive of "timeout=+5" was taken.

Cause: sscanf, atof, strtod and strtol each accept other text than the number that is meant.

Change: whole numbers are decimal digits that fit their type, decimal ones have no sign; anything else counts as not given. StatedIdleTime moves to http_headers, for the same reason.

--- a/briarglade/net/http_call.cc
+++ b/briarglade/net/http_call.cc
@@ -53,20 +53,6 @@
          aHead.m_status == kNoContent || aHead.m_status == kNotModified;
 }
 
-// Returns the idle time that a Keep-Alive header states, or zero.
-Millis StatedIdleTime(const std::string& aKeepAlive)
-{
-  constexpr char kTimeout[] = "timeout=";
-  const size_t at = aKeepAlive.find(kTimeout);
-  if (at == std::string::npos) {
-    return Millis();
-  }
-  const char* digits = aKeepAlive.c_str() + at + sizeof(kTimeout) - 1;
-  constexpr long kMaxSeconds = 3'600;
-  const long seconds = std::strtol(digits, nullptr, 10);
-  return Millis(1'000) * std::clamp(seconds, 0L, kMaxSeconds);
-}
-
 } // namespace
 
 HttpCall::HttpCall(HttpClient& aClient, HttpCallSpec aSpec)
--- a/briarglade/net/http_headers.h
+++ b/briarglade/net/http_headers.h
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <vector>
 
+#include "briarglade/base/millis.h"
+
 namespace briarglade {
 
 struct HttpHeader
@@ -20,6 +22,10 @@
 // to case, or an empty string.
 std::string FindHeader(const HttpHeaders& aHeaders, std::string_view aName);
 
+// Returns the idle time that the value of a Keep-Alive header states, at most
+// an hour. Zero if it states none, or if the time isn't a number of seconds.
+Millis StatedIdleTime(std::string_view aKeepAlive);
+
 constexpr char kRequestIdHeader[] = "Briarglade-Request";
 constexpr char kAttemptIdHeader[] = "Briarglade-Attempt";
 constexpr char kOutcomeHeader[] = "Briarglade-Outcome";
--- a/briarglade/net/internal/http_message_parser_test.cc
+++ b/briarglade/net/internal/http_message_parser_test.cc
@@ -56,6 +56,32 @@
   }
 }
 
+TEST_CASE("a message whose length isn't a number is refused in whatever pieces "
+          "it comes")
+{
+  for (const char* length : { "",
+                              "-1",
+                              "+3",
+                              "three",
+                              "3 3",
+                              "3,4",
+                              "0x3",
+                              "3.0",
+                              "99999999999999999999999999" }) {
+    CAPTURE(std::string(length));
+    const std::string message =
+      std::string("Content-Length: ") + length + "\r\n\r\nabc";
+    const std::string answer = "HTTP/1.1 200 OK\r\n" + message;
+    for (size_t piece = 1; piece <= message.size(); ++piece) {
+      CAPTURE(piece);
+      CHECK(ParseInPieces(kHead + message, piece).m_failure ==
+            HttpParseFailure::Malformed);
+      CHECK(ParseInPieces<false>(answer, piece).m_failure ==
+            HttpParseFailure::Malformed);
+    }
+  }
+}
+
 TEST_CASE("a body that is too long is refused in whatever pieces it comes")
 {
   const std::string message =
