DRAIN: a store that refuses one node isn't taken for an outage

Cause: a node whose calls had failed doubted removals for 2.3 s after each feed was answered again, though the store was never away. Back among the followers it told its doubt to all.

Change: answers of the store and messages between nodes carry the store's clock up to which it has served some node. StoreUptime keeps since when these times follow each other with gaps of at most 1.75 s. After 2.3 s of it a node believes removals, whatever its own calls have come to or others report, and reports no doubt. While two or more nodes have lost the store the time begins anew, and a fleet of one keeps its doubt. Each removal believed this way is logged (server-removal-believed) and counted (removals_believed).

A failed try: without the rule of two lost nodes, entry_test "a server whose entry is gone is out of use on every node at once..." failed (0 of 5 nodes kept the server after an outage of 2 s): waits that began before the outage are answered up to 1 s into it. That test is as it was.

Left: two or more nodes refused at once are still taken for an outage, with the doubt of before (docs/design/platform.md).

--- a/briarglade/entry/entry_node.cc
+++ b/briarglade/entry/entry_node.cc
@@ -357,6 +357,8 @@
     static_cast<double>(m_state.m_storeEra.value_or(StoreEra()).Value()));
   m_metrics.SetGauge("store_returns",
                      static_cast<double>(m_state.m_storeReturns));
+  m_metrics.SetGauge("removals_believed",
+                     static_cast<double>(m_state.m_removalsBelieved));
   m_metrics.SetGauge("holds_control", m_state.m_control.IsActive() ? 1 : 0);
   aExchange->Respond(
     kOk, { { "Content-Type", "text/plain" } }, m_metrics.Render());
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -25,6 +25,10 @@
 // servers can change one after the other.
 constexpr Millis kBackendsPeriod = Millis(20);
 
+// Within this time after the store has become available again, live servers
+// write again the entries that are missing, and operators their rows.
+constexpr Millis kRewriteTime = Millis(2'300);
+
 // Applies one event and collects the effects.
 class EntryReduction
 {
@@ -125,6 +129,8 @@
   void ApplyOpenedGroups(const std::vector<OpenedGroup>& aGroups);
   void RemoveExpiredServers();
   void LogMissingEntry(const HostId& aHost);
+  void LogRemovalBelieved(const HostId& aHost);
+  void LogRemoval(const char* aEvent, const HostId& aHost);
   bool ServesAsMember(const ServerRecord& aServer) const;
   void RemoveServer(const HostId& aHost);
   void RemoveUnlisted();
@@ -138,6 +144,9 @@
   void ForwardRowChanges(Feed aFeed, RowVersion aAfter);
   void AnswerWithRows(const NodeNews& aUpdate);
   void ApplyRowChanges(const std::vector<RowChanges>& aChanges);
+  void NoticeLostNodes();
+  Millis StoreUptimeNow() const;
+  bool WasStoreAvailable() const;
   Millis EntryDoubt() const;
   Millis OwnEntryDoubt() const;
   void RecordReportedDoubt(Millis aDoubt);
--- a/briarglade/entry/internal/row_sharing.cc
+++ b/briarglade/entry/internal/row_sharing.cc
@@ -75,8 +75,24 @@
   return EntryDoubt() > Millis();
 }
 
+// Forgets since when the store has served some node while several nodes have
+// lost it: one may be served at the end of a wait that began before an outage,
+// so its reports don't exclude an outage.
+void EntryReduction::NoticeLostNodes()
+{
+  const auto& others = m_state.m_directory.Others();
+  const auto lost =
+    std::count_if(others.begin(), others.end(), [](const auto& aEntry) {
+      return aEntry.second.m_storeLostSince.has_value();
+    });
+  if (lost + (IsStoreLost() ? 1 : 0) > 1) {
+    m_state.m_storeUptime = StoreUptime();
+  }
+}
+
 void EntryReduction::ChooseFollowers()
 {
+  NoticeLostNodes();
   const std::vector<NodeId> followers = m_state.m_directory.Followers(
     m_now, IsStoreLost(), m_state.m_lease.Row().m_holder);
   const NodeId& self = m_state.m_settings.m_node;
@@ -114,22 +130,43 @@
   }
 }
 
+// Returns for how long the store has served some node without a long gap, as
+// far as this node knows.
+Millis EntryReduction::StoreUptimeNow() const
+{
+  const StoreClock& clock = m_state.m_storeClock;
+  return clock.IsKnown() ? m_state.m_storeUptime.At(clock.At(m_now)) : Millis();
+}
+
+// Returns whether the store was available for as long as an outage would
+// matter: then failed calls of this node, or of another one, show that the
+// store refused that node, and no entry has expired.
+bool EntryReduction::WasStoreAvailable() const
+{
+  const bool hasOthers = m_state.m_nodeCount > 1;
+  return hasOthers && StoreUptimeNow() >= kRewriteTime;
+}
+
 // Returns for how much longer the store may lack entries by all that this node
 // knows; zero if it has no doubt.
 Millis EntryReduction::EntryDoubt() const
 {
-  const Millis until = std::max({ m_state.m_disturbedUntil,
-                                  m_state.m_rewrittenUntil,
-                                  m_state.m_reportedDisturbedUntil });
-  const Millis remaining = std::max(Millis(), until - m_now);
+  const Millis eraDoubt = std::max(Millis(), m_state.m_rewrittenUntil - m_now);
+  if (WasStoreAvailable()) {
+    return eraDoubt;
+  }
+  const Millis until =
+    std::max(m_state.m_disturbedUntil, m_state.m_reportedDisturbedUntil);
+  const Millis remaining = std::max(eraDoubt, until - m_now);
   return IsStoreLost() ? std::max(remaining, kStoreLostDoubt) : remaining;
 }
 
 // Returns for how much longer the store may lack entries by what this node has
-// seen of an outage; zero if it does not follow the store.
+// seen of an outage; zero if it does not follow the store, or if the store
+// failed this node alone.
 Millis EntryReduction::OwnEntryDoubt() const
 {
-  if (!m_state.m_isFollower) {
+  if (!m_state.m_isFollower || WasStoreAvailable()) {
     return Millis();
   }
   const Millis remaining = std::max(Millis(), m_state.m_disturbedUntil - m_now);
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -14,10 +14,6 @@
 
 namespace {
 
-// Within this time after the store has become available again, live servers
-// write again the entries that are missing, and operators their rows.
-constexpr Millis kRewriteTime = Millis(2'300);
-
 // A shorter failure of a feed, or a shorter time without any response from the
 // store, lets no entry expire: that takes three missed heartbeats.
 constexpr Millis kMinOutage = Millis(700);
@@ -57,6 +53,7 @@
   }
   NoticeEra(RowVersion(aAnswer.m_version.Value()));
   m_state.m_storeClock.Update(m_now, aAnswer.m_storeTime);
+  m_state.m_storeUptime.OnServed(aAnswer.m_storeTime);
   if (aAnswer.m_feed == Feed::Own && aAnswer.m_isWhole) {
     m_state.m_lease.OnFeedKnown();
   }
@@ -208,6 +205,7 @@
       m_state.m_expiredServers.emplace(aRow.m_host, m_now);
       LogMissingEntry(aRow.m_host);
     } else {
+      LogRemovalBelieved(aRow.m_host);
       RemoveServer(aRow.m_host);
     }
     return;
@@ -416,17 +414,36 @@
 // Logs that the removal of a server's entry is not acted on yet, with the time
 // until which each source of doubt lasts.
 void EntryReduction::LogMissingEntry(const HostId& aHost)
+{
+  LogRemoval("server-entry-missing", aHost);
+}
+
+// Logs that the removal of a server's entry is acted on although this node or
+// another one has reason for doubt, because the store was available.
+void EntryReduction::LogRemovalBelieved(const HostId& aHost)
+{
+  const bool hasReason =
+    IsStoreLost() || m_now < std::max(m_state.m_disturbedUntil,
+                                      m_state.m_reportedDisturbedUntil);
+  if (hasReason && m_state.m_servers.count(aHost) > 0) {
+    ++m_state.m_removalsBelieved;
+    LogRemoval("server-removal-believed", aHost);
+  }
+}
+
+void EntryReduction::LogRemoval(const char* aEvent, const HostId& aHost)
 {
   const auto remaining = [this](Millis aUntil) {
     return std::to_string(std::max(Millis(), aUntil - m_now).Count());
   };
   Log(LogLevel::Info,
-      "server-entry-missing",
+      aEvent,
       { { "server", aHost.Value() },
         { "store-lost", IsStoreLost() ? "yes" : "no" },
         { "own-doubt-ms", remaining(m_state.m_disturbedUntil) },
         { "reported-doubt-ms", remaining(m_state.m_reportedDisturbedUntil) },
-        { "era-doubt-ms", remaining(m_state.m_rewrittenUntil) } });
+        { "era-doubt-ms", remaining(m_state.m_rewrittenUntil) },
+        { "store-uptime-ms", std::to_string(StoreUptimeNow().Count()) } });
 }
 
 void EntryReduction::Take(const OwnRow& aRow)
--- a/briarglade/entry/internal/update_receiving.cc
+++ b/briarglade/entry/internal/update_receiving.cc
@@ -60,6 +60,9 @@
     return;
   }
   m_state.m_directory.OnPeerUpdate(m_now, update);
+  if (update.m_rosterKnownUpTo > Millis()) {
+    m_state.m_storeUptime.OnServed(update.m_rosterKnownUpTo);
+  }
   HandleCondition(update.m_condition, Millis());
   for (const Bulletin& bulletin : update.m_bulletins) {
     HandleBulletin(bulletin, update.m_node);
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -29,6 +29,7 @@
 #include "briarglade/entry/peer_update_state.h"
 #include "briarglade/entry/row_cache.h"
 #include "briarglade/entry/store_clock.h"
+#include "briarglade/entry/store_uptime.h"
 #include "briarglade/entry/store_version.h"
 #include "briarglade/gateway/gateway.h"
 #include "briarglade/gateway/route_index.h"
@@ -103,12 +104,17 @@
   // when that outage may be the reason for missing entries.
   Millis m_storeBackAt;
   Millis m_disturbedUntil;
+  // Since when the store has served some node.
+  StoreUptime m_storeUptime;
   // The store's era, once it has answered, and until when rows may be missing
   // because the store has come back from an older copy.
   std::optional<StoreEra> m_storeEra;
   Millis m_rewrittenUntil;
   // How often this node has seen the store come back from an older copy.
   uint64_t m_storeReturns = 0;
+  // How many removals of entries were acted on although calls to the store had
+  // failed, because the store had served other nodes.
+  uint64_t m_removalsBelieved = 0;
   // The same as reported by another node. This node does not forward it.
   Millis m_reportedDisturbedUntil;
   GroupMap m_groups;
--- a/briarglade/entry/reduce_entry_test.cc
+++ b/briarglade/entry/reduce_entry_test.cc
@@ -289,6 +289,88 @@
   }
 }
 
+TEST_CASE(
+  "DRAIN: a node that the store refuses believes removals that it learns "
+  "of from other nodes")
+{
+  for (const StoreStatus status :
+       { StoreStatus::Refused, StoreStatus::Unknown }) {
+    for (Millis at; at < Millis(6'000); at += Millis(250)) {
+      CAPTURE(std::string(StoreStatusName(status)));
+      CAPTURE(at);
+      World world;
+      world.AddServer("s1");
+      world.Run(Millis(4'000));
+      world.SetStoreStatus(world.FirstFollower(), status);
+      world.Run(at);
+      world.RemoveServer("s1");
+      world.Run(Millis(2'000));
+      CHECK(world.NodesThatKnow("s1") == 0);
+    }
+  }
+}
+
+TEST_CASE(
+  "DRAIN: nodes don't adopt the doubt of one that was cut off from them "
+  "and from the store")
+{
+  for (const StoreStatus status :
+       { StoreStatus::Refused, StoreStatus::Unknown }) {
+    for (Millis at; at < Millis(3'000); at += Millis(250)) {
+      CAPTURE(std::string(StoreStatusName(status)));
+      CAPTURE(at);
+      World world;
+      world.AddServer("s1");
+      world.Run(Millis(4'000));
+      const size_t cut = world.FirstFollower();
+      world.SetStoreStatus(cut, status);
+      world.SetCutOff(cut, true);
+      world.Run(Millis(4'000));
+      world.SetStoreStatus(cut, StoreStatus::Ok);
+      world.SetCutOff(cut, false);
+      world.Run(at);
+      world.RemoveServer("s1");
+      world.Run(Millis(2'000));
+      for (size_t node = 0; node < kNodes; ++node) {
+        const bool knows =
+          world.StateOf(node).m_servers.count(HostId("s1")) > 0;
+        CHECK((node == cut || !knows));
+      }
+    }
+  }
+}
+
+TEST_CASE(
+  "a server whose entry expired in an outage of the store stays in use, "
+  "also if the store refused a node before and after the outage")
+{
+  for (const StoreStatus status :
+       { StoreStatus::Refused, StoreStatus::Unknown }) {
+    for (Millis outage(4'000); outage < Millis(6'000); outage += Millis(100)) {
+      CAPTURE(std::string(StoreStatusName(status)));
+      CAPTURE(outage);
+      World world;
+      world.AddServer("s1");
+      world.Run(Millis(4'000));
+      const size_t refused = world.FirstFollower();
+      world.SetStoreStatus(refused, StoreStatus::Refused);
+      world.Run(Millis(3'000));
+      world.SetStoreStatusOfAll(status);
+      world.Run(outage);
+      world.RemoveServer("s1");
+      world.SetStoreStatusOfAll(StoreStatus::Ok);
+      world.SetStoreStatus(refused, StoreStatus::Refused);
+      for (Millis since; since < Millis(2'000); since += World::kStep) {
+        world.Run(World::kStep);
+        CHECK(world.NodesThatKnow("s1") == kNodes);
+      }
+      world.AddServer("s1");
+      world.Run(Millis(4'000));
+      CHECK(world.NodesThatKnow("s1") == kNodes);
+    }
+  }
+}
+
 TEST_CASE("a server whose entry expired in an outage of the store, and is "
           "written again within 2 s, stays in use on every node")
 {
