CONFIG: nodes send each other large rows compressed

Callers saw 404 for routes that an acknowledged version had: with links of 14 Mbit/s in a large fleet, a version of 1,650 routes (some 300 KB) was in force seconds after the bound of 3 s.

Cause: a relay sends each change of the store to every node that reports to it, and as backup relay once more to each. For 133 nodes in 5 zones that is 26 copies, 7.8 MB, which take its link 4.5 s. A call between nodes ends after 1 s, and its connection with it, so that most copies were lost; the nodes then requested the row from the same relay over the same link, again and again.

Evidence: fleet_world_test.h now gives nodes links of a limited rate and drops what a call cannot transfer in 1 s, or what is larger than a socket's buffer while its receiver is frozen for longer.

Change: values of 4 KB and more are compressed once, by the node that reads them from the store, and forwarded as they are (zlib, level 1).

--- a/briarglade/entry/fleet_world_test.h
+++ b/briarglade/entry/fleet_world_test.h
@@ -58,6 +58,8 @@
   double m_requestsPerSecond = 0;
   // Time from a request's arrival at a server to the end of its answer.
   Millis m_answerTime = Millis(50);
+  // The least size of the configuration's row.
+  size_t m_configBytes = 0;
   EntryBounds m_bounds;
 };
 
@@ -188,6 +190,21 @@
   {
     m_nodes[aNode].m_frozenUntil = m_now + aTime;
   }
+  // Limits the rate in bytes per millisecond at which the node sends and
+  // receives updates. An update that does not arrive within the time that a
+  // call may take is lost, as is one that is too large for a socket's buffer if
+  // its receiver is frozen for longer than that.
+  void SetLinkRate(size_t aNode, size_t aBytesPerMs)
+  {
+    m_nodes[aNode].m_linkRate = aBytesPerMs;
+    m_hasLimitedLinks = true;
+  }
+  // Makes the node like an earlier version of the program, which reads a
+  // compressed value as an empty one.
+  void SetReadsPacked(size_t aNode, bool aReadsPacked)
+  {
+    m_nodes[aNode].m_readsPacked = aReadsPacked;
+  }
   // Partitions the node from all other nodes, or heals the partition.
   void SetCutOff(size_t aNode, bool aIsCutOff)
   {
@@ -405,6 +422,12 @@
   {
     return m_nodes[aNode].m_updatesSentTo;
   }
+  // Returns the number of bytes of updates that were sent to a node with a
+  // limited link.
+  uint64_t BytesReceived(size_t aNode) const
+  {
+    return m_nodes[aNode].m_receiving.m_bytes;
+  }
   // Counts the bytes of all updates from now on.
   void CountUpdateBytes() { m_countsUpdateBytes = true; }
   uint64_t UpdateBytes() const { return m_updateBytes; }
@@ -426,6 +449,13 @@
   // Three heartbeats.
   static constexpr Millis kEntryLifetime = Millis(3'000);
 
+  // One direction of a limited link.
+  struct LinkQueue
+  {
+    // When it will have transferred all updates so far, in milliseconds.
+    double m_freeAt = 0;
+    uint64_t m_bytes = 0;
+  };
   struct Node
   {
     std::unique_ptr<EntryState> m_state;
@@ -441,6 +471,11 @@
     std::vector<EntryEvent> m_deferredEvents;
     uint64_t m_updatesSent = 0;
     uint64_t m_updatesSentTo = 0;
+    bool m_readsPacked = true;
+    // Zero: unlimited.
+    size_t m_linkRate = 0;
+    LinkQueue m_sending;
+    LinkQueue m_receiving;
   };
   struct Watch
   {
@@ -495,7 +530,25 @@
   void PublishConfig()
   {
     m_configs->push_back(m_config);
-    Put(Feed::Operator, kConfigKey, std::to_string(m_configs->size() - 1));
+    Put(Feed::Operator,
+        kConfigKey,
+        std::to_string(m_configs->size() - 1) + ConfigText());
+  }
+
+  // Returns text of the set size, of routes with random names.
+  std::string ConfigText() const
+  {
+    std::mt19937 random(m_options.m_seed);
+    std::string text;
+    while (text.size() < m_options.m_configBytes) {
+      text += " {\"name\":\"route-" + std::to_string(random() % 100'000) +
+              "\",\"host\":\"host-" + std::to_string(random() % 100) +
+              ".example\",\"prefix\":\"/" + std::to_string(random()) +
+              "/\",\"service\":\"service-" + std::to_string(random() % 100) +
+              "\",\"kind\":\"idempotent\",\"timeout_ms\":10000,"
+              "\"goal_ms\":250,\"attempts\":2,\"priority\":1}";
+    }
+    return text;
   }
 
   bool IsRunning(size_t aNode) const
@@ -732,18 +785,21 @@
 
   void SendUpdate(size_t aFrom, const SendPeerUpdate& aNews)
   {
+    const size_t bytes = m_countsUpdateBytes || m_hasLimitedLinks
+                           ? EncodeNodeNews(*aNews.m_update).size()
+                           : 0;
+    NodeNews received = *aNews.m_update;
+    received.m_readsPacked = m_nodes[aFrom].m_readsPacked;
     for (const Endpoint& receiver : aNews.m_receivers) {
-      Tell(aFrom, receiver.m_port - kFirstPort, *aNews.m_update);
+      Tell(aFrom, receiver.m_port - kFirstPort, received, bytes);
     }
   }
 
-  void Tell(size_t aFrom, size_t aTo, const NodeNews& aNews)
+  void Tell(size_t aFrom, size_t aTo, const NodeNews& aNews, size_t aBytes)
   {
     ++m_nodes[aFrom].m_updatesSent;
     ++m_nodes[aTo].m_updatesSentTo;
-    if (m_countsUpdateBytes) {
-      m_updateBytes += EncodeNodeNews(aNews).size();
-    }
+    m_updateBytes += m_countsUpdateBytes ? aBytes : 0;
     std::uniform_real_distribution<double> chance(0, 1);
     const bool isLost =
       m_nodes[aFrom].m_isCutOff || m_nodes[aTo].m_isCutOff ||
@@ -754,7 +810,77 @@
     }
     std::uniform_int_distribution<int64_t> delay(m_options.m_leastDelay.Count(),
                                                  m_options.m_mostDelay.Count());
-    Send(aTo, Millis(delay(m_random)), PeerUpdateReceived{ aNews });
+    if (const std::optional<Millis> transfer =
+          TransferTime(aFrom, aTo, aBytes)) {
+      NodeNews received = aNews;
+      if (!m_nodes[aTo].m_readsPacked) {
+        ClearPacked(received.m_rowChanges);
+        for (Bulletin& bulletin : received.m_bulletins) {
+          ClearPacked(bulletin.m_rowChanges);
+        }
+      }
+      Send(aTo,
+           Millis(delay(m_random)) + *transfer,
+           PeerUpdateReceived{ std::move(received) });
+    }
+  }
+
+  static void ClearPacked(std::vector<RowChanges>& aChanges)
+  {
+    for (RowChanges& changes : aChanges) {
+      for (StoredRow& row : changes.m_rows) {
+        if (row.m_packed) {
+          row.m_packed.reset();
+          row.m_value = "";
+        }
+      }
+    }
+  }
+
+  // Returns how long the links of the sender and the receiver take until they
+  // have transferred an update, or nothing if the update is lost.
+  std::optional<Millis> TransferTime(size_t aFrom, size_t aTo, size_t aBytes)
+  {
+    constexpr Millis kCallTimeout = Millis(1'000);
+    constexpr size_t kSocketBytes = 64 * 1024;
+    Node& sender = m_nodes[aFrom];
+    Node& receiver = m_nodes[aTo];
+    if (sender.m_linkRate == 0 && receiver.m_linkRate == 0) {
+      return Millis();
+    }
+    const bool isCutShort =
+      aBytes > kSocketBytes && receiver.m_frozenUntil > m_now + kCallTimeout;
+    const auto sentAt = Transfer(sender.m_sending, sender, m_now, aBytes);
+    if (!sentAt || isCutShort) {
+      return std::nullopt;
+    }
+    const auto receivedAt =
+      Transfer(receiver.m_receiving, receiver, *sentAt, aBytes);
+    return receivedAt ? std::optional<Millis>(*receivedAt - m_now)
+                      : std::nullopt;
+  }
+
+  // Returns when one direction of a node's link has transferred a message that
+  // is ready at a time, or nothing if the sender gives up before.
+  std::optional<Millis> Transfer(LinkQueue& aQueue,
+                                 const Node& aNode,
+                                 Millis aReadyAt,
+                                 size_t aBytes) const
+  {
+    constexpr Millis kCallTimeout = Millis(1'000);
+    if (aNode.m_linkRate == 0) {
+      return aReadyAt;
+    }
+    aQueue.m_bytes += aBytes;
+    const auto rate = static_cast<double>(aNode.m_linkRate);
+    const double end =
+      std::max(static_cast<double>(aReadyAt.Count()), aQueue.m_freeAt) +
+      static_cast<double>(aBytes) / rate;
+    const auto limit = static_cast<double>((m_now + kCallTimeout).Count());
+    aQueue.m_freeAt = std::min(end, limit);
+    return end <= limit
+             ? std::optional<Millis>(Millis(static_cast<int64_t>(end)))
+             : std::nullopt;
   }
 
   // Passes deferred events to the nodes that run again.
@@ -816,6 +942,7 @@
   std::set<HostId> m_leaving;
   std::map<HostId, std::optional<double>> m_rateLimits;
   std::set<std::pair<size_t, size_t>> m_cuts;
+  bool m_hasLimitedLinks = false;
   bool m_countsUpdateBytes = false;
   uint64_t m_updateBytes = 0;
   bool m_isFailing = false;
--- a/briarglade/entry/internal/update_sending.cc
+++ b/briarglade/entry/internal/update_sending.cc
@@ -31,6 +31,46 @@
 // The zone ages that a relay reported expire after this long.
 constexpr Millis kZoneAgesLifetime = Millis(2'000);
 
+bool HasPackedRows(const std::vector<RowChanges>& aChanges)
+{
+  return std::any_of(
+    aChanges.begin(), aChanges.end(), [](const RowChanges& aOfFeed) {
+      return std::any_of(
+        aOfFeed.m_rows.begin(),
+        aOfFeed.m_rows.end(),
+        [](const StoredRow& aRow) { return aRow.m_packed != nullptr; });
+    });
+}
+
+bool HasPackedRows(const NodeNews& aUpdate)
+{
+  return HasPackedRows(aUpdate.m_rowChanges) ||
+         std::any_of(aUpdate.m_bulletins.begin(),
+                     aUpdate.m_bulletins.end(),
+                     [](const Bulletin& aBulletin) {
+                       return HasPackedRows(aBulletin.m_rowChanges);
+                     });
+}
+
+void RemovePacked(std::vector<RowChanges>& aChanges)
+{
+  for (RowChanges& changes : aChanges) {
+    for (StoredRow& row : changes.m_rows) {
+      row.m_packed.reset();
+    }
+  }
+}
+
+// Returns an update for nodes that cannot read compressed values.
+NodeNews WithoutPackedRows(NodeNews aUpdate)
+{
+  RemovePacked(aUpdate.m_rowChanges);
+  for (Bulletin& bulletin : aUpdate.m_bulletins) {
+    RemovePacked(bulletin.m_rowChanges);
+  }
+  return aUpdate;
+}
+
 // Appends the groups that each of the sources suspects.
 template<typename Sources>
 void AppendSuspects(std::vector<GroupId>& aSuspects, const Sources& aSources)
@@ -71,12 +111,22 @@
 void EntryReduction::Send(const std::vector<NodeId>& aReceivers,
                           NodeNews aUpdate)
 {
+  const bool hasPacked = HasPackedRows(aUpdate);
   std::vector<Endpoint> endpoints;
+  std::vector<Endpoint> unpackedEndpoints;
   for (const NodeId& receiver : aReceivers) {
     const auto node = m_state.m_directory.Others().find(receiver);
-    if (node != m_state.m_directory.Others().end()) {
-      endpoints.push_back(node->second.m_row.m_peerAddress);
+    if (node == m_state.m_directory.Others().end()) {
+      continue;
     }
+    const bool canRead = !hasPacked || node->second.m_readsPacked;
+    (canRead ? endpoints : unpackedEndpoints)
+      .push_back(node->second.m_row.m_peerAddress);
+  }
+  if (!unpackedEndpoints.empty()) {
+    m_effects.emplace_back(SendPeerUpdate{
+      std::move(unpackedEndpoints),
+      std::make_shared<const NodeNews>(WithoutPackedRows(aUpdate)) });
   }
   if (!endpoints.empty()) {
     m_effects.emplace_back(
--- a/briarglade/entry/node_directory.cc
+++ b/briarglade/entry/node_directory.cc
@@ -65,6 +65,7 @@
     return;
   }
   found->second.m_incarnation = aUpdate.m_incarnation;
+  found->second.m_readsPacked = aUpdate.m_readsPacked;
   NodeCondition condition = aUpdate.m_condition;
   if (!aUpdate.m_rowChanges.empty()) {
     // That doubt is about these rows, for this node alone.
--- a/briarglade/entry/node_directory.h
+++ b/briarglade/entry/node_directory.h
@@ -34,6 +34,8 @@
   // The run of the process that was last seen.
   uint64_t m_incarnation = 0;
   NodeCondition m_condition;
+  // Whether that run can read compressed values of rows.
+  bool m_readsPacked = false;
   // Since when the store has rejected the node; nothing: the store serves it.
   std::optional<Millis> m_storeLostSince;
 };
--- a/briarglade/entry/node_news.capnp
+++ b/briarglade/entry/node_news.capnp
@@ -16,6 +16,10 @@
   version @1 :UInt64;
   gone @2 :Bool;
   value @3 :Data;
+  # The compressed value, in place of the value, and the value's size. Only for
+  # nodes that set readsPacked.
+  packed @4 :Data;
+  unpackedBytes @5 :UInt32;
 }
 
 # Every change of a feed between two versions.
@@ -170,4 +174,6 @@
   handed @14 :List(HandedRows);
   refusals @15 :List(TraitRefusal);
   rateLimits @16 :List(RateLimitNotice);
+  # The sender can read compressed values.
+  readsPacked @17 :Bool;
 }
--- a/briarglade/entry/node_news.capnp.h
+++ b/briarglade/entry/node_news.capnp.h
@@ -71,7 +71,7 @@
 
   struct _capnpPrivate
   {
-    CAPNP_DECLARE_STRUCT_HEADER(cae8b89e662263b1, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(cae8b89e662263b1, 2, 3)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand()
     {
@@ -549,6 +549,11 @@
   inline bool hasValue() const;
   inline ::capnp::Data::Reader getValue() const;
 
+  inline bool hasPacked() const;
+  inline ::capnp::Data::Reader getPacked() const;
+
+  inline ::uint32_t getUnpackedBytes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -607,6 +612,16 @@
   inline void adoptValue(::capnp::Orphan<::capnp::Data>&& value);
   inline ::capnp::Orphan<::capnp::Data> disownValue();
 
+  inline bool hasPacked();
+  inline ::capnp::Data::Builder getPacked();
+  inline void setPacked(::capnp::Data::Reader value);
+  inline ::capnp::Data::Builder initPacked(unsigned int size);
+  inline void adoptPacked(::capnp::Orphan<::capnp::Data>&& value);
+  inline ::capnp::Orphan<::capnp::Data> disownPacked();
+
+  inline ::uint32_t getUnpackedBytes();
+  inline void setUnpackedBytes(::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -2778,6 +2793,8 @@
                        ::capnp::Kind::STRUCT>::Reader
   getRateLimits() const;
 
+  inline bool getReadsPacked() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -2993,6 +3010,9 @@
     ::capnp::List<::briarglade::wire::RateLimitNotice, ::capnp::Kind::STRUCT>>
   disownRateLimits();
 
+  inline bool getReadsPacked();
+  inline void setReadsPacked(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -3224,6 +3244,65 @@
     _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Row::Reader::hasPacked() const
+{
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool Row::Builder::hasPacked()
+{
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Data::Reader Row::Reader::getPacked() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+    _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::Data::Builder Row::Builder::getPacked()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Row::Builder::setPacked(::capnp::Data::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Data>::set(
+    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Data::Builder Row::Builder::initPacked(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Row::Builder::adoptPacked(::capnp::Orphan<::capnp::Data>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Data> Row::Builder::disownPacked()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline ::uint32_t Row::Reader::getUnpackedBytes() const
+{
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t Row::Builder::getUnpackedBytes()
+{
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void Row::Builder::setUnpackedBytes(::uint32_t value)
+{
+  _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
 inline ::uint8_t HandedRows::Reader::getFeed() const
 {
   return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() *
@@ -6301,6 +6380,23 @@
       _builder.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS));
 }
 
+inline bool NodeNews::Reader::getReadsPacked() const
+{
+  return _reader.getDataField<bool>(::capnp::bounded<137>() *
+                                    ::capnp::ELEMENTS);
+}
+
+inline bool NodeNews::Builder::getReadsPacked()
+{
+  return _builder.getDataField<bool>(::capnp::bounded<137>() *
+                                     ::capnp::ELEMENTS);
+}
+inline void NodeNews::Builder::setReadsPacked(bool value)
+{
+  _builder.setDataField<bool>(::capnp::bounded<137>() * ::capnp::ELEMENTS,
+                              value);
+}
+
 } // namespace
 } // namespace
 
--- a/briarglade/entry/node_news.cc
+++ b/briarglade/entry/node_news.cc
@@ -6,11 +6,13 @@
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
 #include <capnp/serialize.h>
+#include <kj/debug.h>
 #include <kj/exception.h>
 #include <kj/io.h>
 #include <xxhash.h>
 
 #include "briarglade/entry/node_news.capnp.h"
+#include "briarglade/entry/packed_value.h"
 #include "briarglade/entry/row_cache.h"
 
 namespace briarglade {
@@ -258,11 +260,29 @@
   aEntry.setKey(aRow.m_key);
   aEntry.setVersion(aRow.m_version.Value());
   aEntry.setGone(!aRow.m_value.has_value());
-  if (aRow.m_value) {
+  if (!aRow.m_value) {
+    return;
+  }
+  if (aRow.m_packed) {
+    aEntry.setPacked(BytesOf(*aRow.m_packed));
+    aEntry.setUnpackedBytes(static_cast<uint32_t>(aRow.m_value->size()));
+  } else {
     aEntry.setValue(BytesOf(*aRow.m_value));
   }
 }
 
+void ReadValue(wire::Row::Reader aEntry, StoredRow& aRow)
+{
+  if (!aEntry.hasPacked()) {
+    aRow.m_value = ToText(aEntry.getValue());
+    return;
+  }
+  aRow.m_packed =
+    std::make_shared<const std::string>(ToText(aEntry.getPacked()));
+  aRow.m_value = UnpackValue(*aRow.m_packed, aEntry.getUnpackedBytes());
+  KJ_REQUIRE(aRow.m_value.has_value(), "a compressed value cannot be read");
+}
+
 void WriteRowChanges(wire::HandedRows::Builder aEntry,
                      const RowChanges& aChanges)
 {
@@ -293,7 +313,7 @@
       row.m_key = ToText(read.getKey());
       row.m_version = RowVersion(read.getVersion());
       if (!read.getGone()) {
-        row.m_value = ToText(read.getValue());
+        ReadValue(read, row);
       }
       changes.m_rows.push_back(std::move(row));
     }
@@ -427,6 +447,7 @@
   aMessage.setSubscription(static_cast<uint8_t>(aUpdate.m_subscription));
   aMessage.setReportNumber(aUpdate.m_reportNumber);
   aMessage.setWantsRows(aUpdate.m_requestsRows);
+  aMessage.setReadsPacked(true);
   WriteList(
     aMessage.initLoads(SizeOf(aUpdate.m_loads)), aUpdate.m_loads, WriteLoad);
   WriteIds(aMessage.initSuspects(SizeOf(aUpdate.m_suspects)),
@@ -491,6 +512,7 @@
     update.m_bulletins.push_back(ReadBulletin(bulletin));
   }
   update.m_requestsRows = aMessage.getWantsRows();
+  update.m_readsPacked = aMessage.getReadsPacked();
   update.m_rowChanges = ReadRowChanges(aMessage.getHanded());
   for (const auto refusal : aMessage.getRefusals()) {
     update.m_refusals.push_back(ReadRefusal(refusal));
--- a/briarglade/entry/node_news.h
+++ b/briarglade/entry/node_news.h
@@ -166,6 +166,9 @@
 
   std::vector<Bulletin> m_bulletins;
 
+  // Whether the sender can read compressed values of rows. Set by decoding:
+  // earlier versions of the program cannot.
+  bool m_readsPacked = false;
   // The sender requests the changes that it lacks, or answers such a request.
   bool m_requestsRows = false;
   std::vector<RowChanges> m_rowChanges;
--- a/briarglade/entry/node_news_test.cc
+++ b/briarglade/entry/node_news_test.cc
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include "briarglade/entry/packed_value.h"
+
 namespace briarglade {
 namespace {
 
@@ -171,6 +173,33 @@
   CheckRows(bulletin.m_rowChanges, sent.m_rowChanges);
 }
 
+TEST_CASE("a compressed value of a row is decoded to the original, and stays "
+          "compressed for forwarding")
+{
+  NodeNews sent = MakeNews();
+  StoredRow& row = sent.m_rowChanges[0].m_rows[0];
+  row.m_value = std::string(100'000, 'r');
+  row.m_packed = PackValue(*row.m_value);
+  const std::string bytes = EncodeNodeNews(sent);
+  CHECK(bytes.size() < 10'000);
+  const std::optional<NodeNews> read = DecodeNodeNews(bytes);
+  REQUIRE(read);
+  CHECK(read->m_readsPacked);
+  const StoredRow& readRow = read->m_rowChanges.at(0).m_rows.at(0);
+  CHECK(readRow.m_value == row.m_value);
+  REQUIRE(readRow.m_packed);
+  CHECK(*readRow.m_packed == *row.m_packed);
+}
+
+TEST_CASE("an update with a compressed value that cannot be read is rejected")
+{
+  NodeNews sent = MakeNews();
+  StoredRow& row = sent.m_rowChanges[0].m_rows[0];
+  row.m_value = std::string(100'000, 'r');
+  row.m_packed = std::make_shared<const std::string>("no such thing");
+  CHECK_FALSE(DecodeNodeNews(EncodeNodeNews(sent)));
+}
+
 TEST_CASE("truncated or malformed bytes are rejected safely")
 {
   const std::string whole = EncodeNodeNews(MakeNews());
--- a/briarglade/entry/row_cache.cc
+++ b/briarglade/entry/row_cache.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <set>
 
+#include "briarglade/entry/packed_value.h"
 #include "briarglade/entry/store_version.h"
 
 namespace briarglade {
@@ -23,16 +24,16 @@
 bool RowCache::UpdateRow(const StoredRow& aRow)
 {
   FeedRows& rows = RowsOf(aRow.m_feed);
-  const auto found = rows.find(aRow.m_key);
-  if (found == rows.end()) {
-    rows.emplace(aRow.m_key, aRow);
-    return true;
-  }
-  if (aRow.m_version <= found->second.m_version) {
+  const auto [found, isNew] = rows.try_emplace(aRow.m_key, aRow);
+  StoredRow& row = found->second;
+  if (!isNew && aRow.m_version <= row.m_version) {
     return false;
   }
-  const bool isChanged = found->second.m_value != aRow.m_value;
-  found->second = aRow;
+  const bool isChanged = isNew || row.m_value != aRow.m_value;
+  row = aRow;
+  if (row.m_value && !row.m_packed) {
+    row.m_packed = PackValue(*row.m_value);
+  }
   return isChanged;
 }
 
@@ -72,6 +73,7 @@
                          std::vector<StoredRow>& aChanged)
 {
   aRow.m_value.reset();
+  aRow.m_packed.reset();
   aRow.m_version = aVersion;
   AdvanceComplete(aRow.m_feed, aVersion);
   aChanged.push_back(aRow);
--- a/briarglade/entry/store_feed.h
+++ b/briarglade/entry/store_feed.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -42,6 +43,9 @@
   RowVersion m_version;
   // No value: the row has been removed.
   std::optional<std::string> m_value;
+  // The compressed value for transfer to other nodes; nullptr: it is sent as it
+  // is.
+  std::shared_ptr<const std::string> m_packed = nullptr;
 };
 
 // A new version of the whole configuration.
