CONFIG: a node requests missing rows once, and by turns from other nodes

Callers saw 404 by an old version from a node that had lost an update.

Cause: any rows that arrived, of any feed, counted as the answer to a node's request and began its wait of 100 ms anew, so that changes of servers' entries postponed the request for the configuration. A request was repeated each 100 to 200 ms whether or not its answer could have arrived; each repetition put a further copy of it on the requester's link. Only the sender of the update in hand was asked, however often it had failed to answer, and nobody if no update arrived.

Change: RowRequests, a pure module, keeps for each feed since when it is behind, sends one request at a time, repeats it after 500 ms, and asks the nodes that have the rows by turns, from a tick if no update arrives.

--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -143,7 +143,9 @@
   void RecordReportedDoubt(Millis aDoubt);
   void HandleCondition(const NodeCondition& aCondition, Millis aAge);
   bool IsBehind(const NodeNews& aUpdate, Feed aFeed) const;
-  void RequestRowsIfBehind(const NodeNews& aUpdate);
+  FeedVersions OwnVersions() const;
+  void RecordVersions(const NodeNews& aUpdate);
+  void RequestMissingRows();
   void UpdateRoster();
   Millis StoreAnsweredAt() const;
   void RecordOutage(const FeedFollower& aBefore,
--- a/briarglade/entry/internal/row_sharing.cc
+++ b/briarglade/entry/internal/row_sharing.cc
@@ -26,9 +26,6 @@
 // kOtherPollInterval, after that at kStoreLostPollInterval.
 constexpr Millis kStoreProbeTime = Millis(1'000);
 constexpr Millis kStoreLostPollInterval = Millis(2'000);
-// A node that has lacked another node's changes for this long requests them;
-// they are not expected to arrive unrequested.
-constexpr Millis kBehindTimeout = Millis(100);
 // For how long a follower that the store is lost to reports doubt: until after
 // its next update, even if its relay changes.
 constexpr Millis kStoreLostDoubt = Millis(1'500);
@@ -146,9 +143,6 @@
 
 void EntryReduction::ApplyRowChanges(const std::vector<RowChanges>& aChanges)
 {
-  if (!aChanges.empty()) {
-    m_state.m_behindSince.reset();
-  }
   for (const RowChanges& changes : aChanges) {
     NoticeEra(changes.m_upTo);
     ApplyRows(m_state.m_rows.ApplyChanges(changes));
@@ -162,28 +156,39 @@
          m_state.m_rows.CompleteUpTo(aFeed);
 }
 
-// Requests changes that the sender has and this node lacks, unless they arrive
-// in time.
-void EntryReduction::RequestRowsIfBehind(const NodeNews& aUpdate)
+FeedVersions EntryReduction::OwnVersions() const
 {
-  bool isBehind = false;
+  FeedVersions versions;
   for (const auto& [feed, follower] : m_state.m_feeds) {
-    isBehind = isBehind || IsBehind(aUpdate, feed);
+    versions[static_cast<size_t>(feed)] = m_state.m_rows.CompleteUpTo(feed);
   }
-  const auto sender = m_state.m_directory.Others().find(aUpdate.m_node);
-  if (!isBehind || sender == m_state.m_directory.Others().end()) {
+  return versions;
+}
+
+// Records which changes the sender has, and requests missing ones if that is
+// due.
+void EntryReduction::RecordVersions(const NodeNews& aUpdate)
+{
+  if (m_state.m_directory.Others().count(aUpdate.m_node) == 0) {
     return;
   }
-  if (!m_state.m_behindSince) {
-    m_state.m_behindSince = m_now;
+  if (!aUpdate.m_rowChanges.empty()) {
+    m_state.m_rowRequests.OnAnswer(aUpdate.m_node);
   }
-  if (m_now - *m_state.m_behindSince < kBehindTimeout) {
-    return;
+  m_state.m_rowRequests.OnVersions(
+    m_now, aUpdate.m_node, aUpdate.m_completeUpTo, OwnVersions());
+  RequestMissingRows();
+}
+
+void EntryReduction::RequestMissingRows()
+{
+  const std::optional<NodeId> node =
+    m_state.m_rowRequests.Next(m_now, OwnVersions());
+  if (node) {
+    NodeNews request = MakePeerUpdate();
+    request.m_requestsRows = true;
+    Send({ *node }, std::move(request));
   }
-  m_state.m_behindSince.reset();
-  NodeNews request = MakePeerUpdate();
-  request.m_requestsRows = true;
-  Send({ aUpdate.m_node }, std::move(request));
 }
 
 // Sends a node the changes that it lacks.
--- a/briarglade/entry/internal/update_receiving.cc
+++ b/briarglade/entry/internal/update_receiving.cc
@@ -81,7 +81,7 @@
   for (const ZoneDigest& zone : update.m_zones) {
     HandleZoneDigest(zone);
   }
-  RequestRowsIfBehind(update);
+  RecordVersions(update);
   if (update.m_requestsRows) {
     AnswerWithRows(update);
   }
--- a/briarglade/entry/reduce_entry.cc
+++ b/briarglade/entry/reduce_entry.cc
@@ -73,6 +73,7 @@
   m_state.m_lastTickAt = m_now;
   ChooseFollowers();
   FollowFeeds();
+  RequestMissingRows();
   RemoveExpiredServers();
   ReturnMissingZones();
   m_state.m_leavingServers.RemoveExpired(m_now);
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -28,6 +28,7 @@
 #include "briarglade/entry/node_roster.h"
 #include "briarglade/entry/peer_update_state.h"
 #include "briarglade/entry/row_cache.h"
+#include "briarglade/entry/row_requests.h"
 #include "briarglade/entry/store_clock.h"
 #include "briarglade/entry/store_version.h"
 #include "briarglade/gateway/gateway.h"
@@ -142,8 +143,8 @@
   bool m_isFollower = true;
   // Whether it is the first follower, which forwards changes to the others.
   bool m_isFirstFollower = false;
-  // Since when another node is known to have changes that this one lacks.
-  std::optional<Millis> m_behindSince;
+  // Requests for changes that another node has and this one lacks.
+  RowRequests m_rowRequests;
   // Whether this node or another one has received a caller's request.
   bool m_hasTraffic = false;
   // The requests in flight or waiting for each model, smoothed.
