CONFIG: a node that may lack a version answers 503 in place of 404 and 401

Callers saw 404 for routes of an acknowledged version from a node that had been unresponsive and that the store then refused, for as long as no other node reached it.

Cause: a node that had a configuration always took it for the present one. One that heard of nobody sent a report each 600 ms to a neighbour, which answered it only with its next digest for the backup relay, up to 600 ms later.

Change: ConfigCurrency, a pure module, knows when a later version may be in force: another node has one, or neither the store nor a node with the same version was heard of for configuration_ms less 1 s (at least 1.6 s). Such a node refuses unknown paths and keys as not run, with Retry-After; after configuration_ms it is not ready if other nodes are registered. Messages that waited for a paused process confirm nothing. It polls the store each 2 s once the doubt has lasted 1 s. A node that hears of nobody requests rows, which is answered at once. In an outage of the store, nodes that hear of each other answer 404 as before.

--- a/briarglade/entry/entry_node.cc
+++ b/briarglade/entry/entry_node.cc
@@ -352,6 +352,8 @@
     m_state.m_routes == nullptr
       ? 0
       : static_cast<double>(m_state.m_routes->Config().m_version.Value()));
+  m_metrics.SetGauge("config_in_doubt",
+                     m_state.m_configCurrency.DoubtSince() ? 1 : 0);
   m_metrics.SetGauge(
     "store_era",
     static_cast<double>(m_state.m_storeEra.value_or(StoreEra()).Value()));
--- a/briarglade/entry/internal/caller_requests.cc
+++ b/briarglade/entry/internal/caller_requests.cc
@@ -10,7 +10,8 @@
 
 namespace {
 
-// When callers should retry while this node has no configuration.
+// When callers should retry while this node has no configuration, or may lack a
+// version of it.
 constexpr Millis kNoConfigRetryAfter = Millis(250);
 
 } // namespace
@@ -33,6 +34,18 @@
     AnswerCaller{ aReceived.m_handle, aCode, aRetryAfter });
 }
 
+// Refuses a request whose path or key this node does not know, without saying
+// so if a version of the configuration that it lacks may have it.
+void EntryReduction::RejectUnknown(const RequestReceived& aReceived,
+                                   ResultCode aCode)
+{
+  if (MayLackConfig()) {
+    RejectRequest(aReceived, ResultCode::Unconfirmed, kNoConfigRetryAfter);
+  } else {
+    RejectRequest(aReceived, aCode, Millis());
+  }
+}
+
 // Returns whether the request comes late to a node that is shutting down, which
 // may have to exit before it has answered. The time of arrival decides, not the
 // phase, which only a tick changes.
@@ -55,7 +68,7 @@
   const RouteRule* rule =
     m_state.m_routes->FindRoute(request.m_host, aReceived.m_path);
   if (rule == nullptr) {
-    RejectRequest(aReceived, ResultCode::UnknownPath, Millis());
+    RejectUnknown(aReceived, ResultCode::UnknownPath);
     return;
   }
   const bool needsKey =
@@ -63,7 +76,7 @@
   const AccountSpec* account =
     needsKey ? m_state.m_routes->FindAccount(request.m_accountKey) : nullptr;
   if (needsKey && account == nullptr) {
-    RejectRequest(aReceived, ResultCode::UnknownKey, Millis());
+    RejectUnknown(aReceived, ResultCode::UnknownKey);
     return;
   }
   CallerRequestArrived arrived;
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -144,6 +144,10 @@
   void HandleCondition(const NodeCondition& aCondition, Millis aAge);
   bool IsBehind(const NodeNews& aUpdate, Feed aFeed) const;
   FeedVersions OwnVersions() const;
+  std::optional<Millis> ConfigBehindSince() const;
+  bool MayLackConfig() const;
+  void TickConfigCurrency();
+  void RejectUnknown(const RequestReceived& aReceived, ResultCode aCode);
   void RecordVersions(const NodeNews& aUpdate);
   void RequestMissingRows();
   void UpdateRoster();
--- a/briarglade/entry/internal/row_sharing.cc
+++ b/briarglade/entry/internal/row_sharing.cc
@@ -36,6 +36,9 @@
   bool m_isFollower = false;
   // Recent updates of other nodes confirm that this node knows all changes.
   bool m_isConfirmedUpToDate = false;
+  // This node may lack a version of the configuration, and other nodes have not
+  // sent it.
+  bool m_isInDoubt = false;
 };
 
 Millis PollIntervalOf(Millis aNow,
@@ -47,6 +50,9 @@
     return aFeed == Feed::Operator ? kOperatorPollInterval : kOtherPollInterval;
   }
   const std::optional<Millis> failingSince = aFollower.FailingSince();
+  if (!failingSince && aConditions.m_isInDoubt) {
+    return kStoreLostPollInterval;
+  }
   if (!failingSince) {
     return aConditions.m_isConfirmedUpToDate ? kUpToDatePollInterval
                                              : kNonFollowerPollInterval;
@@ -91,7 +97,12 @@
   const bool isConfirmedUpToDate =
     clock.IsKnown() &&
     m_state.m_roster.KnowledgeAge(m_now, clock) <= kRosterMaxAge;
-  const PollConditions conditions{ m_state.m_isFollower, isConfirmedUpToDate };
+  const std::optional<Millis> doubtSince =
+    m_state.m_configCurrency.DoubtSince();
+  const bool isInDoubt = doubtSince && m_now - *doubtSince >= kStoreProbeTime;
+  const PollConditions conditions{ m_state.m_isFollower,
+                                   isConfirmedUpToDate,
+                                   isInDoubt };
   for (auto& [feed, follower] : m_state.m_feeds) {
     follower.SetGap(PollIntervalOf(m_now, follower, feed, conditions));
   }
@@ -178,6 +189,50 @@
   m_state.m_rowRequests.OnVersions(
     m_now, aUpdate.m_node, aUpdate.m_completeUpTo, OwnVersions());
   RequestMissingRows();
+  // A node with an older version is behind itself and confirms nothing.
+  constexpr auto kOperator = static_cast<size_t>(Feed::Operator);
+  const bool hasSameVersion = aUpdate.m_completeUpTo.size() > kOperator &&
+                              aUpdate.m_completeUpTo[kOperator] ==
+                                m_state.m_rows.CompleteUpTo(Feed::Operator);
+  if (hasSameVersion) {
+    m_state.m_configCurrency.OnConfirmed(m_now);
+  }
+}
+
+// Returns since when another node has been known to have a later version of the
+// operators' rows.
+std::optional<Millis> EntryReduction::ConfigBehindSince() const
+{
+  return m_state.m_rowRequests.BehindSince(Feed::Operator, OwnVersions());
+}
+
+// Returns whether a version of the configuration that this node lacks may be in
+// force.
+bool EntryReduction::MayLackConfig() const
+{
+  return m_state.m_configCurrency.MayLackVersion(m_now, ConfigBehindSince());
+}
+
+void EntryReduction::TickConfigCurrency()
+{
+  ConfigCurrency& currency = m_state.m_configCurrency;
+  const bool wasOutdated = currency.IsLongInDoubt();
+  const std::optional<Millis> before = currency.DoubtSince();
+  const std::optional<Millis> behindSince = ConfigBehindSince();
+  currency.OnTick(m_now, behindSince);
+  if (wasOutdated == currency.IsLongInDoubt()) {
+    return;
+  }
+  const Millis since = currency.DoubtSince().value_or(before.value_or(m_now));
+  Log(LogLevel::Warn,
+      wasOutdated ? "config-current" : "config-outdated",
+      { { "version",
+          m_state.m_routes
+            ? std::to_string(m_state.m_routes->Config().m_version.Value())
+            : "none" },
+        { "behind", behindSince ? "yes" : "unknown" },
+        { "store-lost", IsStoreLost() ? "yes" : "no" },
+        { "for-ms", std::to_string((m_now - since).Count()) } });
 }
 
 void EntryReduction::RequestMissingRows()
@@ -208,9 +263,8 @@
       answer.m_rowChanges.push_back(std::move(changes));
     }
   }
-  if (!answer.m_rowChanges.empty()) {
-    Send({ aUpdate.m_node }, std::move(answer));
-  }
+  // Without rows it tells the requester that it lacks nothing.
+  Send({ aUpdate.m_node }, std::move(answer));
 }
 
 } // namespace briarglade::internal
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -60,6 +60,9 @@
   if (aAnswer.m_feed == Feed::Own && aAnswer.m_isWhole) {
     m_state.m_lease.OnFeedKnown();
   }
+  if (aAnswer.m_feed == Feed::Operator) {
+    m_state.m_configCurrency.OnConfirmed(m_now);
+  }
   const RowVersion known = m_state.m_rows.CompleteUpTo(aAnswer.m_feed);
   ApplyRows(m_state.m_rows.Apply(aAnswer));
   if (aAnswer.m_feed == Feed::Own) {
--- a/briarglade/entry/internal/update_sending.cc
+++ b/briarglade/entry/internal/update_sending.cc
@@ -233,6 +233,8 @@
     updates.m_backupReportSentAt = m_now;
     SendReport(updates.m_relays.Backup(), Subscription::Backup, report);
     if (const std::optional<NodeId> neighbour = ChooseNeighbourToQuery()) {
+      // Answered at once, unlike a report.
+      report.m_requestsRows = true;
       SendReport(*neighbour, Subscription::Backup, report);
     }
   }
--- a/briarglade/entry/reduce_entry.cc
+++ b/briarglade/entry/reduce_entry.cc
@@ -71,6 +71,7 @@
 void EntryReduction::On(const EntryTick&)
 {
   m_state.m_lastTickAt = m_now;
+  TickConfigCurrency();
   ChooseFollowers();
   FollowFeeds();
   RequestMissingRows();
@@ -234,6 +235,8 @@
   state.m_peerUpdates.m_relays = RelaySelector(aSettings.m_node);
   state.m_roster =
     NodeRoster(aSettings.m_node, aSettings.m_bounds.m_retryWindow);
+  state.m_configCurrency =
+    ConfigCurrency(aSettings.m_bounds.m_configurationTime);
   state.m_ids = UniqueIds(aSettings.m_node, aIncarnation);
   state.m_lease = ControlLease(aSettings.m_node, aIncarnation);
   const EntryBounds& bounds = aSettings.m_bounds;
@@ -268,7 +271,10 @@
 
 bool IsReady(const EntryState& aState)
 {
-  return aState.m_phase == EntryPhase::Serving && aState.m_routes != nullptr;
+  const bool isOutdated = aState.m_configCurrency.IsLongInDoubt() &&
+                          !aState.m_directory.Others().empty();
+  return aState.m_phase == EntryPhase::Serving && aState.m_routes != nullptr &&
+         !isOutdated;
 }
 
 } // namespace briarglade
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -19,6 +19,7 @@
 #include <set>
 #include <vector>
 
+#include "briarglade/entry/config_currency.h"
 #include "briarglade/entry/control_lease.h"
 #include "briarglade/entry/entry_event.h"
 #include "briarglade/entry/entry_settings.h"
@@ -143,6 +144,8 @@
   bool m_isFollower = true;
   // Whether it is the first follower, which forwards changes to the others.
   bool m_isFirstFollower = false;
+  // Whether this node may lack a version of the configuration.
+  ConfigCurrency m_configCurrency;
   // Requests for changes that another node has and this one lacks.
   RowRequests m_rowRequests;
   // Whether this node or another one has received a caller's request.
@@ -171,7 +174,8 @@
                          const EntryEvent& aEvent);
 
 // Returns whether the node can serve requests, for the platform's readiness
-// checks.
+// checks. A node that may have lacked a version of the configuration for long
+// is not ready if there are other nodes.
 bool IsReady(const EntryState& aState);
 
 } // namespace briarglade
--- a/briarglade/entry/slow_node_test.cc
+++ b/briarglade/entry/slow_node_test.cc
@@ -200,5 +200,95 @@
   }
 }
 
+// Sends a node a request for a path that no version has, and returns the code
+// of the refusal.
+ResultCode RequestUnknownPath(FleetWorld& aWorld, size_t aNode)
+{
+  RequestReceived received;
+  received.m_handle = RequestHandle(1'000'000);
+  received.m_path = "/no/such/path/";
+  received.m_request.m_host = "no.example";
+  const uint64_t before = aWorld.RejectedCount();
+  aWorld.Dispatch(aNode, received);
+  REQUIRE(aWorld.RejectedCount() == before + 1);
+  return aWorld.LastRejection();
+}
+
+// Before, such a node answered 404 by its old version for as long as nobody
+// reached it.
+TEST_CASE("CONFIG: a node that hears of neither the store nor another node "
+          "refuses what it does not know, and is not ready after a while")
+{
+  SlowNodeWorld world(Fleet(1'000, 1));
+  const size_t node = world.Slow();
+  world.SetStoreStatus(node, StoreStatus::Refused);
+  world.Run(Millis(4'000));
+  // The others still confirm its version.
+  CHECK(RequestUnknownPath(world, node) == ResultCode::UnknownPath);
+  CHECK(IsReady(world.StateOf(node)));
+  world.SetCutOff(node, true);
+  const Millis cutAt = world.Now();
+  world.Configure(2);
+  world.Run(Millis(1'000));
+  CHECK(RequestUnknownPath(world, node) == ResultCode::UnknownPath);
+  while (world.Now() - cutAt < Millis(12'000)) {
+    world.Run(Millis(100));
+    if (world.Now() - cutAt >= kConfigurationTime) {
+      CHECK(RequestUnknownPath(world, node) == ResultCode::Unconfirmed);
+    }
+  }
+  CHECK_FALSE(IsReady(world.StateOf(node)));
+  const size_t other = node == 0 ? 1 : 0;
+  CHECK(RequestUnknownPath(world, other) == ResultCode::UnknownPath);
+  world.SetCutOff(node, false);
+  const Millis healedAt = world.Now();
+  world.TimeUntilInForce(2, Millis());
+  world.Run(Millis(100));
+  CHECK(world.Now() - healedAt <= Millis(2'000));
+  CHECK(RequestUnknownPath(world, node) == ResultCode::UnknownPath);
+  CHECK(IsReady(world.StateOf(node)));
+}
+
+// Messages from before the change may be waiting for the node.
+TEST_CASE("CONFIG: a node that was unresponsive answers 404 by no old version")
+{
+  for (uint32_t seed = 1; seed <= SeedCount(5); ++seed) {
+    SlowNodeWorld world(Fleet(3'600'000, seed));
+    const size_t node = world.Slow();
+    world.Freeze(node, Millis(4'000));
+    world.Run(Millis(500));
+    world.Configure(2);
+    world.Run(Millis(3'500));
+    world.SetStoreStatus(node, StoreStatus::Refused);
+    const Millis wokenAt = world.Now();
+    int refused = 0;
+    while (world.VersionOf(node) != ConfigVersion(2)) {
+      REQUIRE(world.Now() - wokenAt < Millis(3'000));
+      world.Run(FleetWorld::kStep);
+      if (world.VersionOf(node) != ConfigVersion(2)) {
+        ++refused;
+        CHECK(RequestUnknownPath(world, node) == ResultCode::Unconfirmed);
+      }
+    }
+    CHECK(refused > 0);
+  }
+}
+
+// The store serves nobody, so that it accepts no change either.
+TEST_CASE("in an outage of the store, nodes that hear of each other keep "
+          "answering 404 and stay ready")
+{
+  FleetWorld world(Fleet(1'000, 1));
+  world.Run(Millis(4'000));
+  world.SetStoreStatusOfAll(StoreStatus::Unknown);
+  for (int i = 0; i < 20; ++i) {
+    world.Run(Millis(500));
+    for (size_t node = 0; node < world.NodeCount(); ++node) {
+      CHECK(RequestUnknownPath(world, node) == ResultCode::UnknownPath);
+      CHECK(IsReady(world.StateOf(node)));
+    }
+  }
+}
+
 } // namespace
 } // namespace briarglade
