CONFIG: versions in quick succession are read and sent as one

Callers of a fleet with slow links waited for the last of several versions behind all earlier ones.

Cause: the first follower read the operators' feed each 50 ms and sent every version to all nodes.

Change: after a change of the operators' feed a node waits one ms for each 600 bytes of it (at most 1 s) before it reads the feed again. A version of 300 KB makes the next one wait 500 ms; a small change, such as a zone taken out, is not delayed unless it follows a large version.

--- a/briarglade/entry/feed_follower.cc
+++ b/briarglade/entry/feed_follower.cc
@@ -48,7 +48,8 @@
     return MakeCall(aNow, Millis());
   }
   // A full read does not wait for the gap between calls.
-  const Millis allowedAt = m_mustReadAll ? m_nextAt : m_calledAt + m_pace.m_gap;
+  const Millis allowedAt =
+    m_mustReadAll ? m_nextAt : std::max(m_calledAt + m_pace.m_gap, m_restUntil);
   if (m_call || aNow < std::max(m_nextAt, allowedAt)) {
     return std::nullopt;
   }
--- a/briarglade/entry/feed_follower.h
+++ b/briarglade/entry/feed_follower.h
@@ -49,6 +49,10 @@
   // Sets the minimum time between two calls.
   void SetGap(Millis aGap) { m_pace.m_gap = aGap; }
 
+  // Makes the next call wait for a time after the answer that was just handled,
+  // so that changes in quick succession are read as one.
+  void Rest(Millis aNow, Millis aTime) { m_restUntil = aNow + aTime; }
+
   // Returns whether the whole feed has been read at least once.
   bool IsKnown() const { return m_isKnown; }
   // Returns the version up to which the feed has been read.
@@ -88,6 +92,7 @@
   StoreVersion m_version;
   Millis m_calledAt = Millis(-1'000'000);
   Millis m_nextAt = Millis(-1'000'000);
+  Millis m_restUntil = Millis(-1'000'000);
   Millis m_answeredAt = Millis(-1'000'000);
   std::optional<Millis> m_failingSince;
   Millis m_lastFailedCallAt = Millis(-1'000'000);
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -30,6 +30,22 @@
            : aRecord.m_sequence < aKnown.m_sequence;
 }
 
+// Returns how long to wait before the operators' feed is read again, so that a
+// node does not read, and send to all others, each of several large versions in
+// quick succession. A relay with a link of 14 Mbit/s sends 300 KB, compressed,
+// to 26 nodes in 500 ms.
+Millis RestAfter(const FeedAnswered& aAnswer)
+{
+  constexpr size_t kBytesPerMilli = 600;
+  constexpr Millis kMaxRest = Millis(1'000);
+  size_t bytes = 0;
+  for (const StoredRow& row : aAnswer.m_rows) {
+    bytes += row.m_value ? row.m_value->size() : 0;
+  }
+  return std::min(kMaxRest,
+                  Millis(static_cast<int64_t>(bytes / kBytesPerMilli)));
+}
+
 BootId RunOf(const ServerRecord& aServer)
 {
   return BootId(std::to_string(aServer.m_startedAt));
@@ -73,6 +89,9 @@
     }
   }
   ForwardRowChanges(aAnswer.m_feed, known);
+  if (aAnswer.m_feed == Feed::Operator) {
+    follower.Rest(m_now, RestAfter(aAnswer));
+  }
   FollowFeeds();
 }
 
--- a/briarglade/entry/slow_node_test.cc
+++ b/briarglade/entry/slow_node_test.cc
@@ -290,5 +290,40 @@
   }
 }
 
+// Fails if each of many versions is sent to every node, so that the last ones
+// wait behind the others.
+TEST_CASE(
+  "CONFIG: versions in quick succession are coalesced, and the last one "
+  "is in force everywhere within the bound")
+{
+  constexpr uint64_t kVersions = 20;
+  FleetOptions options = Fleet(300'000, 1);
+  options.m_nodes = 60;
+  FleetWorld world(options);
+  world.Run(Millis(4'000));
+  for (size_t node = 0; node < options.m_nodes; ++node) {
+    world.SetLinkRate(node, kSlowLink);
+  }
+  world.Run(Millis(1'000));
+  world.CountUpdateBytes();
+  for (uint64_t version = 2; version < 2 + kVersions; ++version) {
+    world.Configure(version);
+    world.Run(Millis(100));
+  }
+  const Millis start = world.Now();
+  const auto lacksVersion = [&](const EntryState& aState) {
+    return aState.m_routes->Config().m_version != ConfigVersion(kVersions + 1);
+  };
+  while (world.Find(lacksVersion) < options.m_nodes &&
+         world.Now() - start < Millis(20'000)) {
+    world.Run(FleetWorld::kStep);
+  }
+  const Millis time = world.Now() - start + Millis(100);
+  MESSAGE(time.Count(), " ms, ", world.UpdateBytes(), " bytes sent");
+  CHECK(time <= kConfigurationTime);
+  // At most 8 of the versions, 40 KB each, over both relays of a node's zone.
+  CHECK(world.UpdateBytes() <= options.m_nodes * 2 * 8 * 40'000);
+}
+
 } // namespace
 } // namespace briarglade
