--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -152,7 +152,13 @@
   void RecordReportedDoubt(Millis aDoubt);
   void HandleCondition(const NodeCondition& aCondition, Millis aAge);
   bool IsBehind(const NodeNews& aUpdate, Feed aFeed) const;
-  void RequestRowsIfBehind(const NodeNews& aUpdate);
+  FeedVersions OwnVersions() const;
+  std::optional<Millis> ConfigBehindSince() const;
+  bool MayLackConfig() const;
+  void TickConfigCurrency();
+  void RejectUnknown(const RequestReceived& aReceived, ResultCode aCode);
+  void RecordVersions(const NodeNews& aUpdate);
+  void RequestMissingRows();
   void UpdateRoster();
   Millis StoreAnsweredAt() const;
   void RecordOutage(const FeedFollower& aBefore,
--- a/briarglade/entry/internal/row_sharing.cc
+++ b/briarglade/entry/internal/row_sharing.cc
@@ -26,9 +26,6 @@
 // kOtherPollInterval, after that at kStoreLostPollInterval.
 constexpr Millis kStoreProbeTime = Millis(1'000);
 constexpr Millis kStoreLostPollInterval = Millis(2'000);
-// A node that has lacked another node's changes for this long requests them;
-// they are not expected to arrive unrequested.
-constexpr Millis kBehindTimeout = Millis(100);
 // For how long a follower that the store is lost to reports doubt: until after
 // its next update, even if its relay changes.
 constexpr Millis kStoreLostDoubt = Millis(1'500);
@@ -39,6 +36,9 @@
   bool m_isFollower = false;
   // Recent updates of other nodes confirm that this node knows all changes.
   bool m_isConfirmedUpToDate = false;
+  // This node may lack a version of the configuration, and other nodes have not
+  // sent it.
+  bool m_isInDoubt = false;
 };
 
 Millis PollIntervalOf(Millis aNow,
@@ -50,6 +50,9 @@
     return aFeed == Feed::Operator ? kOperatorPollInterval : kOtherPollInterval;
   }
   const std::optional<Millis> failingSince = aFollower.FailingSince();
+  if (!failingSince && aConditions.m_isInDoubt) {
+    return kStoreLostPollInterval;
+  }
   if (!failingSince) {
     return aConditions.m_isConfirmedUpToDate ? kUpToDatePollInterval
                                              : kNonFollowerPollInterval;
@@ -110,7 +113,12 @@
   const bool isConfirmedUpToDate =
     clock.IsKnown() &&
     m_state.m_roster.KnowledgeAge(m_now, clock) <= kRosterMaxAge;
-  const PollConditions conditions{ m_state.m_isFollower, isConfirmedUpToDate };
+  const std::optional<Millis> doubtSince =
+    m_state.m_configCurrency.DoubtSince();
+  const bool isInDoubt = doubtSince && m_now - *doubtSince >= kStoreProbeTime;
+  const PollConditions conditions{ m_state.m_isFollower,
+                                   isConfirmedUpToDate,
+                                   isInDoubt };
   for (auto& [feed, follower] : m_state.m_feeds) {
     follower.SetGap(PollIntervalOf(m_now, follower, feed, conditions));
   }
@@ -183,9 +191,6 @@
 
 void EntryReduction::ApplyRowChanges(const std::vector<RowChanges>& aChanges)
 {
-  if (!aChanges.empty()) {
-    m_state.m_behindSince.reset();
-  }
   for (const RowChanges& changes : aChanges) {
     NoticeEra(changes.m_upTo);
     ApplyRows(m_state.m_rows.ApplyChanges(changes));
@@ -199,28 +204,83 @@
          m_state.m_rows.CompleteUpTo(aFeed);
 }
 
-// Requests changes that the sender has and this node lacks, unless they arrive
-// in time.
-void EntryReduction::RequestRowsIfBehind(const NodeNews& aUpdate)
+FeedVersions EntryReduction::OwnVersions() const
 {
-  bool isBehind = false;
+  FeedVersions versions;
   for (const auto& [feed, follower] : m_state.m_feeds) {
-    isBehind = isBehind || IsBehind(aUpdate, feed);
+    versions[static_cast<size_t>(feed)] = m_state.m_rows.CompleteUpTo(feed);
   }
-  const auto sender = m_state.m_directory.Others().find(aUpdate.m_node);
-  if (!isBehind || sender == m_state.m_directory.Others().end()) {
+  return versions;
+}
+
+// Records which changes the sender has, and requests missing ones if that is
+// due.
+void EntryReduction::RecordVersions(const NodeNews& aUpdate)
+{
+  if (m_state.m_directory.Others().count(aUpdate.m_node) == 0) {
     return;
   }
-  if (!m_state.m_behindSince) {
-    m_state.m_behindSince = m_now;
+  if (!aUpdate.m_rowChanges.empty()) {
+    m_state.m_rowRequests.OnAnswer(aUpdate.m_node);
   }
-  if (m_now - *m_state.m_behindSince < kBehindTimeout) {
+  m_state.m_rowRequests.OnVersions(
+    m_now, aUpdate.m_node, aUpdate.m_completeUpTo, OwnVersions());
+  RequestMissingRows();
+  // A node with an older version is behind itself and confirms nothing.
+  constexpr auto kOperator = static_cast<size_t>(Feed::Operator);
+  const bool hasSameVersion = aUpdate.m_completeUpTo.size() > kOperator &&
+                              aUpdate.m_completeUpTo[kOperator] ==
+                                m_state.m_rows.CompleteUpTo(Feed::Operator);
+  if (hasSameVersion) {
+    m_state.m_configCurrency.OnConfirmed(m_now);
+  }
+}
+
+// Returns since when another node has been known to have a later version of the
+// operators' rows.
+std::optional<Millis> EntryReduction::ConfigBehindSince() const
+{
+  return m_state.m_rowRequests.BehindSince(Feed::Operator, OwnVersions());
+}
+
+// Returns whether a version of the configuration that this node lacks may be in
+// force.
+bool EntryReduction::MayLackConfig() const
+{
+  return m_state.m_configCurrency.MayLackVersion(m_now, ConfigBehindSince());
+}
+
+void EntryReduction::TickConfigCurrency()
+{
+  ConfigCurrency& currency = m_state.m_configCurrency;
+  const bool wasOutdated = currency.IsLongInDoubt();
+  const std::optional<Millis> before = currency.DoubtSince();
+  const std::optional<Millis> behindSince = ConfigBehindSince();
+  currency.OnTick(m_now, behindSince);
+  if (wasOutdated == currency.IsLongInDoubt()) {
     return;
   }
-  m_state.m_behindSince.reset();
-  NodeNews request = MakePeerUpdate();
-  request.m_requestsRows = true;
-  Send({ aUpdate.m_node }, std::move(request));
+  const Millis since = currency.DoubtSince().value_or(before.value_or(m_now));
+  Log(LogLevel::Warn,
+      wasOutdated ? "config-current" : "config-outdated",
+      { { "version",
+          m_state.m_routes
+            ? std::to_string(m_state.m_routes->Config().m_version.Value())
+            : "none" },
+        { "behind", behindSince ? "yes" : "unknown" },
+        { "store-lost", IsStoreLost() ? "yes" : "no" },
+        { "for-ms", std::to_string((m_now - since).Count()) } });
+}
+
+void EntryReduction::RequestMissingRows()
+{
+  const std::optional<NodeId> node =
+    m_state.m_rowRequests.Next(m_now, OwnVersions());
+  if (node) {
+    NodeNews request = MakePeerUpdate();
+    request.m_requestsRows = true;
+    Send({ *node }, std::move(request));
+  }
 }
 
 // Sends a node the changes that it lacks.
@@ -240,9 +300,8 @@
       answer.m_rowChanges.push_back(std::move(changes));
     }
   }
-  if (!answer.m_rowChanges.empty()) {
-    Send({ aUpdate.m_node }, std::move(answer));
-  }
+  // Without rows it tells the requester that it lacks nothing.
+  Send({ aUpdate.m_node }, std::move(answer));
 }
 
 } // namespace briarglade::internal
