--- a/briarglade/gateway/gateway_config.h
+++ b/briarglade/gateway/gateway_config.h
@@ -99,6 +99,10 @@
   uint32_t m_stepsPerPass = 1;
   // Loads from the weight store that may start per second, over all hosts.
   double m_loadsPerSecond = 1;
+  // Mean number of tokens of a prompt and of an answer over all models; zero if
+  // not stated.
+  double m_usualPromptTokens = 0;
+  double m_usualAnswerTokens = 0;
   // Number of models that a host keeps staged.
   uint32_t m_stagedModels = 1;
   // Time from the order to open a group until the group serves requests.
