Grouping: groups move to the model whose work they lack capacity for

Callers saw: after a shift of demand between two models, or with wrong initial shares, the groups never followed. Most urgent requests of the larger model waited while healthy groups of the other one were nearly idle. Cause: a healthy group was never given up for another model, and hosts that became free were reserved for repairs. Change: with traffic and known work, the lease holder compares the layout with the planned one. If the smallest ratio of capacity to demand would grow by 25 % (15 % while a model has less than it needs) and is not ample, it orders the hosts of groups to be given up to stage the other model while they serve, within the load budget, of which a quarter stays free for repairs. Once all members of the groups of a change report the weights, the groups end gracefully ("capacity-moved", up to 30 s to finish requests) and PlanGroups forms what the plan wants. One change per domain at a time, none in a domain with a forming, ending or suspected group, at most a quarter of a model's groups at once, none for 10 s after the lease was taken, and none away from the model that gained last for 30 s, doubled up to 240 s while demand swings. Before traffic, members of open groups stage the other model. A new holder counts the loads that the earlier one may have spent on staging. The remaining cases pass without the change, too; they guard against wrong moves. Tests changed: FakeServers carries out stage orders; LoadCount() still counts the loads of joins only. The Simulation of group_control_test marks reports as outdated after an order, as the entry node's reducer does. No check was eased.

--- a/briarglade/grouping/fake_servers_test.h
+++ b/briarglade/grouping/fake_servers_test.h
@@ -70,6 +70,10 @@
         place->m_phase = GroupPhase::Ready;
         m_wasReady.insert({ host, place->m_generation });
       }
+      if (!server.m_staging.IsEmpty() && aNow >= server.m_stagedAt) {
+        server.m_record.m_staged = { server.m_staging };
+        server.m_staging = ModelId();
+      }
     }
   }
 
@@ -91,7 +95,12 @@
     server.m_record.m_orderCount = 0;
     ++server.m_record.m_startedAt;
     server.m_members.clear();
+    server.m_staging = ModelId();
   }
+  // Callers have begun to send requests: staging takes its full time.
+  void SetTraffic(bool aHasTraffic) { m_hasTraffic = aHasTraffic; }
+  // Returns the number of loads that stage orders have started.
+  size_t StageCount() const { return m_stageCount; }
   bool IsUp(const HostId& aHost) const { return m_servers.at(aHost).m_isUp; }
   // Returns the leader of an open group, or an empty id.
   HostId OpenLeader() const
@@ -117,7 +126,7 @@
     m_loadStartTimes.clear();
     m_maxLoads = 0;
   }
-  // Returns the total number of loads that were started.
+  // Returns the total number of loads that joins have started.
   size_t LoadCount() const { return m_loadCount; }
   // Returns the highest number of loads that started within one window.
   size_t MaxLoadsInWindow() const { return m_maxLoads; }
@@ -201,6 +210,9 @@
     Millis m_readyAt;
     std::vector<HostId> m_members;
     ModelId m_lastModel;
+    // Weights that are being staged.
+    ModelId m_staging;
+    Millis m_stagedAt;
   };
 
   static bool IsOpen(const Server& aServer)
@@ -235,11 +247,29 @@
       case OrderKind::Leave:
         return Leave(aServer, aOrder);
       case OrderKind::Stage:
-        return OrderStatus::Accepted;
+        return Stage(aNow, aServer, aOrder);
     }
     return OrderStatus::Invalid;
   }
 
+  // Loads weights beside the server's work. The host keeps one model staged.
+  OrderStatus Stage(Millis aNow, Server& aServer, const GroupOrder& aOrder)
+  {
+    const ReplicaModel* model = m_engine.FindModel(aOrder.m_model);
+    if (model == nullptr) {
+      return OrderStatus::Invalid;
+    }
+    if (aServer.m_record.HasStaged(aOrder.m_model)) {
+      return OrderStatus::Done;
+    }
+    RecordLoad(aNow);
+    ++m_stageCount;
+    aServer.m_staging = aOrder.m_model;
+    aServer.m_stagedAt =
+      aNow + (m_hasTraffic ? model->m_loadTime : model->m_loadTime / 10);
+    return OrderStatus::Accepted;
+  }
+
   OrderStatus Join(Millis aNow, Server& aServer, const GroupOrder& aOrder)
   {
     std::optional<GroupMembership>& place = aServer.m_record.m_groupMembership;
@@ -274,6 +304,7 @@
     const bool isWarm = aServer.m_lastModel == aOrder.m_model;
     const bool isStaged = aServer.m_record.HasStaged(aOrder.m_model);
     if (!isWarm && !isStaged) {
+      ++m_loadCount;
       RecordLoad(aNow);
     }
     aServer.m_readyAt = aNow + (isWarm     ? Millis(200)
@@ -286,7 +317,6 @@
 
   void RecordLoad(Millis aNow)
   {
-    ++m_loadCount;
     m_loadStartTimes.push_back(aNow);
     while (aNow - m_loadStartTimes.front() >= m_loadWindow) {
       m_loadStartTimes.pop_front();
@@ -342,6 +372,8 @@
   std::deque<Millis> m_loadStartTimes;
   size_t m_maxLoads = 0;
   size_t m_loadCount = 0;
+  size_t m_stageCount = 0;
+  bool m_hasTraffic = false;
 };
 
 } // namespace briarglade
--- a/briarglade/grouping/group_control.cc
+++ b/briarglade/grouping/group_control.cc
@@ -53,6 +53,8 @@
   m_openedGroups.clear();
   m_suspectedHosts.clear();
   m_standbys.clear();
+  m_capacity.clear();
+  m_stageOrders.clear();
   m_reportsRequestedAt.clear();
   m_heardHosts.clear();
   m_unheardSince.clear();
@@ -131,6 +133,8 @@
   order.m_model = aGroup.m_model;
   if (aKind == OrderKind::Join) {
     order.m_members = aGroup.m_members;
+  }
+  if (aKind == OrderKind::Join || aKind == OrderKind::Stage) {
     order.m_expectedOrders = server->second.m_membershipHistory.OrderCount();
   }
   order.m_fencing = m_token;
@@ -154,7 +158,8 @@
   const size_t listed = m_view->m_servers.size();
   if (m_heardHosts.size() <= listed && m_reportsRequestedAt.size() <= listed &&
       m_unheardSince.size() <= listed &&
-      m_unconfiguredOrderedAt.size() <= listed) {
+      m_unconfiguredOrderedAt.size() <= listed &&
+      m_stageOrders.size() <= listed) {
     return;
   }
   const auto isRemoved = [this](const auto& aEntry) {
@@ -163,6 +168,7 @@
   EraseIf(m_reportsRequestedAt, isRemoved);
   EraseIf(m_unheardSince, isRemoved);
   EraseIf(m_unconfiguredOrderedAt, isRemoved);
+  EraseIf(m_stageOrders, isRemoved);
   EraseIf(m_heardHosts, [this](const HostId& aHost) {
     return m_view->m_servers.count(aHost) == 0;
   });
@@ -309,6 +315,15 @@
   const auto joining = std::count_if(
     m_view->m_servers.begin(), m_view->m_servers.end(), isJoining);
   m_loadBudget.RecordLoads(m_now, static_cast<uint32_t>(joining));
+  // Servers do not report what they are staging, so the earlier holder may have
+  // used all loads that staging may use.
+  for (const auto& [id, service] : m_view->m_config.m_services) {
+    if (m_view->m_hasTraffic && service.m_engine &&
+        service.m_engine->m_models.size() > 1) {
+      ConfigureLoadBudget(*service.m_engine);
+      m_loadBudget.RecordLoads(m_now, m_loadBudget.StagingLoads());
+    }
+  }
 }
 
 // Probes the members of groups that were reported as unresponsive, and servers
@@ -420,6 +435,10 @@
     forming->second.m_isOpened = true;
     forming->second.m_openedAt = aNow;
   }
+  const auto staging = m_stageOrders.find(order.m_host);
+  if (order.m_kind == OrderKind::Stage && staging != m_stageOrders.end()) {
+    staging->second.m_isRefused = aAnswered.m_status == OrderStatus::Conflict;
+  }
   if (order.m_kind == OrderKind::Leave && ending != m_endingGroups.end()) {
     // A different server at the address shows that the member's process has
     // ended.
@@ -452,6 +471,8 @@
     ProgressEndings();
     ProgressForming();
     UpdateAssignedHosts();
+    AllocateHosts();
+    UpdateAssignedHosts();
     FormGroups();
   }
   m_view = nullptr;
--- a/briarglade/grouping/group_control.h
+++ b/briarglade/grouping/group_control.h
@@ -2,6 +2,11 @@
 // opens each one once every member is ready, and ends groups that have lost a
 // member, so that their hosts can form new ones.
 //
+// If the measured work of a service's models does not fit the groups, hosts
+// move from one model to another: the weights are staged while the host serves,
+// and then the group ends gracefully. A move's only state is what servers
+// report.
+//
 // Four rules ensure that a host is in at most one group, even if answers are
 // lost or orders are carried out late:
 //  - Each new group has a higher generation than all earlier ones, and a server
@@ -24,6 +29,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_set>
@@ -34,10 +40,12 @@
 #include "briarglade/base/log_event.h"
 #include "briarglade/base/millis.h"
 #include "briarglade/base/unique_ids.h"
+#include "briarglade/grouping/capacity_plan.h"
 #include "briarglade/grouping/group_order.h"
 #include "briarglade/grouping/group_plan.h"
 #include "briarglade/grouping/group_view.h"
 #include "briarglade/grouping/load_budget.h"
+#include "briarglade/grouping/model_work.h"
 
 namespace briarglade {
 
@@ -64,6 +72,8 @@
   bool m_hasTraffic = false;
   // Number of requests in flight or queued for each model.
   std::map<ModelId, double> m_demand = {};
+  // The work per second that callers of all nodes request; empty if unknown.
+  WorkByModel m_work = {};
 };
 
 // Limits on weight loads.
@@ -132,6 +142,8 @@
     ReplicaGroup m_group;
     // Running requests are finished first.
     bool m_isGraceful = false;
+    // Its hosts are to serve another model.
+    bool m_isMove = false;
     Millis m_since;
     Millis m_orderedAt;
     // The leader has left the group or stopped running.
@@ -159,6 +171,7 @@
 
   bool SurveyServers();
   void RecordInheritedLoads();
+  void ConfigureLoadBudget(const EngineSpec& aEngine);
   bool MayHaveUnknownMember(const ReplicaGroup& aGroup);
   void ExpireOpenedGroups();
   void EndBrokenGroups();
@@ -188,6 +201,25 @@
                     ReplicaGroup aGroup,
                     uint32_t aLoads);
 
+  void AllocateHosts();
+  void UpdateCapacity(const ServiceSpec& aService);
+  CapacityInput SurveyCapacity(const ServiceSpec& aService) const;
+  void MoveGroups(const ServiceSpec& aService);
+  std::vector<const ReplicaGroup*> ChooseSources(
+    const ServiceId& aService,
+    const DomainId& aDomain,
+    const DomainChange& aChange) const;
+  bool IsDisturbed(const DomainId& aDomain) const;
+  uint32_t CountMoves() const;
+  std::vector<HostId> MembersWithout(const ReplicaGroup& aGroup,
+                                     const ModelId& aModel) const;
+  bool StageModel(const HostId& aHost, const ReplicaModel& aModel);
+  void StageBeforeTraffic(const ServiceSpec& aService);
+  void MoveHosts(const ServiceSpec& aService,
+                 const DomainId& aDomain,
+                 const DomainChange& aChange,
+                 const std::vector<const ReplicaGroup*>& aSources);
+
   void RequestReport(const HostId& aHost);
   void ForgetRemovedHosts();
   OrderBasis BasisOf(const ServerRecord& aServer) const;
@@ -258,6 +290,33 @@
     Millis m_switchedAt = Millis(-1'000'000);
   };
   std::map<DomainId, FreeHosts> m_freeHosts;
+  // The target layout of a service, when it was planned, and whether groups are
+  // moved towards it.
+  struct ServiceCapacity
+  {
+    CapacityInput m_input;
+    CapacityPlan m_plan;
+    Millis m_plannedAt = Millis(-1'000'000);
+    // Since when the target has been much better than the present layout.
+    std::optional<Millis> m_unfitSince;
+    bool m_isActive = false;
+    // The model that last gained groups by a move, and when.
+    ModelId m_lastGainer;
+    Millis m_lastMoveAt;
+    // How long no group moves away from that model.
+    Millis m_reversalTime;
+  };
+  std::map<ServiceId, ServiceCapacity> m_capacity;
+  // The model that a host was last ordered to stage, and when.
+  struct StageOrder
+  {
+    ModelId m_model;
+    Millis m_orderedAt;
+    // The server has refused it because its report was outdated.
+    bool m_isRefused = false;
+  };
+  std::map<HostId, StageOrder> m_stageOrders;
+  uint32_t m_stageMessagesInTick = 0;
 
   // Valid while Tick() runs.
   Millis m_now;
--- a/briarglade/grouping/group_control_test.cc
+++ b/briarglade/grouping/group_control_test.cc
@@ -91,6 +91,15 @@
     }
   }
 
+  // An order outdates the server's last report, as in the entry node's reducer.
+  void Invalidate(const GroupOrder& aOrder)
+  {
+    const auto known = m_view.find(aOrder.m_host);
+    if (known != m_view.end()) {
+      known->second.m_membershipHistory.InvalidateReport(m_now);
+    }
+  }
+
   void Send(GroupControl& aControl, const GroupOrder& aOrder)
   {
     if (Chance(m_lostOrderPercent)) {
@@ -100,10 +109,12 @@
       } else if (Chance(50)) {
         m_servers.Execute(m_now, aOrder);
       }
+      Invalidate(aOrder);
       aControl.OnOrderAnswered(m_now, { aOrder, OrderStatus::Unknown });
       return;
     }
     const OrderStatus status = m_servers.Execute(m_now, aOrder);
+    Invalidate(aOrder);
     if (!aControl.OnOrderAnswered(m_now, { aOrder, status })) {
       aControl.End();
     }
--- a/briarglade/grouping/group_ending.cc
+++ b/briarglade/grouping/group_ending.cc
@@ -15,6 +15,9 @@
 
 // Time that a group with a draining member has to finish its running requests.
 constexpr Millis kFinishTime = Millis(6'000);
+// The same for a group whose hosts move to another model. All of its requests
+// are to finish, so this only limits a leader that does not close.
+constexpr Millis kMoveFinishTime = Millis(30'000);
 // A server that has given a new holder no report for this long is not waited
 // for any longer.
 constexpr Millis kReportTimeout = Millis(2'000);
@@ -159,7 +162,8 @@
   const bool isServing = seen != m_view->m_groups.end() &&
                          (seen->second.m_leaderPhase == GroupPhase::Open ||
                           seen->second.m_leaderPhase == GroupPhase::Closing);
-  const bool isWithinTime = m_now - aEnding.m_since < kFinishTime;
+  const bool isWithinTime = m_now - aEnding.m_since <
+                            (aEnding.m_isMove ? kMoveFinishTime : kFinishTime);
   const bool shouldClose = aEnding.m_isGraceful && isServing && isWithinTime;
   Order(shouldClose ? OrderKind::Close : OrderKind::Leave,
         aEnding.m_group.Leader(),
--- a/briarglade/grouping/group_forming.cc
+++ b/briarglade/grouping/group_forming.cc
@@ -10,6 +10,7 @@
 
 namespace briarglade {
 
+using internal::kLoadTimeDivisorBeforeTraffic;
 using internal::kOrderRetryTime;
 
 namespace {
@@ -25,9 +26,6 @@
 // kReadyMargin before they should be ready.
 constexpr Millis kLoadingProbePeriod = Millis(1'000);
 constexpr Millis kReadyMargin = Millis(200);
-// Before the first request, a load takes 1/kLoadTimeDivisorBeforeTraffic of its
-// usual time.
-constexpr int64_t kLoadTimeDivisorBeforeTraffic = 10;
 // A forming group is abandoned if it is not ready after twice the load time
 // plus this time.
 constexpr Millis kFormingGrace = Millis(4'000);
@@ -340,6 +338,14 @@
   input.m_groups = CountGroups(aService.m_id, DomainId());
   input.m_groupsInDomain = CountGroups(aService.m_id, aFree.front()->m_domain);
   input.m_demand = m_view->m_demand;
+  const auto capacity = m_capacity.find(aService.m_id);
+  if (capacity != m_capacity.end() && capacity->second.m_isActive) {
+    const auto& layout = capacity->second.m_plan.m_domains;
+    const auto wanted = layout.find(aFree.front()->m_domain);
+    if (wanted != layout.end()) {
+      input.m_wanted = wanted->second;
+    }
+  }
   const bool hasSettled = HasSettled(aFree.front()->m_domain, aFree);
   input.m_loadsAllowed = hasSettled ? m_loadBudget.AllowedLoads(m_now) : 0;
   const FreeHosts& known = m_freeHosts[aFree.front()->m_domain];
@@ -373,19 +379,23 @@
   }
 }
 
+void GroupControl::ConfigureLoadBudget(const EngineSpec& aEngine)
+{
+  const double seconds =
+    static_cast<double>(m_bounds.m_loadWindow.Count()) / kMillisPerSecond;
+  m_loadBudget.Configure(
+    m_bounds.m_loadWindow,
+    static_cast<uint32_t>(aEngine.m_loadsPerSecond * seconds) + kLoadSlack);
+  m_loadBudget.SetUnbounded(!m_view->m_hasTraffic);
+}
+
 void GroupControl::FormGroups()
 {
   for (const auto& [id, service] : m_view->m_config.m_services) {
     if (!service.m_engine) {
       continue;
     }
-    const double seconds =
-      static_cast<double>(m_bounds.m_loadWindow.Count()) / kMillisPerSecond;
-    m_loadBudget.Configure(
-      m_bounds.m_loadWindow,
-      static_cast<uint32_t>(service.m_engine->m_loadsPerSecond * seconds) +
-        kLoadSlack);
-    m_loadBudget.SetUnbounded(!m_view->m_hasTraffic);
+    ConfigureLoadBudget(*service.m_engine);
     std::map<DomainId, std::vector<const ServerRecord*>> free;
     for (const auto& [host, server] : m_view->m_servers) {
       if (server.m_service == id && IsFree(server)) {
--- a/briarglade/grouping/group_plan.cc
+++ b/briarglade/grouping/group_plan.cc
@@ -133,12 +133,44 @@
   return reserved;
 }
 
+// Returns the next group that the domain lacks by demand, with at most
+// aMaxLoads weight loads: of the model whose missing part is the largest.
+std::optional<PlannedGroup> PlanWantedGroup(const GroupPlanInput& aInput,
+                                            uint32_t aMaxLoads)
+{
+  std::optional<PlannedGroup> best;
+  double bestMissing = 0;
+  for (const ReplicaModel& model : aInput.m_engine->m_models) {
+    const auto wanted = aInput.m_wanted->find(model.m_id);
+    const auto has = aInput.m_groupsInDomain.find(model.m_id);
+    const uint32_t target =
+      wanted == aInput.m_wanted->end() ? 0 : wanted->second;
+    const uint32_t count =
+      has == aInput.m_groupsInDomain.end() ? 0 : has->second;
+    const size_t needed = model.m_size + kSpareHosts;
+    if (count >= target || model.m_size == 0 || aInput.m_free.size() < needed) {
+      continue;
+    }
+    std::vector<FreeHost> free = aInput.m_free;
+    PlannedGroup group = ChooseHosts(free, model);
+    const double missing = static_cast<double>(target - count) / target;
+    if (group.m_loads <= aMaxLoads && (!best || missing > bestMissing)) {
+      best = std::move(group);
+      bestMissing = missing;
+    }
+  }
+  return best;
+}
+
 // Returns the next group to form with at most aMaxLoads weight loads, or
 // nothing if none is due. Prefers groups that need fewer loads: they are ready
 // sooner and leave more of the load limit to others.
 std::optional<PlannedGroup> PlanNextGroup(const GroupPlanInput& aInput,
                                           uint32_t aMaxLoads)
 {
+  if (aInput.m_wanted) {
+    return PlanWantedGroup(aInput, aMaxLoads);
+  }
   const std::vector<const ReplicaModel*> models = RankModels(aInput);
   std::optional<PlannedGroup> best;
   double bestPriority = 0;
--- a/briarglade/grouping/group_plan.h
+++ b/briarglade/grouping/group_plan.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "briarglade/base/ids.h"
@@ -45,6 +46,10 @@
   // Number of requests in flight or queued for each model; empty if not known
   // yet.
   std::map<ModelId, double> m_demand;
+  // The number of groups of each model that the domain should have by demand.
+  // If set, only these are formed, and the hosts reserved for repairs are
+  // kSpareHosts.
+  std::optional<std::map<ModelId, uint32_t>> m_wanted = std::nullopt;
   // Number of weight loads that may start now.
   uint32_t m_loadsAllowed = 0;
   // Spare hosts may replace the weights that they hold by those of another
--- a/briarglade/grouping/load_budget.cc
+++ b/briarglade/grouping/load_budget.cc
@@ -23,6 +23,12 @@
   return started >= m_maxLoads ? 0 : m_maxLoads - started;
 }
 
+bool LoadBudget::AllowsStaging(Millis aNow)
+{
+  return AllowedLoads(aNow) > 0 &&
+         (m_unbounded || m_startTimes.size() < StagingLoads());
+}
+
 void LoadBudget::RecordLoads(Millis aNow, uint32_t aLoads)
 {
   m_startTimes.insert(m_startTimes.end(), aLoads, aNow);
--- a/briarglade/grouping/load_budget.h
+++ b/briarglade/grouping/load_budget.h
@@ -27,6 +27,11 @@
   // weight store serves no one else. Loads are recorded in either case.
   void SetUnbounded(bool aUnbounded) { m_unbounded = aUnbounded; }
 
+  // Returns how many of the loads of a window staging may use. The others
+  // remain for repairs.
+  uint32_t StagingLoads() const { return m_maxLoads - m_maxLoads / 4; }
+  // Returns whether a load for staging may start at aNow.
+  bool AllowsStaging(Millis aNow);
   // Returns how many loads may start at aNow. Drops recorded loads that have
   // left the window.
   uint32_t AllowedLoads(Millis aNow);
