Grouping: no work is stated before requests have arrived for 2 s

Callers would see: the very first requests after the start of traffic, which may all be of one model, could have made groups of the other model move within a second. Change: WorkMeter states no rates during the first 2 s of requests, so the holder does not know the work and moves nothing.

--- a/briarglade/grouping/work_meter.cc
+++ b/briarglade/grouping/work_meter.cc
@@ -13,9 +13,9 @@
 // this time.
 constexpr double kTimeConstantMillis = 3'000;
 constexpr double kMillisPerSecond = 1'000;
-// The shortest time over which a rate is computed, so that the first requests
-// are not taken for a high rate.
-constexpr double kShortestMillis = 500;
+// No rates are stated before requests have arrived for this long: the first few
+// requests do not show the shares of the models.
+constexpr Millis kShortestMeasurement = Millis(2'000);
 // A model with fewer requests per second than this is left out.
 constexpr double kNegligibleRate = 0.001;
 
@@ -51,12 +51,12 @@
 WorkByModel WorkMeter::Rates(Millis aNow) const
 {
   WorkByModel rates;
-  if (m_since < Millis()) {
+  if (m_since < Millis() || aNow - m_since < kShortestMeasurement) {
     return rates;
   }
   const double covered =
     kTimeConstantMillis * (1 - WeightAfter(aNow - m_since));
-  const double seconds = std::max(covered, kShortestMillis) / kMillisPerSecond;
+  const double seconds = covered / kMillisPerSecond;
   for (const auto& [model, entry] : m_entries) {
     const ModelWork rate =
       Scale(entry.m_sum, WeightAfter(aNow - entry.m_at) / seconds);
