Nodes report the work that their callers request of each model

Callers saw: the lease holder knew only the requests in flight and, scaled by the number of nodes, its own queues. Work that other nodes queued or refused did not count, so an overloaded model seemed to need no more than it got. Change: each node counts the arriving requests of configured models with their prompt tokens and expected answer tokens, and sends the rates with its reports. Relays sum them in the digests of the fleet and of their zone, with the same lifetime (2 s) as the loads. The lease holder passes the sum to the control of groups, which moves hosts by it; without a relay's digest the work counts as unknown and nothing moves. Values that are no rates are read as none. No test runs a move through several entry nodes yet.

--- a/briarglade/entry/fleet_loads.cc
+++ b/briarglade/entry/fleet_loads.cc
@@ -1,4 +1,4 @@
-// Sums of the in-flight loads of other nodes.
+// Sums of the in-flight loads and the requested work of other nodes.
 
 #include "briarglade/entry/fleet_loads.h"
 
@@ -63,6 +63,14 @@
   }
 }
 
+template<typename Parts>
+void AddAllWork(WorkByModel& aSum, const Parts& aLoadsBySource)
+{
+  for (const auto& [source, timed] : aLoadsBySource) {
+    AddWork(aSum, timed.m_work);
+  }
+}
+
 } // namespace
 
 std::vector<ServerLoad> AddLoads(const std::vector<ServerLoad>& aOne,
@@ -85,22 +93,28 @@
 void FleetLoads::OnReport(Millis aNow,
                           const NodeId& aNode,
                           uint16_t aNumber,
-                          std::vector<ServerLoad> aLoads)
+                          std::vector<ServerLoad> aLoads,
+                          WorkByModel aWork)
 {
-  m_reports[aNode] = TimedLoads{ aNow, aNumber, std::move(aLoads) };
+  m_reports[aNode] =
+    TimedLoads{ aNow, aNumber, std::move(aLoads), std::move(aWork) };
 }
 
 void FleetLoads::OnZone(Millis aAsOf,
                         const ZoneId& aZone,
-                        std::vector<ServerLoad> aLoads)
+                        std::vector<ServerLoad> aLoads,
+                        WorkByModel aWork)
 {
-  m_zones[aZone] = TimedLoads{ aAsOf, 0, std::move(aLoads) };
+  m_zones[aZone] = TimedLoads{ aAsOf, 0, std::move(aLoads), std::move(aWork) };
 }
 
 void FleetLoads::OnFleet(Millis aNow,
                          const std::vector<ServerLoad>& aLoads,
-                         std::optional<uint16_t> aOwnNumber)
+                         std::optional<uint16_t> aOwnNumber,
+                         WorkByModel aWork)
 {
+  m_workFromRelay = std::move(aWork);
+  m_includesOwnWork = aOwnNumber.has_value();
   Sums sums;
   Add(sums, aLoads);
   for (const OwnReport& own : m_ownReports) {
@@ -121,6 +135,9 @@
   EraseIf(m_zones, isExpired);
   const bool isRelaySumExpired =
     !m_fromRelay.empty() && aNow - m_fromRelayAt > kLoadLifetime;
+  if (aNow - m_fromRelayAt > kLoadLifetime) {
+    m_workFromRelay.clear();
+  }
   if (isRelaySumExpired) {
     m_fromRelay.clear();
   }
@@ -147,6 +164,27 @@
                                : zone->second.m_loads;
 }
 
+WorkByModel FleetLoads::WorkOfReports() const
+{
+  WorkByModel sum;
+  AddAllWork(sum, m_reports);
+  return sum;
+}
+
+WorkByModel FleetLoads::WorkOfReportsAndZones() const
+{
+  WorkByModel sum;
+  AddAllWork(sum, m_reports);
+  AddAllWork(sum, m_zones);
+  return sum;
+}
+
+WorkByModel FleetLoads::WorkOfZone(const ZoneId& aZone) const
+{
+  const auto zone = m_zones.find(aZone);
+  return zone == m_zones.end() ? WorkByModel() : zone->second.m_work;
+}
+
 std::vector<ServerLoad> FleetLoads::SumOfReportsAndZones() const
 {
   Sums sums;
--- a/briarglade/entry/fleet_loads.h
+++ b/briarglade/entry/fleet_loads.h
@@ -1,6 +1,7 @@
-// Sums what the other nodes have in flight at each server. The sources are the
-// nodes that report to this node, relays of other zones, and this node's own
-// relay, whose sums also include this node's last report.
+// Sums what the other nodes have in flight at each server, and the work that
+// their callers request of each model. The sources are the nodes that report to
+// this node, relays of other zones, and this node's own relay, whose sums also
+// include this node's last report.
 //
 // Example:
 //   loads.OnOwnReport(number, ownLoads);
@@ -18,6 +19,7 @@
 #include "briarglade/base/ids.h"
 #include "briarglade/base/millis.h"
 #include "briarglade/gateway/gateway_event.h"
+#include "briarglade/grouping/model_work.h"
 
 namespace briarglade {
 
@@ -34,16 +36,19 @@
   void OnReport(Millis aNow,
                 const NodeId& aNode,
                 uint16_t aNumber,
-                std::vector<ServerLoad> aLoads);
+                std::vector<ServerLoad> aLoads,
+                WorkByModel aWork = {});
   // Records a zone's sum as of a time.
   void OnZone(Millis aAsOf,
               const ZoneId& aZone,
-              std::vector<ServerLoad> aLoads);
+              std::vector<ServerLoad> aLoads,
+              WorkByModel aWork = {});
   // Records the fleet's sum as sent by this node's relay. It includes this
   // node's report of the given number; nullopt if it includes none.
   void OnFleet(Millis aNow,
                const std::vector<ServerLoad>& aLoads,
-               std::optional<uint16_t> aOwnNumber);
+               std::optional<uint16_t> aOwnNumber,
+               WorkByModel aWork = {});
   // Removes expired loads. Returns whether the sum sent by this node's relay
   // has expired.
   bool Expire(Millis aNow);
@@ -58,12 +63,22 @@
   // Returns the loads of all other nodes as last sent by this node's relay.
   const std::vector<ServerLoad>& FromRelay() const { return m_fromRelay; }
 
+  // Return the sums of the requested work like the sums of the loads above.
+  WorkByModel WorkOfReports() const;
+  WorkByModel WorkOfReportsAndZones() const;
+  WorkByModel WorkOfZone(const ZoneId& aZone) const;
+  // Returns the work of all nodes as last sent by this node's relay, and
+  // whether it includes a report of this node. Empty if it has expired.
+  const WorkByModel& WorkFromRelay() const { return m_workFromRelay; }
+  bool IncludesOwnWork() const { return m_includesOwnWork; }
+
 private:
   struct TimedLoads
   {
     Millis m_at;
     uint16_t m_number = 0;
     std::vector<ServerLoad> m_loads;
+    WorkByModel m_work;
   };
   struct OwnReport
   {
@@ -76,6 +91,8 @@
   std::map<ZoneId, TimedLoads> m_zones;
   Millis m_fromRelayAt;
   std::vector<ServerLoad> m_fromRelay;
+  WorkByModel m_workFromRelay;
+  bool m_includesOwnWork = false;
 };
 
 } // namespace briarglade
--- a/briarglade/entry/fleet_loads_test.cc
+++ b/briarglade/entry/fleet_loads_test.cc
@@ -59,5 +59,29 @@
   CHECK_FALSE(loads.Expire(Millis(3'200)));
 }
 
+TEST_CASE("the work by model is summed and expires like the loads")
+{
+  const ModelId model("m");
+  const auto work = [&](double aRequests) {
+    return WorkByModel{ { model, ModelWork{ aRequests, 100, 10 } } };
+  };
+  FleetLoads loads;
+  loads.OnReport(Millis(2'000), NodeId("n1"), 1, {}, work(3));
+  loads.OnReport(Millis(2'000), NodeId("n2"), 1, {}, work(2));
+  loads.OnZone(Millis(1'500), ZoneId("b"), {}, work(10));
+  CHECK(loads.WorkOfReports().at(model).m_requests == 5);
+  CHECK(loads.WorkOfReportsAndZones().at(model).m_requests == 15);
+  CHECK(loads.WorkOfReportsAndZones().at(model).m_promptTokens == 300);
+  CHECK(loads.WorkOfZone(ZoneId("b")).at(model).m_requests == 10);
+  CHECK(loads.WorkOfZone(ZoneId("c")).empty());
+  loads.OnFleet(Millis(2'000), {}, std::nullopt, work(20));
+  CHECK(loads.WorkFromRelay().at(model).m_requests == 20);
+  CHECK_FALSE(loads.IncludesOwnWork());
+  // Stale work would show a demand that may have shifted.
+  loads.Expire(Millis(4'100));
+  CHECK(loads.WorkOfReportsAndZones().empty());
+  CHECK(loads.WorkFromRelay().empty());
+}
+
 } // namespace
 } // namespace briarglade
--- a/briarglade/entry/internal/caller_requests.cc
+++ b/briarglade/entry/internal/caller_requests.cc
@@ -44,6 +44,25 @@
          m_now >= LateRequestsSince() && latestEnd > ExitTime();
 }
 
+// Counts the work that a request asks of its model. The usual counts stand in
+// for those that the caller has not stated. Models that the service lacks are
+// not counted, as callers can name any.
+void EntryReduction::RecordWork(const CallerRequestArrived& aRequest,
+                                const EngineSpec& aEngine)
+{
+  if (aEngine.FindModel(aRequest.m_model) == nullptr) {
+    return;
+  }
+  const double prompt = aRequest.m_promptTokens > 0
+                          ? aRequest.m_promptTokens
+                          : aEngine.m_usualPromptTokens;
+  const double most = aRequest.m_answerTokens;
+  const double usual = aEngine.m_usualAnswerTokens;
+  const double answer =
+    most > 0 && usual > 0 ? std::min(most, usual) : std::max(most, usual);
+  m_state.m_workMeter.Record(m_now, aRequest.m_model, prompt, answer);
+}
+
 void EntryReduction::On(const RequestReceived& aReceived)
 {
   m_state.m_hasTraffic = true;
@@ -91,6 +110,9 @@
   arrived.m_answerTokens = request.m_maxAnswerTokens;
   arrived.m_sharedParts = request.m_sharedParts;
   arrived.m_fingerprint = aReceived.m_fingerprint;
+  if (isEngine) {
+    RecordWork(arrived, *service->m_engine);
+  }
   if (MayOutlastThisNode(arrived)) {
     RejectRequest(aReceived, ResultCode::ShuttingDown, Millis());
     return;
--- a/briarglade/entry/internal/control_duties.cc
+++ b/briarglade/entry/internal/control_duties.cc
@@ -128,11 +128,17 @@
         { { "token", std::to_string(m_state.m_lease.Token().Value()) } });
   }
   const std::set<GroupId> suspects = Suspects();
-  const ControlView view{
-    m_state.m_servers,        m_state.m_groups, m_state.m_routes->Config(),
-    m_state.m_zonesOut,       suspects,         m_state.m_hasTraffic,
-    m_state.m_demand.Demand()
-  };
+  // Without a relay's digest only this node's own part of the work is known.
+  const bool isWorkKnown =
+    IsRelay() || !m_state.m_peerUpdates.m_loads.WorkFromRelay().empty();
+  const ControlView view{ m_state.m_servers,
+                          m_state.m_groups,
+                          m_state.m_routes->Config(),
+                          m_state.m_zonesOut,
+                          suspects,
+                          m_state.m_hasTraffic,
+                          m_state.m_demand.Demand(),
+                          isWorkKnown ? FleetWork() : WorkByModel() };
   for (ControlEffect& effect : m_state.m_control.Tick(m_now, view)) {
     std::visit(
       Overloaded{
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -105,6 +105,9 @@
   StatusDigest MakeFleetDigest(const std::vector<ServerLoad>& aOthers,
                                bool aHasAllNodes) const;
   std::vector<GroupId> ReportedSuspects() const;
+  WorkByModel FleetWork() const;
+  void RecordWork(const CallerRequestArrived& aRequest,
+                  const EngineSpec& aEngine);
   void SendZoneDigests();
   ZoneDigest MakeOwnZone() const;
   std::vector<ZoneAge> KnownZoneAges() const;
--- a/briarglade/entry/internal/update_receiving.cc
+++ b/briarglade/entry/internal/update_receiving.cc
@@ -102,8 +102,11 @@
   subscriber.m_subscription = aUpdate.m_subscription;
   subscriber.m_suspects = aUpdate.m_suspects;
   subscriber.m_isLeaving = aUpdate.m_condition.m_isLeaving;
-  updates.m_loads.OnReport(
-    m_now, aUpdate.m_node, aUpdate.m_reportNumber, aUpdate.m_loads);
+  updates.m_loads.OnReport(m_now,
+                           aUpdate.m_node,
+                           aUpdate.m_reportNumber,
+                           aUpdate.m_loads,
+                           aUpdate.m_work);
   updates.m_hasUrgentDigest =
     updates.m_hasUrgentDigest || hasMore || beginsToLeave;
 }
@@ -152,7 +155,7 @@
       ownNumber = status.m_reportNumber;
     }
   }
-  updates.m_loads.OnFleet(m_now, fleet.m_loads, ownNumber);
+  updates.m_loads.OnFleet(m_now, fleet.m_loads, ownNumber, fleet.m_work);
   UseLoads(updates.m_loads.FromRelay(), fleet.m_suspects);
 }
 
@@ -184,7 +187,8 @@
     updates.m_hasUrgentDigest || suspects.size() > zone.m_suspects.size();
   zone.m_asOf = asOf;
   zone.m_suspects = suspects;
-  updates.m_loads.OnZone(asOf, aZone.m_zone, aZone.m_digest.m_loads);
+  updates.m_loads.OnZone(
+    asOf, aZone.m_zone, aZone.m_digest.m_loads, aZone.m_digest.m_work);
 }
 
 // Applies the groups that the holder of the control lease has opened and that
--- a/briarglade/entry/internal/update_sending.cc
+++ b/briarglade/entry/internal/update_sending.cc
@@ -174,6 +174,7 @@
   report.m_reportNumber = ++updates.m_reportNumber;
   report.m_loads = m_state.m_gateway.m_backendTable.OwnLoad();
   report.m_suspects = OwnSuspects();
+  report.m_work = m_state.m_workMeter.Rates(m_now);
   updates.m_loads.OnOwnReport(report.m_reportNumber, report.m_loads);
   if (isDue) {
     updates.m_reportSentAt = m_now;
@@ -238,6 +239,19 @@
   return suspects;
 }
 
+// Returns the work that the callers of all nodes request, as far as this node
+// knows.
+WorkByModel EntryReduction::FleetWork() const
+{
+  const FleetLoads& loads = m_state.m_peerUpdates.m_loads;
+  WorkByModel work =
+    IsRelay() ? loads.WorkOfReportsAndZones() : loads.WorkFromRelay();
+  if (IsRelay() || !loads.IncludesOwnWork() || work.empty()) {
+    AddWork(work, m_state.m_workMeter.Rates(m_now));
+  }
+  return work;
+}
+
 // Returns a digest of the fleet, given the loads of all other nodes. The nodes
 // of other zones are included only from time to time, because they make up most
 // of the bytes.
@@ -249,6 +263,7 @@
     MakeDigest(aHasAllNodes ? ZoneId() : m_state.m_settings.m_zone);
   digest.m_loads =
     AddLoads(m_state.m_gateway.m_backendTable.OwnLoad(), aOthers);
+  digest.m_work = FleetWork();
   digest.m_suspects = ReportedSuspects();
   AppendSuspects(digest.m_suspects, m_state.m_peerUpdates.m_zones);
   return digest;
@@ -309,6 +324,8 @@
   ZoneDigest own{ zone, Millis(), MakeDigest(zone) };
   own.m_digest.m_loads = AddLoads(m_state.m_gateway.m_backendTable.OwnLoad(),
                                   m_state.m_peerUpdates.m_loads.SumOfReports());
+  own.m_digest.m_work = m_state.m_workMeter.Rates(m_now);
+  AddWork(own.m_digest.m_work, m_state.m_peerUpdates.m_loads.WorkOfReports());
   own.m_digest.m_suspects = ReportedSuspects();
   return own;
 }
@@ -347,6 +364,7 @@
     }
     ZoneDigest digest{ id, age, MakeDigest(id) };
     digest.m_digest.m_loads = m_state.m_peerUpdates.m_loads.SumOfZone(id);
+    digest.m_digest.m_work = m_state.m_peerUpdates.m_loads.WorkOfZone(id);
     digest.m_digest.m_suspects = zone.m_suspects;
     missed.push_back(std::move(digest));
   }
--- a/briarglade/entry/node_news.capnp
+++ b/briarglade/entry/node_news.capnp
@@ -10,6 +10,14 @@
   unreadTokens @2 :UInt32;
 }
 
+# What callers request of a model, per second.
+struct ModelWork {
+  model @0 :Text;
+  requests @1 :Float32;
+  promptTokens @2 :Float32;
+  answerTokens @3 :Float32;
+}
+
 # One row of the platform's store.
 struct Row {
   key @0 :Text;
@@ -117,6 +125,7 @@
   nodes @0 :List(NodeStatus);
   loads @1 :List(ServerLoad);
   suspects @2 :List(Text);
+  work @3 :List(ModelWork);
 }
 
 struct ZoneDigest {
@@ -170,4 +179,5 @@
   handed @14 :List(HandedRows);
   refusals @15 :List(TraitRefusal);
   rateLimits @16 :List(RateLimitNotice);
+  work @17 :List(ModelWork);
 }
--- a/briarglade/entry/node_news.capnp.h
+++ b/briarglade/entry/node_news.capnp.h
@@ -17,6 +17,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(8975e3d25eb1d430);
+CAPNP_DECLARE_SCHEMA(da688e260100d9e3);
 CAPNP_DECLARE_SCHEMA(cae8b89e662263b1);
 CAPNP_DECLARE_SCHEMA(966b647b7cbdaa8d);
 CAPNP_DECLARE_SCHEMA(e7dc5e3612357b25);
@@ -61,6 +62,26 @@
   };
 };
 
+struct ModelWork
+{
+  ModelWork() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate
+  {
+    CAPNP_DECLARE_STRUCT_HEADER(da688e260100d9e3, 2, 1)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand()
+    {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
+  };
+};
+
 struct Row
 {
   Row() = delete;
@@ -311,7 +332,7 @@
 
   struct _capnpPrivate
   {
-    CAPNP_DECLARE_STRUCT_HEADER(b36649ebb261f9ba, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(b36649ebb261f9ba, 0, 4)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand()
     {
@@ -391,7 +412,7 @@
 
   struct _capnpPrivate
   {
-    CAPNP_DECLARE_STRUCT_HEADER(cedd4078abce72d1, 3, 12)
+    CAPNP_DECLARE_STRUCT_HEADER(cedd4078abce72d1, 3, 13)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand()
     {
@@ -516,6 +537,124 @@
 };
 #endif // !CAPNP_LITE
 
+class ModelWork::Reader
+{
+public:
+  typedef ModelWork Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base)
+    : _reader(base)
+  {
+  }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasModel() const;
+  inline ::capnp::Text::Reader getModel() const;
+
+  inline float getRequests() const;
+
+  inline float getPromptTokens() const;
+
+  inline float getAnswerTokens() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ModelWork::Builder
+{
+public:
+  typedef ModelWork Builds;
+
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base)
+    : _builder(base)
+  {
+  }
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return asReader().totalSize();
+  }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return asReader().toString();
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasModel();
+  inline ::capnp::Text::Builder getModel();
+  inline void setModel(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initModel(unsigned int size);
+  inline void adoptModel(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownModel();
+
+  inline float getRequests();
+  inline void setRequests(float value);
+
+  inline float getPromptTokens();
+  inline void setPromptTokens(float value);
+
+  inline float getAnswerTokens();
+  inline void setAnswerTokens(float value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ModelWork::Pipeline
+{
+public:
+  typedef ModelWork Pipelines;
+
+  inline Pipeline(decltype(nullptr))
+    : _typeless(nullptr)
+  {
+  }
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+    : _typeless(kj::mv(typeless))
+  {
+  }
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
 class Row::Reader
 {
 public:
@@ -2057,6 +2196,11 @@
   inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getSuspects()
     const;
 
+  inline bool hasWork() const;
+  inline ::capnp::List<::briarglade::wire::ModelWork,
+                       ::capnp::Kind::STRUCT>::Reader
+  getWork() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -2140,6 +2284,22 @@
   inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
   disownSuspects();
 
+  inline bool hasWork();
+  inline ::capnp::List<::briarglade::wire::ModelWork,
+                       ::capnp::Kind::STRUCT>::Builder
+  getWork();
+  inline void setWork(::capnp::List<::briarglade::wire::ModelWork,
+                                    ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::ModelWork,
+                       ::capnp::Kind::STRUCT>::Builder
+  initWork(unsigned int size);
+  inline void adoptWork(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::ModelWork,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::ModelWork, ::capnp::Kind::STRUCT>>
+  disownWork();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -2778,6 +2938,11 @@
                        ::capnp::Kind::STRUCT>::Reader
   getRateLimits() const;
 
+  inline bool hasWork() const;
+  inline ::capnp::List<::briarglade::wire::ModelWork,
+                       ::capnp::Kind::STRUCT>::Reader
+  getWork() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -2993,6 +3158,22 @@
     ::capnp::List<::briarglade::wire::RateLimitNotice, ::capnp::Kind::STRUCT>>
   disownRateLimits();
 
+  inline bool hasWork();
+  inline ::capnp::List<::briarglade::wire::ModelWork,
+                       ::capnp::Kind::STRUCT>::Builder
+  getWork();
+  inline void setWork(::capnp::List<::briarglade::wire::ModelWork,
+                                    ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::ModelWork,
+                       ::capnp::Kind::STRUCT>::Builder
+  initWork(unsigned int size);
+  inline void adoptWork(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::ModelWork,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::ModelWork, ::capnp::Kind::STRUCT>>
+  disownWork();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -3107,6 +3288,97 @@
                                     value);
 }
 
+inline bool ModelWork::Reader::hasModel() const
+{
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool ModelWork::Builder::hasModel()
+{
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Text::Reader ModelWork::Reader::getModel() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder ModelWork::Builder::getModel()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ModelWork::Builder::setModel(::capnp::Text::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder ModelWork::Builder::initModel(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ModelWork::Builder::adoptModel(
+  ::capnp::Orphan<::capnp::Text>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> ModelWork::Builder::disownModel()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline float ModelWork::Reader::getRequests() const
+{
+  return _reader.getDataField<float>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline float ModelWork::Builder::getRequests()
+{
+  return _builder.getDataField<float>(::capnp::bounded<0>() *
+                                      ::capnp::ELEMENTS);
+}
+inline void ModelWork::Builder::setRequests(float value)
+{
+  _builder.setDataField<float>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                               value);
+}
+
+inline float ModelWork::Reader::getPromptTokens() const
+{
+  return _reader.getDataField<float>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float ModelWork::Builder::getPromptTokens()
+{
+  return _builder.getDataField<float>(::capnp::bounded<1>() *
+                                      ::capnp::ELEMENTS);
+}
+inline void ModelWork::Builder::setPromptTokens(float value)
+{
+  _builder.setDataField<float>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+                               value);
+}
+
+inline float ModelWork::Reader::getAnswerTokens() const
+{
+  return _reader.getDataField<float>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline float ModelWork::Builder::getAnswerTokens()
+{
+  return _builder.getDataField<float>(::capnp::bounded<2>() *
+                                      ::capnp::ELEMENTS);
+}
+inline void ModelWork::Builder::setAnswerTokens(float value)
+{
+  _builder.setDataField<float>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
+                               value);
+}
+
 inline bool Row::Reader::hasKey() const
 {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
@@ -4706,6 +4978,68 @@
       _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool NewsDigest::Reader::hasWork() const
+{
+  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool NewsDigest::Builder::hasWork()
+{
+  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::List<::briarglade::wire::ModelWork,
+                     ::capnp::Kind::STRUCT>::Reader
+NewsDigest::Reader::getWork() const
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ModelWork, ::capnp::Kind::STRUCT>>::
+    get(_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::briarglade::wire::ModelWork,
+                     ::capnp::Kind::STRUCT>::Builder
+NewsDigest::Builder::getWork()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ModelWork, ::capnp::Kind::STRUCT>>::
+    get(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void NewsDigest::Builder::setWork(
+  ::capnp::List<::briarglade::wire::ModelWork, ::capnp::Kind::STRUCT>::Reader
+    value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ModelWork, ::capnp::Kind::STRUCT>>::
+    set(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
+        value);
+}
+inline ::capnp::List<::briarglade::wire::ModelWork,
+                     ::capnp::Kind::STRUCT>::Builder
+NewsDigest::Builder::initWork(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ModelWork, ::capnp::Kind::STRUCT>>::
+    init(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
+         size);
+}
+inline void NewsDigest::Builder::adoptWork(
+  ::capnp::Orphan<::capnp::List<::briarglade::wire::ModelWork,
+                                ::capnp::Kind::STRUCT>>&& value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ModelWork, ::capnp::Kind::STRUCT>>::
+    adopt(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
+          kj::mv(value));
+}
+inline ::capnp::Orphan<
+  ::capnp::List<::briarglade::wire::ModelWork, ::capnp::Kind::STRUCT>>
+NewsDigest::Builder::disownWork()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ModelWork, ::capnp::Kind::STRUCT>>::
+    disown(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool ZoneDigest::Reader::hasZone() const
 {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
@@ -6301,6 +6635,69 @@
       _builder.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS));
 }
 
+inline bool NodeNews::Reader::hasWork() const
+{
+  return !_reader.getPointerField(::capnp::bounded<12>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool NodeNews::Builder::hasWork()
+{
+  return !_builder.getPointerField(::capnp::bounded<12>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::List<::briarglade::wire::ModelWork,
+                     ::capnp::Kind::STRUCT>::Reader
+NodeNews::Reader::getWork() const
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ModelWork, ::capnp::Kind::STRUCT>>::
+    get(_reader.getPointerField(::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::briarglade::wire::ModelWork,
+                     ::capnp::Kind::STRUCT>::Builder
+NodeNews::Builder::getWork()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ModelWork, ::capnp::Kind::STRUCT>>::
+    get(_builder.getPointerField(::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline void NodeNews::Builder::setWork(
+  ::capnp::List<::briarglade::wire::ModelWork, ::capnp::Kind::STRUCT>::Reader
+    value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ModelWork, ::capnp::Kind::STRUCT>>::
+    set(_builder.getPointerField(::capnp::bounded<12>() * ::capnp::POINTERS),
+        value);
+}
+inline ::capnp::List<::briarglade::wire::ModelWork,
+                     ::capnp::Kind::STRUCT>::Builder
+NodeNews::Builder::initWork(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ModelWork, ::capnp::Kind::STRUCT>>::
+    init(_builder.getPointerField(::capnp::bounded<12>() * ::capnp::POINTERS),
+         size);
+}
+inline void NodeNews::Builder::adoptWork(
+  ::capnp::Orphan<::capnp::List<::briarglade::wire::ModelWork,
+                                ::capnp::Kind::STRUCT>>&& value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ModelWork, ::capnp::Kind::STRUCT>>::
+    adopt(_builder.getPointerField(::capnp::bounded<12>() * ::capnp::POINTERS),
+          kj::mv(value));
+}
+inline ::capnp::Orphan<
+  ::capnp::List<::briarglade::wire::ModelWork, ::capnp::Kind::STRUCT>>
+NodeNews::Builder::disownWork()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ModelWork, ::capnp::Kind::STRUCT>>::
+    disown(
+      _builder.getPointerField(::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+
 } // namespace
 } // namespace
 
--- a/briarglade/entry/node_news.cc
+++ b/briarglade/entry/node_news.cc
@@ -6,6 +6,7 @@
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
 #include <capnp/serialize.h>
+#include <cmath>
 #include <kj/exception.h>
 #include <kj/io.h>
 #include <xxhash.h>
@@ -147,6 +148,37 @@
   return loads;
 }
 
+void WriteWork(capnp::List<wire::ModelWork>::Builder aList,
+               const WorkByModel& aWork)
+{
+  unsigned index = 0;
+  for (const auto& [model, work] : aWork) {
+    auto entry = aList[index++];
+    entry.setModel(model.Value());
+    entry.setRequests(static_cast<float>(work.m_requests));
+    entry.setPromptTokens(static_cast<float>(work.m_promptTokens));
+    entry.setAnswerTokens(static_cast<float>(work.m_answerTokens));
+  }
+}
+
+// Returns a rate as read; a negative or infinite one counts as none.
+double ReadRate(float aRate)
+{
+  return std::isfinite(aRate) && aRate > 0 ? aRate : 0;
+}
+
+WorkByModel ReadWork(capnp::List<wire::ModelWork>::Reader aList)
+{
+  WorkByModel byModel;
+  for (const auto entry : aList) {
+    byModel[ModelId(ToText(entry.getModel()))] +=
+      ModelWork{ ReadRate(entry.getRequests()),
+                 ReadRate(entry.getPromptTokens()),
+                 ReadRate(entry.getAnswerTokens()) };
+  }
+  return byModel;
+}
+
 void WriteStatus(wire::NodeStatus::Builder aEntry, const NodeStatus& aStatus)
 {
   aEntry.setKey(aStatus.m_key.Value());
@@ -164,6 +196,7 @@
     aMessage.initLoads(SizeOf(aDigest.m_loads)), aDigest.m_loads, WriteLoad);
   WriteIds(aMessage.initSuspects(SizeOf(aDigest.m_suspects)),
            aDigest.m_suspects);
+  WriteWork(aMessage.initWork(SizeOf(aDigest.m_work)), aDigest.m_work);
 }
 
 StatusDigest ReadDigest(wire::NewsDigest::Reader aMessage)
@@ -178,6 +211,7 @@
   }
   digest.m_loads = ReadLoads(aMessage.getLoads());
   digest.m_suspects = ReadIds<GroupId>(aMessage.getSuspects());
+  digest.m_work = ReadWork(aMessage.getWork());
   return digest;
 }
 
@@ -431,6 +465,7 @@
     aMessage.initLoads(SizeOf(aUpdate.m_loads)), aUpdate.m_loads, WriteLoad);
   WriteIds(aMessage.initSuspects(SizeOf(aUpdate.m_suspects)),
            aUpdate.m_suspects);
+  WriteWork(aMessage.initWork(SizeOf(aUpdate.m_work)), aUpdate.m_work);
   if (aUpdate.m_fleet) {
     WriteDigest(aMessage.initFleet(), *aUpdate.m_fleet);
   }
@@ -475,6 +510,7 @@
   update.m_reportNumber = aMessage.getReportNumber();
   update.m_loads = ReadLoads(aMessage.getLoads());
   update.m_suspects = ReadIds<GroupId>(aMessage.getSuspects());
+  update.m_work = ReadWork(aMessage.getWork());
   if (aMessage.hasFleet()) {
     update.m_fleet = ReadDigest(aMessage.getFleet());
   }
--- a/briarglade/entry/node_news.h
+++ b/briarglade/entry/node_news.h
@@ -22,6 +22,7 @@
 #include "briarglade/base/millis.h"
 #include "briarglade/entry/store_feed.h"
 #include "briarglade/gateway/gateway_event.h"
+#include "briarglade/grouping/model_work.h"
 
 namespace briarglade {
 
@@ -76,6 +77,8 @@
   std::vector<ServerLoad> m_loads;
   // Groups that some of them suspect of being unresponsive.
   std::vector<GroupId> m_suspects;
+  // The sum of the work that their callers request.
+  WorkByModel m_work = {};
 };
 
 // A summary of the status of the nodes of one zone.
@@ -146,11 +149,13 @@
   // row.
   Millis m_rosterKnownUpTo;
 
-  // A report: the sender's in-flight requests and suspected groups.
+  // A report: the sender's in-flight requests, suspected groups, and the work
+  // that its callers request.
   Subscription m_subscription = Subscription::None;
   uint16_t m_reportNumber = 0;
   std::vector<ServerLoad> m_loads;
   std::vector<GroupId> m_suspects;
+  WorkByModel m_work;
 
   // From a relay to the nodes that report to it.
   std::optional<StatusDigest> m_fleet;
--- a/briarglade/entry/node_news_test.cc
+++ b/briarglade/entry/node_news_test.cc
@@ -180,5 +180,27 @@
   CHECK_FALSE(DecodeNodeNews(std::string(64, '\xff')));
 }
 
+TEST_CASE("the work by model arrives, and values that are not rates count as "
+          "none")
+{
+  NodeNews news = MakeNews();
+  news.m_work = { { ModelId("a"), ModelWork{ 12.5, 4'000, 800 } },
+                  { ModelId("b"), ModelWork{ -1, 1e300, 3 } } };
+  news.m_fleet = StatusDigest();
+  news.m_fleet->m_work = news.m_work;
+  const std::optional<NodeNews> read = DecodeNodeNews(EncodeNodeNews(news));
+  REQUIRE(read);
+  REQUIRE(read->m_fleet);
+  for (const WorkByModel& work : { read->m_work, read->m_fleet->m_work }) {
+    REQUIRE(work.size() == 2);
+    CHECK(work.at(ModelId("a")).m_requests == 12.5);
+    CHECK(work.at(ModelId("a")).m_promptTokens == 4'000);
+    CHECK(work.at(ModelId("a")).m_answerTokens == 800);
+    CHECK(work.at(ModelId("b")).m_requests == 0);
+    CHECK(work.at(ModelId("b")).m_promptTokens == 0);
+    CHECK(work.at(ModelId("b")).m_answerTokens == 3);
+  }
+}
+
 } // namespace
 } // namespace briarglade
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -36,6 +36,7 @@
 #include "briarglade/grouping/demand_estimator.h"
 #include "briarglade/grouping/group_control.h"
 #include "briarglade/grouping/group_view.h"
+#include "briarglade/grouping/work_meter.h"
 
 namespace briarglade {
 
@@ -148,6 +149,8 @@
   bool m_hasTraffic = false;
   // The requests in flight or waiting for each model, smoothed.
   DemandEstimator m_demand;
+  // The work that this node's callers request of each model.
+  WorkMeter m_workMeter;
 
   ControlLease m_lease;
   GroupControl m_control;
