--- a/briarglade/entry/node_news.capnp
+++ b/briarglade/entry/node_news.capnp
@@ -10,6 +10,14 @@
   unreadTokens @2 :UInt32;
 }
 
+# What callers request of a model, per second.
+struct ModelWork {
+  model @0 :Text;
+  requests @1 :Float32;
+  promptTokens @2 :Float32;
+  answerTokens @3 :Float32;
+}
+
 # One row of the platform's store.
 struct Row {
   key @0 :Text;
@@ -121,6 +129,7 @@
   nodes @0 :List(NodeStatus);
   loads @1 :List(ServerLoad);
   suspects @2 :List(Text);
+  work @3 :List(ModelWork);
 }
 
 struct ZoneDigest {
@@ -176,4 +185,5 @@
   rateLimits @16 :List(RateLimitNotice);
   # The sender can read compressed values.
   readsPacked @17 :Bool;
+  work @18 :List(ModelWork);
 }
