--- a/scripts/lib/platform_cluster.py
+++ b/scripts/lib/platform_cluster.py
@@ -36,8 +36,8 @@
 ready = "{ip}:{ready}"
 directory = "{ip}:{directory}"
 [limits]
-file_descriptors = 4100
-memory_mb = 260
+file_descriptors = {descriptors}
+memory_mb = {memory_mb}
 [bounds]
 configuration_ms = 2000
 drain_ms = 2000
@@ -72,7 +72,8 @@
 class EntryNode:
     """One `briarglade serve`, with an address of its own on loopback."""
 
-    def __init__(self, name, zone, store_port, directory, program=None):
+    def __init__(self, name, zone, store_port, directory, program=None, descriptors=4100,
+                 memory_mb=260):
         self.name = name
         self.program = program or os.path.join(BUILD, "briarglade")
         # An address that no other run on this machine uses at the same time.
@@ -83,6 +84,7 @@
         self.settings_path = os.path.join(directory, name + ".toml")
         with open(self.settings_path, "w", encoding="utf-8") as file:
             file.write(SETTINGS.format(name=name, ip=self.ip, zone=zone, store=store_port,
+                                       descriptors=descriptors, memory_mb=memory_mb,
                                        **self.ports))
         self.popen = None
         self.start()
--- a/scripts/lib/soak_servers.py
+++ b/scripts/lib/soak_servers.py
@@ -28,6 +28,7 @@
         self.slots = slots
         self.is_model = is_model
         self.share = world.share
+        self.padding = b""  # Follows the digest in every whole answer.
         self.id = world.new_id("i")
         self.born = int(time.time() * 1000)
         self.port = 0
@@ -282,7 +283,7 @@
         if is_signed:
             fields["Response-Signature"] = f"{self.server.id}.{attempt}"
         fields["Server-Load"] = f"{self.server.running},0,{self.server.slots}"
-        return message(f"HTTP/1.1 {status} X", fields, digest.encode())
+        return message(f"HTTP/1.1 {status} X", fields, digest.encode() + self.server.padding)
 
     async def _run(self, headers, body, trouble):
         attempt, draw = headers["attempt-id"], self.world.random
