Answers: one that is cut, or has failed, gives its memory back

What callers saw: nothing was traced to it. Above the bound on held answers the largest is cut and counts no more, but its memory stayed with its exchange.

Cause: a string that gets an empty one by assignment keeps its memory (libstdc++), so `m_body = std::string()` frees nothing.

A program of four lines prints the capacity of a string of 1 MiB after the assignment (1048576) and after a swap with an empty one (15), g++ -O2.

Change: the body is swapped with an empty string.

--- a/briarglade/entry/gateway_relay.cc
+++ b/briarglade/entry/gateway_relay.cc
@@ -182,7 +182,8 @@
 
 void GatewayRelay::CutAnswer(Exchange& aExchange)
 {
-  aExchange.m_body = std::string();
+  // An assignment of an empty string would keep the memory.
+  std::string().swap(aExchange.m_body);
   aExchange.m_events = EventStream(std::nullopt);
   aExchange.m_call->Cancel(ExchangeEnd::WrongAnswer);
 }
@@ -266,7 +267,7 @@
   // What is kept now is a whole answer that is forwarded, or nothing.
   aExchange.m_hold->OnCut(nullptr);
   if (aEnd.m_end != ExchangeEnd::Whole) {
-    aExchange.m_body = std::string();
+    std::string().swap(aExchange.m_body);
     aExchange.m_hold->SetBytes(0);
   }
   const std::optional<ExchangeRole> role = RoleOf(aExchange);
