--- a/briarglade/cli/serve_command.cc
+++ b/briarglade/cli/serve_command.cc
@@ -19,6 +19,9 @@
 constexpr Millis kIdleLifetime = Millis(4'000);
 // Descriptors that are left for listeners, files and callers.
 constexpr size_t kReservedDescriptors = 600;
+// The part of the descriptors for servers where there are too few to leave so
+// many.
+constexpr size_t kFewDescriptorsDivisor = 4;
 // The part of the memory that held answers may take is one divided by this: an
 // answer that grows or is handed to its caller is held twice for a moment, and
 // so is what the allocator keeps of those that were freed.
@@ -29,10 +32,10 @@
   HttpClientLimits limits;
   limits.m_idleLifetime = kIdleLifetime;
   limits.m_maxHeldBytes = aSettings.m_memoryBytes / kAnswersMemoryDivisor;
-  if (aSettings.m_fileDescriptors > 2 * kReservedDescriptors) {
-    limits.m_maxConnections =
-      aSettings.m_fileDescriptors / 2 - kReservedDescriptors / 2;
-  }
+  limits.m_maxConnections =
+    aSettings.m_fileDescriptors > 2 * kReservedDescriptors
+      ? aSettings.m_fileDescriptors / 2 - kReservedDescriptors / 2
+      : aSettings.m_fileDescriptors / kFewDescriptorsDivisor;
   return limits;
 }
 
--- a/briarglade/entry/entry_node.cc
+++ b/briarglade/entry/entry_node.cc
@@ -12,6 +12,7 @@
 #include "briarglade/entry/gateway_relay.h"
 #include "briarglade/membership/envelope.h"
 #include "briarglade/net/answer_budget.h"
+#include "briarglade/net/caller_budget.h"
 #include "briarglade/net/event_loop.h"
 #include "briarglade/net/http_exchange.h"
 
@@ -22,6 +23,23 @@
 constexpr Millis kTickPeriod = Millis(50);
 constexpr Millis kOrderTimeout = Millis(800);
 constexpr Millis kProbeTimeout = Millis(250);
+// The part of the memory that requests may take until they have been answered
+// is one divided by this. Answers take a quarter, and up to as much again for a
+// moment.
+constexpr uint64_t kCallersMemoryDivisor = 5;
+// The same for messages from other nodes that have not come whole.
+constexpr uint64_t kPeersMemoryDivisor = 16;
+// The parts of the descriptors that connections to this node may take. Less
+// than half, as connections to servers may take almost half; the rest is for
+// connections to other nodes and the store, and for files.
+constexpr size_t kDescriptorParts = 64;
+constexpr size_t kCallerParts = 20;
+constexpr size_t kDirectoryParts = 2;
+constexpr size_t kCheckParts = 1;
+constexpr size_t kPeerParts = 6;
+// Lines about refused clients in a second.
+constexpr uint32_t kMaxRejectionLines = 10;
+constexpr Millis kSecond = Millis(1'000);
 // HTTP status codes.
 constexpr uint16_t kOk = 200;
 constexpr uint16_t kNotFound = 404;
@@ -59,6 +77,8 @@
   , m_binding(std::move(aBinding))
   , m_incarnation(MakeIncarnation())
   , m_log(aSettings.m_node, LogLevel::Info, LogStream::Output)
+  , m_callerBudget(std::make_shared<CallerBudget>(aSettings.m_memoryBytes /
+                                                  kCallersMemoryDivisor))
   , m_callerServer(aLoop, HttpServerLimits())
   , m_directoryServer(aLoop, HttpServerLimits())
   , m_readinessServer(aLoop, HttpServerLimits())
@@ -90,18 +110,11 @@
 
 std::optional<Error> EntryNode::Start()
 {
+  BoundCallers();
   // Until the operators' limits are known.
   SetLimits(CallerLimits());
   m_callerServer.SetHandler(
     [this](const auto& aExchange) { HandleCaller(aExchange); });
-  m_callerServer.SetRejectionObserver([this](const HttpRejection& aRejection) {
-    m_log.Write(LogEvent{
-      LogLevel::Info,
-      "request-unreadable",
-      { { "path", aRejection.m_path },
-        { "code",
-          std::to_string(static_cast<uint16_t>(aRejection.m_code)) } } });
-  });
   m_directoryServer.SetHandler(
     [this](const auto& aExchange) { HandleDirectory(aExchange); });
   m_readinessServer.SetHandler(
@@ -128,7 +141,11 @@
                         { { "callers", m_settings.m_callerAddress.ToString() },
                           { "zone", m_settings.m_zone.Value() },
                           { "incarnation", std::to_string(m_incarnation) } } });
-  m_loop.RunEvery(kTickPeriod, [this] { Dispatch(EntryTick{}); });
+  m_loop.RunEvery(kTickPeriod, [this] {
+    m_callerBudget->Tick(EventLoop::Now());
+    LogLimitsReached();
+    Dispatch(EntryTick{});
+  });
   Dispatch(EntryTick{});
   return std::nullopt;
 }
@@ -152,9 +169,109 @@
   return found == m_relays.end() ? nullptr : found->second;
 }
 
+// Sets what is derived from the memory and the descriptors of the process.
+void EntryNode::BoundCallers()
+{
+  struct Listener
+  {
+    const char* m_name;
+    HttpServer& m_server;
+    size_t m_parts;
+  };
+  const Listener listeners[] = {
+    { "callers", m_callerServer, kCallerParts },
+    { "directory", m_directoryServer, kDirectoryParts },
+    { "readiness", m_readinessServer, kCheckParts },
+    { "metrics", m_metricsServer, kCheckParts },
+  };
+  for (const Listener& listener : listeners) {
+    HttpServerLimits limits;
+    limits.m_maxConnections = Descriptors(listener.m_parts);
+    listener.m_server.SetLimits(limits);
+    listener.m_server.SetBudget(m_callerBudget);
+    listener.m_server.SetHeadJudge([](const HttpExchange&) { return false; });
+    listener.m_server.SetRejectionObserver(
+      [this, name = listener.m_name](const HttpRejection& aRejection) {
+        LogRejection(name, aRejection);
+      });
+  }
+  m_callerServer.SetHeadJudge([this](const HttpExchange& aExchange) {
+    const Result<CallerRequest> decoded =
+      m_binding.m_codec.m_decodeRequest(aExchange);
+    const auto* request = std::get_if<CallerRequest>(&decoded);
+    return request != nullptr &&
+           !RefusalByHead(m_state, *request, aExchange.Path());
+  });
+  m_peers.SetLimits(Descriptors(kPeerParts),
+                    m_settings.m_memoryBytes / kPeersMemoryDivisor);
+}
+
+size_t EntryNode::Descriptors(size_t aParts) const
+{
+  return m_settings.m_fileDescriptors * aParts / kDescriptorParts;
+}
+
+void EntryNode::LogRejection(const char* aListener,
+                             const HttpRejection& aRejection)
+{
+  ++m_rejections;
+  if (m_rejectionLines >= kMaxRejectionLines) {
+    return;
+  }
+  ++m_rejectionLines;
+  m_log.Write(LogEvent{
+    LogLevel::Info,
+    "request-unreadable",
+    { { "path", aRejection.m_path },
+      { "code", std::to_string(static_cast<uint16_t>(aRejection.m_code)) },
+      { "listener", aListener },
+      { "address", aRejection.m_address } } });
+}
+
+uint64_t EntryNode::CountClosedAtLimit() const
+{
+  return m_callerServer.ClosedAtLimit() + m_directoryServer.ClosedAtLimit() +
+         m_readinessServer.ClosedAtLimit() + m_metricsServer.ClosedAtLimit();
+}
+
+uint64_t EntryNode::CountAcceptFailures() const
+{
+  return m_callerServer.AcceptFailures() + m_directoryServer.AcceptFailures() +
+         m_readinessServer.AcceptFailures() + m_metricsServer.AcceptFailures();
+}
+
+// Writes at most one line in a second, and only if a limit was reached.
+void EntryNode::LogLimitsReached()
+{
+  const Millis now = EventLoop::Now();
+  if (now - m_limitsLoggedAt < kSecond) {
+    return;
+  }
+  m_limitsLoggedAt = now;
+  m_rejectionLines = 0;
+  const uint64_t reached = m_callerBudget->WaitCount() +
+                           m_callerBudget->RefusedCount() +
+                           CountClosedAtLimit() + CountAcceptFailures();
+  if (std::exchange(m_limitsReached, reached) == reached) {
+    return;
+  }
+  m_log.Write(LogEvent{
+    LogLevel::Warn,
+    "caller-limits-reached",
+    { { "held-bytes", std::to_string(m_callerBudget->HeldBytes()) },
+      { "max-bytes", std::to_string(m_callerBudget->MaxBytes()) },
+      { "waiting", std::to_string(m_callerBudget->WaitingCount()) },
+      { "waits", std::to_string(m_callerBudget->WaitCount()) },
+      { "refused", std::to_string(m_callerBudget->RefusedCount()) },
+      { "connections", std::to_string(m_callerServer.ConnectionCount()) },
+      { "closed", std::to_string(CountClosedAtLimit()) },
+      { "accept-failures", std::to_string(CountAcceptFailures()) } } });
+}
+
 void EntryNode::SetLimits(const CallerLimits& aLimits)
 {
   HttpServerLimits limits;
+  limits.m_maxConnections = Descriptors(kCallerParts);
   limits.m_maxHeaderBytes = aLimits.m_headerBytes;
   limits.m_maxBodyBytes = aLimits.m_bodyBytes;
   limits.m_requestTime = aLimits.m_headerTime;
@@ -268,6 +385,15 @@
   received.m_handle = RequestHandle(++m_lastHandle);
   received.m_path = aExchange->Path();
   received.m_request = std::get<CallerRequest>(std::move(decoded));
+  if (aExchange->IsBodyDropped() &&
+      !RefusalByHead(m_state, received.m_request, received.m_path)) {
+    // The configuration has changed since the body was dropped.
+    aExchange->Respond(kUnavailable,
+                       m_binding.m_codec.m_encodeOwnAnswer(
+                         received.m_request.m_attemptName, Millis()),
+                       {});
+    return;
+  }
   received.m_fingerprint = FingerprintOf(*aExchange, received.m_request);
   GatewayRelayHooks hooks;
   hooks.m_onProgress = [this](const AnswerProgressed& aProgress) {
@@ -357,6 +483,18 @@
     static_cast<double>(m_state.m_storeEra.value_or(StoreEra()).Value()));
   m_metrics.SetGauge("store_returns",
                      static_cast<double>(m_state.m_storeReturns));
+  m_metrics.SetGauge("caller_bytes_held",
+                     static_cast<double>(m_callerBudget->HeldBytes()));
+  m_metrics.SetGauge("caller_waits_for_memory",
+                     static_cast<double>(m_callerBudget->WaitCount()));
+  m_metrics.SetGauge("caller_refused_for_memory",
+                     static_cast<double>(m_callerBudget->RefusedCount()));
+  m_metrics.SetGauge("caller_requests_unreadable",
+                     static_cast<double>(m_rejections));
+  m_metrics.SetGauge("connections_closed_at_limit",
+                     static_cast<double>(CountClosedAtLimit()));
+  m_metrics.SetGauge("accept_failures",
+                     static_cast<double>(CountAcceptFailures()));
   m_metrics.SetGauge("holds_control", m_state.m_control.IsActive() ? 1 : 0);
   aExchange->Respond(
     kOk, { { "Content-Type", "text/plain" } }, m_metrics.Render());
--- a/briarglade/entry/entry_node.h
+++ b/briarglade/entry/entry_node.h
@@ -30,6 +30,7 @@
 
 namespace briarglade {
 
+class CallerBudget;
 class EventLoop;
 class GatewayRelay;
 
@@ -88,6 +89,13 @@
   void SendUpdate(const SendPeerUpdate& aSend);
   std::shared_ptr<GatewayRelay> FindRelay(RequestHandle aHandle) const;
   void SetLimits(const CallerLimits& aLimits);
+  void BoundCallers();
+  // Returns so many parts of the descriptors.
+  size_t Descriptors(size_t aParts) const;
+  void LogRejection(const char* aListener, const HttpRejection& aRejection);
+  void LogLimitsReached();
+  uint64_t CountClosedAtLimit() const;
+  uint64_t CountAcceptFailures() const;
 
   EventLoop& m_loop;
   HttpClient& m_client;
@@ -96,6 +104,7 @@
   uint64_t m_incarnation;
   Log m_log;
   Metrics m_metrics;
+  std::shared_ptr<CallerBudget> m_callerBudget;
   HttpServer m_callerServer;
   HttpServer m_directoryServer;
   HttpServer m_readinessServer;
@@ -104,6 +113,13 @@
   EntryState m_state;
   uint16_t m_callerPort = 0;
   uint64_t m_lastHandle = 0;
+  // Requests refused by the limits, and the lines about them since
+  // m_limitsLoggedAt.
+  uint64_t m_rejections = 0;
+  uint32_t m_rejectionLines = 0;
+  Millis m_limitsLoggedAt;
+  // How often a limit on clients had been reached then.
+  uint64_t m_limitsReached = 0;
   std::unordered_map<RequestHandle, std::shared_ptr<GatewayRelay>> m_relays;
 };
 
--- a/briarglade/entry/gateway_relay.cc
+++ b/briarglade/entry/gateway_relay.cc
@@ -35,7 +35,7 @@
   , m_request(std::move(aRequest))
   , m_codec(aCodec)
   , m_hooks(std::move(aHooks))
-  , m_body(m_caller->TakeBody())
+  , m_body(std::make_shared<const std::string>(m_caller->TakeBody()))
   , m_arrivedAt(EventLoop::Now())
   , m_lastEvent(m_request.m_lastEvent)
 {
@@ -66,7 +66,7 @@
   spec.m_method = m_caller->Method();
   spec.m_path = m_caller->Target();
   spec.m_headers = m_codec.m_encodeAttempt(m_caller->Headers(), head);
-  spec.m_body = m_body;
+  spec.m_sharedBody = m_body;
   spec.m_timeout =
     std::min(aSend.m_answerBy, aSend.m_deadline + kDeadlineSlack) - aNow;
   spec.m_connectTimeout = kConnectTimeout;
--- a/briarglade/entry/gateway_relay.h
+++ b/briarglade/entry/gateway_relay.h
@@ -118,7 +118,8 @@
   const CallerRequest m_request;
   const WireCodec& m_codec;
   GatewayRelayHooks m_hooks;
-  std::string m_body;
+  // The request's body, which every exchange sends.
+  const std::shared_ptr<const std::string> m_body;
   bool m_isStream = false;
   AccountId m_account;
   Millis m_arrivedAt;
--- a/briarglade/entry/internal/caller_requests.cc
+++ b/briarglade/entry/internal/caller_requests.cc
@@ -13,6 +13,11 @@
 // When callers should retry while this node has no configuration.
 constexpr Millis kNoConfigRetryAfter = Millis(250);
 
+bool NeedsKey(const RouteIndex& aRoutes, const RouteRule& aRule)
+{
+  return aRoutes.Config().m_hasAccounts && !aRule.m_isPublic;
+}
+
 } // namespace
 
 void EntryReduction::RejectRequest(const RequestReceived& aReceived,
@@ -58,8 +63,7 @@
     RejectRequest(aReceived, ResultCode::UnknownPath, Millis());
     return;
   }
-  const bool needsKey =
-    m_state.m_routes->Config().m_hasAccounts && !rule->m_isPublic;
+  const bool needsKey = NeedsKey(*m_state.m_routes, *rule);
   const AccountSpec* account =
     needsKey ? m_state.m_routes->FindAccount(request.m_accountKey) : nullptr;
   if (needsKey && account == nullptr) {
@@ -99,3 +103,25 @@
 }
 
 } // namespace briarglade::internal
+
+namespace briarglade {
+
+std::optional<ResultCode> RefusalByHead(const EntryState& aState,
+                                        const CallerRequest& aRequest,
+                                        const std::string& aPath)
+{
+  if (!aState.m_routes) {
+    return ResultCode::Unconfirmed;
+  }
+  const RouteRule* rule = aState.m_routes->FindRoute(aRequest.m_host, aPath);
+  if (rule == nullptr) {
+    return ResultCode::UnknownPath;
+  }
+  const bool isKeyMissing =
+    internal::NeedsKey(*aState.m_routes, *rule) &&
+    aState.m_routes->FindAccount(aRequest.m_accountKey) == nullptr;
+  return isKeyMissing ? std::optional<ResultCode>(ResultCode::UnknownKey)
+                      : std::nullopt;
+}
+
+} // namespace briarglade
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -169,6 +169,12 @@
                          Millis aNow,
                          const EntryEvent& aEvent);
 
+// Returns the code with which a request is refused by its head: there is no
+// configuration, no such route, or no such key. None: it is not refused so far.
+std::optional<ResultCode> RefusalByHead(const EntryState& aState,
+                                        const CallerRequest& aRequest,
+                                        const std::string& aPath);
+
 // Returns whether the node can serve requests, for the platform's readiness
 // checks.
 bool IsReady(const EntryState& aState);
--- a/briarglade/net/http_call.cc
+++ b/briarglade/net/http_call.cc
@@ -29,6 +29,14 @@
 // request doesn't cross the server's close.
 constexpr Millis kIdleMargin = Millis(500);
 
+// Longer shared bodies are sent without being copied.
+constexpr size_t kCopiedBytes = 16 * 1024;
+
+const std::string& BodyOf(const HttpCallSpec& aSpec)
+{
+  return aSpec.m_sharedBody ? *aSpec.m_sharedBody : aSpec.m_body;
+}
+
 std::string MakeHead(const HttpCallSpec& aSpec)
 {
   std::string head = aSpec.m_method + " " + aSpec.m_path + " HTTP/1.1\r\n";
@@ -38,9 +46,10 @@
   for (const HttpHeader& header : aSpec.m_headers) {
     head += header.m_name + ": " + header.m_value + "\r\n";
   }
-  const bool hasLength = !aSpec.m_body.empty() || aSpec.m_method != "GET";
+  const std::string& body = BodyOf(aSpec);
+  const bool hasLength = !body.empty() || aSpec.m_method != "GET";
   if (hasLength) {
-    head += "Content-Length: " + std::to_string(aSpec.m_body.size()) + "\r\n";
+    head += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   }
   head += "\r\n";
   return head;
@@ -124,7 +133,13 @@
 void HttpCall::SendRequest()
 {
   m_timer->Start(m_spec.m_timeout);
-  m_connection->Send({ MakeHead(m_spec), m_spec.m_body });
+  if (m_spec.m_sharedBody && m_spec.m_sharedBody->size() > kCopiedBytes) {
+    m_connection->Send({ MakeHead(m_spec) });
+    m_connection->SendShared(std::move(m_spec.m_sharedBody));
+    return;
+  }
+  m_connection->Send({ MakeHead(m_spec), BodyOf(m_spec) });
+  m_spec.m_sharedBody.reset();
   m_spec.m_body.clear();
   m_spec.m_body.shrink_to_fit();
 }
--- a/briarglade/net/http_client.h
+++ b/briarglade/net/http_client.h
@@ -78,6 +78,8 @@
   std::string m_path = "/";
   HttpHeaders m_headers;
   std::string m_body;
+  // A body that is sent in place of m_body without being copied, if set.
+  std::shared_ptr<const std::string> m_sharedBody;
   // Bounds the whole call, from Start() to its end.
   Millis m_timeout = Millis(30'000);
   // Bounds the making of a new connection.
--- a/briarglade/net/http_exchange.h
+++ b/briarglade/net/http_exchange.h
@@ -33,6 +33,9 @@
   // Path and query as they came.
   const std::string& Target() const { return m_target; }
   const std::string& Body() const { return m_body; }
+  // The request had a body that was not kept, since the judge of heads did not
+  // want it. Such a request must not be run.
+  bool IsBodyDropped() const { return m_isBodyDropped; }
   const HttpHeaders& Headers() const { return m_headers; }
   // Returns a request header, or an empty string.
   std::string Header(std::string_view aName) const;
@@ -84,6 +87,7 @@
   std::function<void()> m_onDrained;
   std::function<void()> m_onClosed;
   bool m_closesAfterwards = false;
+  bool m_isBodyDropped = false;
 };
 
 } // namespace briarglade
--- a/briarglade/net/http_server.cc
+++ b/briarglade/net/http_server.cc
@@ -5,10 +5,12 @@
 #include <arpa/inet.h>
 #include <event2/event.h>
 #include <event2/listener.h>
+#include <limits>
 #include <sys/socket.h>
 #include <utility>
 #include <vector>
 
+#include "briarglade/net/caller_budget.h"
 #include "briarglade/net/event_loop.h"
 #include "briarglade/net/internal/http_connection.h"
 
@@ -17,12 +19,17 @@
 namespace {
 
 constexpr int kBacklog = 1024;
+// How long no connection is accepted after an accept has failed, for example
+// for want of descriptors. The listener stays readable then, so that the loop
+// would otherwise do nothing else.
+constexpr Millis kAcceptPause = Millis(100);
 
 } // namespace
 
 HttpServer::HttpServer(EventLoop& aLoop, HttpServerLimits aLimits)
   : m_loop(aLoop)
   , m_limits(aLimits)
+  , m_budget(std::make_shared<CallerBudget>(std::numeric_limits<size_t>::max()))
 {
 }
 
@@ -44,6 +51,16 @@
   m_handler = std::move(aHandler);
 }
 
+void HttpServer::SetHeadJudge(HeadJudge aJudge)
+{
+  m_headJudge = std::move(aJudge);
+}
+
+void HttpServer::SetBudget(std::shared_ptr<CallerBudget> aBudget)
+{
+  m_budget = std::move(aBudget);
+}
+
 void HttpServer::SetRejectionObserver(RejectionObserver aObserver)
 {
   m_rejectionObserver = std::move(aObserver);
@@ -57,6 +74,7 @@
 {
   auto* self = static_cast<HttpServer*>(aSelf);
   if (self->m_connections.size() >= self->m_limits.m_maxConnections) {
+    ++self->m_closedAtLimit;
     evutil_closesocket(aSocket);
     return;
   }
@@ -64,6 +82,14 @@
   new HttpConnection(*self, aSocket);
 }
 
+void HttpServer::OnAcceptFailed(evconnlistener* aListener, void* aSelf)
+{
+  auto* self = static_cast<HttpServer*>(aSelf);
+  ++self->m_acceptFailures;
+  evconnlistener_disable(aListener);
+  self->m_acceptAgain->Start(kAcceptPause);
+}
+
 uint16_t HttpServer::Listen(const Endpoint& aEndpoint)
 {
   sockaddr_in address{};
@@ -83,6 +109,9 @@
   if (m_listener == nullptr) {
     return 0;
   }
+  m_acceptAgain =
+    m_loop.MakeTimer([this] { evconnlistener_enable(m_listener); });
+  evconnlistener_set_error_cb(m_listener, &OnAcceptFailed);
   socklen_t length = sizeof(address);
   getsockname(evconnlistener_get_fd(m_listener),
               reinterpret_cast<sockaddr*>(&address),
@@ -92,6 +121,7 @@
 
 void HttpServer::StopListening()
 {
+  m_acceptAgain.reset();
   if (m_listener != nullptr) {
     evconnlistener_free(m_listener);
     m_listener = nullptr;
--- a/briarglade/net/http_server.h
+++ b/briarglade/net/http_server.h
@@ -27,8 +27,10 @@
 
 namespace briarglade {
 
+class CallerBudget;
 class EventLoop;
 class HttpExchange;
+class Timer;
 class HttpConnection;
 
 // Bounds on what a stranger may make the server hold.
@@ -50,12 +52,15 @@
 {
   ResultCode m_code = ResultCode::MalformedRequest;
   std::string m_path;
+  // The client's address.
+  std::string m_address;
 };
 
 class HttpServer
 {
 public:
   using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
+  using HeadJudge = std::function<bool(const HttpExchange&)>;
   using RejectionObserver = std::function<void(const HttpRejection&)>;
 
   HttpServer(EventLoop& aLoop, HttpServerLimits aLimits);
@@ -65,6 +70,15 @@
 
   // Sets the function that answers each whole request.
   void SetHandler(Handler aHandler);
+  // Sets a function that tells by a request's head whether its body is wanted.
+  // A body that is not wanted is dropped: a short one as it comes, before the
+  // handler is called, and for a long one the handler's answer is the last of
+  // the connection. Without a judge every body is wanted.
+  void SetHeadJudge(HeadJudge aJudge);
+  // Sets what accounts for the requests that the server holds; several servers
+  // may share it. Must be set before Listen(). Without it nothing is bounded
+  // but each request.
+  void SetBudget(std::shared_ptr<CallerBudget> aBudget);
   // Sets a function that is told of requests refused by the limits.
   void SetRejectionObserver(RejectionObserver aObserver);
 
@@ -81,6 +95,9 @@
   void CloseConnections();
   // Returns the number of open connections.
   size_t ConnectionCount() const { return m_connections.size(); }
+  // Connections closed at the bound on connections, and accepts that failed.
+  uint64_t ClosedAtLimit() const { return m_closedAtLimit; }
+  uint64_t AcceptFailures() const { return m_acceptFailures; }
 
 private:
   friend class HttpConnection;
@@ -90,12 +107,18 @@
                        sockaddr*,
                        int,
                        void* aSelf);
+  static void OnAcceptFailed(evconnlistener*, void* aSelf);
 
   EventLoop& m_loop;
   HttpServerLimits m_limits;
   Handler m_handler;
+  HeadJudge m_headJudge;
+  std::shared_ptr<CallerBudget> m_budget;
   RejectionObserver m_rejectionObserver;
   evconnlistener* m_listener = nullptr;
+  std::unique_ptr<Timer> m_acceptAgain;
+  uint64_t m_closedAtLimit = 0;
+  uint64_t m_acceptFailures = 0;
   bool m_isDraining = false;
   std::unordered_set<HttpConnection*> m_connections;
 };
--- a/briarglade/net/internal/bufferevent_stream.cc
+++ b/briarglade/net/internal/bufferevent_stream.cc
@@ -7,12 +7,17 @@
 #include <event2/event.h>
 #include <kj/debug.h>
 
+#include "briarglade/net/event_loop.h"
+
 namespace briarglade {
 
 namespace {
 
 // Unsent bytes above which a write waits.
 constexpr size_t kMaxUnsentBytes = 256 * 1024;
+// Reads of up to so many bytes need no memory of the budget, and so many may
+// wait unread.
+constexpr size_t kShortRead = 16 * 1024;
 
 } // namespace
 
@@ -32,11 +37,30 @@
   bufferevent_free(m_bufferevent);
 }
 
+void BuffereventStream::BoundReads(const std::shared_ptr<CallerBudget>& aBudget)
+{
+  const auto continueSoon = [this] {
+    bufferevent_trigger(m_bufferevent,
+                        EV_READ,
+                        BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+  };
+  bufferevent_setwatermark(m_bufferevent, EV_READ, 0, kShortRead);
+  m_hold = std::make_unique<CallerHold>(
+    aBudget, CallerHoldHooks{ continueSoon, [this, continueSoon] {
+                               m_closed = true;
+                               continueSoon();
+                             } });
+}
+
 kj::Promise<size_t> BuffereventStream::tryRead(void* aBuffer,
                                                size_t aMinBytes,
                                                size_t aMaxBytes)
 {
   auto pair = kj::newPromiseAndFulfiller<size_t>();
+  if (m_hold) {
+    // What was read before has been handled.
+    m_hold->Release();
+  }
   m_read = PendingRead{
     static_cast<char*>(aBuffer), aMinBytes, aMaxBytes, 0, kj::mv(pair.fulfiller)
   };
@@ -47,6 +71,14 @@
 void BuffereventStream::Continue()
 {
   KJ_IF_MAYBE (read, m_read) {
+    const bool needsGrant = m_hold && read->m_min > kShortRead;
+    if (needsGrant && !m_closed &&
+        !m_hold->Ask(read->m_max, EventLoop::Now())) {
+      return;
+    }
+    if (m_hold) {
+      m_hold->NoteProgress(EventLoop::Now());
+    }
     const size_t got = bufferevent_read(
       m_bufferevent, read->m_buffer + read->m_done, read->m_max - read->m_done);
     read->m_done += got;
--- a/briarglade/net/internal/bufferevent_stream.h
+++ b/briarglade/net/internal/bufferevent_stream.h
@@ -4,6 +4,9 @@
 
 #include <cstddef>
 #include <kj/async-io.h>
+#include <memory>
+
+#include "briarglade/net/caller_budget.h"
 
 struct bufferevent;
 
@@ -18,6 +21,10 @@
   BuffereventStream(const BuffereventStream&) = delete;
   BuffereventStream& operator=(const BuffereventStream&) = delete;
 
+  // Lets long reads wait for memory of the budget. One that the budget takes
+  // back ends the stream.
+  void BoundReads(const std::shared_ptr<CallerBudget>& aBudget);
+
   kj::Promise<size_t> tryRead(void* aBuffer,
                               size_t aMinBytes,
                               size_t aMaxBytes) override;
@@ -50,6 +57,7 @@
   kj::Own<kj::PromiseFulfiller<void>> m_disconnected;
   kj::ForkedPromise<void> m_whenDisconnected;
   bool m_closed = false;
+  std::unique_ptr<CallerHold> m_hold;
 };
 
 } // namespace briarglade
--- a/briarglade/net/internal/http_connection.cc
+++ b/briarglade/net/internal/http_connection.cc
@@ -2,6 +2,7 @@
 
 #include "briarglade/net/internal/http_connection.h"
 
+#include <algorithm>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -17,11 +18,27 @@
 
 namespace {
 
-// Bytes that wait unread on a connection before the kernel holds the rest.
-constexpr size_t kReadAhead = 256 * 1024;
+// Bytes that may wait unread on a connection without a grant of the budget,
+// also behind a request that is being answered. The kernel holds the rest.
+constexpr size_t kFirstReadAhead = 4 * 1024;
+// The same for a request that has its grant.
+constexpr size_t kReadAhead = 16 * 1024;
+// A body that is not wanted is read up to this length, so that the connection
+// can go on.
+constexpr size_t kMaxDroppedBytes = 64 * 1024;
 // How long a connection may linger after its last answer.
 constexpr Millis kLingerTime = Millis(500);
 
+// Returns what parsed headers take, apart from short texts within the headers.
+size_t BytesOf(const HttpHeaders& aHeaders)
+{
+  size_t bytes = aHeaders.capacity() * sizeof(HttpHeader);
+  for (const HttpHeader& header : aHeaders) {
+    bytes += header.m_name.size() + header.m_value.size();
+  }
+  return bytes;
+}
+
 ResultCode CodeOf(internal::HttpParseFailure aFailure)
 {
   switch (aFailure) {
@@ -44,10 +61,16 @@
                                          aSocket,
                                          BEV_OPT_CLOSE_ON_FREE))
   , m_timer(aServer.m_loop.MakeTimer([this] { OnTimer(); }))
+  , m_hold(aServer.m_budget,
+           { [this] { ReadSoon(); },
+             [this] {
+               m_isRefused = true;
+               ReadSoon();
+             } })
 {
   internal::PrepareSocket(aSocket);
   bufferevent_setcb(m_bufferevent, &OnReadable, &OnWritten, &OnEvent, this);
-  bufferevent_setwatermark(m_bufferevent, EV_READ, 0, kReadAhead);
+  SetReadAhead(kFirstReadAhead);
   bufferevent_enable(m_bufferevent, EV_READ | EV_WRITE);
   m_timer->Start(m_server.m_limits.m_idleTime);
   m_server.m_connections.insert(this);
@@ -114,6 +137,7 @@
   }
   if (!aKeep) {
     m_phase = Phase::Closing;
+    m_hold.Release();
     m_timer->Start(m_server.m_limits.m_writeStall);
     if (UnsentBytes() == 0) {
       CloseGently();
@@ -121,6 +145,13 @@
     return;
   }
   m_phase = Phase::Reading;
+  m_hold.Release();
+  m_isRefused = false;
+  if (UnsentBytes() > 0) {
+    // The next request is read once the client has taken this answer.
+    m_timer->Start(m_server.m_limits.m_writeStall);
+    return;
+  }
   m_timer->Start(m_server.m_limits.m_idleTime);
   if (!m_inRead) {
     ReadRequests();
@@ -137,7 +168,7 @@
 {
   // A request that has come is read and answered first.
   const bool isIdle =
-    m_phase == Phase::Reading && !m_parser &&
+    m_phase == Phase::Reading && !m_parser && UnsentBytes() == 0 &&
     !internal::HasUnreadBytes(bufferevent_getfd(m_bufferevent));
   if (isIdle) {
     CloseGently();
@@ -156,10 +187,11 @@
 void HttpConnection::OnTimer()
 {
   if (m_phase == Phase::Reading && m_parser) {
-    Reject(ResultCode::RequestTimeout);
+    Reject(m_hold.IsWaiting() ? ResultCode::NoCapacity
+                              : ResultCode::RequestTimeout);
     return;
   }
-  if (m_phase == Phase::Reading) {
+  if (m_phase == Phase::Reading && UnsentBytes() == 0) {
     if (!CloseIfIdle()) {
       m_timer->Start(m_server.m_limits.m_requestTime);
     }
@@ -184,6 +216,13 @@
     self->CloseGently();
     return;
   }
+  if (self->m_phase == Phase::Reading && !self->m_parser) {
+    if (!self->m_server.m_isDraining || !self->CloseIfIdle()) {
+      self->m_timer->Start(self->m_server.m_limits.m_idleTime);
+      self->ReadRequests();
+    }
+    return;
+  }
   if (self->m_phase != Phase::Answering || !self->m_exchange) {
     return;
   }
@@ -208,6 +247,25 @@
   evbuffer_drain(input, evbuffer_get_length(input));
 }
 
+void HttpConnection::SetReadAhead(size_t aBytes)
+{
+  bufferevent_setwatermark(m_bufferevent, EV_READ, 0, aBytes);
+}
+
+size_t HttpConnection::LongestReadAhead() const
+{
+  // A head that is too long must be seen to be so.
+  return std::max(kReadAhead,
+                  m_server.m_limits.m_maxHeaderBytes + kFirstReadAhead);
+}
+
+void HttpConnection::ReadSoon()
+{
+  bufferevent_trigger(m_bufferevent,
+                      EV_READ,
+                      BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+}
+
 void HttpConnection::ReadRequests()
 {
   if (m_phase == Phase::Closing || m_phase == Phase::Lingering) {
@@ -223,9 +281,19 @@
 // Reads what has come of one request. Returns whether more may be read now.
 bool HttpConnection::ReadPart()
 {
+  if (m_isRefused) {
+    Reject(ResultCode::NoCapacity);
+    return false;
+  }
+  if (m_parser && m_parser->IsDone() && !m_hold.IsWaiting()) {
+    HandleRequest();
+    return true;
+  }
   evbuffer* input = bufferevent_get_input(m_bufferevent);
   const size_t length = evbuffer_get_length(input);
-  if (length == 0) {
+  // An answer that has not been taken yet holds the next request back.
+  const bool isHeldBack = !m_parser && UnsentBytes() > 0;
+  if (length == 0 || isHeldBack || m_hold.IsWaiting()) {
     return false;
   }
   const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
@@ -240,56 +308,177 @@
       m_server.m_limits.m_maxHeaderBytes, m_server.m_limits.m_maxBodyBytes });
     m_timer->Start(m_server.m_limits.m_requestTime);
   }
-  const size_t taken =
-    m_parser->Feed(std::string_view(bytes, length),
-                   [this](std::string_view aPart) { m_body.append(aPart); });
-  evbuffer_drain(input, taken);
+  m_hold.NoteProgress(EventLoop::Now());
+  const std::string_view view(bytes, length);
+  return m_parser->HasHead() ? ReadBody(view) : ReadHead(view);
+}
+
+bool HttpConnection::ReadHead(std::string_view aBytes)
+{
+  const size_t taken = m_parser->FeedHead(aBytes);
+  evbuffer_drain(bufferevent_get_input(m_bufferevent), taken);
   if (m_parser->Failure() != internal::HttpParseFailure::None) {
     Reject(CodeOf(m_parser->Failure()));
     return false;
   }
-  if (!m_parser->IsDone()) {
-    return taken > 0 && taken < length;
+  if (m_parser->HasHead()) {
+    OnHead();
+    return m_phase == Phase::Reading && !m_hold.IsWaiting();
   }
-  // On a busy host a request may be read long after it came.
-  if (internal::HasPeerLeft(bufferevent_getfd(m_bufferevent))) {
-    CutSoon();
-    return false;
+  if (aBytes.size() >= kFirstReadAhead &&
+      m_hold.Ask(LongestReadAhead(), EventLoop::Now())) {
+    SetReadAhead(LongestReadAhead());
   }
-  HandleRequest();
-  return true;
+  return false;
 }
 
-void HttpConnection::HandleRequest()
+// Decides by the head whether the body is read, and asks for its memory.
+void HttpConnection::OnHead()
 {
-  m_phase = Phase::Answering;
-  m_timer->Stop();
   m_keepsAfterRequest = m_parser->KeepsConnection();
   m_exchange.reset(new HttpExchange(this));
   HttpExchange& exchange = *m_exchange;
   exchange.m_method = m_parser->Method();
   exchange.m_headers = std::move(m_parser->Headers());
-  exchange.m_body = std::move(m_body);
   const std::string& target = m_parser->Target();
   const size_t mark = target.find('?');
   exchange.m_path = target.substr(0, mark);
   exchange.m_query =
     mark == std::string::npos ? std::string() : target.substr(mark + 1);
   exchange.m_target = target;
+  const bool isWhole = m_parser->IsDone();
+  // A body that has come with its head is left to the handler's judgement.
+  const bool hasCome =
+    isWhole || (m_parser->BodyLength() &&
+                *m_parser->BodyLength() <=
+                  evbuffer_get_length(bufferevent_get_input(m_bufferevent)));
+  m_droppedBytes = 0;
+  m_isBodyWanted =
+    hasCome || !m_server.m_headJudge || m_server.m_headJudge(exchange);
+  exchange.m_isBodyDropped = !m_isBodyWanted;
+  m_neededBytes = BytesOf(exchange.m_headers);
+  if (!hasCome) {
+    m_neededBytes += LongestReadAhead();
+  }
+  if (!isWhole && m_isBodyWanted) {
+    m_neededBytes += m_parser->BodyLength().value_or(0);
+  }
+  if (!m_isBodyWanted &&
+      m_parser->BodyLength().value_or(0) > kMaxDroppedBytes) {
+    m_keepsAfterRequest = false;
+    HandleRequest();
+    return;
+  }
+  if (!m_hold.Ask(m_neededBytes, EventLoop::Now())) {
+    // ReadSoon() follows, also for a request without a body.
+    return;
+  }
+  if (isWhole) {
+    HandleRequest();
+  }
+}
+
+bool HttpConnection::ReadBody(std::string_view aBytes)
+{
+  SetReadAhead(LongestReadAhead());
+  if (!m_isBodyWanted) {
+    return DropBody(aBytes);
+  }
+  if (!MakeRoom(aBytes.size())) {
+    return false;
+  }
+  const size_t taken = m_parser->Feed(
+    aBytes, [this](std::string_view aPart) { m_body.append(aPart); });
+  evbuffer_drain(bufferevent_get_input(m_bufferevent), taken);
+  if (m_parser->Failure() != internal::HttpParseFailure::None) {
+    Reject(CodeOf(m_parser->Failure()));
+    return false;
+  }
+  if (!m_parser->IsDone()) {
+    return taken > 0 && taken < aBytes.size();
+  }
+  HandleRequest();
+  return true;
+}
+
+// Makes room for more of a body within the budget. Returns whether there is.
+bool HttpConnection::MakeRoom(size_t aBytes)
+{
+  if (const std::optional<uint64_t> length = m_parser->BodyLength()) {
+    m_body.reserve(*length);
+    return true;
+  }
+  const size_t size = m_body.size() + aBytes;
+  if (size <= m_body.capacity()) {
+    return true;
+  }
+  // Each time by as much again, as strings grow.
+  const size_t room = std::max(size, 2 * m_body.capacity());
+  if (!m_hold.Ask(m_neededBytes + room, EventLoop::Now())) {
+    return false;
+  }
+  m_body.reserve(room);
+  return true;
+}
+
+// Reads a body that is not wanted. A long one is left unread.
+bool HttpConnection::DropBody(std::string_view aBytes)
+{
+  const size_t taken = m_parser->Feed(aBytes, [](std::string_view) {});
+  evbuffer_drain(bufferevent_get_input(m_bufferevent), taken);
+  m_droppedBytes += taken;
+  if (m_parser->Failure() != internal::HttpParseFailure::None) {
+    Reject(CodeOf(m_parser->Failure()));
+    return false;
+  }
+  const bool isTooLong =
+    !m_parser->IsDone() && m_droppedBytes > kMaxDroppedBytes;
+  if (isTooLong) {
+    m_keepsAfterRequest = false;
+  }
+  if (isTooLong || m_parser->IsDone()) {
+    HandleRequest();
+    return true;
+  }
+  return taken > 0 && taken < aBytes.size();
+}
+
+void HttpConnection::HandleRequest()
+{
+  // On a busy host a request may be read long after it came.
+  if (internal::HasPeerLeft(bufferevent_getfd(m_bufferevent))) {
+    CutSoon();
+    return;
+  }
+  m_phase = Phase::Answering;
+  m_timer->Stop();
+  m_hold.SetWhole();
+  SetReadAhead(kFirstReadAhead);
+  m_exchange->m_body = std::move(m_body);
   m_parser.reset();
-  m_body.clear();
+  FreeBody();
   m_server.m_handler(m_exchange);
 }
 
+void HttpConnection::FreeBody()
+{
+  // An assignment of an empty string would keep the memory.
+  std::string().swap(m_body);
+}
+
 void HttpConnection::Reject(ResultCode aCode)
 {
   const std::string& target = m_parser->Target();
   if (m_server.m_rejectionObserver) {
     m_server.m_rejectionObserver(
-      HttpRejection{ aCode, target.substr(0, target.find('?')) });
+      HttpRejection{ aCode,
+                     target.substr(0, target.find('?')),
+                     internal::PeerAddress(bufferevent_getfd(m_bufferevent)) });
   }
   m_parser.reset();
-  m_body.clear();
+  FreeBody();
+  m_hold.Release();
+  m_isRefused = false;
   m_keepsAfterRequest = false;
   m_phase = Phase::Answering;
   m_exchange.reset(new HttpExchange(this));
--- a/briarglade/net/internal/http_connection.h
+++ b/briarglade/net/internal/http_connection.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "briarglade/base/result_code.h"
+#include "briarglade/net/caller_budget.h"
 #include "briarglade/net/event_loop.h"
 #include "briarglade/net/internal/http_message_parser.h"
 
@@ -72,8 +73,19 @@
 
   void ReadRequests();
   bool ReadPart();
+  bool ReadHead(std::string_view aBytes);
+  void OnHead();
+  bool ReadBody(std::string_view aBytes);
+  bool MakeRoom(size_t aBytes);
+  bool DropBody(std::string_view aBytes);
+  // Lets this much wait unread before the kernel holds the rest.
+  void SetReadAhead(size_t aBytes);
+  // Continues reading from the loop.
+  void ReadSoon();
+  size_t LongestReadAhead() const;
   void DropInput();
   void HandleRequest();
+  void FreeBody();
   void Reject(ResultCode aCode);
   void OnTimer();
   void CloseGently();
@@ -85,12 +97,20 @@
   std::unique_ptr<Timer> m_timer;
   std::optional<internal::HttpMessageParser<true>> m_parser;
   std::string m_body;
+  // What the budget must grant before the body is read.
+  size_t m_neededBytes = 0;
+  size_t m_droppedBytes = 0;
+  bool m_isBodyWanted = true;
+  // The budget takes back what the request holds.
+  bool m_isRefused = false;
   std::shared_ptr<HttpExchange> m_exchange;
   // The holds of answers that haven't been taken yet.
   std::vector<std::shared_ptr<AnswerHold>> m_holds;
   Phase m_phase = Phase::Reading;
   bool m_inRead = false;
   bool m_keepsAfterRequest = true;
+  // Last, so that no other connection is told of its bytes too early.
+  CallerHold m_hold;
 };
 
 } // namespace briarglade
--- a/briarglade/net/internal/http_message_parser.cc
+++ b/briarglade/net/internal/http_message_parser.cc
@@ -154,6 +154,33 @@
   return taken;
 }
 
+template<bool isRequest>
+size_t HttpMessageParser<isRequest>::FeedHead(std::string_view aBytes)
+{
+  if (m_failure != HttpParseFailure::None || HasHead()) {
+    return 0;
+  }
+  if (!IsHeadAcceptable(aBytes)) {
+    Fail(HttpParseFailure::Malformed);
+    return 0;
+  }
+  const size_t taken =
+    Feed(m_isHeadSeen ? aBytes.substr(0, m_scanned) : aBytes, BodySink());
+  if (HasHead() && BodyLength().value_or(0) > m_limits.m_maxBodyBytes) {
+    Fail(HttpParseFailure::BodyTooLarge);
+  }
+  return taken;
+}
+
+template<bool isRequest>
+std::optional<uint64_t> HttpMessageParser<isRequest>::BodyLength() const
+{
+  // The library tells the length to on_body_init_impl() only with the first
+  // byte of the body.
+  const boost::optional<uint64_t> length = Base::content_length();
+  return length ? std::optional<uint64_t>(*length) : std::nullopt;
+}
+
 template<bool isRequest>
 void HttpMessageParser<isRequest>::FeedEnd()
 {
--- a/briarglade/net/internal/http_message_parser.h
+++ b/briarglade/net/internal/http_message_parser.h
@@ -19,6 +19,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -57,6 +58,8 @@
   // Reads from the bytes and returns how many belong to the message. Bytes that
   // were not taken must be offered again, followed by what came later.
   size_t Feed(std::string_view aBytes, const BodySink& aSink);
+  // Like Feed(), but reads nothing beyond the head.
+  size_t FeedHead(std::string_view aBytes);
   // The connection was closed in an orderly way; ends a message without a
   // declared length.
   void FeedEnd();
@@ -64,6 +67,9 @@
   HttpParseFailure Failure() const { return m_failure; }
   bool HasHead() const { return Base::is_header_done(); }
   bool IsDone() const { return HasHead() && Base::is_done(); }
+  // The announced length of the body; nothing if it comes in chunks. Only after
+  // HasHead().
+  std::optional<uint64_t> BodyLength() const;
   // The end of the message is the end of the connection.
   bool EndsWithConnection() const { return HasHead() && Base::need_eof(); }
   bool KeepsConnection() const { return Base::keep_alive(); }
--- a/briarglade/net/internal/http_message_parser_test.cc
+++ b/briarglade/net/internal/http_message_parser_test.cc
@@ -3,6 +3,7 @@
 #include "briarglade/net/internal/http_message_parser.h"
 
 #include <doctest/doctest.h>
+#include <optional>
 #include <string>
 
 namespace briarglade::internal {
@@ -56,6 +57,49 @@
   }
 }
 
+TEST_CASE("a head alone is read in whatever pieces it comes; the length of its "
+          "body is known, and judged, before a byte of the body")
+{
+  struct Case
+  {
+    std::string m_fields;
+    HttpParseFailure m_failure;
+    std::optional<uint64_t> m_length;
+  };
+  const Case cases[] = {
+    { "Content-Length: 3\r\n", HttpParseFailure::None, 3 },
+    { "Transfer-Encoding: chunked\r\n", HttpParseFailure::None, std::nullopt },
+    { "Content-Length: 1025\r\n", HttpParseFailure::BodyTooLarge, 1025 },
+    { "X-A: b\rc\r\n", HttpParseFailure::Malformed, std::nullopt },
+    { "X-Long: " + std::string(2'000, 'x') + "\r\n",
+      HttpParseFailure::HeaderTooLarge,
+      std::nullopt },
+  };
+  for (const Case& each : cases) {
+    const std::string head = kHead + each.m_fields + "\r\n";
+    CAPTURE(each.m_fields);
+    for (size_t piece = 1; piece <= head.size() + 1; ++piece) {
+      CAPTURE(piece);
+      const std::string bytes = head + "abcPOST /next";
+      HttpMessageParser<true> parser(kLimits);
+      size_t taken = 0;
+      for (size_t end = piece;
+           !parser.HasHead() && parser.Failure() == HttpParseFailure::None &&
+           end < bytes.size() + piece;
+           end += piece) {
+        taken +=
+          parser.FeedHead(std::string_view(bytes).substr(taken, end - taken));
+      }
+      CHECK(parser.Failure() == each.m_failure);
+      if (parser.HasHead()) {
+        CHECK(taken == head.size());
+        CHECK(parser.BodyLength() == each.m_length);
+        CHECK_FALSE(parser.IsDone());
+      }
+    }
+  }
+}
+
 TEST_CASE("a body that is too long is refused in whatever pieces it comes")
 {
   const std::string message =
--- a/briarglade/net/internal/pooled_connection.cc
+++ b/briarglade/net/internal/pooled_connection.cc
@@ -7,6 +7,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <sys/socket.h>
+#include <utility>
 
 #include "briarglade/net/event_loop.h"
 #include "briarglade/net/http_call.h"
@@ -52,6 +53,18 @@
   m_sentBytes += internal::SendNow(m_bufferevent, aPieces);
 }
 
+void PooledConnection::SendShared(std::shared_ptr<const std::string> aText)
+{
+  using Text = std::shared_ptr<const std::string>;
+  auto* kept = new Text(std::move(aText));
+  evbuffer_add_reference(
+    bufferevent_get_output(m_bufferevent),
+    (*kept)->data(),
+    (*kept)->size(),
+    [](const void*, size_t, void* aKept) { delete static_cast<Text*>(aKept); },
+    kept);
+}
+
 bool PooledConnection::HasLeftovers() const
 {
   return evbuffer_get_length(bufferevent_get_input(m_bufferevent)) > 0 ||
--- a/briarglade/net/internal/pooled_connection.h
+++ b/briarglade/net/internal/pooled_connection.h
@@ -4,6 +4,8 @@
 
 #include <cstddef>
 #include <initializer_list>
+#include <memory>
+#include <string>
 #include <string_view>
 
 #include "briarglade/base/endpoint.h"
@@ -37,6 +39,8 @@
   // Begins an exchange: no byte of it has left yet.
   void BeginExchange() { m_sentBytes = 0; }
   void Send(std::initializer_list<std::string_view> aPieces);
+  // Sends a text and keeps it until then, without copying it.
+  void SendShared(std::shared_ptr<const std::string> aText);
   // Bytes handed to the kernel since BeginExchange().
   size_t SentBytes() const { return m_sentBytes; }
   // Whether bytes wait that belong to no answer, or weren't sent.
--- a/briarglade/net/internal/socket_io.cc
+++ b/briarglade/net/internal/socket_io.cc
@@ -3,6 +3,7 @@
 #include "briarglade/net/internal/socket_io.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <array>
 #include <cerrno>
 #include <event2/buffer.h>
@@ -88,6 +89,18 @@
   return recv(aSocket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+std::string PeerAddress(int aSocket)
+{
+  sockaddr_in address{};
+  socklen_t length = sizeof(address);
+  char text[INET_ADDRSTRLEN] = "";
+  const bool isKnown =
+    getpeername(aSocket, reinterpret_cast<sockaddr*>(&address), &length) == 0 &&
+    address.sin_family == AF_INET &&
+    inet_ntop(AF_INET, &address.sin_addr, text, sizeof(text)) != nullptr;
+  return isKnown ? std::string(text) : std::string();
+}
+
 size_t UnsentBytes(bufferevent* aConnection)
 {
   return evbuffer_get_length(bufferevent_get_output(aConnection));
--- a/briarglade/net/internal/socket_io.h
+++ b/briarglade/net/internal/socket_io.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <initializer_list>
+#include <string>
 #include <string_view>
 
 struct bufferevent;
@@ -28,6 +29,9 @@
 // Returns whether bytes have come that were not read from the socket yet.
 bool HasUnreadBytes(int aSocket);
 
+// Returns the IPv4 address of the other end; empty if it is not known.
+std::string PeerAddress(int aSocket);
+
 // Returns the number of bytes that wait to be sent.
 size_t UnsentBytes(bufferevent* aConnection);
 
--- a/briarglade/net/peer_rpc.cc
+++ b/briarglade/net/peer_rpc.cc
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "briarglade/membership/envelope.h"
+#include "briarglade/net/caller_budget.h"
 #include "briarglade/net/event_loop.h"
 #include "briarglade/net/internal/bufferevent_stream.h"
 #include "briarglade/net/internal/kj_bridge.h"
@@ -31,6 +32,14 @@
 // Connections that peers, or strangers, may hold open here.
 constexpr size_t kMaxAccepted = 1024;
 constexpr size_t kMaxMessageBytes = 4 * 1024 * 1024;
+// The same with what the encoding adds, in words. A longer message ends its
+// connection before it is read.
+constexpr uint64_t kMaxMessageWords = (kMaxMessageBytes + 64 * 1024) / 8;
+// The bound on what has come of messages that are not whole.
+constexpr size_t kMaxIncompleteBytes = 4 * kMaxMessageBytes;
+constexpr Millis kBudgetPeriod = Millis(50);
+// How long no connection is accepted after an accept has failed.
+constexpr Millis kAcceptPause = Millis(100);
 constexpr int kBacklog = 256;
 
 sockaddr_in ToSocketAddress(const Endpoint& aEndpoint)
@@ -64,7 +73,10 @@
                       aBytes.size());
 }
 
-Envelope ReadEnvelope(wire::PeerEnvelope::Reader aFrom)
+// The payload is read once only: each reading counts towards the limit of
+// words of its message.
+Envelope ReadEnvelope(wire::PeerEnvelope::Reader aFrom,
+                      capnp::Data::Reader aPayload)
 {
   Envelope envelope;
   envelope.m_cluster = ToString(aFrom.getCluster());
@@ -74,7 +86,7 @@
   envelope.m_receiver = NodeId(ToString(aFrom.getReceiver()));
   envelope.m_sequence = aFrom.getSequence();
   envelope.m_proof = ToString(aFrom.getProof());
-  envelope.m_payload = ToString(aFrom.getPayload());
+  envelope.m_payload = ToString(aPayload);
   return envelope;
 }
 
@@ -109,9 +121,10 @@
   kj::Promise<void> deliver(DeliverContext aContext) override
   {
     const auto envelope = aContext.getParams().getEnvelope();
-    m_traffic.m_received += envelope.getPayload().size();
-    if (m_handler && envelope.getPayload().size() <= kMaxMessageBytes) {
-      m_handler(ReadEnvelope(envelope));
+    const capnp::Data::Reader payload = envelope.getPayload();
+    m_traffic.m_received += payload.size();
+    if (m_handler && payload.size() <= kMaxMessageBytes) {
+      m_handler(ReadEnvelope(envelope, payload));
     }
     return kj::READY_NOW;
   }
@@ -121,6 +134,29 @@
   Traffic& m_traffic;
 };
 
+// A connection that a peer, or a stranger, has opened.
+struct AcceptedConnection
+{
+  AcceptedConnection(kj::Own<BuffereventStream> aStream,
+                     kj::Own<PeerServer> aServer)
+    : m_stream(kj::mv(aStream))
+    , m_network(*m_stream, capnp::rpc::twoparty::Side::SERVER, ReadOptions())
+    , m_system(capnp::makeRpcServer(m_network, kj::mv(aServer)))
+  {
+  }
+
+  static capnp::ReaderOptions ReadOptions()
+  {
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = kMaxMessageWords;
+    return options;
+  }
+
+  kj::Own<BuffereventStream> m_stream;
+  capnp::TwoPartyVatNetwork m_network;
+  capnp::RpcSystem<capnp::rpc::twoparty::VatId> m_system;
+};
+
 // An outgoing connection to one peer.
 class PeerConnection
 {
@@ -193,6 +229,12 @@
     if (m_listener == nullptr) {
       return 0;
     }
+    evconnlistener_set_error_cb(
+      m_listener, [](evconnlistener* aListener, void* aSelf) {
+        evconnlistener_disable(aListener);
+        static_cast<Impl*>(aSelf)->m_acceptAgain->Start(kAcceptPause);
+      });
+    TickBudget();
     sockaddr_in bound{};
     socklen_t length = sizeof(bound);
     getsockname(evconnlistener_get_fd(m_listener),
@@ -234,6 +276,9 @@
 
   Handler m_handler;
   Traffic m_traffic;
+  size_t m_maxAccepted = kMaxAccepted;
+  std::shared_ptr<CallerBudget> m_budget =
+    std::make_shared<CallerBudget>(kMaxIncompleteBytes);
 
 private:
   struct Call
@@ -244,9 +289,15 @@
     std::unique_ptr<Timer> m_timer;
   };
 
+  void TickBudget()
+  {
+    m_budget->Tick(EventLoop::Now());
+    m_budgetTimer->Start(kBudgetPeriod);
+  }
+
   void Accept(evutil_socket_t aSocket)
   {
-    if (m_acceptedCount >= kMaxAccepted) {
+    if (m_acceptedCount >= m_maxAccepted) {
       evutil_closesocket(aSocket);
       return;
     }
@@ -255,13 +306,14 @@
     ++m_acceptedCount;
     auto stream = kj::heap<BuffereventStream>(
       bufferevent_socket_new(m_loop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE));
-    auto server = kj::heap<capnp::TwoPartyServer>(
-      kj::heap<PeerServer>(m_handler, m_traffic));
-    kj::Promise<void> served = server->accept(*stream);
-    m_accepted.add(served
+    stream->BoundReads(m_budget);
+    auto connection = kj::heap<AcceptedConnection>(
+      kj::mv(stream), kj::heap<PeerServer>(m_handler, m_traffic));
+    kj::Promise<void> ended = connection->m_network.onDisconnect();
+    m_accepted.add(ended
                      .then([this] { --m_acceptedCount; },
                            [this](kj::Exception&&) { --m_acceptedCount; })
-                     .attach(kj::mv(server), kj::mv(stream)));
+                     .attach(kj::mv(connection)));
   }
 
   void Finish(const std::shared_ptr<Call>& aCall, bool aDelivered)
@@ -305,6 +357,10 @@
   EventLoop& m_loop;
   KjBridge m_bridge;
   evconnlistener* m_listener = nullptr;
+  const std::unique_ptr<Timer> m_acceptAgain =
+    m_loop.MakeTimer([this] { evconnlistener_enable(m_listener); });
+  const std::unique_ptr<Timer> m_budgetTimer =
+    m_loop.MakeTimer([this] { TickBudget(); });
   size_t m_acceptedCount = 0;
   std::map<Endpoint, std::shared_ptr<PeerConnection>> m_connections;
   std::vector<std::shared_ptr<PeerConnection>> m_retired;
@@ -321,6 +377,12 @@
 
 PeerRpc::~PeerRpc() = default;
 
+void PeerRpc::SetLimits(size_t aMaxAccepted, size_t aMaxBytes)
+{
+  m_impl->m_maxAccepted = aMaxAccepted;
+  m_impl->m_budget = std::make_shared<CallerBudget>(aMaxBytes);
+}
+
 void PeerRpc::SetHandler(Handler aHandler)
 {
   m_impl->m_handler = std::move(aHandler);
--- a/briarglade/net/peer_rpc.h
+++ b/briarglade/net/peer_rpc.h
@@ -35,6 +35,9 @@
   PeerRpc& operator=(const PeerRpc&) = delete;
 
   void SetHandler(Handler aHandler);
+  // Sets how many connections others may hold open here, and how many bytes of
+  // messages that have not come whole, not counting short ones.
+  void SetLimits(size_t aMaxAccepted, size_t aMaxBytes);
   // Listens; port 0 lets the kernel choose. Returns the port, or 0 on failure.
   uint16_t Listen(const Endpoint& aEndpoint);
   // Sends a message. The handler is called once, from the loop.
--- a/briarglade/net/peer_rpc_test.cc
+++ b/briarglade/net/peer_rpc_test.cc
@@ -56,6 +56,23 @@
   CHECK(received == sent);
 }
 
+TEST_CASE("the longest payload arrives, though messages that are not whole are "
+          "bounded to less")
+{
+  EventLoop loop;
+  PeerRpc rpc(loop);
+  rpc.SetLimits(8, 1024 * 1024);
+  const std::string payload(4 * 1024 * 1024, 'x');
+  bool hasArrived = false;
+  rpc.SetHandler([&](const Envelope& aEnvelope) {
+    hasArrived = aEnvelope.m_payload == payload;
+  });
+  const Endpoint self{ "127.0.0.1", rpc.Listen({ "127.0.0.1", 0 }) };
+  rpc.Send(self, MakeEnvelope(payload), [&](bool) { loop.Stop(); });
+  loop.Run();
+  CHECK(hasArrived);
+}
+
 TEST_CASE(
   "a peer that isn't there fails the call, and the next one goes through")
 {
--- a/standin/http_server_test.cc
+++ b/standin/http_server_test.cc
@@ -14,6 +14,7 @@
 
 #include "briarglade/net/answer_budget.h"
 #include "briarglade/net/answer_hold.h"
+#include "briarglade/net/caller_budget.h"
 #include "briarglade/net/event_loop.h"
 #include "briarglade/net/http_exchange.h"
 #include "standin/raw_client.h"
@@ -21,6 +22,8 @@
 namespace briarglade::standin {
 namespace {
 
+constexpr size_t kBodyBytes = 1024 * 1024;
+
 HttpServerLimits SmallLimits()
 {
   HttpServerLimits limits;
@@ -304,6 +307,154 @@
   CHECK(client.Received().find("\r\n0\r\n") == std::string::npos);
 }
 
+// Sends the parts one after the other, each once something more has come back
+// or 20 ms have passed, and returns what came by the close.
+std::string ExchangeParts(EventLoop& aLoop,
+                          HttpServer& aServer,
+                          std::vector<std::string> aParts)
+{
+  RawClient client(aLoop, aServer.Listen({ "127.0.0.1", 0 }));
+  client.OnEnd([&aLoop] { aLoop.Stop(); });
+  size_t next = 0;
+  const std::unique_ptr<Timer> timer = aLoop.MakeTimer([&] {
+    if (next < aParts.size()) {
+      client.Send(aParts[next++]);
+      timer->Start(Millis(20));
+    }
+  });
+  timer->Start(Millis(0));
+  aLoop.Run();
+  return client.Received();
+}
+
+TEST_CASE("a body that is not wanted is refused before it has come, and not "
+          "kept")
+{
+  struct Case
+  {
+    const char* m_name;
+    std::vector<std::string> m_parts;
+    bool m_keeps;
+  };
+  const std::string next = "GET /next HTTP/1.1\r\n\r\n";
+  const Case cases[] = {
+    { "a short body leaves the connection open",
+      { "POST /no HTTP/1.1\r\nContent-Length: 6\r\n\r\nabc", "def" + next },
+      true },
+    { "a short body in chunks, too",
+      { "POST /no HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc",
+        "\r\n0\r\n\r\n" + next },
+      true },
+    { "a long body is not waited for",
+      { "POST /no HTTP/1.1\r\nContent-Length: 900000\r\n\r\nabc" },
+      false },
+    { "a long body in chunks is read no further",
+      { "POST /no HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "20000\r\n" + std::string(0x20000, 'x') },
+      false },
+  };
+  for (const Case& each : cases) {
+    CAPTURE(each.m_name);
+    EventLoop loop;
+    HttpServerLimits limits;
+    limits.m_idleTime = Millis(100);
+    HttpServer server(loop, limits);
+    server.SetHeadJudge(
+      [](const HttpExchange& aExchange) { return aExchange.Path() != "/no"; });
+    server.SetHandler([](const std::shared_ptr<HttpExchange>& aExchange) {
+      CHECK(aExchange->IsBodyDropped() == (aExchange->Path() == "/no"));
+      CHECK(aExchange->Body().empty());
+      aExchange->Respond(aExchange->IsBodyDropped() ? 404 : 200, {}, {});
+    });
+    const std::string answers = ExchangeParts(loop, server, each.m_parts);
+    CAPTURE(answers);
+    CHECK(answers.find(" 404 ") != std::string::npos);
+    CHECK((answers.find(" 200 ") != std::string::npos) == each.m_keeps);
+    CHECK((answers.find("Connection: close") == std::string::npos) ==
+          each.m_keeps);
+  }
+}
+
+TEST_CASE("above the budget a body waits unread and is served once another "
+          "request has been answered; one that stops is refused, not run")
+{
+  for (const bool doesFirstEnd : { true, false }) {
+    CAPTURE(doesFirstEnd);
+    EventLoop loop;
+    const auto budget = std::make_shared<CallerBudget>(kBodyBytes);
+    HttpServerLimits limits;
+    limits.m_maxBodyBytes = kBodyBytes;
+    limits.m_idleTime = Millis(50);
+    HttpServer server(loop, limits);
+    server.SetBudget(budget);
+    std::vector<std::string> handled;
+    server.SetHandler([&](const std::shared_ptr<HttpExchange>& aExchange) {
+      CHECK(aExchange->Body().size() == kBodyBytes);
+      CHECK(budget->HeldBytes() < 2 * kBodyBytes);
+      handled.push_back(aExchange->Path());
+      aExchange->Respond(200, {}, {});
+    });
+    const uint16_t port = server.Listen({ "127.0.0.1", 0 });
+    const auto head = [](const std::string& aPath) {
+      return "POST " + aPath +
+             " HTTP/1.1\r\nContent-Length: " + std::to_string(kBodyBytes) +
+             "\r\n\r\n";
+    };
+    RawClient first(loop, port);
+    first.Send(head("/first") + std::string(kBodyBytes - 1, 'x'));
+    const std::unique_ptr<Timer> later = loop.MakeTimer([&] {
+      if (doesFirstEnd) {
+        first.Send("x");
+      }
+    });
+    std::unique_ptr<RawClient> second;
+    const std::unique_ptr<Timer> soon = loop.MakeTimer([&] {
+      second = std::make_unique<RawClient>(loop, port);
+      second->Send(head("/second") + std::string(kBodyBytes, 'x'));
+      second->OnEnd([&loop] { loop.Stop(); });
+    });
+    soon->Start(Millis(100));
+    later->Start(Millis(200));
+    loop.RunEvery(Millis(20), [&] { budget->Tick(EventLoop::Now()); });
+    loop.Run();
+    CHECK(second->Received().find(" 200 ") != std::string::npos);
+    CHECK(handled.size() == (doesFirstEnd ? 2 : 1));
+    CHECK(handled.back() == "/second");
+    CHECK(budget->WaitCount() == 1);
+    CHECK((first.Received().find(" 503 ") != std::string::npos) !=
+          doesFirstEnd);
+    CHECK((first.Received().find("not-run") != std::string::npos) !=
+          doesFirstEnd);
+  }
+}
+
+TEST_CASE("the next request of a connection is not run before the answer to "
+          "the one before it has been taken")
+{
+  EventLoop loop;
+  HttpServerLimits limits;
+  limits.m_idleTime = Millis(50);
+  HttpServer server(loop, limits);
+  const std::string longAnswer(16 * 1024 * 1024, 'x');
+  int handled = 0;
+  server.SetHandler([&](const std::shared_ptr<HttpExchange>& aExchange) {
+    ++handled;
+    aExchange->Respond(200, {}, longAnswer);
+  });
+  RawClient client(loop, server.Listen({ "127.0.0.1", 0 }));
+  client.OnEnd([&loop] { loop.Stop(); });
+  client.PauseReading();
+  client.Send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  const std::unique_ptr<Timer> timer = loop.MakeTimer([&] {
+    CHECK(handled == 1);
+    client.ResumeReading();
+  });
+  timer->Start(Millis(200));
+  loop.Run();
+  CHECK(handled == 2);
+  CHECK(client.Received().size() > 2 * longAnswer.size());
+}
+
 TEST_CASE("an answer counts until its caller has taken it, and a caller that "
           "takes nothing is cut above the bound")
 {
