--- a/briarglade/entry/gateway_relay.cc
+++ b/briarglade/entry/gateway_relay.cc
@@ -35,7 +35,7 @@
   , m_request(std::move(aRequest))
   , m_codec(aCodec)
   , m_hooks(std::move(aHooks))
-  , m_body(m_caller->TakeBody())
+  , m_body(std::make_shared<const std::string>(m_caller->TakeBody()))
   , m_arrivedAt(EventLoop::Now())
   , m_lastEvent(m_request.m_lastEvent)
 {
@@ -70,7 +70,7 @@
   spec.m_method = m_caller->Method();
   spec.m_path = m_caller->Target();
   spec.m_headers = m_codec.m_encodeAttempt(m_caller->Headers(), head);
-  spec.m_body = m_body;
+  spec.m_sharedBody = m_body;
   spec.m_timeout =
     std::min(aSend.m_answerBy, aSend.m_deadline + kDeadlineSlack) - aNow;
   spec.m_connectTimeout = kConnectTimeout;
@@ -186,7 +186,8 @@
 
 void GatewayRelay::CutAnswer(Exchange& aExchange)
 {
-  aExchange.m_body = std::string();
+  // An assignment of an empty string would keep the memory.
+  std::string().swap(aExchange.m_body);
   aExchange.m_events = EventStream();
   aExchange.m_call->Cancel(ExchangeEnd::WrongAnswer);
 }
@@ -270,7 +271,7 @@
   // What is kept now is a whole answer that is forwarded, or nothing.
   aExchange.m_hold->OnCut(nullptr);
   if (aEnd.m_end != ExchangeEnd::Whole) {
-    aExchange.m_body = std::string();
+    std::string().swap(aExchange.m_body);
     aExchange.m_hold->SetBytes(0);
   }
   const std::optional<ExchangeRole> role = RoleOf(aExchange);
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -182,6 +182,12 @@
                          Millis aNow,
                          const EntryEvent& aEvent);
 
+// Returns the code with which a request is refused by its head: there is no
+// configuration, no such route, or no such key. None: it is not refused so far.
+std::optional<ResultCode> RefusalByHead(const EntryState& aState,
+                                        const CallerRequest& aRequest,
+                                        const std::string& aPath);
+
 // Returns whether the node can serve requests, for the platform's readiness
 // checks. A node that may have lacked a version of the configuration for long
 // is not ready if there are other nodes.
