Gateway: a group is full for a request that would start late there

Callers saw: under a surge nearly all requests are late, and sends end at their deadline in a server's queue.

Cause: a group had room as long as it had slots, and 15 % more. Whether the first event could still come in time was not asked, nor how far the prompt would stretch the pauses of the requests that run there.

Change: where engine times are known, HasRoom() asks the estimate. A request that can be on time is sent only where it will be, and only if passes stay within the goal for pauses. A request that is late already is sent only to an idle group, or where a slot reserve stays free and a new request would still be on time. Slots are the upper bound. An answer that has begun continues by slots, as before. Services without stated times are served as before.

--- a/briarglade/gateway/backend_table.cc
+++ b/briarglade/gateway/backend_table.cc
@@ -28,6 +28,10 @@
 // Requests that may wait in a backend's own queue, as a fraction of its slots.
 // The margin is needed because other nodes' loads are known with a delay.
 constexpr double kMaxQueuedFraction = 0.15;
+// Fraction of a group's slots that requests which are late already leave free
+// for those that can be on time. Equal to the uncertainty about other nodes'
+// loads above.
+constexpr double kReservedFraction = kMaxQueuedFraction;
 // Number of pending prompt tokens that delay a group as much as one more
 // request in flight.
 constexpr double kPendingTokensPerRequest = 700;
@@ -189,11 +193,64 @@
     });
 }
 
-bool BackendTable::HasRoom(Millis aNow, const BackendSlot& aSlot)
+Millis BackendTable::IdleFirstEvent(
+  const BackendRequirements& aRequirements) const
 {
+  Millis fastest;
+  for (const BackendSlot& slot : m_slots) {
+    const EngineTimes& times = slot.m_backend.m_times;
+    if (Serves(slot, aRequirements) && times.AreKnown()) {
+      const Millis first =
+        EstimateFirstEvent(times, {}, aRequirements.m_promptTokens);
+      fastest = fastest == Millis() ? first : std::min(fastest, first);
+    }
+  }
+  return fastest;
+}
+
+// Returns whether a group whose engine times are known has room for the request
+// by the expected start and by the pauses of what runs there.
+bool BackendTable::HasTimeFor(Millis aNow,
+                              const BackendSlot& aSlot,
+                              const BackendRequirements& aRequirements)
+{
+  const EngineTimes& times = aSlot.m_backend.m_times;
+  const GroupWork work = aSlot.Work();
+  const uint32_t tokens = aRequirements.m_promptTokens;
+  if (work.m_requests == 0) {
+    return true;
+  }
+  if (work.m_requests >= aSlot.m_backend.m_slots ||
+      (times.m_gapGoal > Millis() &&
+       EstimateLongestPass(times, work, tokens) > times.m_gapGoal)) {
+    return false;
+  }
+  const Millis goalAt = aRequirements.m_goalAt;
+  if (aRequirements.m_isUnderserved ||
+      aNow + EstimateFirstEvent(times, work, tokens) <= goalAt) {
+    return true;
+  }
+  const bool isLate = aNow + EstimateFirstEvent(times, {}, tokens) > goalAt;
+  const GroupWork workWithIt{ work.m_requests + 1,
+                              work.m_pendingPromptTokens + tokens };
+  return isLate &&
+         workWithIt.m_requests <
+           aSlot.m_backend.m_slots * (1 - kReservedFraction) &&
+         EstimateFirstEvent(times, workWithIt, times.m_prefillChunkTokens) <=
+           times.m_goal;
+}
+
+bool BackendTable::HasRoom(Millis aNow,
+                           const BackendSlot& aSlot,
+                           const BackendRequirements& aRequirements)
+{
+  const bool isByTime =
+    aSlot.m_backend.m_times.AreKnown() && aRequirements.m_goalAt > Millis();
   const double limit = aSlot.m_backend.m_slots * (1 + kMaxQueuedFraction);
+  const bool hasCapacity =
+    isByTime ? HasTimeFor(aNow, aSlot, aRequirements) : aSlot.Load() < limit;
   return !aSlot.IsSuspect(aNow) && aSlot.m_avoidUntil <= aNow &&
-         BackoffUntil(aSlot) <= aNow && aSlot.Load() < limit &&
+         BackoffUntil(aSlot) <= aNow && hasCapacity &&
          m_coldStart.MaySend(aNow, aSlot.m_backend) &&
          m_rateLimits.MaySend(aNow, RunOf(aSlot.m_backend));
 }
@@ -219,7 +276,7 @@
   for (size_t i = 0; i < m_slots.size(); ++i) {
     BackendSlot& slot = m_slots[i];
     if (!Serves(slot, aRequirements) || WasTried(slot, aRequirements) ||
-        !HasRoom(aNow, slot)) {
+        !HasRoom(aNow, slot, aRequirements)) {
       continue;
     }
     const double cost = Cost(slot) + jitter(m_random) * slot.m_backend.m_slots;
--- a/briarglade/gateway/backend_table.h
+++ b/briarglade/gateway/backend_table.h
@@ -12,6 +12,9 @@
 // - All requests of a lost group are retried at the same moment. The nodes then
 //   have the same outdated peer loads and must not all choose the same backend,
 //   so a random amount is added to each cost.
+// - A sustained overload of model groups whose engine times are stated. A group
+//   counts as full for a request that would miss its goal there, and requests
+//   that are late already take only what room the others leave.
 //
 // Example:
 //   table.SetBackends(now, backends);
@@ -51,6 +54,12 @@
   // Backends that the request was already sent to; they are not chosen again.
   // May be nullptr.
   const std::vector<BackendSerial>* m_tried = nullptr;
+  uint32_t m_promptTokens = 0;
+  // When its answer should start; zero if that does not limit the choice.
+  Millis m_goalAt = Millis();
+  // Whether it is sent also where it would start late: its kind, account or
+  // size is served too little.
+  bool m_isUnderserved = false;
 };
 
 // One backend and its state as seen by this node. The index of a slot does not
@@ -88,6 +97,13 @@
 
   // Returns the requests in flight from all nodes.
   uint32_t Load() const { return m_inFlight + m_peerInFlight; }
+  // Returns the work in the group, from all nodes.
+  GroupWork Work() const
+  {
+    return GroupWork{
+      Load(), uint64_t{ m_pendingPromptTokens } + m_peerPendingPromptTokens
+    };
+  }
   // Returns whether this node or a peer suspects the backend.
   bool IsSuspect(Millis aNow) const
   {
@@ -128,9 +144,14 @@
   ServerRateLimits& RateLimits() { return m_rateLimits; }
 
   // Returns the slot with the lowest cost that has room for the request, or
-  // nothing if there is none.
+  // nothing if there is none. With stated engine times, a group has no room for
+  // a request that would start late there but could start on time elsewhere or
+  // later, nor for one that would make passes longer than the goal for pauses.
   std::optional<size_t> Choose(Millis aNow,
                                const BackendRequirements& aRequirements);
+  // Returns the time to the first event of the request at the fastest backend
+  // if it were idle; zero if engine times are unknown.
+  Millis IdleFirstEvent(const BackendRequirements& aRequirements) const;
   // Returns whether an untried backend, with or without room, can serve the
   // request and may receive requests from this node before aBefore.
   bool HasCandidate(Millis aNow,
@@ -188,7 +209,12 @@
   Millis BackoffUntil(const BackendSlot& aSlot) const;
   static bool WasTried(const BackendSlot& aSlot,
                        const BackendRequirements& aRequirements);
-  bool HasRoom(Millis aNow, const BackendSlot& aSlot);
+  bool HasRoom(Millis aNow,
+               const BackendSlot& aSlot,
+               const BackendRequirements& aRequirements);
+  static bool HasTimeFor(Millis aNow,
+                         const BackendSlot& aSlot,
+                         const BackendRequirements& aRequirements);
   double Cost(const BackendSlot& aSlot) const;
   size_t SlotFor(const Backend& aBackend);
   template<typename Visitor>
--- a/briarglade/gateway/gateway.cc
+++ b/briarglade/gateway/gateway.cc
@@ -46,9 +46,16 @@
 BackendRequirements GatewayReduction::RequirementsOf(
   const GatewayRequest& aRequest)
 {
-  return BackendRequirements{ aRequest.m_request.m_service,
-                              aRequest.m_request.m_model,
-                              &aRequest.m_tried };
+  BackendRequirements requirements;
+  requirements.m_service = aRequest.m_request.m_service;
+  requirements.m_model = aRequest.m_request.m_model;
+  requirements.m_tried = &aRequest.m_tried;
+  requirements.m_promptTokens = aRequest.m_request.m_promptTokens;
+  // An answer that has begun continues wherever a slot is free.
+  if (aRequest.m_request.m_goal > Millis() && !aRequest.m_answerBegan) {
+    requirements.m_goalAt = aRequest.m_arrivedAt + aRequest.m_request.m_goal;
+  }
+  return requirements;
 }
 
 WaitQueue& GatewayReduction::QueueOf(const GatewayRequest& aRequest)
--- a/briarglade/gateway/overload_replay_test.cc
+++ b/briarglade/gateway/overload_replay_test.cc
@@ -64,5 +64,16 @@
   CHECK(over.m_all.m_onTime < full.m_all.m_onTime * 9 / 10);
 }
 
+// Guards against a group that is given requests which start late there.
+TEST_CASE("with stated engine times an overload leaves more on time than by "
+          "slots and load")
+{
+  const OverloadResult bySlots = Replay(1.5, false);
+  const OverloadResult over = Replay(1.5, true);
+  MESSAGE("1.5 by expected start: " << Describe(over));
+  CHECK(over.m_all.m_onTime > bySlots.m_all.m_onTime * 2);
+  CHECK(over.m_timeouts < bySlots.m_timeouts);
+}
+
 } // namespace
 } // namespace briarglade
--- a/briarglade/gateway/overload_replay_test.h
+++ b/briarglade/gateway/overload_replay_test.h
@@ -211,11 +211,31 @@
       backend.m_zone = ZoneOf(group);
       backend.m_slots = m_options.m_slots;
       backend.m_maxPassTime = engine.MaxPassTime(1);
+      if (m_options.m_statesTerms) {
+        backend.m_times = MakeTimes();
+      }
       backends.push_back(backend);
     }
     return backends;
   }
 
+  EngineTimes MakeTimes() const
+  {
+    EngineTimes times;
+    times.m_stepMillis = kStepMillis;
+    times.m_stepMillisPerRequest = kStepMillisPerRequest;
+    times.m_prefillTokensPerMilli = kPrefillTokensPerMilli;
+    times.m_prefillChunkTokens = kPrefillChunkTokens;
+    times.m_stepsPerPass = kStepsPerPass;
+    times.m_goal = m_options.m_kinds[0].m_goal;
+    times.m_gapGoal = m_options.m_kinds[0].m_gapGoal;
+    for (const OverloadKind& kind : m_options.m_kinds) {
+      times.m_goal = std::min(times.m_goal, kind.m_goal);
+      times.m_gapGoal = std::min(times.m_gapGoal, kind.m_gapGoal);
+    }
+    return times;
+  }
+
   void Do(uint32_t aNode, const GatewayEvent& aEvent)
   {
     for (const GatewayEffect& effect :
