--- a/briarglade/gateway/backend_table.cc
+++ b/briarglade/gateway/backend_table.cc
@@ -28,10 +28,6 @@
 // Requests that may wait in a backend's own queue, as a fraction of its slots.
 // The margin is needed because other nodes' loads are known with a delay.
 constexpr double kMaxQueuedFraction = 0.15;
-// Fraction of a group's slots that requests which are late already leave free
-// for those that can be on time. Equal to the uncertainty about other nodes'
-// loads above.
-constexpr double kReservedFraction = kMaxQueuedFraction;
 // Number of pending prompt tokens that delay a group as much as one more
 // request in flight.
 constexpr double kPendingTokensPerRequest = 700;
@@ -112,51 +108,6 @@
   for (const ServerLoad& load : known) {
     AddPeerLoad(load);
   }
-  // Room that some reports show is divided once all nodes have reported.
-  if (++m_reports >= m_peerLoads.size()) {
-    m_reports = 0;
-    UpdateAllowances();
-  }
-}
-
-void BackendTable::UpdateAllowances()
-{
-  std::map<std::pair<ServiceId, ModelId>, ModelLoad> loads;
-  for (const BackendSlot& slot : m_slots) {
-    if (slot.m_isListed && slot.m_backend.m_times.AreKnown()) {
-      ModelLoad& load =
-        loads[{ slot.m_backend.m_service, slot.m_backend.m_model }];
-      load.m_own += slot.m_inFlight;
-      load.m_all += slot.Load();
-      load.m_slots += slot.m_backend.m_slots;
-    }
-  }
-  m_allowances.clear();
-  std::uniform_real_distribution<double> draw(0, 1);
-  for (auto& [model, load] : loads) {
-    load.m_nodes = static_cast<uint32_t>(
-      std::max(m_quota->LiveNodeCount(), m_peerLoads.size() + 1));
-    m_allowances[model].Update(load, draw(m_random));
-  }
-}
-
-bool BackendTable::MayStart(Millis aNow,
-                            const BackendRequirements& aRequirements) const
-{
-  const auto found =
-    m_allowances.find({ aRequirements.m_service, aRequirements.m_model });
-  if (found == m_allowances.end() || aRequirements.m_goalAt == Millis()) {
-    return true;
-  }
-  uint32_t own = 0;
-  for (const BackendSlot& slot : m_slots) {
-    own += Serves(slot, aRequirements) ? slot.m_inFlight : 0;
-  }
-  const bool isLate =
-    aNow + IdleFirstEvent(aRequirements) > aRequirements.m_goalAt;
-  return isLate && !aRequirements.m_isUnderserved
-           ? found->second.MayStartLate(own)
-           : found->second.MayStart(own);
 }
 
 // Calls aVisitor with each slot of a server; it has one for each of its groups.
@@ -238,64 +189,11 @@
     });
 }
 
-Millis BackendTable::IdleFirstEvent(
-  const BackendRequirements& aRequirements) const
+bool BackendTable::HasRoom(Millis aNow, const BackendSlot& aSlot)
 {
-  Millis fastest;
-  for (const BackendSlot& slot : m_slots) {
-    const EngineTimes& times = slot.m_backend.m_times;
-    if (Serves(slot, aRequirements) && times.AreKnown()) {
-      const Millis first =
-        EstimateFirstEvent(times, {}, aRequirements.m_promptTokens);
-      fastest = fastest == Millis() ? first : std::min(fastest, first);
-    }
-  }
-  return fastest;
-}
-
-// Returns whether a group whose engine times are known has room for the request
-// by the expected start and by the pauses of what runs there.
-bool BackendTable::HasTimeFor(Millis aNow,
-                              const BackendSlot& aSlot,
-                              const BackendRequirements& aRequirements)
-{
-  const EngineTimes& times = aSlot.m_backend.m_times;
-  const GroupWork work = aSlot.Work();
-  const uint32_t tokens = aRequirements.m_promptTokens;
-  if (work.m_requests == 0) {
-    return true;
-  }
-  if (work.m_requests >= aSlot.m_backend.m_slots ||
-      (times.m_gapGoal > Millis() &&
-       EstimateLongestPass(times, work, tokens) > times.m_gapGoal)) {
-    return false;
-  }
-  const Millis goalAt = aRequirements.m_goalAt;
-  if (aRequirements.m_isUnderserved ||
-      aNow + EstimateFirstEvent(times, work, tokens) <= goalAt) {
-    return true;
-  }
-  const bool isLate = aNow + EstimateFirstEvent(times, {}, tokens) > goalAt;
-  const GroupWork workWithIt{ work.m_requests + 1,
-                              work.m_pendingPromptTokens + tokens };
-  return isLate &&
-         workWithIt.m_requests <
-           aSlot.m_backend.m_slots * (1 - kReservedFraction) &&
-         EstimateFirstEvent(times, workWithIt, times.m_prefillChunkTokens) <=
-           times.m_goal;
-}
-
-bool BackendTable::HasRoom(Millis aNow,
-                           const BackendSlot& aSlot,
-                           const BackendRequirements& aRequirements)
-{
-  const bool isByTime =
-    aSlot.m_backend.m_times.AreKnown() && aRequirements.m_goalAt > Millis();
   const double limit = aSlot.m_backend.m_slots * (1 + kMaxQueuedFraction);
-  const bool hasCapacity =
-    isByTime ? HasTimeFor(aNow, aSlot, aRequirements) : aSlot.Load() < limit;
   return !aSlot.IsSuspect(aNow) && aSlot.m_avoidUntil <= aNow &&
-         BackoffUntil(aSlot) <= aNow && hasCapacity &&
+         BackoffUntil(aSlot) <= aNow && aSlot.Load() < limit &&
          m_coldStart.MaySend(aNow, aSlot.m_backend) &&
          m_rateLimits.MaySend(aNow, RunOf(aSlot.m_backend));
 }
@@ -315,16 +213,13 @@
   Millis aNow,
   const BackendRequirements& aRequirements)
 {
-  if (!MayStart(aNow, aRequirements)) {
-    return std::nullopt;
-  }
   std::optional<size_t> best;
   double bestCost = 0;
   std::uniform_real_distribution<double> jitter(0, kCostJitter);
   for (size_t i = 0; i < m_slots.size(); ++i) {
     BackendSlot& slot = m_slots[i];
     if (!Serves(slot, aRequirements) || WasTried(slot, aRequirements) ||
-        !HasRoom(aNow, slot, aRequirements)) {
+        !HasRoom(aNow, slot)) {
       continue;
     }
     const double cost = Cost(slot) + jitter(m_random) * slot.m_backend.m_slots;
--- a/briarglade/gateway/backend_table.h
+++ b/briarglade/gateway/backend_table.h
@@ -12,9 +12,6 @@
 // - All requests of a lost group are retried at the same moment. The nodes then
 //   have the same outdated peer loads and must not all choose the same backend,
 //   so a random amount is added to each cost.
-// - A sustained overload of model groups whose engine times are stated. A group
-//   counts as full for a request that would miss its goal there, and requests
-//   that are late already take only what room the others leave.
 //
 // Example:
 //   table.SetBackends(now, backends);
@@ -39,7 +36,6 @@
 #include "briarglade/gateway/cold_start_limit.h"
 #include "briarglade/gateway/gateway_event.h"
 #include "briarglade/gateway/server_rate_limits.h"
-#include "briarglade/gateway/start_allowance.h"
 
 namespace briarglade {
 
@@ -55,12 +51,6 @@
   // Backends that the request was already sent to; they are not chosen again.
   // May be nullptr.
   const std::vector<BackendSerial>* m_tried = nullptr;
-  uint32_t m_promptTokens = 0;
-  // When its answer should start; zero if that does not limit the choice.
-  Millis m_goalAt = Millis();
-  // Whether it is sent also where it would start late: its kind, account or
-  // size is served too little.
-  bool m_isUnderserved = false;
 };
 
 // One backend and its state as seen by this node. The index of a slot does not
@@ -98,15 +88,6 @@
 
   // Returns the requests in flight from all nodes.
   uint32_t Load() const { return m_inFlight + m_peerInFlight; }
-  // Returns the work in the group, from all nodes. A prompt is pending for
-  // about as long as a report is old: as much as the reports of the other nodes
-  // show is assumed to have been added since.
-  GroupWork Work() const
-  {
-    return GroupWork{ Load(),
-                      uint64_t{ m_pendingPromptTokens } +
-                        uint64_t{ m_peerPendingPromptTokens } * 2 };
-  }
   // Returns whether this node or a peer suspects the backend.
   bool IsSuspect(Millis aNow) const
   {
@@ -129,7 +110,6 @@
                std::shared_ptr<const FleetQuota> aQuota)
     : m_zone(std::move(aZone))
     , m_random(aSeed)
-    , m_quota(aQuota)
     , m_coldStart(aQuota)
     , m_rateLimits(std::move(aQuota))
   {
@@ -148,16 +128,9 @@
   ServerRateLimits& RateLimits() { return m_rateLimits; }
 
   // Returns the slot with the lowest cost that has room for the request, or
-  // nothing if there is none. With stated engine times, a group has no room for
-  // a request that would start late there but could start on time elsewhere or
-  // later, nor for one that would make passes longer than the goal for pauses;
-  // and this node starts no more than its part of what the nodes may start
-  // between two updates of their loads.
+  // nothing if there is none.
   std::optional<size_t> Choose(Millis aNow,
                                const BackendRequirements& aRequirements);
-  // Returns the time to the first event of the request at the fastest backend
-  // if it were idle; zero if engine times are unknown.
-  Millis IdleFirstEvent(const BackendRequirements& aRequirements) const;
   // Returns whether an untried backend, with or without room, can serve the
   // request and may receive requests from this node before aBefore.
   bool HasCandidate(Millis aNow,
@@ -215,12 +188,7 @@
   Millis BackoffUntil(const BackendSlot& aSlot) const;
   static bool WasTried(const BackendSlot& aSlot,
                        const BackendRequirements& aRequirements);
-  bool HasRoom(Millis aNow,
-               const BackendSlot& aSlot,
-               const BackendRequirements& aRequirements);
-  static bool HasTimeFor(Millis aNow,
-                         const BackendSlot& aSlot,
-                         const BackendRequirements& aRequirements);
+  bool HasRoom(Millis aNow, const BackendSlot& aSlot);
   double Cost(const BackendSlot& aSlot) const;
   size_t SlotFor(const Backend& aBackend);
   template<typename Visitor>
@@ -228,22 +196,15 @@
   void AddPeerLoad(const ServerLoad& aLoad);
   void SubtractPeerLoad(const ServerLoad& aLoad);
   void RecomputePeerLoads();
-  bool MayStart(Millis aNow, const BackendRequirements& aRequirements) const;
-  void UpdateAllowances();
 
   ZoneId m_zone;
   std::minstd_rand m_random;
-  std::shared_ptr<const FleetQuota> m_quota;
   ColdStartLimit m_coldStart;
   ServerRateLimits m_rateLimits;
   std::deque<BackendSlot> m_slots;
   uint64_t m_lastSerial = 0;
   std::map<Key, size_t> m_byKey;
   std::map<NodeId, std::vector<ServerLoad>> m_peerLoads;
-  // Reports from other nodes since the allowances were computed.
-  size_t m_reports = 0;
-  // For the models of engines with known times.
-  std::map<std::pair<ServiceId, ModelId>, StartAllowance> m_allowances;
   // Servers that requested a pause, and when it ends.
   std::map<HostId, Millis> m_backoffUntil;
 };
--- a/briarglade/gateway/gateway.cc
+++ b/briarglade/gateway/gateway.cc
@@ -3,7 +3,6 @@
 #include "briarglade/gateway/gateway.h"
 
 #include <algorithm>
-#include <set>
 #include <string>
 
 #include "briarglade/base/overloaded.h"
@@ -32,10 +31,6 @@
 // off from the fleet.
 constexpr double kReserveFraction = 0.4;
 
-// Requests without room that are passed over for the next ones in the queue, at
-// each attempt to start queued requests. Bounds the work of an attempt.
-constexpr size_t kMaxBlocked = 4;
-
 // One in kIdleDivisor of the connections that a server accepts may be idle; the
 // others are reserved for requests.
 constexpr uint32_t kIdleDivisor = 2;
@@ -51,16 +46,9 @@
 BackendRequirements GatewayReduction::RequirementsOf(
   const GatewayRequest& aRequest)
 {
-  BackendRequirements requirements;
-  requirements.m_service = aRequest.m_request.m_service;
-  requirements.m_model = aRequest.m_request.m_model;
-  requirements.m_tried = &aRequest.m_tried;
-  requirements.m_promptTokens = aRequest.m_request.m_promptTokens;
-  // An answer that has begun continues wherever a slot is free.
-  if (aRequest.m_request.m_goal > Millis() && !aRequest.m_answerBegan) {
-    requirements.m_goalAt = aRequest.m_arrivedAt + aRequest.m_request.m_goal;
-  }
-  return requirements;
+  return BackendRequirements{ aRequest.m_request.m_service,
+                              aRequest.m_request.m_model,
+                              &aRequest.m_tried };
 }
 
 WaitQueue& GatewayReduction::QueueOf(const GatewayRequest& aRequest)
@@ -181,11 +169,8 @@
 // none.
 bool GatewayReduction::Start(GatewayRequest& aRequest)
 {
-  BackendRequirements requirements = RequirementsOf(aRequest);
-  requirements.m_isUnderserved =
-    QueueOf(aRequest).IsUnderserved(m_now, aRequest.m_waiting);
   const std::optional<size_t> slot =
-    m_state.m_backendTable.Choose(m_now, requirements);
+    m_state.m_backendTable.Choose(m_now, RequirementsOf(aRequest));
   if (!slot) {
     return false;
   }
@@ -201,10 +186,6 @@
   m_state.m_backendTable.RecordStarted(
     m_now, aSlot, aRequest.m_request.m_promptTokens);
   QueueOf(aRequest).RecordStarted(m_now, aRequest.m_request.m_account);
-  if (aRole == ExchangeRole::Primary && aRequest.m_tried.empty() &&
-      aRequest.m_waiting.m_idleFirstEvent > Millis()) {
-    QueueOf(aRequest).RecordStarted(m_now, aRequest.m_waiting);
-  }
   const BackendSlot& chosen = m_state.m_backendTable.Slot(aSlot);
   aRequest.m_tried.push_back(chosen.m_serial);
   GatewayExchange exchange;
@@ -231,54 +212,21 @@
   send.m_maxIdleConnections = MaxIdleConnections(chosen.m_backend);
   const Millis coldFor =
     std::max(Millis(), chosen.m_backend.m_coldUntil - m_now);
-  LogRequest(
-    "request-sent",
-    aRequest,
-    { { "server", send.m_server.Value() },
-      { "group", chosen.m_backend.m_group.Value() },
-      { "load", std::to_string(chosen.Load()) },
-      { "peer-load", std::to_string(chosen.m_peerInFlight) },
-      { "pending-tokens", std::to_string(chosen.Work().m_pendingPromptTokens) },
-      { "idle-first-ms",
-        std::to_string(aRequest.m_waiting.m_idleFirstEvent.Count()) },
-      { "cold-ms", std::to_string(coldFor.Count()) },
-      { "nodes", std::to_string(m_state.m_quota->NodeCount()) },
-      { "send", std::to_string(aRequest.m_tried.size()) } });
+  LogRequest("request-sent",
+             aRequest,
+             { { "server", send.m_server.Value() },
+               { "group", chosen.m_backend.m_group.Value() },
+               { "load", std::to_string(chosen.Load()) },
+               { "cold-ms", std::to_string(coldFor.Count()) },
+               { "nodes", std::to_string(m_state.m_quota->NodeCount()) },
+               { "send", std::to_string(aRequest.m_tried.size()) } });
   m_effects.emplace_back(std::move(send));
 }
 
-Millis GatewayReduction::MaxWait(const GatewayRequest& aRequest) const
-{
-  return std::min(kMaxWait, TimeLeft(aRequest) / kMaxWaitDivisor);
-}
-
-WaitingRequest GatewayReduction::MakeWaiting(
-  const GatewayRequest& aRequest) const
-{
-  const Millis startBy = m_now + MaxWait(aRequest);
-  const bool hasGoal = aRequest.m_request.m_goal > Millis();
-  WaitingRequest waiting;
-  // Streams that have begun precede all other requests.
-  waiting.m_priority = aRequest.m_answerBegan ? kAnswerBegunPriority
-                                              : aRequest.m_request.m_priority;
-  waiting.m_goalAt =
-    hasGoal ? aRequest.m_arrivedAt + aRequest.m_request.m_goal : startBy;
-  waiting.m_startBy = startBy;
-  waiting.m_handle = aRequest.m_request.m_handle;
-  waiting.m_account = aRequest.m_request.m_account;
-  waiting.m_promptTokens = aRequest.m_request.m_promptTokens;
-  if (hasGoal && !aRequest.m_answerBegan) {
-    waiting.m_idleFirstEvent =
-      m_state.m_backendTable.IdleFirstEvent(RequirementsOf(aRequest));
-    waiting.m_isAlwaysLate =
-      waiting.m_idleFirstEvent > aRequest.m_request.m_goal;
-  }
-  return waiting;
-}
-
 void GatewayReduction::WaitOrRefuse(GatewayRequest& aRequest)
 {
-  const Millis maxWait = MaxWait(aRequest);
+  const Millis maxWait =
+    std::min(kMaxWait, TimeLeft(aRequest) / kMaxWaitDivisor);
   const bool hasBackend = m_state.m_backendTable.HasCandidate(
     m_now, RequirementsOf(aRequest), m_now + maxWait);
   // The caller of a stream that has begun can't be asked to retry: the request
@@ -292,33 +240,35 @@
     return;
   }
   WaitQueue& queue = QueueOf(aRequest);
-  aRequest.m_waiting = MakeWaiting(aRequest);
-  const WaitingRequest& waiting = aRequest.m_waiting;
-  const bool hasTimes = waiting.m_idleFirstEvent > Millis();
+  // Streams that have begun precede all other requests.
+  const int32_t priority = aRequest.m_answerBegan
+                             ? kAnswerBegunPriority
+                             : aRequest.m_request.m_priority;
   const Millis wait =
-    hasTimes ? queue.ExpectedWait(m_now, waiting)
-             : queue.ExpectedWait(m_now, waiting.m_priority, waiting.m_account);
+    queue.ExpectedWait(m_now, priority, aRequest.m_request.m_account);
   if (hasBackend && wait > maxWait) {
-    const Millis half = std::max(kMinRetryAfter, wait / 2);
-    const Millis retryAfter =
-      hasTimes ? queue.ReturnAfter(m_now, kMinRetryAfter, maxWait) : half;
-    LogRequest(
-      "request-turned-away",
-      aRequest,
-      { { "account", aRequest.m_request.m_account.Value() },
-        { "model", aRequest.m_request.m_model.Value() },
-        { "priority", std::to_string(waiting.m_priority) },
-        { "wait-ms", std::to_string(wait.Count()) },
-        { "patience-ms", std::to_string(maxWait.Count()) },
-        { "idle-first-ms", std::to_string(waiting.m_idleFirstEvent.Count()) },
-        { "late", queue.IsLate(m_now, waiting) ? "yes" : "no" },
-        { "underserved", queue.IsUnderserved(m_now, waiting) ? "yes" : "no" },
-        { "waiting", std::to_string(queue.Size()) } });
-    Finish(aRequest, ResultCode::QueueFull, retryAfter);
+    LogRequest("request-turned-away",
+               aRequest,
+               { { "account", aRequest.m_request.m_account.Value() },
+                 { "model", aRequest.m_request.m_model.Value() },
+                 { "priority", std::to_string(priority) },
+                 { "wait-ms", std::to_string(wait.Count()) },
+                 { "patience-ms", std::to_string(maxWait.Count()) },
+                 { "waiting", std::to_string(queue.Size()) } });
+    Finish(aRequest, ResultCode::QueueFull, std::max(kMinRetryAfter, wait / 2));
     return;
   }
   aRequest.m_phase = GatewayPhase::Waiting;
-  queue.Add(m_now, waiting);
+  const bool hasGoal = aRequest.m_request.m_goal > Millis();
+  const Millis goalAt = hasGoal
+                          ? aRequest.m_arrivedAt + aRequest.m_request.m_goal
+                          : m_now + maxWait;
+  aRequest.m_waiting = WaitingRequest{ priority,
+                                       goalAt,
+                                       m_now + maxWait,
+                                       aRequest.m_request.m_handle,
+                                       aRequest.m_request.m_account };
+  queue.Add(m_now, aRequest.m_waiting);
 }
 
 void GatewayReduction::RemoveFromQueue(GatewayRequest& aRequest)
@@ -330,23 +280,16 @@
 void GatewayReduction::StartQueuedRequests()
 {
   for (auto& [target, queue] : m_state.m_queues) {
-    std::set<RequestHandle> blocked;
-    while (const std::optional<WaitingRequest> next =
-             queue.Next(m_now, blocked)) {
+    while (const std::optional<WaitingRequest> next = queue.Next(m_now)) {
       GatewayRequest* request = Find(next->m_handle);
       if (request == nullptr) {
         queue.Remove(*next);
         continue;
       }
-      if (Start(*request)) {
-        queue.Remove(*next);
-        continue;
-      }
-      // By engine times, a request may have no room where a smaller one has.
-      blocked.insert(next->m_handle);
-      if (next->m_idleFirstEvent == Millis() || blocked.size() > kMaxBlocked) {
+      if (!Start(*request)) {
         break;
       }
+      queue.Remove(*next);
     }
   }
 }
@@ -367,15 +310,8 @@
     Finish(request, ResultCode::HarmfulRequest, blockedFor);
     return;
   }
-  WaitQueue& queue = QueueOf(request);
-  request.m_waiting = MakeWaiting(request);
-  const bool hasTimes = request.m_waiting.m_idleFirstEvent > Millis();
-  if (hasTimes) {
-    queue.RecordArrived(m_now, request.m_waiting);
-  }
-  const bool isFirst =
-    hasTimes ? queue.IsFirst(m_now, request.m_waiting) : queue.Size() == 0;
-  if (isFirst && Start(request)) {
+  const bool isQueueEmpty = QueueOf(request).Size() == 0;
+  if (isQueueEmpty && Start(request)) {
     return;
   }
   WaitOrRefuse(request);
--- a/briarglade/gateway/internal/gateway_reduction.h
+++ b/briarglade/gateway/internal/gateway_reduction.h
@@ -91,10 +91,6 @@
   // none.
   bool Start(GatewayRequest& aRequest);
   uint32_t MaxIdleConnections(const Backend& aBackend) const;
-  // Returns how long the request may be queued.
-  Millis MaxWait(const GatewayRequest& aRequest) const;
-  // Returns the queue entry of the request if it is queued now.
-  WaitingRequest MakeWaiting(const GatewayRequest& aRequest) const;
   // Queues the request, or rejects it if no backend can serve it or the
   // expected wait is too long.
   void WaitOrRefuse(GatewayRequest& aRequest);
--- a/briarglade/gateway/wait_queue.cc
+++ b/briarglade/gateway/wait_queue.cc
@@ -38,134 +38,29 @@
 
 bool WaitQueue::IsLate(Millis aNow, const WaitingRequest& aWaiting) const
 {
-  const Millis expected =
-    aWaiting.m_idleFirstEvent > Millis()
-      ? aWaiting.m_idleFirstEvent
-      : Millis(static_cast<int64_t>(m_meanTimeToFirstBytes));
+  const Millis expected(static_cast<int64_t>(m_meanTimeToFirstBytes));
   return aNow + expected > aWaiting.m_goalAt;
 }
 
-int WaitQueue::SizeStep(const WaitingRequest& aWaiting)
+std::optional<WaitingRequest> WaitQueue::Next(Millis aNow) const
 {
-  // Each step covers twice as many tokens as the one before.
-  return static_cast<int>(std::log2(1.0 + aWaiting.m_promptTokens));
-}
-
-bool WaitQueue::IsUnderserved(Millis aNow, const WaitingRequest& aWaiting) const
-{
-  // One that has become late does not go before those that can be on time.
-  const bool isEligible = aWaiting.m_idleFirstEvent > Millis() &&
-                          (aWaiting.m_isAlwaysLate || !IsLate(aNow, aWaiting));
-  return isEligible && (m_byPriority.IsUnderserved(aNow, aWaiting.m_priority) ||
-                        m_byAccount.IsUnderserved(aNow, aWaiting.m_account) ||
-                        m_bySize.IsUnderserved(aNow, SizeStep(aWaiting)));
-}
-
-WaitQueue::Rank WaitQueue::RankOf(Millis aNow,
-                                  const WaitingRequest& aWaiting) const
-{
-  const bool isLate = IsLate(aNow, aWaiting);
-  const bool hasTimes = aWaiting.m_idleFirstEvent > Millis();
-  const Millis due = isLate ? aWaiting.m_startBy : aWaiting.m_goalAt;
-  return Rank(hasTimes && !IsUnderserved(aNow, aWaiting),
-              hasTimes && isLate,
-              aWaiting.m_priority,
-              isLate,
-              UsageStep(aNow, aWaiting.m_account),
-              due,
-              aWaiting.m_handle);
-}
-
-std::optional<WaitingRequest> WaitQueue::Next(
-  Millis aNow,
-  const std::set<RequestHandle>& aBlocked) const
-{
-  std::optional<WaitingRequest> first;
-  std::optional<Rank> firstRank;
-  for (const WaitingRequest& waiting : m_waiting) {
-    if (aBlocked.count(waiting.m_handle) > 0) {
-      continue;
-    }
-    const Rank rank = RankOf(aNow, waiting);
-    if (!firstRank || rank < *firstRank) {
-      first = waiting;
-      firstRank = rank;
-    }
-  }
-  return first;
-}
-
-bool WaitQueue::IsFirst(Millis aNow, const WaitingRequest& aWaiting) const
-{
-  const Rank rank = RankOf(aNow, aWaiting);
-  return std::none_of(
-    m_waiting.begin(), m_waiting.end(), [&](const WaitingRequest& aOther) {
-      return RankOf(aNow, aOther) < rank;
-    });
-}
-
-void WaitQueue::RecordArrived(Millis aNow, const WaitingRequest& aWaiting)
-{
-  m_byPriority.RecordArrived(aNow, aWaiting.m_priority);
-  m_byAccount.RecordArrived(aNow, aWaiting.m_account);
-  m_bySize.RecordArrived(aNow, SizeStep(aWaiting));
-}
-
-void WaitQueue::RecordStarted(Millis aNow, const WaitingRequest& aWaiting)
-{
-  m_byPriority.RecordStarted(aNow, aWaiting.m_priority);
-  m_byAccount.RecordStarted(aNow, aWaiting.m_account);
-  m_bySize.RecordStarted(aNow, SizeStep(aWaiting));
-  if (IsLate(aNow, aWaiting)) {
-    const double interval =
-      std::min(kMaxFreedIntervalMillis,
-               static_cast<double>((aNow - m_lastLateAt).Count()));
-    m_meanLateInterval +=
-      (interval - m_meanLateInterval) * kFreedIntervalWeight;
-    m_lastLateAt = aNow;
-  }
-}
-
-double WaitQueue::LateInterval(Millis aNow) const
-{
-  const Millis since = std::max(m_lastLateAt, m_waitingSince);
-  const double stalled =
-    m_waiting.empty() ? 0 : static_cast<double>((aNow - since).Count());
-  return std::max({ FreedInterval(aNow),
-                    m_meanLateInterval,
-                    std::min(stalled, kMaxFreedIntervalMillis) });
-}
-
-Millis WaitQueue::ExpectedWait(Millis aNow,
-                               const WaitingRequest& aWaiting) const
-{
-  const Rank rank = RankOf(aNow, aWaiting);
-  double onTimeAhead = 0;
-  double lateAhead = 0;
-  for (const WaitingRequest& other : m_waiting) {
-    const bool isOtherLate = IsLate(aNow, other);
-    lateAhead += isOtherLate ? 1 : 0;
-    onTimeAhead += !isOtherLate && RankOf(aNow, other) < rank ? 1 : 0;
-  }
-  const Millis wait(
-    static_cast<int64_t>(FreedInterval(aNow) * (onTimeAhead + 1)));
-  if (!IsLate(aNow + wait, aWaiting) || IsUnderserved(aNow, aWaiting)) {
-    return wait;
-  }
-  return wait +
-         Millis(static_cast<int64_t>(LateInterval(aNow) * (lateAhead + 1)));
-}
-
-Millis WaitQueue::ReturnAfter(Millis aNow, Millis aEarliest, Millis aLongest)
-{
-  const Millis at = std::max(m_nextReturnAt, aNow + aEarliest);
-  // A caller without the time to wait for it takes nobody's place.
-  if (at - aNow <= aLongest) {
-    m_nextReturnAt =
-      at + Millis(std::max<int64_t>(
-             1, static_cast<int64_t>(std::ceil(m_meanFreedInterval))));
-  }
-  return at - aNow;
+  const auto rank = [&](const WaitingRequest& aWaiting) {
+    const bool isLate = IsLate(aNow, aWaiting);
+    const Millis due = isLate ? aWaiting.m_startBy : aWaiting.m_goalAt;
+    return std::make_tuple(aWaiting.m_priority,
+                           isLate,
+                           UsageStep(aNow, aWaiting.m_account),
+                           due,
+                           aWaiting.m_handle);
+  };
+  const auto first =
+    std::min_element(m_waiting.begin(),
+                     m_waiting.end(),
+                     [&](const WaitingRequest& aA, const WaitingRequest& aB) {
+                       return rank(aA) < rank(aB);
+                     });
+  return first == m_waiting.end() ? std::nullopt
+                                  : std::optional<WaitingRequest>(*first);
 }
 
 void WaitQueue::RecordTimeToFirstBytes(Millis aElapsed)
@@ -217,19 +112,15 @@
     return aWaiting.m_priority < aPriority || isAsUrgent;
   };
   const auto ahead = std::count_if(m_waiting.begin(), m_waiting.end(), isAhead);
-  return Millis(
-    static_cast<int64_t>(FreedInterval(aNow) * static_cast<double>(ahead + 1)));
-}
-
-double WaitQueue::FreedInterval(Millis aNow) const
-{
   // If no backend has become free since requests began to wait, the mean
   // interval is out of date; the time elapsed since then is used if longer.
   const Millis stalledSince = std::max(m_lastFreedAt, m_waitingSince);
   const double stalled =
     m_waiting.empty() ? 0 : static_cast<double>((aNow - stalledSince).Count());
-  return std::max(m_meanFreedInterval,
-                  std::min(stalled, kMaxFreedIntervalMillis));
+  const double interval =
+    std::max(m_meanFreedInterval, std::min(stalled, kMaxFreedIntervalMillis));
+  return Millis(
+    static_cast<int64_t>(interval * static_cast<double>(ahead + 1)));
 }
 
 std::vector<WaitingRequest> WaitQueue::Overdue(Millis aNow) const
--- a/briarglade/gateway/wait_queue.h
+++ b/briarglade/gateway/wait_queue.h
@@ -4,9 +4,6 @@
 // 2. requests that can still meet their latency goal before those that cannot;
 // 3. requests of accounts that were served clearly less in the recent past;
 // 4. the request with the least time left.
-// With stated engine times, requests of classes (priority, account, size) that
-// are served too little come first, and requests that can no longer meet their
-// goal come behind all others whatever their priority.
 //
 // Designed for these load patterns:
 // - A short burst beyond the capacity of the backends. A request that cannot
@@ -15,9 +12,6 @@
 //   free.
 // - A lasting overload. In order of arrival every request would miss its goal.
 //   Requests that can meet it therefore go before those that are too late.
-//   Those that are late wait only as long as recent starts of late requests
-//   promise them a place, and refused callers return one after the other, at
-//   the rate at which backends become free.
 // - A flood from one account. Requests of other accounts do not wait behind it.
 //
 // Example:
@@ -36,12 +30,10 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <tuple>
 #include <vector>
 
 #include "briarglade/base/millis.h"
 #include "briarglade/gateway/gateway_event.h"
-#include "briarglade/gateway/served_fraction.h"
 
 namespace briarglade {
 
@@ -56,12 +48,6 @@
   Millis m_startBy;
   RequestHandle m_handle;
   AccountId m_account;
-  // Time to its first event at an idle backend; zero if unknown.
-  Millis m_idleFirstEvent = Millis();
-  uint32_t m_promptTokens = 0;
-  // Whether it would miss its goal even if it were sent on arrival to an idle
-  // backend.
-  bool m_isAlwaysLate = false;
 
   // Orders by priority, then by m_startBy, then by handle.
   bool operator<(const WaitingRequest& aOther) const;
@@ -74,31 +60,13 @@
   void Add(Millis aNow, const WaitingRequest& aWaiting);
   void Remove(const WaitingRequest& aWaiting) { m_waiting.erase(aWaiting); }
   // Returns the request to start next, or nothing if the queue is empty.
-  std::optional<WaitingRequest> Next(Millis aNow) const
-  {
-    return Next(aNow, {});
-  }
-  // The same, without those of aBlocked.
-  std::optional<WaitingRequest> Next(
-    Millis aNow,
-    const std::set<RequestHandle>& aBlocked) const;
-  // Returns whether no queued request would be started before a new one.
-  bool IsFirst(Millis aNow, const WaitingRequest& aWaiting) const;
+  std::optional<WaitingRequest> Next(Millis aNow) const;
   size_t Size() const { return m_waiting.size(); }
 
   // Records the time from sending a request to the start of its answer.
   void RecordTimeToFirstBytes(Millis aElapsed);
   // Records that a request of the account was started.
   void RecordStarted(Millis aNow, const AccountId& aAccount);
-  // Records that a request with known engine times arrived, and that it was
-  // started.
-  void RecordArrived(Millis aNow, const WaitingRequest& aWaiting);
-  void RecordStarted(Millis aNow, const WaitingRequest& aWaiting);
-  // Returns whether the request's priority, account or size is served clearly
-  // less than all requests are.
-  bool IsUnderserved(Millis aNow, const WaitingRequest& aWaiting) const;
-  // Returns whether the request would miss its goal if it were sent now.
-  bool IsLate(Millis aNow, const WaitingRequest& aWaiting) const;
   // Records that a backend became free.
   void RecordBackendFreed(Millis aNow);
   // Returns the estimated waiting time of a new request with that priority and
@@ -106,33 +74,13 @@
   Millis ExpectedWait(Millis aNow,
                       int32_t aPriority,
                       const AccountId& aAccount) const;
-  // Returns the estimated waiting time of a new request with known engine
-  // times, by the requests that would be started before it. One that could not
-  // start in time for its goal waits behind all that can.
-  Millis ExpectedWait(Millis aNow, const WaitingRequest& aWaiting) const;
-  // Returns when a refused caller should return, and gives each caller that has
-  // the time for it a time of its own. aEarliest and aLongest bound the result.
-  Millis ReturnAfter(Millis aNow, Millis aEarliest, Millis aLongest);
   // Returns the requests that can no longer be started in time. They stay in
   // the queue until they are removed.
   std::vector<WaitingRequest> Overdue(Millis aNow) const;
 
 private:
-  // Each kind and account must be served at least a quarter as often as all
-  // requests, each size half as often. The floors are higher, as the measured
-  // fractions vary.
-  static constexpr double kKindFloor = 0.4;
-  static constexpr double kSizeFloor = 0.7;
-
-  // Sorts before another request's rank if the request is to be started first.
-  using Rank =
-    std::tuple<bool, bool, int32_t, bool, int, Millis, RequestHandle>;
-  Rank RankOf(Millis aNow, const WaitingRequest& aWaiting) const;
-  static int SizeStep(const WaitingRequest& aWaiting);
-  // Returns the time between two starts in milliseconds: the mean, or the time
-  // since the last one if that is longer.
-  double FreedInterval(Millis aNow) const;
-  double LateInterval(Millis aNow) const;
+  // Returns whether the request would miss its goal if it were sent now.
+  bool IsLate(Millis aNow, const WaitingRequest& aWaiting) const;
   // Returns how much an account was served in the recent past, in coarse
   // logarithmic steps.
   int UsageStep(Millis aNow, const AccountId& aAccount) const;
@@ -157,14 +105,6 @@
   Millis m_lastFreedAt;
   // Since when the queue has not been empty.
   Millis m_waitingSince;
-  // The same for starts of late requests.
-  double m_meanLateInterval = 20;
-  Millis m_lastLateAt;
-  // The earliest time for the next caller to return.
-  Millis m_nextReturnAt;
-  ServedFraction<int32_t> m_byPriority{ kKindFloor };
-  ServedFraction<AccountId> m_byAccount{ kKindFloor };
-  ServedFraction<int> m_bySize{ kSizeFloor };
 };
 
 } // namespace briarglade
