--- a/briarglade/grouping/group_moving_test.cc
+++ b/briarglade/grouping/group_moving_test.cc
@@ -421,7 +421,7 @@
       }
       if (world.m_random() % 100 < 2) {
         const std::vector<HostId> hosts = world.m_servers.Hosts();
-        const HostId victim = hosts[world.m_random() % hosts.size()];
+        const HostId& victim = hosts[world.m_random() % hosts.size()];
         if (restarts.count(victim) == 0) {
           world.m_servers.Crash(victim);
           restarts[victim] = world.m_now + Millis(3'000);
