Capacity: stage before traffic only where the operators state no mix of models

Cause: a host keeps the weights of one model.

Change: it is done only if all models have the same share, where a correction is likely.

--- a/briarglade/grouping/group_moving.cc
+++ b/briarglade/grouping/group_moving.cc
@@ -54,6 +54,17 @@
 // should have ended.
 constexpr Millis kStageGrace = Millis(3'000);
 
+// Returns whether the operators expect the same share of the work for each
+// model, and so have not stated a mix that the first layout could fit.
+bool HasEqualShares(const EngineSpec& aEngine)
+{
+  const double first = aEngine.m_models.front().m_share;
+  return std::all_of(
+    aEngine.m_models.begin(),
+    aEngine.m_models.end(),
+    [first](const ReplicaModel& aModel) { return aModel.m_share == first; });
+}
+
 std::string ToText(double aValue)
 {
   // Two digits after the point.
@@ -408,7 +419,11 @@
     }
     ConfigureLoadBudget(*service.m_engine);
     if (!m_view->m_hasTraffic) {
-      StageBeforeTraffic(service);
+      // Staging replaces the weights that a host needs to rejoin its own model
+      // after a restart. That pays only if a correction is likely.
+      if (HasEqualShares(*service.m_engine)) {
+        StageBeforeTraffic(service);
+      }
       continue;
     }
     const Millis plannedAt = m_capacity[id].m_plannedAt;
--- a/briarglade/grouping/group_moving_test.cc
+++ b/briarglade/grouping/group_moving_test.cc
@@ -257,6 +257,17 @@
   CHECK(world.m_servers.Violations().empty());
 }
 
+TEST_CASE("a service whose models have different stated shares stages nothing "
+          "before traffic, so that restarted hosts still hold their weights")
+{
+  MovingWorld world;
+  world.m_config.m_services.begin()->second.m_engine->m_models[0].m_share = 0.7;
+  world.Run(Millis(40'000));
+  CHECK(world.Serving(kLarge) > 0);
+  CHECK(world.Serving(kSmall) > 0);
+  CHECK(world.m_servers.StageCount() == 0);
+}
+
 TEST_CASE(
   "after a shift of demand, nine tenths of it is served within one load "
   "time plus 5 s")
