The compressed values of one update have a common bound

What callers saw: nothing yet. Cause, found by reading: each compressed value was bounded to 16 MiB, but a message of up to 4 MiB may hold many, so that whoever reaches the port for other nodes could fill a small process's memory.

Change: an update whose compressed values state more than 16 MiB together is rejected before any is unpacked.

The new case was not run on the code before; the other tests were not run again.

--- a/briarglade/entry/node_news.cc
+++ b/briarglade/entry/node_news.cc
@@ -581,13 +581,42 @@
   return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
 }
 
+namespace {
+
+uint64_t UnpackedBytesOf(capnp::List<wire::HandedRows>::Reader aChanges)
+{
+  uint64_t bytes = 0;
+  for (const auto changes : aChanges) {
+    for (const auto row : changes.getRows()) {
+      bytes += row.hasPacked() ? row.getUnpackedBytes() : 0;
+    }
+  }
+  return bytes;
+}
+
+// Returns what the compressed values of an update take in memory, as stated.
+uint64_t UnpackedBytesOf(wire::NodeNews::Reader aMessage)
+{
+  uint64_t bytes = UnpackedBytesOf(aMessage.getHanded());
+  for (const auto bulletin : aMessage.getBulletins()) {
+    bytes += UnpackedBytesOf(bulletin.getHanded());
+  }
+  return bytes;
+}
+
+} // namespace
+
 std::optional<NodeNews> DecodeNodeNews(const std::string& aBytes)
 {
   std::optional<NodeNews> update;
   const auto failure = kj::runCatchingExceptions([&] {
     kj::ArrayInputStream input(BytesOf(aBytes));
     capnp::PackedMessageReader reader(input);
-    update = ReadUpdate(reader.getRoot<wire::NodeNews>());
+    const auto message = reader.getRoot<wire::NodeNews>();
+    // Anybody who reaches the port can send small messages of large values.
+    KJ_REQUIRE(UnpackedBytesOf(message) <= kMaxPackedValueBytes,
+               "the compressed values are too large together");
+    update = ReadUpdate(message);
   });
   return failure == nullptr ? update : std::nullopt;
 }
--- a/briarglade/entry/node_news_test.cc
+++ b/briarglade/entry/node_news_test.cc
@@ -200,6 +200,19 @@
   CHECK_FALSE(DecodeNodeNews(EncodeNodeNews(sent)));
 }
 
+TEST_CASE("an update whose compressed values are too large together is "
+          "rejected, so that a small message cannot fill the memory")
+{
+  NodeNews sent = MakeNews();
+  StoredRow row = sent.m_rowChanges[0].m_rows[0];
+  row.m_value = std::string(9 * 1024 * 1024, 'r');
+  row.m_packed = PackValue(*row.m_value);
+  sent.m_rowChanges[0].m_rows = { row };
+  CHECK(DecodeNodeNews(EncodeNodeNews(sent)));
+  sent.m_rowChanges[0].m_rows = { row, row };
+  CHECK_FALSE(DecodeNodeNews(EncodeNodeNews(sent)));
+}
+
 TEST_CASE("truncated or malformed bytes are rejected safely")
 {
   const std::string whole = EncodeNodeNews(MakeNews());
