check-deploy: settings with their default limits

The settings template got placeholders for descriptors and memory; check-deploy and demo-platform format it by themselves and ended with KeyError. One function now fills the template and has the defaults.

--- a/scripts/lib/platform_cluster.py
+++ b/scripts/lib/platform_cluster.py
@@ -58,6 +58,13 @@
 """
 
 
+def settings_text(name, ip, zone, *, descriptors=4100, memory_mb=260, **ports):
+    """Returns a node's settings; `ports` has store, peers, metrics, callers, ready and
+    directory."""
+    return SETTINGS.format(name=name, ip=ip, zone=zone, descriptors=descriptors,
+                           memory_mb=memory_mb, **ports)
+
+
 def free_ports(address, count):
     """Returns ports that the kernel has chosen for an address of this machine."""
     sockets = [socket.socket() for _ in range(count)]
@@ -72,8 +79,8 @@
 class EntryNode:
     """One `briarglade serve`, with an address of its own on loopback."""
 
-    def __init__(self, name, zone, store_port, directory, program=None, descriptors=4100,
-                 memory_mb=260):
+    def __init__(self, name, zone, store_port, directory, program=None, **limits):
+        """`limits` has the descriptors and memory_mb that are not the usual ones."""
         self.name = name
         self.program = program or os.path.join(BUILD, "briarglade")
         # An address that no other run on this machine uses at the same time.
@@ -83,9 +90,8 @@
         self.log_path = os.path.join(directory, name + ".log")
         self.settings_path = os.path.join(directory, name + ".toml")
         with open(self.settings_path, "w", encoding="utf-8") as file:
-            file.write(SETTINGS.format(name=name, ip=self.ip, zone=zone, store=store_port,
-                                       descriptors=descriptors, memory_mb=memory_mb,
-                                       **self.ports))
+            file.write(settings_text(name, self.ip, zone, store=store_port, **self.ports,
+                                     **limits))
         self.popen = None
         self.start()
 
