Placement: requests that other nodes have not reported yet count as evenly spread

Cause: loads of other nodes are known 150 to 600 ms late, and each node chose the group with the lowest known load. A group got up to 40 requests within 100 ms (variance 5.8 times the mean) while others got none, and its prompts delayed each other.

Change: the choice assumes that the requests not reported yet fill the groups up to a common level, and takes each group with the probability of such a request going there (stale_load_choice.h). Their number is this node's own rate times the other nodes of a zone times the age of a report. With one node, or at a low rate, the lowest cost is chosen as before.

--- a/briarglade/gateway/backend_table.cc
+++ b/briarglade/gateway/backend_table.cc
@@ -3,8 +3,10 @@
 #include "briarglade/gateway/backend_table.h"
 
 #include <algorithm>
+#include <set>
 
 #include "briarglade/base/erase_if.h"
+#include "briarglade/gateway/stale_load_choice.h"
 
 namespace briarglade {
 
@@ -37,6 +39,10 @@
 // the same backend.
 constexpr double kOtherZoneCost = 0.15;
 constexpr double kCostJitter = 0.1;
+// Loads of other nodes are 150 to 600 ms old.
+constexpr Millis kLoadReportAge = Millis(400);
+// Window of the count from which this node's request rate is derived.
+constexpr Millis kStartRateWindow = Millis(2'000);
 // When a caller should retry if this node has no quota of the only servers'
 // rate limits: another node may have one.
 constexpr Millis kNoQuotaBackoff = Millis(1'000);
@@ -213,8 +219,8 @@
   Millis aNow,
   const BackendRequirements& aRequirements)
 {
-  std::optional<size_t> best;
-  double bestCost = 0;
+  std::vector<size_t> candidates;
+  std::vector<double> costs;
   std::uniform_real_distribution<double> jitter(0, kCostJitter);
   for (size_t i = 0; i < m_slots.size(); ++i) {
     BackendSlot& slot = m_slots[i];
@@ -222,13 +228,43 @@
         !HasRoom(aNow, slot)) {
       continue;
     }
-    const double cost = Cost(slot) + jitter(m_random) * slot.m_backend.m_slots;
-    if (!best || cost < bestCost) {
-      best = i;
-      bestCost = cost;
+    candidates.push_back(i);
+    costs.push_back(Cost(slot) + jitter(m_random) * slot.m_backend.m_slots);
+  }
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
+  return candidates[ChooseByStaleLoad(
+    costs, UnreportedRequests(aNow, aRequirements), draw)];
+}
+
+// Returns how many requests other nodes are expected to have sent to these
+// backends since their last reports. Nodes prefer backends of their own zone,
+// so that only the nodes of one zone count.
+double BackendTable::UnreportedRequests(
+  Millis aNow,
+  const BackendRequirements& aRequirements) const
+{
+  const auto starts =
+    m_recentStarts.find(Target(aRequirements.m_service, aRequirements.m_model));
+  if (starts == m_recentStarts.end()) {
+    return 0;
+  }
+  std::set<ZoneId> zones;
+  for (const BackendSlot& slot : m_slots) {
+    if (Serves(slot, aRequirements)) {
+      zones.insert(slot.m_backend.m_zone);
     }
   }
-  return best;
+  const auto others =
+    static_cast<double>(std::max<size_t>(1, m_quota->LiveNodeCount()) - 1);
+  const auto ownStarts = static_cast<double>(starts->second.Count(aNow));
+  const double reportsPerWindow =
+    static_cast<double>(kStartRateWindow.Count()) /
+    static_cast<double>(kLoadReportAge.Count());
+  return ownStarts / reportsPerWindow * others /
+         static_cast<double>(std::max<size_t>(1, zones.size()));
 }
 
 void BackendTable::RecordStarted(Millis aNow,
@@ -238,6 +274,10 @@
   BackendSlot& slot = m_slots[aSlot];
   ++slot.m_inFlight;
   slot.m_pendingPromptTokens += aPromptTokens;
+  m_recentStarts
+    .try_emplace(Target(slot.m_backend.m_service, slot.m_backend.m_model),
+                 kStartRateWindow)
+    .first->second.Note(aNow);
   m_coldStart.RecordSent(aNow, slot.m_backend.m_server);
   m_rateLimits.RecordSent(aNow, slot.m_backend.m_server);
   if (slot.m_inFlight == 1) {
--- a/briarglade/gateway/backend_table.h
+++ b/briarglade/gateway/backend_table.h
@@ -12,6 +12,9 @@
 // - All requests of a lost group are retried at the same moment. The nodes then
 //   have the same outdated peer loads and must not all choose the same backend,
 //   so a random amount is added to each cost.
+// - Hundreds of requests per second reach tens of nodes. Most of the requests
+//   in flight then began after the last report, so the choice assumes that the
+//   unreported ones have filled the backends evenly (stale_load_choice.h).
 //
 // Example:
 //   table.SetBackends(now, backends);
@@ -33,6 +36,7 @@
 
 #include "briarglade/base/ids.h"
 #include "briarglade/base/millis.h"
+#include "briarglade/base/recent_count.h"
 #include "briarglade/gateway/cold_start_limit.h"
 #include "briarglade/gateway/gateway_event.h"
 #include "briarglade/gateway/server_rate_limits.h"
@@ -110,6 +114,7 @@
                std::shared_ptr<const FleetQuota> aQuota)
     : m_zone(std::move(aZone))
     , m_random(aSeed)
+    , m_quota(aQuota)
     , m_coldStart(aQuota)
     , m_rateLimits(std::move(aQuota))
   {
@@ -127,8 +132,8 @@
   // Returns the rate limits that servers state.
   ServerRateLimits& RateLimits() { return m_rateLimits; }
 
-  // Returns the slot with the lowest cost that has room for the request, or
-  // nothing if there is none.
+  // Returns a slot that has room for the request, one of low cost by the loads
+  // known and expected, or nothing if there is none.
   std::optional<size_t> Choose(Millis aNow,
                                const BackendRequirements& aRequirements);
   // Returns whether an untried backend, with or without room, can serve the
@@ -182,6 +187,7 @@
 
 private:
   using Key = std::pair<HostId, GroupId>;
+  using Target = std::pair<ServiceId, ModelId>;
 
   bool Serves(const BackendSlot& aSlot,
               const BackendRequirements& aRequirements) const;
@@ -190,6 +196,8 @@
                        const BackendRequirements& aRequirements);
   bool HasRoom(Millis aNow, const BackendSlot& aSlot);
   double Cost(const BackendSlot& aSlot) const;
+  double UnreportedRequests(Millis aNow,
+                            const BackendRequirements& aRequirements) const;
   size_t SlotFor(const Backend& aBackend);
   template<typename Visitor>
   void VisitSlotsOf(const HostId& aServer, const Visitor& aVisitor);
@@ -199,6 +207,9 @@
 
   ZoneId m_zone;
   std::minstd_rand m_random;
+  std::shared_ptr<const FleetQuota> m_quota;
+  // Requests that this node recently sent to the backends of a model.
+  std::map<Target, RecentCount> m_recentStarts;
   ColdStartLimit m_coldStart;
   ServerRateLimits m_rateLimits;
   std::deque<BackendSlot> m_slots;
--- a/briarglade/gateway/engine_replay_test.h
+++ b/briarglade/gateway/engine_replay_test.h
@@ -42,6 +42,9 @@
   bool m_isOneZone = false;
   // Not zero: at this time half of the groups are lost for good.
   Millis m_halfLostAt;
+  // Off: nodes don't know of each other, and expect no requests but those that
+  // were reported.
+  bool m_expectsUnreported = true;
   // Off: requests are placed by their number alone.
   bool m_reportsTokens = true;
   uint32_t m_seed = 1;
@@ -88,8 +91,10 @@
   {
     for (uint32_t node = 0; node < aOptions.m_nodes; ++node) {
       // No server of the replay is cold: the nodes share no limit.
-      m_tables.emplace_back(
-        ZoneOf(node), node + 1, std::make_shared<FleetQuota>(NodeId("n")));
+      const auto quota = std::make_shared<FleetQuota>(NodeId("n"));
+      quota->SetLiveNodeCount(aOptions.m_expectsUnreported ? aOptions.m_nodes
+                                                           : 1);
+      m_tables.emplace_back(ZoneOf(node), node + 1, quota);
     }
     ListGroups();
   }
--- a/briarglade/gateway/placement_replay_test.cc
+++ b/briarglade/gateway/placement_replay_test.cc
@@ -129,5 +129,28 @@
   CHECK(result.LateShare(kFirstMillis, kPauseMillis) < 0.15);
 }
 
+// Guards against groups that get the requests of all nodes until the next
+// reports of their load, while others idle: half of the slots are in use here.
+TEST_CASE("many nodes with late reports send no bursts to single groups")
+{
+  const auto replay = [](bool aExpectsUnreported) {
+    return ReplayPattern([&](ReplayOptions& aOptions) {
+      aOptions.m_nodes = 48;
+      aOptions.m_groups = 24;
+      aOptions.m_requestsPerSecond = 188;
+      aOptions.m_peerUpdatePeriod = Millis(400);
+      aOptions.m_length = Millis(8'000);
+      aOptions.m_expectsUnreported = aExpectsUnreported;
+    });
+  };
+  const ReplayResult spread = replay(true);
+  const ReplayResult byReports = replay(false);
+  const double late = spread.LateShare(kFirstMillis, kPauseMillis);
+  const double lateByReports = byReports.LateShare(kFirstMillis, kPauseMillis);
+  MESSAGE("late " << late << ", by reported loads alone " << lateByReports);
+  CHECK(spread.m_refused == 0);
+  CHECK(late < lateByReports / 2);
+}
+
 } // namespace
 } // namespace briarglade
