Capacity: a new lease holder may move groups after 2 s

Callers saw: the holder of the lease died 3 s after the start of traffic, and the first layout, with too few groups for the most urgent requests, stayed for 10 to 18 s more.

Cause: a new holder moved nothing for 10 s, to let late orders of the earlier one pass. Each order states the expected sequence of the server, so that a late one is refused. What the new holder does need is the work reported by nodes (under 1 s) and, to leave domains in repair alone, the time for which free hosts must be unchanged (2 s).

--- a/briarglade/grouping/group_moving.cc
+++ b/briarglade/grouping/group_moving.cc
@@ -21,9 +21,11 @@
 // of which there are thousands.
 constexpr Millis kPlanPeriod = Millis(250);
 // A new lease holder moves nothing for this long: the work that nodes report
-// must have reached it, and orders of the earlier holder must have been carried
-// out or be too late.
-constexpr Millis kHolderSettleTime = Millis(10'000);
+// must have reached it, and it must have seen for as long as kDomainSettleTime
+// which domains are in repair. Orders of the earlier holder that are carried
+// out later still don't matter, as each order states the server's expected
+// sequence.
+constexpr Millis kHolderSettleTime = Millis(2'000);
 // Moves begin if the smallest ratio of capacity to demand would grow by this
 // factor, and end once less than kRemainingGain is left to gain. The work of a
 // few requests per second varies by about a fifth between measurements.
--- a/briarglade/grouping/group_moving_test.cc
+++ b/briarglade/grouping/group_moving_test.cc
@@ -257,6 +257,22 @@
   CHECK(world.m_servers.Violations().empty());
 }
 
+// Guards against a layout that stays as it was first guessed because the lease
+// holder dies early: nothing but the reports is needed to correct it.
+TEST_CASE("a new lease holder makes the first correction as fast")
+{
+  MovingWorld world;
+  world.Run(Millis(40'000));
+  world.BeginTraffic(1.8, 20);
+  world.Run(Millis(1'000));
+  world.ReplaceHolder(20);
+  REQUIRE(world.Served() < 0.8 * 21.8);
+  const Millis time = world.RunUntilServed(0.9, Millis(60'000));
+  MESSAGE("served again after " << time.Count() << " ms");
+  CHECK(time <= Millis(10'000));
+  CHECK(world.m_servers.Violations().empty());
+}
+
 TEST_CASE("a service whose models have different stated shares stages nothing "
           "before traffic, so that restarted hosts still hold their weights")
 {
