Servers: at the bound on connections, close an idle one for another server

Cause: idle connections to servers count against the bound on connections. If those of one service took all of it, a call to any other server, or to the store, was refused here as if its server were down.

Change: HttpClient closes the connection that has been idle for longest. Its descriptor is closed at once, so that a burst of calls does not exceed the bound.

--- a/briarglade/net/http_client.cc
+++ b/briarglade/net/http_client.cc
@@ -52,12 +52,36 @@
     }
     Discard(std::move(connection));
   }
-  if (m_connectionCount >= m_limits.m_maxConnections) {
+  if (m_connectionCount >= m_limits.m_maxConnections && !DiscardLongestIdle()) {
     return nullptr;
   }
   return std::make_unique<PooledConnection>(*this, aSpec.m_endpoint);
 }
 
+bool HttpClient::DiscardLongestIdle()
+{
+  // The first one of a list has been idle for longest.
+  auto longest = m_idle.end();
+  for (auto at = m_idle.begin(); at != m_idle.end(); ++at) {
+    const bool isLonger =
+      !at->second.empty() &&
+      (longest == m_idle.end() ||
+       at->second.front()->IdleSince() < longest->second.front()->IdleSince());
+    if (isLonger) {
+      longest = at;
+    }
+  }
+  if (longest == m_idle.end()) {
+    return false;
+  }
+  std::unique_ptr<PooledConnection> connection =
+    std::move(longest->second.front());
+  longest->second.erase(longest->second.begin());
+  connection->CloseDescriptor();
+  Discard(std::move(connection));
+  return true;
+}
+
 void HttpClient::Keep(std::unique_ptr<PooledConnection> aConnection,
                       const HttpCallSpec& aSpec,
                       Millis aLifetime)
--- a/briarglade/net/http_client.h
+++ b/briarglade/net/http_client.h
@@ -145,6 +145,9 @@
   void Keep(std::unique_ptr<PooledConnection> aConnection,
             const HttpCallSpec& aSpec,
             Millis aLifetime);
+  // Closes the connection that has been idle for longest, whoever its server
+  // is. Returns whether there was one.
+  bool DiscardLongestIdle();
   void Discard(std::unique_ptr<PooledConnection> aConnection);
   void DropIdle(PooledConnection* aConnection);
   void FreeDiscarded();
--- a/briarglade/net/internal/pooled_connection.cc
+++ b/briarglade/net/internal/pooled_connection.cc
@@ -34,6 +34,13 @@
   bufferevent_free(m_bufferevent);
 }
 
+void PooledConnection::CloseDescriptor()
+{
+  const evutil_socket_t descriptor = bufferevent_getfd(m_bufferevent);
+  bufferevent_setfd(m_bufferevent, -1);
+  evutil_closesocket(descriptor);
+}
+
 bool PooledConnection::Connect()
 {
   sockaddr_in address{};
--- a/briarglade/net/internal/pooled_connection.h
+++ b/briarglade/net/internal/pooled_connection.h
@@ -36,6 +36,8 @@
   // The call that uses the connection now, or nullptr.
   void SetCall(HttpCall* aCall) { m_call = aCall; }
 
+  // Closes the socket at once. The object is only to be destroyed then.
+  void CloseDescriptor();
   // Begins an exchange: no byte of it has left yet.
   void BeginExchange() { m_sentBytes = 0; }
   void Send(std::initializer_list<std::string_view> aPieces);
