Clients: close the longest waiting connection to admit a new one

Cause: clients that hold all connections without completing a request kept new clients out until header_timeout_ms or idle_timeout_ms had passed.

Change: ConnectionOrder chooses the connection that has been idle or incomplete for longest. An incomplete request gets 503, not run. A connection is not chosen while its request is queued, at a server or being answered, nor if a request has come whole and waits only for this node. Log line connection-evicted, counter connections_evicted.

--- a/briarglade/entry/entry_node.cc
+++ b/briarglade/entry/entry_node.cc
@@ -194,6 +194,10 @@
       [this, name = listener.m_name](const HttpRejection& aRejection) {
         LogRejection(name, aRejection);
       });
+    listener.m_server.SetEvictionObserver(
+      [this, name = listener.m_name](const HttpEviction& aEviction) {
+        LogEviction(name, aEviction);
+      });
   }
   m_callerServer.SetHeadJudge([this](const HttpExchange& aExchange) {
     const Result<CallerRequest> decoded =
@@ -211,14 +215,37 @@
   return m_settings.m_fileDescriptors * aParts / kDescriptorParts;
 }
 
+bool EntryNode::TakeRejectionLine()
+{
+  if (m_rejectionLines >= kMaxRejectionLines) {
+    return false;
+  }
+  ++m_rejectionLines;
+  return true;
+}
+
+void EntryNode::LogEviction(const char* aListener,
+                            const HttpEviction& aEviction)
+{
+  if (!TakeRejectionLine()) {
+    return;
+  }
+  m_log.Write(
+    LogEvent{ LogLevel::Info,
+              "connection-evicted",
+              { { "state", aEviction.m_isIncomplete ? "incomplete" : "idle" },
+                { "waited-ms", std::to_string(aEviction.m_waited.Count()) },
+                { "listener", aListener },
+                { "address", aEviction.m_address } } });
+}
+
 void EntryNode::LogRejection(const char* aListener,
                              const HttpRejection& aRejection)
 {
   ++m_rejections;
-  if (m_rejectionLines >= kMaxRejectionLines) {
+  if (!TakeRejectionLine()) {
     return;
   }
-  ++m_rejectionLines;
   m_log.Write(LogEvent{
     LogLevel::Info,
     "request-unreadable",
@@ -234,6 +261,12 @@
          m_readinessServer.ClosedAtLimit() + m_metricsServer.ClosedAtLimit();
 }
 
+uint64_t EntryNode::CountEvictions() const
+{
+  return m_callerServer.Evictions() + m_directoryServer.Evictions() +
+         m_readinessServer.Evictions() + m_metricsServer.Evictions();
+}
+
 uint64_t EntryNode::CountAcceptFailures() const
 {
   return m_callerServer.AcceptFailures() + m_directoryServer.AcceptFailures() +
@@ -249,9 +282,9 @@
   }
   m_limitsLoggedAt = now;
   m_rejectionLines = 0;
-  const uint64_t reached = m_callerBudget->WaitCount() +
-                           m_callerBudget->RefusedCount() +
-                           CountClosedAtLimit() + CountAcceptFailures();
+  const uint64_t reached =
+    m_callerBudget->WaitCount() + m_callerBudget->RefusedCount() +
+    CountClosedAtLimit() + CountEvictions() + CountAcceptFailures();
   if (std::exchange(m_limitsReached, reached) == reached) {
     return;
   }
@@ -265,6 +298,7 @@
       { "refused", std::to_string(m_callerBudget->RefusedCount()) },
       { "connections", std::to_string(m_callerServer.ConnectionCount()) },
       { "closed", std::to_string(CountClosedAtLimit()) },
+      { "evicted", std::to_string(CountEvictions()) },
       { "accept-failures", std::to_string(CountAcceptFailures()) } } });
 }
 
@@ -497,6 +531,8 @@
                      static_cast<double>(m_rejections));
   m_metrics.SetGauge("connections_closed_at_limit",
                      static_cast<double>(CountClosedAtLimit()));
+  m_metrics.SetGauge("connections_evicted",
+                     static_cast<double>(CountEvictions()));
   m_metrics.SetGauge("accept_failures",
                      static_cast<double>(CountAcceptFailures()));
   m_metrics.SetGauge("holds_control", m_state.m_control.IsActive() ? 1 : 0);
--- a/briarglade/entry/entry_node.h
+++ b/briarglade/entry/entry_node.h
@@ -93,7 +93,11 @@
   // Returns so many parts of the descriptors.
   size_t Descriptors(size_t aParts) const;
   void LogRejection(const char* aListener, const HttpRejection& aRejection);
+  void LogEviction(const char* aListener, const HttpEviction& aEviction);
+  // Returns whether one more line about a refused client may be written.
+  bool TakeRejectionLine();
   void LogLimitsReached();
+  uint64_t CountEvictions() const;
   uint64_t CountClosedAtLimit() const;
   uint64_t CountAcceptFailures() const;
 
--- a/briarglade/net/http_server.cc
+++ b/briarglade/net/http_server.cc
@@ -66,6 +66,25 @@
   m_rejectionObserver = std::move(aObserver);
 }
 
+void HttpServer::SetEvictionObserver(EvictionObserver aObserver)
+{
+  m_evictionObserver = std::move(aObserver);
+}
+
+bool HttpServer::EvictOne()
+{
+  HttpConnection* chosen =
+    m_order.Choose([](const HttpConnection& aConnection) {
+      return aConnection.WaitsForNode();
+    });
+  if (chosen == nullptr) {
+    return false;
+  }
+  ++m_evictions;
+  chosen->Evict();
+  return true;
+}
+
 void HttpServer::OnAccept(evconnlistener*,
                           int aSocket,
                           sockaddr*,
@@ -73,7 +92,8 @@
                           void* aSelf)
 {
   auto* self = static_cast<HttpServer*>(aSelf);
-  if (self->m_connections.size() >= self->m_limits.m_maxConnections) {
+  if (self->m_connections.size() >= self->m_limits.m_maxConnections &&
+      !self->EvictOne()) {
     ++self->m_closedAtLimit;
     evutil_closesocket(aSocket);
     return;
--- a/briarglade/net/http_server.h
+++ b/briarglade/net/http_server.h
@@ -20,6 +20,7 @@
 #include "briarglade/base/endpoint.h"
 #include "briarglade/base/millis.h"
 #include "briarglade/base/result_code.h"
+#include "briarglade/net/connection_order.h"
 #include "briarglade/net/http_headers.h"
 
 struct evconnlistener;
@@ -56,12 +57,24 @@
   std::string m_address;
 };
 
+// A connection that was closed to admit a new one.
+struct HttpEviction
+{
+  // The client's address.
+  std::string m_address;
+  // Whether a request was incomplete on it; else it was idle.
+  bool m_isIncomplete = false;
+  // For how long it had been idle or incomplete.
+  Millis m_waited;
+};
+
 class HttpServer
 {
 public:
   using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
   using HeadJudge = std::function<bool(const HttpExchange&)>;
   using RejectionObserver = std::function<void(const HttpRejection&)>;
+  using EvictionObserver = std::function<void(const HttpEviction&)>;
 
   HttpServer(EventLoop& aLoop, HttpServerLimits aLimits);
   ~HttpServer();
@@ -81,6 +94,8 @@
   void SetBudget(std::shared_ptr<CallerBudget> aBudget);
   // Sets a function that is told of requests refused by the limits.
   void SetRejectionObserver(RejectionObserver aObserver);
+  // Sets a function that is told of connections closed to admit new ones.
+  void SetEvictionObserver(EvictionObserver aObserver);
 
   // Listens; port 0 lets the kernel choose. Returns the port, or 0 on failure.
   uint16_t Listen(const Endpoint& aEndpoint);
@@ -95,8 +110,10 @@
   void CloseConnections();
   // Returns the number of open connections.
   size_t ConnectionCount() const { return m_connections.size(); }
-  // Connections closed at the bound on connections, and accepts that failed.
+  // New connections closed at the bound on connections, open ones closed to
+  // admit new ones, and accepts that failed.
   uint64_t ClosedAtLimit() const { return m_closedAtLimit; }
+  uint64_t Evictions() const { return m_evictions; }
   uint64_t AcceptFailures() const { return m_acceptFailures; }
 
 private:
@@ -108,6 +125,9 @@
                        int,
                        void* aSelf);
   static void OnAcceptFailed(evconnlistener*, void* aSelf);
+  // Closes a connection that is idle or incomplete. Returns whether there was
+  // one.
+  bool EvictOne();
 
   EventLoop& m_loop;
   HttpServerLimits m_limits;
@@ -117,7 +137,10 @@
   RejectionObserver m_rejectionObserver;
   evconnlistener* m_listener = nullptr;
   std::unique_ptr<Timer> m_acceptAgain;
+  EvictionObserver m_evictionObserver;
+  ConnectionOrder<HttpConnection> m_order;
   uint64_t m_closedAtLimit = 0;
+  uint64_t m_evictions = 0;
   uint64_t m_acceptFailures = 0;
   bool m_isDraining = false;
   std::unordered_set<HttpConnection*> m_connections;
--- a/briarglade/net/internal/http_connection.cc
+++ b/briarglade/net/internal/http_connection.cc
@@ -61,6 +61,7 @@
                                          aSocket,
                                          BEV_OPT_CLOSE_ON_FREE))
   , m_timer(aServer.m_loop.MakeTimer([this] { OnTimer(); }))
+  , m_place(aServer.m_order.Add(*this, EventLoop::Now()))
   , m_hold(aServer.m_budget,
            { [this] { ReadSoon(); },
              [this] {
@@ -80,6 +81,7 @@
 {
   m_phase = Phase::Cut;
   m_server.m_connections.erase(this);
+  m_server.m_order.Remove(m_place);
   EndExchange();
   ReleaseHolds();
   bufferevent_free(m_bufferevent);
@@ -152,6 +154,7 @@
     m_timer->Start(m_server.m_limits.m_writeStall);
     return;
   }
+  m_server.m_order.SetWaiting(m_place, EventLoop::Now());
   m_timer->Start(m_server.m_limits.m_idleTime);
   if (!m_inRead) {
     ReadRequests();
@@ -176,9 +179,36 @@
   return isIdle;
 }
 
+bool HttpConnection::WaitsForNode() const
+{
+  return m_parser ? m_parser->IsDone()
+                  : internal::HasUnreadBytes(bufferevent_getfd(m_bufferevent));
+}
+
+void HttpConnection::Evict()
+{
+  if (m_server.m_evictionObserver) {
+    m_server.m_evictionObserver(
+      HttpEviction{ internal::PeerAddress(bufferevent_getfd(m_bufferevent)),
+                    m_parser.has_value(),
+                    EventLoop::Now() - m_place->m_since });
+  }
+  if (m_parser) {
+    Reject(ResultCode::NoCapacity);
+  }
+  // Not closed gently, as the descriptor is needed at once. bufferevent_free()
+  // closes it only after the present callback has returned, in which many
+  // connections may be accepted.
+  const evutil_socket_t descriptor = bufferevent_getfd(m_bufferevent);
+  bufferevent_setfd(m_bufferevent, -1);
+  evutil_closesocket(descriptor);
+  delete this;
+}
+
 void HttpConnection::CloseGently()
 {
   m_phase = Phase::Lingering;
+  m_server.m_order.SetBusy(m_place, EventLoop::Now());
   shutdown(bufferevent_getfd(m_bufferevent), SHUT_WR);
   DropInput();
   m_timer->Start(kLingerTime);
@@ -217,6 +247,7 @@
     return;
   }
   if (self->m_phase == Phase::Reading && !self->m_parser) {
+    self->m_server.m_order.SetWaiting(self->m_place, EventLoop::Now());
     if (!self->m_server.m_isDraining || !self->CloseIfIdle()) {
       self->m_timer->Start(self->m_server.m_limits.m_idleTime);
       self->ReadRequests();
@@ -307,6 +338,7 @@
     m_parser.emplace(internal::HttpParseLimits{
       m_server.m_limits.m_maxHeaderBytes, m_server.m_limits.m_maxBodyBytes });
     m_timer->Start(m_server.m_limits.m_requestTime);
+    m_server.m_order.SetWaiting(m_place, EventLoop::Now());
   }
   m_hold.NoteProgress(EventLoop::Now());
   const std::string_view view(bytes, length);
@@ -451,6 +483,7 @@
     return;
   }
   m_phase = Phase::Answering;
+  m_server.m_order.SetBusy(m_place, EventLoop::Now());
   m_timer->Stop();
   m_hold.SetWhole();
   SetReadAhead(kFirstReadAhead);
@@ -481,6 +514,7 @@
   m_isRefused = false;
   m_keepsAfterRequest = false;
   m_phase = Phase::Answering;
+  m_server.m_order.SetBusy(m_place, EventLoop::Now());
   m_exchange.reset(new HttpExchange(this));
   const std::shared_ptr<HttpExchange> exchange = m_exchange;
   const ResultCodeRow& row = DescribeResultCode(aCode);
--- a/briarglade/net/internal/http_connection.h
+++ b/briarglade/net/internal/http_connection.h
@@ -14,6 +14,7 @@
 
 #include "briarglade/base/result_code.h"
 #include "briarglade/net/caller_budget.h"
+#include "briarglade/net/connection_order.h"
 #include "briarglade/net/event_loop.h"
 #include "briarglade/net/internal/http_message_parser.h"
 
@@ -49,6 +50,12 @@
   void CutSoon();
   // Closes the connection now if no request is on it.
   bool CloseIfIdle();
+  // Whether a request has come whole that is not being handled yet, or one has
+  // begun to come that was not read yet.
+  bool WaitsForNode() const;
+  // Closes the connection, on which no request is being handled, and destroys
+  // it. An incomplete request is refused.
+  void Evict();
   // Whether answers must announce the end of the connection.
   bool MustClose() const;
 
@@ -106,6 +113,7 @@
   std::shared_ptr<HttpExchange> m_exchange;
   // The holds of answers that haven't been taken yet.
   std::vector<std::shared_ptr<AnswerHold>> m_holds;
+  ConnectionOrder<HttpConnection>::Place m_place;
   Phase m_phase = Phase::Reading;
   bool m_inRead = false;
   bool m_keepsAfterRequest = true;
