Entry: several refused nodes cause no doubt about removals

Cause: answers of the store do not show that it accepts calls, as a wait that was accepted before an outage is answered up to 1 s into it. So two or more nodes that had lost the store counted as an outage, and servers whose entries were removed stayed in use for over drain_ms. Also, nobody knew whether the store served the nodes that do not follow it, and a node that was refused took 700 ms to say so.

Change: what counts is when the store accepted a call. Updates carry the last time without a long gap between accepted calls (new optional fields), so that a node adopts what one follower has seen. A follower that is refused requests a check: the next nodes in rank call the store at once, others within 300 ms unless one is served. Whoever is served follows the store and forwards its changes for 2 s. While the store is suspected, followers wait 200 ms instead of 1 s for changes of servers. Bulletins with rows carry the sender's doubt about them, also if it has it from another node.

--- a/briarglade/entry/entry_node.cc
+++ b/briarglade/entry/entry_node.cc
@@ -487,6 +487,8 @@
                      static_cast<double>(m_state.m_storeReturns));
   m_metrics.SetGauge("removals_believed",
                      static_cast<double>(m_state.m_removalsBelieved));
+  m_metrics.SetGauge("store_checks",
+                     static_cast<double>(m_state.m_storeChecks));
   m_metrics.SetGauge("caller_bytes_held",
                      static_cast<double>(m_callerBudget->HeldBytes()));
   m_metrics.SetGauge("caller_waits_for_memory",
--- a/briarglade/entry/feed_follower.cc
+++ b/briarglade/entry/feed_follower.cc
@@ -23,18 +23,17 @@
 // that asks for an answer at once fails soon enough by itself.
 bool FeedFollower::IsOverdue(Millis aNow) const
 {
-  return m_call && !m_overdueCall && m_callWait > Millis() &&
-         aNow - m_calledAt >= m_callWait + kOverdueTime;
+  return m_call && !m_earlierCall && m_call->m_times.m_wait > Millis() &&
+         aNow - m_calledAt >= m_call->m_times.m_wait + kOverdueTime;
 }
 
 FeedCall FeedFollower::MakeCall(Millis aNow, Millis aWait)
 {
   m_lastCall = FeedCallId(m_lastCall.Value() + 1);
-  m_call = m_lastCall;
-  m_callWait = aWait;
+  const Millis wait = m_mustReadAll ? Millis() : aWait;
+  m_call = PendingCall{ m_lastCall, CallTimes{ aNow, wait } };
   m_calledAt = aNow;
   if (m_mustReadAll) {
-    m_callWait = Millis();
     return ReadFeed{ m_pace.m_feed, m_lastCall };
   }
   return WatchFeed{ m_pace.m_feed, m_version, aWait, m_lastCall };
@@ -43,7 +42,7 @@
 std::optional<FeedCall> FeedFollower::Tick(Millis aNow)
 {
   if (IsOverdue(aNow)) {
-    m_overdueCall = m_call;
+    m_earlierCall = m_call;
     m_overdueSince = m_calledAt;
     return MakeCall(aNow, Millis());
   }
@@ -58,17 +57,40 @@
   return MakeCall(aNow, m_failures > 0 ? Millis() : m_pace.m_wait);
 }
 
-void FeedFollower::OnAnswered(Millis aNow, const FeedAnswered& aAnswer)
+std::optional<FeedCall> FeedFollower::CheckNow(Millis aNow)
 {
-  const bool isCurrent = m_call == aAnswer.m_call;
-  std::optional<FeedCallId>& call = isCurrent ? m_call : m_overdueCall;
-  if (call == aAnswer.m_call) {
+  const bool isWaiting =
+    m_call && !m_earlierCall && m_call->m_times.m_wait > Millis();
+  if (m_mustReadAll || (m_call && !isWaiting)) {
+    return std::nullopt;
+  }
+  if (m_call) {
+    m_earlierCall = m_call;
+  }
+  return MakeCall(aNow, Millis());
+}
+
+std::optional<CallTimes> FeedFollower::OnAnswered(Millis aNow,
+                                                  const FeedAnswered& aAnswer)
+{
+  const bool isCurrent = m_call && m_call->m_id == aAnswer.m_call;
+  std::optional<PendingCall>& call = isCurrent ? m_call : m_earlierCall;
+  std::optional<CallTimes> accepted;
+  if (call && call->m_id == aAnswer.m_call) {
+    if (aAnswer.m_status == StoreStatus::Ok) {
+      accepted = call->m_times;
+    }
     call.reset();
   }
   if (aAnswer.m_status == StoreStatus::Ok) {
-    m_failures = 0;
-    m_failingSince.reset();
-    m_overdueSince.reset();
+    // A wait that began before a check that failed shows nothing about now.
+    const bool isOutdated =
+      !isCurrent && !m_overdueSince && m_failingSince.has_value();
+    if (!isOutdated) {
+      m_failures = 0;
+      m_failingSince.reset();
+      m_overdueSince.reset();
+    }
     m_answeredAt = aNow;
     m_isKnown = m_isKnown || aAnswer.m_isWhole;
     m_mustReadAll = m_mustReadAll && !aAnswer.m_isWhole;
@@ -79,6 +101,7 @@
     // The call beside the overdue one has no answer yet, either.
     m_failingSince = m_overdueSince;
   }
+  return accepted;
 }
 
 void FeedFollower::OnFailed(Millis aNow, StoreStatus aStatus)
--- a/briarglade/entry/feed_follower.h
+++ b/briarglade/entry/feed_follower.h
@@ -32,7 +32,15 @@
   Millis m_gap = Millis(50);
 };
 
-// Follows one feed, with at most one call in progress and one overdue.
+// When a call was made, and for how long the store was let wait for a change.
+struct CallTimes
+{
+  Millis m_madeAt;
+  Millis m_wait;
+};
+
+// Follows one feed, with at most two calls in progress: the last one, and a
+// wait beside which it was made.
 class FeedFollower
 {
 public:
@@ -44,10 +52,17 @@
 
   // Returns the call that is due, if any. The caller must make it.
   std::optional<FeedCall> Tick(Millis aNow);
-  // Handles the result of a call.
-  void OnAnswered(Millis aNow, const FeedAnswered& aAnswer);
+  // Returns a call that asks for an answer at once, also beside a wait; nothing
+  // if such a call is in progress or the feed isn't known yet. The caller must
+  // make it.
+  std::optional<FeedCall> CheckNow(Millis aNow);
+  // Handles the result of a call. Returns the call if the store has accepted
+  // it.
+  std::optional<CallTimes> OnAnswered(Millis aNow, const FeedAnswered& aAnswer);
   // Sets the minimum time between two calls.
   void SetGap(Millis aGap) { m_pace.m_gap = aGap; }
+  // Sets how long the store may wait for a change.
+  void SetWait(Millis aWait) { m_pace.m_wait = aWait; }
 
   // Makes the next call wait for a time after the answer that was just handled,
   // so that changes in quick succession are read as one.
@@ -74,6 +89,12 @@
   Millis LastFailedCallAt() const { return m_lastFailedCallAt; }
 
 private:
+  struct PendingCall
+  {
+    FeedCallId m_id;
+    CallTimes m_times;
+  };
+
   bool IsOverdue(Millis aNow) const;
   FeedCall MakeCall(Millis aNow, Millis aWait);
   void OnFailed(Millis aNow, StoreStatus aStatus);
@@ -81,11 +102,9 @@
   FeedPace m_pace;
   bool m_isKnown = false;
   bool m_mustReadAll = true;
-  // The call in progress, with the time that it lets the store wait, and the
-  // overdue one beside it.
-  std::optional<FeedCallId> m_call;
-  Millis m_callWait;
-  std::optional<FeedCallId> m_overdueCall;
+  // The last call, and the wait beside which it was made.
+  std::optional<PendingCall> m_call;
+  std::optional<PendingCall> m_earlierCall;
   // When the overdue call was made; kept until another one has an answer.
   std::optional<Millis> m_overdueSince;
   FeedCallId m_lastCall;
--- a/briarglade/entry/feed_follower_test.cc
+++ b/briarglade/entry/feed_follower_test.cc
@@ -143,6 +143,56 @@
   CHECK_FALSE(world.m_follower.Tick(world.m_now + Millis(1'000)));
 }
 
+// Guards against a wait that the store accepted before it refused the check and
+// that hides the refusal by its answer.
+TEST_CASE("a check is made beside a wait, whose answer says nothing about the "
+          "check")
+{
+  World world;
+  CHECK_FALSE(world.m_follower.CheckNow(world.m_now));
+  world.NextCall();
+  world.Answer(StoreStatus::Ok, 41, true);
+  world.NextCall();
+  const FeedCallId wait = world.m_lastCall;
+  world.m_now += Millis(300);
+  const Millis checkedAt = world.m_now;
+  const std::optional<FeedCall> check = world.m_follower.CheckNow(checkedAt);
+  REQUIRE(check);
+  CHECK(std::get<WatchFeed>(*check).m_wait == Millis());
+  CHECK_FALSE(world.m_follower.CheckNow(checkedAt));
+  world.Answer(
+    std::get<WatchFeed>(*check).m_call, StoreStatus::Refused, 0, false);
+  CHECK(world.m_follower.FailingSince() == checkedAt);
+  world.m_now += Millis(50);
+  world.Answer(wait, StoreStatus::Ok, 42, false);
+  CHECK(world.m_follower.FailingSince() == checkedAt);
+  CHECK(world.m_follower.Version() == StoreVersion(42));
+  world.NextCall();
+  world.Answer(StoreStatus::Ok, 42, false);
+  CHECK_FALSE(world.m_follower.FailingSince());
+}
+
+TEST_CASE("an answer says when its call was made, and how long it could wait")
+{
+  World world;
+  world.NextCall();
+  world.Answer(StoreStatus::Ok, 41, true);
+  world.NextCall();
+  const Millis madeAt = world.m_now;
+  world.m_now += Millis(400);
+  FeedAnswered answer;
+  answer.m_call = world.m_lastCall;
+  answer.m_status = StoreStatus::Ok;
+  answer.m_version = StoreVersion(42);
+  const std::optional<CallTimes> call =
+    world.m_follower.OnAnswered(world.m_now, answer);
+  REQUIRE(call);
+  CHECK(call->m_madeAt == madeAt);
+  CHECK(call->m_wait == Millis(1'000));
+  // The call has an answer already.
+  CHECK_FALSE(world.m_follower.OnAnswered(world.m_now, answer));
+}
+
 TEST_CASE("a slow answer to an overdue call is used")
 {
   World world;
--- a/briarglade/entry/internal/bulletins.cc
+++ b/briarglade/entry/internal/bulletins.cc
@@ -74,7 +74,8 @@
   bulletin.m_incarnation = m_state.m_incarnation;
   bulletin.m_number = ++updates.m_bulletinCount;
   bulletin.m_serversComplete = m_state.m_rows.CompleteUpTo(Feed::Servers);
-  bulletin.m_entryDoubt = OwnEntryDoubt();
+  bulletin.m_entryDoubt =
+    bulletin.m_rowChanges.empty() ? OwnEntryDoubt() : ForwardedEntryDoubt();
   ForwardBulletin(bulletin, m_state.m_settings.m_node);
 }
 
@@ -140,6 +141,11 @@
     RecordLeavingServer(server);
   }
   RecordEndedGroups(aBulletin.m_endedGroups);
+  if (aBulletin.m_storeCheck == StoreCheckNotice::Requested) {
+    BeginStoreCheck(aBulletin.m_origin);
+  } else if (aBulletin.m_storeCheck == StoreCheckNotice::Served) {
+    EndStoreCheck(aBulletin.m_origin);
+  }
   RecordReportedDoubt(aBulletin.m_entryDoubt);
   ApplyRowChanges(aBulletin.m_rowChanges);
   // The members may have restarted and be cold according to entries that the
--- a/briarglade/entry/internal/row_sharing.cc
+++ b/briarglade/entry/internal/row_sharing.cc
@@ -5,6 +5,11 @@
 #include "briarglade/entry/internal/entry_reduction.h"
 
 #include <algorithm>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "briarglade/base/rendezvous.h"
 
 namespace briarglade::internal {
 
@@ -29,6 +34,14 @@
 // For how long a follower that the store is lost to reports doubt: until after
 // its next update, even if its relay changes.
 constexpr Millis kStoreLostDoubt = Millis(1'500);
+// How long a follower's call waits for changes; and that of the servers' feed
+// while the store may be refusing some nodes, so that all nodes learn of an
+// accepted call well before the next long gap would end.
+constexpr Millis kWatchTime = Millis(1'000);
+constexpr Millis kSuspectWatchTime = Millis(200);
+// For how long the store is suspected after the last sign: a node that is
+// served again may doubt removals for 2.3 s without others hearing of it.
+constexpr Millis kSuspectTime = Millis(3'000);
 
 // What the poll interval of a node depends on.
 struct PollConditions
@@ -78,24 +91,134 @@
   return EntryDoubt() > Millis();
 }
 
-// Forgets since when the store has served some node while several nodes have
-// lost it: one may be served at the end of a wait that began before an outage,
-// so its reports don't exclude an outage.
-void EntryReduction::NoticeLostNodes()
+// Returns whether the store may be refusing some nodes.
+bool EntryReduction::IsStoreSuspect() const
 {
-  const auto& others = m_state.m_directory.Others();
-  const auto lost =
-    std::count_if(others.begin(), others.end(), [](const auto& aEntry) {
-      return aEntry.second.m_storeLostSince.has_value();
-    });
-  if (lost + (IsStoreLost() ? 1 : 0) > 1) {
-    m_state.m_storeUptime = StoreUptime();
+  return m_now < m_state.m_storeSuspectUntil;
+}
+
+// Records that a node has lost the store, or had, or may have.
+void EntryReduction::SuspectStore()
+{
+  m_state.m_storeSuspectUntil = m_now + kSuspectTime;
+}
+
+bool EntryReduction::IsStandIn() const
+{
+  return m_state.m_storeCheck.IsStandIn(m_now) && !IsStoreLost();
+}
+
+// Returns the nodes that may follow the store, those that come next first.
+std::vector<NodeId> EntryReduction::RankedFollowers() const
+{
+  return RankNodes("store", m_state.m_directory.ActiveNodeIds(m_now));
+}
+
+// Asks the other nodes to check whether the store serves them, after it has
+// refused this one, if they rely on it.
+void EntryReduction::RequestStoreCheck()
+{
+  SuspectStore();
+  const bool isFollowing = m_state.m_isFollower || IsStandIn();
+  if (!isFollowing || !m_state.m_storeCheck.TakeRequest(m_now)) {
+    return;
+  }
+  Log(LogLevel::Info,
+      "store-check-requested",
+      { { "first", m_state.m_isFirstFollower ? "yes" : "no" },
+        { "store-uptime-ms", std::to_string(StoreUptimeNow().Count()) } });
+  m_state.m_peerUpdates.m_nextBulletin.m_storeCheck =
+    StoreCheckNotice::Requested;
+  BeginStoreCheck(m_state.m_settings.m_node);
+}
+
+void EntryReduction::BeginStoreCheck(const NodeId& aOrigin)
+{
+  SuspectStore();
+  size_t rank = 0;
+  for (const NodeId& node : RankedFollowers()) {
+    if (node == m_state.m_settings.m_node) {
+      break;
+    }
+    const auto other = m_state.m_directory.Others().find(node);
+    const bool isLost =
+      node == aOrigin || (other != m_state.m_directory.Others().end() &&
+                          other->second.m_storeLostSince.has_value());
+    rank += isLost ? 0 : 1;
+  }
+  m_state.m_storeCheck.OnRequested(m_now, rank);
+  CheckStore();
+}
+
+// Leaves the check to a node that the store serves, if this one is ranked
+// after it.
+void EntryReduction::EndStoreCheck(const NodeId& aOrigin)
+{
+  SuspectStore();
+  for (const NodeId& node : RankedFollowers()) {
+    if (node == m_state.m_settings.m_node) {
+      return;
+    }
+    if (node == aOrigin) {
+      m_state.m_storeCheck.OnBetterServed();
+      return;
+    }
+  }
+}
+
+// Calls the store if that is due for a check.
+void EntryReduction::CheckStore()
+{
+  if (!m_state.m_storeCheck.TakeDue(m_now)) {
+    return;
+  }
+  FeedFollower& follower = m_state.m_feeds[Feed::Servers];
+  if (follower.FailingSince()) {
+    return;
+  }
+  const std::optional<FeedCall> call = follower.CheckNow(m_now);
+  if (!call) {
+    return;
+  }
+  ++m_state.m_storeChecks;
+  Log(LogLevel::Info,
+      "store-checked",
+      { { "follower", m_state.m_isFollower ? "yes" : "no" },
+        { "store-uptime-ms", std::to_string(StoreUptimeNow().Count()) } });
+  std::visit([this](const auto& aCall) { m_effects.emplace_back(aCall); },
+             *call);
+}
+
+// Records between which times of its clock the store accepted a call of this
+// node, and announces it if it ends a check.
+void EntryReduction::RecordAccepted(const FeedAnswered& aAnswer,
+                                    const CallTimes& aCall)
+{
+  const Millis elapsed = m_now - aCall.m_madeAt;
+  const bool wasWaitInVain = aAnswer.m_rows.empty() && elapsed >= aCall.m_wait;
+  const Millis notAfter =
+    aAnswer.m_storeTime - (wasWaitInVain ? aCall.m_wait : Millis());
+  m_state.m_storeUptime.OnAccepted(m_state.m_storeClock.At(m_now) - elapsed,
+                                   notAfter);
+  if (aAnswer.m_feed == Feed::Servers &&
+      m_state.m_storeCheck.OnServed(m_now, aCall.m_madeAt)) {
+    m_state.m_peerUpdates.m_nextBulletin.m_storeCheck =
+      StoreCheckNotice::Served;
   }
 }
 
 void EntryReduction::ChooseFollowers()
 {
-  NoticeLostNodes();
+  const auto& others = m_state.m_directory.Others();
+  const bool isLostToAny =
+    std::any_of(others.begin(), others.end(), [](const auto& aEntry) {
+      return aEntry.second.m_storeLostSince.has_value();
+    });
+  const Millis doubtUntil =
+    std::max(m_state.m_disturbedUntil, m_state.m_reportedDisturbedUntil);
+  if (isLostToAny || IsStoreLost() || m_now < doubtUntil) {
+    SuspectStore();
+  }
   const std::vector<NodeId> followers = m_state.m_directory.Followers(
     m_now, IsStoreLost(), m_state.m_lease.Row().m_holder);
   const NodeId& self = m_state.m_settings.m_node;
@@ -116,19 +239,25 @@
   const std::optional<Millis> doubtSince =
     m_state.m_configCurrency.DoubtSince();
   const bool isInDoubt = doubtSince && m_now - *doubtSince >= kStoreProbeTime;
-  const PollConditions conditions{ m_state.m_isFollower,
+  const bool isFollowing = m_state.m_isFollower || IsStandIn();
+  const PollConditions conditions{ isFollowing,
                                    isConfirmedUpToDate,
                                    isInDoubt };
   for (auto& [feed, follower] : m_state.m_feeds) {
     follower.SetGap(PollIntervalOf(m_now, follower, feed, conditions));
   }
+  m_state.m_feeds[Feed::Servers].SetWait(
+    isFollowing && IsStoreSuspect() ? kSuspectWatchTime : kWatchTime);
 }
 
 // Adds the changes of a feed since a version to the next bulletin.
 void EntryReduction::ForwardRowChanges(Feed aFeed, RowVersion aAfter)
 {
   const bool isFirstRead = aAfter == RowVersion();
-  if (!m_state.m_isFirstFollower || isFirstRead) {
+  // While the first follower may be refused, the others forward, too.
+  const bool isOther =
+    IsStandIn() || (m_state.m_isFollower && IsStoreSuspect());
+  if ((!m_state.m_isFirstFollower && !isOther) || isFirstRead) {
     return;
   }
   RowChanges changes = m_state.m_rows.ChangesAfter(aFeed, aAfter);
@@ -138,8 +267,8 @@
   }
 }
 
-// Returns for how long the store has served some node without a long gap, as
-// far as this node knows.
+// Returns for how long the store has accepted calls of any nodes without a long
+// gap, as far as this node knows.
 Millis EntryReduction::StoreUptimeNow() const
 {
   const StoreClock& clock = m_state.m_storeClock;
@@ -171,16 +300,27 @@
 
 // Returns for how much longer the store may lack entries by what this node has
 // seen of an outage; zero if it does not follow the store, or if the store
-// failed this node alone.
+// failed only this node and others, but not all.
 Millis EntryReduction::OwnEntryDoubt() const
 {
-  if (!m_state.m_isFollower || WasStoreAvailable()) {
+  const bool isFollowing = m_state.m_isFollower || IsStandIn();
+  if (!isFollowing || WasStoreAvailable()) {
     return Millis();
   }
   const Millis remaining = std::max(Millis(), m_state.m_disturbedUntil - m_now);
   return IsStoreLost() ? std::max(remaining, kStoreLostDoubt) : remaining;
 }
 
+// Returns for how much longer rows that this node forwards may be missing from
+// the store. The receivers may hear of them before they hear of the doubt of
+// the node that has seen the outage. It ends at a time of the store's clock, so
+// that the times on the way don't add up if nodes forward it to each other.
+Millis EntryReduction::ForwardedEntryDoubt() const
+{
+  const Millis limit = kRewriteTime - StoreUptimeNow();
+  return std::max(OwnEntryDoubt(), std::min(EntryDoubt(), limit));
+}
+
 // Records for how much longer the store may lack entries by another node's
 // report.
 void EntryReduction::RecordReportedDoubt(Millis aDoubt)
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -54,7 +54,7 @@
   FeedFollower& follower = m_state.m_feeds[aAnswer.m_feed];
   const FeedFollower before = follower;
   const Millis answeredBefore = StoreAnsweredAt();
-  follower.OnAnswered(m_now, aAnswer);
+  const std::optional<CallTimes> accepted = follower.OnAnswered(m_now, aAnswer);
   const bool wasFailing = before.FailingSince().has_value();
   if (wasFailing != follower.FailingSince().has_value()) {
     Log(LogLevel::Info,
@@ -63,13 +63,18 @@
           { "status", StoreStatusName(aAnswer.m_status) },
           { "version", std::to_string(follower.Version().Value()) } });
   }
+  if (!wasFailing && follower.FailingSince()) {
+    RequestStoreCheck();
+  }
   RecordOutage(before, follower, answeredBefore);
   if (aAnswer.m_status != StoreStatus::Ok) {
     return;
   }
   NoticeEra(RowVersion(aAnswer.m_version.Value()));
   m_state.m_storeClock.Update(m_now, aAnswer.m_storeTime);
-  m_state.m_storeUptime.OnServed(aAnswer.m_storeTime);
+  if (accepted) {
+    RecordAccepted(aAnswer, *accepted);
+  }
   if (aAnswer.m_feed == Feed::Own && aAnswer.m_isWhole) {
     m_state.m_lease.OnFeedKnown();
   }
--- a/briarglade/entry/internal/update_receiving.cc
+++ b/briarglade/entry/internal/update_receiving.cc
@@ -60,8 +60,8 @@
     return;
   }
   m_state.m_directory.OnPeerUpdate(m_now, update);
-  if (update.m_rosterKnownUpTo > Millis()) {
-    m_state.m_storeUptime.OnServed(update.m_rosterKnownUpTo);
+  if (update.m_storePeriod) {
+    m_state.m_storeUptime.OnReported(*update.m_storePeriod);
   }
   HandleCondition(update.m_condition, Millis());
   for (const Bulletin& bulletin : update.m_bulletins) {
--- a/briarglade/entry/internal/update_sending.cc
+++ b/briarglade/entry/internal/update_sending.cc
@@ -105,6 +105,7 @@
     update.m_completeUpTo.push_back(m_state.m_rows.CompleteUpTo(feed));
   }
   update.m_rosterKnownUpTo = m_state.m_roster.KnownUpTo();
+  update.m_storePeriod = m_state.m_storeUptime.Last();
   return update;
 }
 
--- a/briarglade/entry/node_news.capnp
+++ b/briarglade/entry/node_news.capnp
@@ -159,6 +159,9 @@
   clearances @11 :List(TraitClearance);
   entryDoubtMs @12 :UInt16;
   rateLimits @13 :List(RateLimitNotice);
+  # 1: the store has refused the origin, and the other nodes are to check whether
+  # it serves them. 2: it serves the origin.
+  storeCheck @14 :UInt8;
 }
 
 struct NodeNews {
@@ -186,4 +189,8 @@
   # The sender can read compressed values.
   readsPacked @17 :Bool;
   work @18 :List(ModelWork);
+  # The last time in which the store accepted calls without a long gap, by its
+  # clock, in milliseconds. Not set if the second one is zero.
+  storeAvailableSince @19 :Int64;
+  storeAvailableUntil @20 :Int64;
 }
--- a/briarglade/entry/node_news.capnp.h
+++ b/briarglade/entry/node_news.capnp.h
@@ -412,7 +412,7 @@
 
   struct _capnpPrivate
   {
-    CAPNP_DECLARE_STRUCT_HEADER(cedd4078abce72d1, 3, 13)
+    CAPNP_DECLARE_STRUCT_HEADER(cedd4078abce72d1, 5, 13)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand()
     {
@@ -2651,6 +2651,8 @@
                        ::capnp::Kind::STRUCT>::Reader
   getRateLimits() const;
 
+  inline ::uint8_t getStoreCheck() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -2836,6 +2838,9 @@
     ::capnp::List<::briarglade::wire::RateLimitNotice, ::capnp::Kind::STRUCT>>
   disownRateLimits();
 
+  inline ::uint8_t getStoreCheck();
+  inline void setStoreCheck(::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -2960,6 +2965,10 @@
                        ::capnp::Kind::STRUCT>::Reader
   getWork() const;
 
+  inline ::int64_t getStoreAvailableSince() const;
+
+  inline ::int64_t getStoreAvailableUntil() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -3194,6 +3203,12 @@
     ::capnp::List<::briarglade::wire::ModelWork, ::capnp::Kind::STRUCT>>
   disownWork();
 
+  inline ::int64_t getStoreAvailableSince();
+  inline void setStoreAvailableSince(::int64_t value);
+
+  inline ::int64_t getStoreAvailableUntil();
+  inline void setStoreAvailableUntil(::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -5917,6 +5932,23 @@
     disown(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
+inline ::uint8_t Bulletin::Reader::getStoreCheck() const
+{
+  return _reader.getDataField<::uint8_t>(::capnp::bounded<25>() *
+                                         ::capnp::ELEMENTS);
+}
+
+inline ::uint8_t Bulletin::Builder::getStoreCheck()
+{
+  return _builder.getDataField<::uint8_t>(::capnp::bounded<25>() *
+                                          ::capnp::ELEMENTS);
+}
+inline void Bulletin::Builder::setStoreCheck(::uint8_t value)
+{
+  _builder.setDataField<::uint8_t>(::capnp::bounded<25>() * ::capnp::ELEMENTS,
+                                   value);
+}
+
 inline bool NodeNews::Reader::hasNode() const
 {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
@@ -6794,6 +6826,40 @@
       _builder.getPointerField(::capnp::bounded<12>() * ::capnp::POINTERS));
 }
 
+inline ::int64_t NodeNews::Reader::getStoreAvailableSince() const
+{
+  return _reader.getDataField<::int64_t>(::capnp::bounded<3>() *
+                                         ::capnp::ELEMENTS);
+}
+
+inline ::int64_t NodeNews::Builder::getStoreAvailableSince()
+{
+  return _builder.getDataField<::int64_t>(::capnp::bounded<3>() *
+                                          ::capnp::ELEMENTS);
+}
+inline void NodeNews::Builder::setStoreAvailableSince(::int64_t value)
+{
+  _builder.setDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
+                                   value);
+}
+
+inline ::int64_t NodeNews::Reader::getStoreAvailableUntil() const
+{
+  return _reader.getDataField<::int64_t>(::capnp::bounded<4>() *
+                                         ::capnp::ELEMENTS);
+}
+
+inline ::int64_t NodeNews::Builder::getStoreAvailableUntil()
+{
+  return _builder.getDataField<::int64_t>(::capnp::bounded<4>() *
+                                          ::capnp::ELEMENTS);
+}
+inline void NodeNews::Builder::setStoreAvailableUntil(::int64_t value)
+{
+  _builder.setDataField<::int64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
+                                   value);
+}
+
 } // namespace
 } // namespace
 
--- a/briarglade/entry/node_news.cc
+++ b/briarglade/entry/node_news.cc
@@ -384,6 +384,7 @@
   WriteList(aEntry.initHanded(SizeOf(aBulletin.m_rowChanges)),
             aBulletin.m_rowChanges,
             WriteRowChanges);
+  aEntry.setStoreCheck(static_cast<uint8_t>(aBulletin.m_storeCheck));
 }
 
 RequestTrait ReadTrait(wire::RequestTrait::Reader aEntry)
@@ -435,6 +436,14 @@
                        Millis(aEntry.getRemainingMs()) };
 }
 
+// Returns a notice as read; an unknown one counts as none.
+StoreCheckNotice ReadStoreCheck(uint8_t aValue)
+{
+  return aValue <= static_cast<uint8_t>(StoreCheckNotice::Served)
+           ? static_cast<StoreCheckNotice>(aValue)
+           : StoreCheckNotice::None;
+}
+
 Bulletin ReadBulletin(wire::Bulletin::Reader aMessage)
 {
   Bulletin bulletin;
@@ -465,6 +474,7 @@
                    ReadIds<HostId>(entry.getMembers()) });
   }
   bulletin.m_rowChanges = ReadRowChanges(aMessage.getHanded());
+  bulletin.m_storeCheck = ReadStoreCheck(aMessage.getStoreCheck());
   return bulletin;
 }
 
@@ -478,6 +488,10 @@
     complete.set(index, aUpdate.m_completeUpTo[index].Value());
   }
   aMessage.setRosterKnownUpTo(aUpdate.m_rosterKnownUpTo.Count());
+  if (aUpdate.m_storePeriod) {
+    aMessage.setStoreAvailableSince(aUpdate.m_storePeriod->m_since.Count());
+    aMessage.setStoreAvailableUntil(aUpdate.m_storePeriod->m_until.Count());
+  }
   aMessage.setSubscription(static_cast<uint8_t>(aUpdate.m_subscription));
   aMessage.setReportNumber(aUpdate.m_reportNumber);
   aMessage.setWantsRows(aUpdate.m_requestsRows);
@@ -527,6 +541,11 @@
   }
   update.m_completeUpTo.resize(kFeedCount);
   update.m_rosterKnownUpTo = Millis(aMessage.getRosterKnownUpTo());
+  if (aMessage.getStoreAvailableUntil() > 0) {
+    update.m_storePeriod =
+      StorePeriod{ Millis(aMessage.getStoreAvailableSince()),
+                   Millis(aMessage.getStoreAvailableUntil()) };
+  }
   update.m_subscription = ReadSubscription(aMessage.getSubscription());
   update.m_reportNumber = aMessage.getReportNumber();
   update.m_loads = ReadLoads(aMessage.getLoads());
--- a/briarglade/entry/node_news.h
+++ b/briarglade/entry/node_news.h
@@ -21,6 +21,7 @@
 #include "briarglade/base/ids.h"
 #include "briarglade/base/millis.h"
 #include "briarglade/entry/store_feed.h"
+#include "briarglade/entry/store_uptime.h"
 #include "briarglade/gateway/gateway_event.h"
 #include "briarglade/grouping/model_work.h"
 
@@ -97,6 +98,16 @@
   Millis m_age;
 };
 
+// What a bulletin says about the check whether the store serves its nodes.
+enum class StoreCheckNotice : uint8_t
+{
+  None,
+  // The store has refused the origin; the others are to check.
+  Requested,
+  // The store serves the origin.
+  Served
+};
+
 // Changes that every node must learn, from the node that detected them.
 struct Bulletin
 {
@@ -118,12 +129,14 @@
   // Changes of the store, and for how much longer the store may lack entries.
   std::vector<RowChanges> m_rowChanges;
   Millis m_entryDoubt;
+  StoreCheckNotice m_storeCheck = StoreCheckNotice::None;
 
   bool IsEmpty() const
   {
     return m_harm.IsEmpty() && m_leavingServers.empty() &&
            m_endedGroups.empty() && m_openedGroups.empty() &&
-           m_rowChanges.empty() && m_rateLimits.empty();
+           m_rowChanges.empty() && m_rateLimits.empty() &&
+           m_storeCheck == StoreCheckNotice::None;
   }
 };
 
@@ -148,6 +161,9 @@
   // The time of the store's clock up to which the sender knows every node's
   // row.
   Millis m_rosterKnownUpTo;
+  // The last time in which the store accepted calls of any nodes without a long
+  // gap, as far as the sender knows. Earlier versions do not send it.
+  std::optional<StorePeriod> m_storePeriod;
 
   // A report: the sender's in-flight requests, suspected groups, and the work
   // that its callers request.
--- a/briarglade/entry/node_news_test.cc
+++ b/briarglade/entry/node_news_test.cc
@@ -32,6 +32,7 @@
   };
   bulletin.m_serversComplete = RowVersion(9);
   bulletin.m_entryDoubt = Millis(1'200);
+  bulletin.m_storeCheck = StoreCheckNotice::Served;
   bulletin.m_rateLimits = {
     RateLimitNotice{
       ServerRun{ HostId("i-1"), BootId("16") }, 4.5, Millis(30) },
@@ -60,6 +61,7 @@
     ServerRun{ HostId("i-3"), BootId("18") }, 0.25, Millis(5) } };
   news.m_completeUpTo = { RowVersion(1), RowVersion(2), RowVersion(3) };
   news.m_rosterKnownUpTo = Millis(4'711);
+  news.m_storePeriod = StorePeriod{ Millis(1'700), Millis(4'800) };
   news.m_subscription = Subscription::All;
   news.m_reportNumber = 12;
   news.m_loads = { { HostId("i-1"), 3, 4'000 }, { HostId("i-2"), 70'000, 0 } };
@@ -106,6 +108,9 @@
   CHECK(read->m_condition.m_entryDoubt == Millis());
   CHECK(read->m_completeUpTo == sent.m_completeUpTo);
   CHECK(read->m_rosterKnownUpTo == Millis(4'711));
+  REQUIRE(read->m_storePeriod);
+  CHECK(read->m_storePeriod->m_since == Millis(1'700));
+  CHECK(read->m_storePeriod->m_until == Millis(4'800));
   CHECK(read->m_subscription == Subscription::All);
   CHECK(read->m_reportNumber == 12);
   CHECK(read->m_loads[0].m_inFlight == 3);
@@ -116,6 +121,17 @@
   CheckRows(read->m_rowChanges, sent.m_rowChanges);
 }
 
+TEST_CASE(
+  "a report of an earlier version, without a time in which the store was "
+  "available, is decoded as one that knows none")
+{
+  NodeNews sent = MakeNews();
+  sent.m_storePeriod.reset();
+  const std::optional<NodeNews> read = DecodeNodeNews(EncodeNodeNews(sent));
+  REQUIRE(read);
+  CHECK_FALSE(read->m_storePeriod);
+}
+
 TEST_CASE("encoded digests and bulletins are decoded unchanged")
 {
   const NodeNews sent = MakeNews();
@@ -140,6 +156,7 @@
   CHECK(bulletin.m_origin == NodeId("n7"));
   CHECK(bulletin.m_incarnation == 78);
   CHECK(bulletin.m_number == 5);
+  CHECK(bulletin.m_storeCheck == StoreCheckNotice::Served);
   REQUIRE(bulletin.m_harm.m_evidence.size() == 1);
   const CrashEvidence& evidence = bulletin.m_harm.m_evidence[0];
   CHECK(evidence.m_server == ServerRun{ HostId("i-1"), BootId("16") });
--- a/briarglade/entry/reduce_entry.cc
+++ b/briarglade/entry/reduce_entry.cc
@@ -73,6 +73,7 @@
   m_state.m_lastTickAt = m_now;
   TickConfigCurrency();
   ChooseFollowers();
+  CheckStore();
   FollowFeeds();
   RequestMissingRows();
   RemoveExpiredServers();
@@ -220,6 +221,7 @@
   state.m_incarnation = aIncarnation;
   state.m_decode = std::move(aDecode);
   state.m_registeredAt = Millis(-1'000'000);
+  state.m_storeUptime = StoreUptime(aSettings.m_serverHeartbeat);
   for (const Feed feed : { Feed::Operator, Feed::Servers, Feed::Own }) {
     state.m_feeds.emplace(
       feed, FeedFollower(FeedPace{ feed, kWatchTimeout, Millis() }));
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -30,6 +30,7 @@
 #include "briarglade/entry/peer_update_state.h"
 #include "briarglade/entry/row_cache.h"
 #include "briarglade/entry/row_requests.h"
+#include "briarglade/entry/store_check.h"
 #include "briarglade/entry/store_clock.h"
 #include "briarglade/entry/store_uptime.h"
 #include "briarglade/entry/store_version.h"
@@ -107,8 +108,14 @@
   // when that outage may be the reason for missing entries.
   Millis m_storeBackAt;
   Millis m_disturbedUntil;
-  // Since when the store has served some node.
+  // When the store has accepted calls of any nodes.
   StoreUptime m_storeUptime;
+  // The check whether the store serves this node, after it refused another one.
+  StoreCheck m_storeCheck;
+  // Until when the store may be refusing some nodes.
+  Millis m_storeSuspectUntil;
+  // How often this node has checked whether the store serves it.
+  uint64_t m_storeChecks = 0;
   // The store's era, once it has answered, and until when rows may be missing
   // because the store has come back from an older copy.
   std::optional<StoreEra> m_storeEra;
