--- a/briarglade/entry/store_refusal_test.cc
+++ b/briarglade/entry/store_refusal_test.cc
@@ -31,7 +31,7 @@
   AllButOne
 };
 
-const char* NameOf(Refused aRefused)
+std::string NameOf(Refused aRefused)
 {
   switch (aRefused) {
     case Refused::Followers:
@@ -182,14 +182,14 @@
         world.RunUntil(removedAt + kDrainTime);
         if (world.NodesThatUseIt() > 0) {
           ++late;
-          MESSAGE(nodes << " nodes, " << NameOf(refused) << ", seed " << seed
-                        << ": removed " << (removedAt - begin).Count()
-                        << " ms after the "
+          MESSAGE(nodes << " nodes, " << std::string(NameOf(refused))
+                        << ", seed " << seed << ": removed "
+                        << (removedAt - begin).Count() << " ms after the "
                         << "refusal, still used by " << world.NodesThatUseIt());
         }
       }
       CAPTURE(nodes);
-      CAPTURE(std::string(NameOf(refused)));
+      CAPTURE(NameOf(refused));
       CHECK(late == 0);
     }
   }
