Clients: unread output of streams counts against the common budget

Cause: what a stream's client has not taken was bounded for each connection only (64 KiB and one event), with 897 connections of a process of 112 MB. A request that must not be retried also stayed in flight until its deadline if its client left while reading from the server was paused for it: nothing resumed reading.

Change: the connection accounts for a stream's unsent bytes with an AnswerHold of its own kind, so that they count in AnswerBudget (a quarter of the memory). They may take half of that. Above half of that half, reading from a server pauses as soon as anything is unread; at the bound the largest unread stream and its client's connection are cut, before any whole answer. When a client leaves, reading goes on. New metrics unread_stream_bytes and answers_cut.

--- a/briarglade/entry/entry_node.cc
+++ b/briarglade/entry/entry_node.cc
@@ -440,8 +440,12 @@
     Dispatch(aStated);
   };
   hooks.m_onEnded = [this](const ExchangeEnded& aEnded) { Dispatch(aEnded); };
-  aExchange->OnClosed(
-    [this, handle = received.m_handle] { Dispatch(CallerLeft{ handle }); });
+  aExchange->OnClosed([this, handle = received.m_handle] {
+    Dispatch(CallerLeft{ handle });
+    if (const std::shared_ptr<GatewayRelay> relay = FindRelay(handle)) {
+      relay->ResumeReading();
+    }
+  });
   m_relays.emplace(received.m_handle,
                    std::make_shared<GatewayRelay>(received.m_handle,
                                                   aExchange,
@@ -531,6 +535,11 @@
                      static_cast<double>(m_rejections));
   m_metrics.SetGauge("connections_closed_at_limit",
                      static_cast<double>(CountClosedAtLimit()));
+  m_metrics.SetGauge(
+    "unread_stream_bytes",
+    static_cast<double>(m_client.Budget()->UnreadStreamBytes()));
+  m_metrics.SetGauge("answers_cut",
+                     static_cast<double>(m_client.Budget()->CutCount()));
   m_metrics.SetGauge("connections_evicted",
                      static_cast<double>(CountEvictions()));
   m_metrics.SetGauge("accept_failures",
--- a/briarglade/entry/gateway_relay.cc
+++ b/briarglade/entry/gateway_relay.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "briarglade/net/answer_budget.h"
 #include "briarglade/net/answer_hold.h"
 #include "briarglade/net/back_pressure.h"
 #include "briarglade/net/event_loop.h"
@@ -47,12 +48,13 @@
                          const SendToServer& aSend,
                          Millis aNow)
 {
+  m_budget = aClient.Budget();
   const auto exchange = std::make_shared<Exchange>();
   const bool hasProgressed = m_lastEvent != m_request.m_lastEvent;
   exchange->m_events = EventStream(
     m_lastEvent, hasProgressed ? ResumedBy::Node : ResumedBy::Caller);
   exchange->m_hold =
-    std::make_shared<AnswerHold>(aClient.Budget(), m_request.m_attemptName);
+    std::make_shared<AnswerHold>(m_budget, m_request.m_attemptName);
   exchange->m_hold->OnCut([held = exchange.get()] { CutAnswer(*held); });
   (aSend.m_role == ExchangeRole::Hedge ? m_hedge : m_primary) = exchange;
   m_isStream = aSend.m_isStream;
@@ -102,6 +104,13 @@
   }
 }
 
+void GatewayRelay::ResumeReading()
+{
+  if (m_primary && m_primary->m_call) {
+    m_primary->m_call->ResumeReading();
+  }
+}
+
 void GatewayRelay::PromoteHedge()
 {
   const std::shared_ptr<Exchange> previous = std::move(m_primary);
@@ -197,6 +206,8 @@
   if (!m_streamStarted) {
     m_streamStarted = true;
     m_firstBytesAt = EventLoop::Now();
+    m_caller->CountUnread(std::make_unique<AnswerHold>(
+      m_budget, m_request.m_attemptName, HeldKind::UnreadStream));
     m_caller->StartStream(kOk,
                           m_codec.m_encodeAnswer(m_primary->m_head.m_headers));
   }
@@ -235,7 +246,7 @@
   // A hedge has sent the caller nothing, and the caller's connection resumes
   // only one exchange.
   if (RoleOf(aExchange) == ExchangeRole::Primary) {
-    PauseForReader(*m_caller, aExchange.m_call);
+    PauseForReader(*m_caller, aExchange.m_call, m_budget->PauseBytes());
   }
 }
 
--- a/briarglade/entry/gateway_relay.h
+++ b/briarglade/entry/gateway_relay.h
@@ -21,6 +21,7 @@
 
 namespace briarglade {
 
+class AnswerBudget;
 class AnswerHold;
 class HttpCall;
 class HttpExchange;
@@ -58,6 +59,9 @@
   void Start(HttpClient& aClient, const SendToServer& aSend, Millis aNow);
   // Cancels the primary exchange; its end is still reported.
   void Cancel();
+  // Goes on reading from the server if that was paused for the caller, who has
+  // left. A request that must not be retried runs to its end without it.
+  void ResumeReading();
   // Makes the hedge the primary exchange. Cancels the earlier primary one, if
   // it still runs, without reporting its end.
   void PromoteHedge();
@@ -131,6 +135,7 @@
   std::shared_ptr<Exchange> m_hedge;
 
   // The answer to the caller.
+  std::shared_ptr<AnswerBudget> m_budget;
   // The last event that the caller has; another server continues after it.
   std::optional<std::string> m_lastEvent;
   bool m_streamStarted = false;
--- a/briarglade/net/answer_budget.h
+++ b/briarglade/net/answer_budget.h
@@ -4,6 +4,11 @@
 // the largest answers that may be cut are cut, so that a server that sends
 // without end doesn't cost the small answers of others.
 //
+// Load pattern: many clients ask for streams and do not read them. What has
+// been written of streams and not been taken may use half of the bound. Servers
+// of such streams are paused earlier once a quarter is used; above half, the
+// largest unread streams are cut, so that whole answers are spared.
+//
 // Example:
 //   auto budget = std::make_shared<AnswerBudget>(kMaxBytes);
 //   AnswerHold hold(budget, "request-1");
@@ -13,6 +18,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <unordered_set>
@@ -33,26 +39,40 @@
 class AnswerBudget
 {
 public:
+  // The same as PauseBytes() while unread streams take little.
+  static constexpr size_t kPauseBytes = 64 * 1024;
+
   explicit AnswerBudget(size_t aMaxBytes);
   AnswerBudget(const AnswerBudget&) = delete;
   AnswerBudget& operator=(const AnswerBudget&) = delete;
 
   // Bytes that all answers hold now.
   size_t HeldBytes() const { return m_heldBytes; }
+  // The part of it that clients have not taken of streams.
+  size_t UnreadStreamBytes() const { return m_unreadStreamBytes; }
+  // Answers cut since the start.
+  uint64_t CutCount() const { return m_cutCount; }
+  // The most bytes of a stream that may wait for its client before reading from
+  // its server pauses.
+  size_t PauseBytes() const;
   // Calls back for each answer that is cut.
   void OnCut(std::function<void(const AnswerCut&)> aCallback);
 
 private:
   friend class AnswerHold;
 
-  // Replaces what an answer counted for by what it holds now, then keeps to the
-  // bound.
-  void Count(size_t aBefore, size_t aNow);
-  // Cuts the largest answer. Returns false if none may be cut.
-  bool CutLargest();
+  // Replaces what an answer counted for by what it holds now.
+  void Count(AnswerHold& aHold, size_t aBytes);
+  // Cuts answers until the bounds are kept.
+  void KeepBounds();
+  // Cuts the largest answer, or the largest unread stream. Returns false if
+  // none may be cut.
+  bool CutLargest(bool aUnreadStreamsOnly);
 
   const size_t m_maxBytes;
   size_t m_heldBytes = 0;
+  size_t m_unreadStreamBytes = 0;
+  uint64_t m_cutCount = 0;
   std::unordered_set<AnswerHold*> m_holds;
   std::function<void(const AnswerCut&)> m_onCut;
 };
--- a/briarglade/net/answer_budget_test.cc
+++ b/briarglade/net/answer_budget_test.cc
@@ -66,5 +66,37 @@
   CHECK(budget->HeldBytes() == 0);
 }
 
+// Guards against unread streams that are bounded only each by itself: together
+// they took more than the memory of a small process.
+TEST_CASE("unread streams are paused early above a quarter of the bound, and "
+          "the largest is cut above half; whole answers are spared")
+{
+  const auto budget = std::make_shared<AnswerBudget>(400);
+  AnswerHold answer(budget, "answer");
+  AnswerHold slow(budget, "slow", HeldKind::UnreadStream);
+  AnswerHold unread(budget, "unread", HeldKind::UnreadStream);
+  std::vector<std::string> cuts;
+  answer.OnCut([&] { cuts.emplace_back("answer"); });
+  slow.OnCut([&] { cuts.emplace_back("slow"); });
+  unread.OnCut([&] { cuts.emplace_back("unread"); });
+  answer.SetBytes(190);
+  slow.SetBytes(40);
+  unread.SetBytes(60);
+  CHECK(budget->PauseBytes() == AnswerBudget::kPauseBytes);
+  unread.SetBytes(61);
+  CHECK(budget->PauseBytes() == 0);
+  unread.SetBytes(160);
+  CHECK(cuts.empty());
+  unread.SetBytes(161);
+  CHECK(cuts == std::vector<std::string>{ "unread" });
+  CHECK(budget->UnreadStreamBytes() == 40);
+  CHECK(budget->HeldBytes() == 230);
+  CHECK(budget->CutCount() == 1);
+  CHECK(budget->PauseBytes() == AnswerBudget::kPauseBytes);
+  // What has been taken counts no more.
+  slow.SetBytes(0);
+  CHECK(budget->UnreadStreamBytes() == 0);
+}
+
 } // namespace
 } // namespace briarglade
--- a/briarglade/net/answer_hold.cc
+++ b/briarglade/net/answer_hold.cc
@@ -9,9 +9,11 @@
 namespace briarglade {
 
 AnswerHold::AnswerHold(std::shared_ptr<AnswerBudget> aBudget,
-                       std::string aRequest)
+                       std::string aRequest,
+                       HeldKind aKind)
   : m_budget(std::move(aBudget))
   , m_request(std::move(aRequest))
+  , m_kind(aKind)
 {
   m_budget->m_holds.insert(this);
 }
@@ -19,7 +21,7 @@
 AnswerHold::~AnswerHold()
 {
   m_budget->m_holds.erase(this);
-  m_budget->m_heldBytes -= m_bytes;
+  m_budget->Count(*this, 0);
 }
 
 void AnswerHold::OnCut(std::function<void()> aCallback)
@@ -30,7 +32,8 @@
 void AnswerHold::SetBytes(size_t aBytes)
 {
   if (!m_isCut) {
-    m_budget->Count(std::exchange(m_bytes, aBytes), aBytes);
+    m_budget->Count(*this, aBytes);
+    m_budget->KeepBounds();
   }
 }
 
--- a/briarglade/net/answer_hold.h
+++ b/briarglade/net/answer_hold.h
@@ -11,11 +11,22 @@
 
 class AnswerBudget;
 
+// What a hold accounts for.
+enum class HeldKind
+{
+  // An answer, or a part of one, that is being received or is forwarded whole.
+  Answer,
+  // What was written of a stream and its client has not taken.
+  UnreadStream
+};
+
 class AnswerHold
 {
 public:
   // The name of the request is for the log; empty for a call of the node's own.
-  AnswerHold(std::shared_ptr<AnswerBudget> aBudget, std::string aRequest);
+  AnswerHold(std::shared_ptr<AnswerBudget> aBudget,
+             std::string aRequest,
+             HeldKind aKind = HeldKind::Answer);
   ~AnswerHold();
   AnswerHold(const AnswerHold&) = delete;
   AnswerHold& operator=(const AnswerHold&) = delete;
@@ -31,6 +42,7 @@
 
   const std::shared_ptr<AnswerBudget> m_budget;
   const std::string m_request;
+  const HeldKind m_kind;
   std::function<void()> m_onCut;
   size_t m_bytes = 0;
   bool m_isCut = false;
--- a/briarglade/net/back_pressure.cc
+++ b/briarglade/net/back_pressure.cc
@@ -2,24 +2,16 @@
 
 #include "briarglade/net/back_pressure.h"
 
-#include <cstddef>
-
 #include "briarglade/net/http_call.h"
 #include "briarglade/net/http_exchange.h"
 
 namespace briarglade {
 
-namespace {
-
-// Unsent bytes at which reading pauses.
-constexpr size_t kPauseBytes = 64 * 1024;
-
-} // namespace
-
 void PauseForReader(HttpExchange& aCaller,
-                    const std::shared_ptr<HttpCall>& aCall)
+                    const std::shared_ptr<HttpCall>& aCall,
+                    size_t aMaxBytes)
 {
-  if (aCaller.UnsentBytes() > kPauseBytes) {
+  if (aCaller.UnsentBytes() > aMaxBytes) {
     aCall->PauseReading();
     aCaller.OnDrained([aCall] { aCall->ResumeReading(); });
   }
--- a/briarglade/net/back_pressure.h
+++ b/briarglade/net/back_pressure.h
@@ -2,10 +2,11 @@
 //
 // Example:
 //   caller->Write(data);
-//   PauseForReader(*caller, call);
+//   PauseForReader(*caller, call, budget->PauseBytes());
 
 #pragma once
 
+#include <cstddef>
 #include <memory>
 
 namespace briarglade {
@@ -13,9 +14,10 @@
 class HttpCall;
 class HttpExchange;
 
-// Stops reading the call's answer if the caller has much of it still to take,
-// and goes on once it has taken all.
+// Stops reading the call's answer if the caller has more than so many bytes of
+// it still to take, and goes on once it has taken all.
 void PauseForReader(HttpExchange& aCaller,
-                    const std::shared_ptr<HttpCall>& aCall);
+                    const std::shared_ptr<HttpCall>& aCall,
+                    size_t aMaxBytes);
 
 } // namespace briarglade
--- a/briarglade/net/http_exchange.cc
+++ b/briarglade/net/http_exchange.cc
@@ -131,6 +131,13 @@
   }
 }
 
+void HttpExchange::CountUnread(std::unique_ptr<AnswerHold> aHold)
+{
+  if (IsOpen()) {
+    m_connection->CountUnread(std::move(aHold));
+  }
+}
+
 size_t HttpExchange::UnsentBytes() const
 {
   return IsOpen() ? m_connection->UnsentBytes() : 0;
--- a/briarglade/net/http_exchange.h
+++ b/briarglade/net/http_exchange.h
@@ -60,6 +60,10 @@
   // Keeps the hold of the answer that follows until the caller has taken it.
   // If it is cut, so is the connection.
   void HoldUntilTaken(std::shared_ptr<AnswerHold> aHold);
+  // Accounts with the hold for the bytes written from now on that the caller
+  // hasn't taken, until it has taken the whole answer. If it is cut, so is the
+  // connection.
+  void CountUnread(std::unique_ptr<AnswerHold> aHold);
   // Bytes written that the caller hasn't taken yet.
   size_t UnsentBytes() const;
   // Called when all written bytes have been taken.
--- a/briarglade/net/internal/http_connection.cc
+++ b/briarglade/net/internal/http_connection.cc
@@ -84,13 +84,15 @@
   m_server.m_order.Remove(m_place);
   EndExchange();
   ReleaseHolds();
+  StopCountingUnread();
   bufferevent_free(m_bufferevent);
 }
 
 void HttpConnection::Send(std::initializer_list<std::string_view> aPieces)
 {
   internal::SendNow(m_bufferevent, aPieces);
-  if (UnsentBytes() > 0) {
+  // What was written may have been cut for want of memory.
+  if (m_phase != Phase::Cut && UnsentBytes() > 0) {
     m_timer->Start(m_server.m_limits.m_writeStall);
   }
 }
@@ -98,7 +100,9 @@
 void HttpConnection::SendLater(const std::string& aText)
 {
   bufferevent_write(m_bufferevent, aText.data(), aText.size());
-  m_timer->Start(m_server.m_limits.m_writeStall);
+  if (m_phase != Phase::Cut) {
+    m_timer->Start(m_server.m_limits.m_writeStall);
+  }
 }
 
 size_t HttpConnection::UnsentBytes() const
@@ -117,6 +121,32 @@
   m_holds.push_back(std::move(aHold));
 }
 
+void HttpConnection::CountUnread(std::unique_ptr<AnswerHold> aHold)
+{
+  StopCountingUnread();
+  m_unreadHold = std::move(aHold);
+  m_unreadHold->OnCut([this] { CutSoon(); });
+  evbuffer_add_cb(
+    bufferevent_get_output(m_bufferevent), &OnOutputChanged, this);
+}
+
+void HttpConnection::OnOutputChanged(evbuffer* aOutput,
+                                     const evbuffer_cb_info*,
+                                     void* aSelf)
+{
+  auto* self = static_cast<HttpConnection*>(aSelf);
+  self->m_unreadHold->SetBytes(evbuffer_get_length(aOutput));
+}
+
+void HttpConnection::StopCountingUnread()
+{
+  if (m_unreadHold) {
+    evbuffer_remove_cb(
+      bufferevent_get_output(m_bufferevent), &OnOutputChanged, this);
+    m_unreadHold.reset();
+  }
+}
+
 void HttpConnection::ReleaseHolds()
 {
   for (const std::shared_ptr<AnswerHold>& hold : m_holds) {
@@ -129,6 +159,7 @@
 {
   if (UnsentBytes() == 0) {
     ReleaseHolds();
+    StopCountingUnread();
   }
   if (m_exchange) {
     m_exchange->Detach();
@@ -242,6 +273,9 @@
     return;
   }
   self->ReleaseHolds();
+  if (self->m_phase != Phase::Answering) {
+    self->StopCountingUnread();
+  }
   if (self->m_phase == Phase::Closing) {
     self->CloseGently();
     return;
--- a/briarglade/net/internal/http_connection.h
+++ b/briarglade/net/internal/http_connection.h
@@ -19,6 +19,8 @@
 #include "briarglade/net/internal/http_message_parser.h"
 
 struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
 
 namespace briarglade {
 
@@ -43,6 +45,9 @@
   // Keeps the hold of the present answer until all sent bytes have been taken.
   // If the answer is cut, so is the connection.
   void HoldUntilTaken(std::shared_ptr<AnswerHold> aHold);
+  // Accounts with the hold for the bytes that are not sent, until the answer
+  // has been taken. If it is cut, so is the connection.
+  void CountUnread(std::unique_ptr<AnswerHold> aHold);
   // The present answer has been handed over as a whole. Without keeping, the
   // connection is closed once the answer has been taken.
   void FinishAnswer(bool aKeep);
@@ -77,6 +82,7 @@
   static void OnReadable(bufferevent*, void* aSelf);
   static void OnWritten(bufferevent*, void* aSelf);
   static void OnEvent(bufferevent*, short aEvents, void* aSelf);
+  static void OnOutputChanged(evbuffer*, const evbuffer_cb_info*, void* aSelf);
 
   void ReadRequests();
   bool ReadPart();
@@ -98,6 +104,7 @@
   void CloseGently();
   void EndExchange();
   void ReleaseHolds();
+  void StopCountingUnread();
 
   HttpServer& m_server;
   bufferevent* m_bufferevent;
@@ -113,6 +120,8 @@
   std::shared_ptr<HttpExchange> m_exchange;
   // The holds of answers that haven't been taken yet.
   std::vector<std::shared_ptr<AnswerHold>> m_holds;
+  // Accounts for the unsent bytes of a stream.
+  std::unique_ptr<AnswerHold> m_unreadHold;
   ConnectionOrder<HttpConnection>::Place m_place;
   Phase m_phase = Phase::Reading;
   bool m_inRead = false;
--- a/briarglade/node/relay.cc
+++ b/briarglade/node/relay.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "briarglade/net/answer_budget.h"
 #include "briarglade/net/back_pressure.h"
 #include "briarglade/net/event_loop.h"
 #include "briarglade/net/http_call.h"
@@ -165,7 +166,7 @@
   }
   NoteTokens(span.m_tokens);
   m_caller->Write(span.m_events);
-  PauseForReader(*m_caller, m_call);
+  PauseForReader(*m_caller, m_call, AnswerBudget::kPauseBytes);
 }
 
 void Relay::NoteTokens(uint32_t aTokens)
--- a/scripts/lib/soak_servers.py
+++ b/scripts/lib/soak_servers.py
@@ -29,6 +29,8 @@
         self.is_model = is_model
         self.share = world.share
         self.padding = b""  # Follows the digest in every whole answer.
+        self.events = EVENTS
+        self.event_padding = b""  # Follows the digest in every event.
         self.id = world.new_id("i")
         self.born = int(time.time() * 1000)
         self.port = 0
@@ -337,10 +339,11 @@
         if trouble == "reset-after":
             return self.end(is_reset=True)
         await self.send(head.encode())
-        for number in range(first, EVENTS + 1):
+        for number in range(first, self.server.events + 1):
             if trouble == "cut-answer" and draw.random() < 0.5:
                 return self.end(is_reset=draw.random() < 0.5)
-            event = f"id: {number}\ndata: {digest}\n\n".encode()
+            event = (f"id: {number}\ndata: {digest}".encode() + self.server.event_padding +
+                     b"\n\n")
             await self.send(b"%x\r\n%b\r\n" % (len(event), event))
             await asyncio.sleep(draw.expovariate(1 / 0.02))
         await self.send(b"0\r\n\r\n")
