Capacity: groups in a zone that is out give no capacity

Callers are not sent to groups in a zone that the operators have taken out, but these groups were counted as capacity of their model, so that the target layout seemed to fit and nothing was formed or moved in the remaining zones.

They are no longer counted, neither for the layout nor for repairs. A restarted fake server no longer knows its last model.

--- a/briarglade/grouping/fake_servers_test.h
+++ b/briarglade/grouping/fake_servers_test.h
@@ -63,14 +63,20 @@
   // Advances to aNow: members whose joining time has passed become ready.
   void Advance(Millis aNow)
   {
+    AdvanceLoads(aNow);
     for (auto& [host, server] : m_servers) {
       std::optional<GroupMembership>& place = server.m_record.m_groupMembership;
+      if (server.m_loadLeft > 0 && place &&
+          place->m_phase == GroupPhase::Joining) {
+        continue;
+      }
       if (place && place->m_phase == GroupPhase::Joining &&
           aNow >= server.m_readyAt) {
         place->m_phase = GroupPhase::Ready;
         m_wasReady.insert({ host, place->m_generation });
       }
-      if (!server.m_staging.IsEmpty() && aNow >= server.m_stagedAt) {
+      if (!server.m_staging.IsEmpty() && aNow >= server.m_stagedAt &&
+          server.m_loadLeft <= 0) {
         server.m_record.m_staged = { server.m_staging };
         server.m_staging = ModelId();
       }
@@ -96,7 +102,12 @@
     ++server.m_record.m_startedAt;
     server.m_members.clear();
     server.m_staging = ModelId();
+    server.m_loadLeft = 0;
+    server.m_lastModel = ModelId();
   }
+  // Loads take the model's load time, and proportionally longer if more than
+  // this number run at the same time. Zero switches this off.
+  void SetLoadsAtOnce(uint32_t aLoads) { m_loadsAtOnce = aLoads; }
   // Callers have begun to send requests: staging takes its full time.
   void SetTraffic(bool aHasTraffic) { m_hasTraffic = aHasTraffic; }
   // Returns the number of loads that stage orders have started.
@@ -213,8 +224,33 @@
     // Weights that are being staged.
     ModelId m_staging;
     Millis m_stagedAt;
+    // Milliseconds of loading that remain if no other load runs; only used if
+    // loads slow each other down.
+    double m_loadLeft = 0;
   };
 
+  // Lets all loads progress up to aNow.
+  void AdvanceLoads(Millis aNow)
+  {
+    const auto elapsed = static_cast<double>((aNow - m_advancedAt).Count());
+    m_advancedAt = aNow;
+    const auto isLoading = [](const auto& aEntry) {
+      return aEntry.second.m_isUp && aEntry.second.m_loadLeft > 0;
+    };
+    const auto loading =
+      std::count_if(m_servers.begin(), m_servers.end(), isLoading);
+    const double rate =
+      loading > m_loadsAtOnce ? double(m_loadsAtOnce) / double(loading) : 1;
+    for (auto& [host, server] : m_servers) {
+      server.m_loadLeft = std::max(0.0, server.m_loadLeft - elapsed * rate);
+    }
+  }
+  void BeginLoad(Server& aServer, const ReplicaModel& aModel) const
+  {
+    const auto load = static_cast<double>(aModel.m_loadTime.Count());
+    aServer.m_loadLeft = m_hasTraffic ? load : load / 10;
+  }
+
   static bool IsOpen(const Server& aServer)
   {
     return aServer.m_isUp && aServer.m_record.m_groupMembership &&
@@ -267,6 +303,10 @@
     aServer.m_staging = aOrder.m_model;
     aServer.m_stagedAt =
       aNow + (m_hasTraffic ? model->m_loadTime : model->m_loadTime / 10);
+    if (m_loadsAtOnce > 0) {
+      aServer.m_stagedAt = aNow;
+      BeginLoad(aServer, *model);
+    }
     return OrderStatus::Accepted;
   }
 
@@ -310,8 +350,23 @@
     aServer.m_readyAt = aNow + (isWarm     ? Millis(200)
                                 : isStaged ? Millis(1'600)
                                            : Millis(8'000));
+    const ReplicaModel* model = m_engine.FindModel(aOrder.m_model);
+    if (m_loadsAtOnce > 0 && model != nullptr) {
+      aServer.m_staging = ModelId();
+      aServer.m_loadLeft = 0;
+      aServer.m_readyAt = aNow + (isWarm ? Millis(200) : model->m_warmTime);
+      if (!isWarm && !isStaged) {
+        BeginLoad(aServer, *model);
+      }
+    }
     aServer.m_lastModel = aOrder.m_model;
-    aServer.m_record.m_staged = { aOrder.m_model };
+    if (aServer.m_loadLeft > 0) {
+      // The weights are on the host once they are loaded.
+      aServer.m_staging = aOrder.m_model;
+      aServer.m_stagedAt = aNow;
+    } else {
+      aServer.m_record.m_staged = { aOrder.m_model };
+    }
     return OrderStatus::Accepted;
   }
 
@@ -374,6 +429,8 @@
   size_t m_loadCount = 0;
   size_t m_stageCount = 0;
   bool m_hasTraffic = false;
+  uint32_t m_loadsAtOnce = 0;
+  Millis m_advancedAt;
 };
 
 } // namespace briarglade
--- a/briarglade/grouping/group_control.cc
+++ b/briarglade/grouping/group_control.cc
@@ -252,8 +252,17 @@
          !IsDead(aServer.m_host) && !IsAssigned(aServer);
 }
 
+// Returns whether the group's zone has been taken out by the operators. Callers
+// are not sent to such a group, so it gives no capacity.
+bool GroupControl::IsZoneOut(const ReplicaGroup& aGroup) const
+{
+  const auto leader = m_view->m_servers.find(aGroup.Leader());
+  return leader != m_view->m_servers.end() &&
+         m_view->m_zonesOut.count(leader->second.m_zone) > 0;
+}
+
 // Counts the groups of each model that serve or are being formed, in one domain
-// or, if aDomain is empty, in all.
+// or, if aDomain is empty, in all. Zones that are out are left out.
 std::map<ModelId, uint32_t> GroupControl::CountGroups(
   const ServiceId& aService,
   const DomainId& aDomain) const
@@ -261,7 +270,8 @@
   std::map<ModelId, uint32_t> counts;
   const auto isCounted = [&](const ReplicaGroup& aGroup) {
     return aGroup.m_service == aService &&
-           (aDomain.IsEmpty() || aGroup.m_domain == aDomain);
+           (aDomain.IsEmpty() || aGroup.m_domain == aDomain) &&
+           !IsZoneOut(aGroup);
   };
   for (const auto& [id, group] : m_view->m_groups) {
     const bool serves = IsServing(group) && m_endingGroups.count(id) == 0 &&
--- a/briarglade/grouping/group_control.h
+++ b/briarglade/grouping/group_control.h
@@ -232,6 +232,7 @@
   FreeHost MakeFreeHost(const ServerRecord& aServer) const;
   bool HasSettled(const DomainId& aDomain,
                   const std::vector<const ServerRecord*>& aFree);
+  bool IsZoneOut(const ReplicaGroup& aGroup) const;
   std::map<ModelId, uint32_t> CountGroups(const ServiceId& aService,
                                           const DomainId& aDomain) const;
   const EngineSpec* EngineOf(const ServiceId& aService) const;
--- a/briarglade/grouping/group_moving.cc
+++ b/briarglade/grouping/group_moving.cc
@@ -97,13 +97,14 @@
   for (const auto& [id, group] : m_view->m_groups) {
     const bool isCounted = group.m_service == aService.m_id &&
                            IsServing(group) && m_endingGroups.count(id) == 0 &&
-                           m_formingGroups.count(id) == 0;
+                           m_formingGroups.count(id) == 0 && !IsZoneOut(group);
     if (isCounted) {
       ++input.m_domains[group.m_domain].m_groups[group.m_model];
     }
   }
   for (const auto& [id, forming] : m_formingGroups) {
-    if (forming.m_group.m_service == aService.m_id) {
+    if (forming.m_group.m_service == aService.m_id &&
+        !IsZoneOut(forming.m_group)) {
       ++input.m_domains[forming.m_group.m_domain]
           .m_groups[forming.m_group.m_model];
     }
