Capacity: hosts of a lost group stay with its model

After the loss of one member of a large group, its other hosts can't form such a group until one more is free. The repair formed small groups from them, which need fewer hosts, so that the loss was permanent; under steady losses the large model fell below its demand while the small one grew.

The layout places a group where the fewest existing groups must end for it, so that a lost group is planned where its hosts are. A layout with the same smallest ratio but a larger second one is kept, so that idle hosts are used.

--- a/briarglade/grouping/capacity_plan.cc
+++ b/briarglade/grouping/capacity_plan.cc
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <limits>
 #include <set>
+#include <utility>
 
 #include "briarglade/grouping/group_plan.h"
 
@@ -98,7 +99,8 @@
   {
     for (const auto& [domain, capacity] : aInput.m_domains) {
       m_free[domain] = UsableHosts(capacity);
-      m_byFree[m_free[domain]].insert(domain);
+      m_idle[domain] = IdleHosts(capacity);
+      m_byHosts[KeyOf(domain)].insert(domain);
     }
     for (const ReplicaModel& model : aInput.m_engine->m_models) {
       if (model.m_size > 0) {
@@ -194,48 +196,74 @@
                                 CountOf(capacity.m_groups, aModel.m_id);
         if (CountOf(m_total, aModel.m_id) < aCount && isExisting &&
             m_free[domain] >= aModel.m_size) {
-          Add(domain, aModel);
+          Add(domain, aModel, 0);
           hasPlaced = true;
         }
       }
     }
   }
 
-  // Adds a group in a domain where the fewest hosts would be left over beside
-  // groups of the smallest size. Returns false if it fits in no domain.
+  // Adds a group in a domain where the fewest hosts must come from existing
+  // groups, counted in groups of the smallest size, and of these where the
+  // fewest hosts would be left over beside such groups. Returns false if it
+  // fits in no domain.
   bool Place(const ReplicaModel& aModel)
   {
     const uint32_t smallest = SmallestSize();
     const std::set<DomainId>* best = nullptr;
-    uint32_t bestRest = 0;
-    for (const auto& [free, domains] : m_byFree) {
+    std::pair<uint32_t, uint32_t> bestCost;
+    for (const auto& [hosts, domains] : m_byHosts) {
+      const auto [free, idle] = hosts;
       if (free < aModel.m_size || domains.empty()) {
         continue;
       }
-      const uint32_t rest = (free - aModel.m_size) % smallest;
-      if (best == nullptr || rest < bestRest) {
+      const uint32_t taken = aModel.m_size > idle ? aModel.m_size - idle : 0;
+      const std::pair<uint32_t, uint32_t> cost = {
+        (taken + smallest - 1) / smallest, (free - aModel.m_size) % smallest
+      };
+      if (best == nullptr || cost < bestCost) {
         best = &domains;
-        bestRest = rest;
+        bestCost = cost;
       }
     }
     if (best == nullptr) {
       return false;
     }
     const DomainId domain = *best->begin();
-    Add(domain, aModel);
+    Add(domain, aModel, std::min(m_idle[domain], aModel.m_size));
     return true;
   }
 
-  void Add(const DomainId& aDomain, const ReplicaModel& aModel)
+  // Adds a group that takes aIdleHosts hosts of no existing group.
+  void Add(const DomainId& aDomain,
+           const ReplicaModel& aModel,
+           uint32_t aIdleHosts)
   {
-    uint32_t& free = m_free[aDomain];
-    m_byFree[free].erase(aDomain);
-    free -= aModel.m_size;
-    m_byFree[free].insert(aDomain);
+    m_byHosts[KeyOf(aDomain)].erase(aDomain);
+    m_free[aDomain] -= aModel.m_size;
+    m_idle[aDomain] -= aIdleHosts;
+    m_byHosts[KeyOf(aDomain)].insert(aDomain);
     ++m_layout[aDomain][aModel.m_id];
     ++m_total[aModel.m_id];
   }
 
+  // Returns the usable hosts of a domain that are in no existing group.
+  uint32_t IdleHosts(const DomainCapacity& aDomain) const
+  {
+    uint32_t idle = UsableHosts(aDomain);
+    for (const ReplicaModel& model : m_input.m_engine->m_models) {
+      const uint32_t used =
+        model.m_size * CountOf(aDomain.m_groups, model.m_id);
+      idle -= std::min(idle, used);
+    }
+    return idle;
+  }
+
+  std::pair<uint32_t, uint32_t> KeyOf(const DomainId& aDomain) const
+  {
+    return { m_free.at(aDomain), m_idle.at(aDomain) };
+  }
+
   uint32_t SmallestSize() const
   {
     uint32_t smallest = m_models.front()->m_size;
@@ -247,10 +275,13 @@
 
   const CapacityInput& m_input;
   std::vector<const ReplicaModel*> m_models;
+  // The hosts of each domain that the layout has not used yet, and those of
+  // them that are in no existing group.
   std::map<DomainId, uint32_t> m_free;
-  // The domains by their free hosts; there are thousands of domains but few
+  std::map<DomainId, uint32_t> m_idle;
+  // The domains by these counts; there are thousands of domains but few
   // different counts.
-  std::map<uint32_t, std::set<DomainId>> m_byFree;
+  std::map<std::pair<uint32_t, uint32_t>, std::set<DomainId>> m_byHosts;
   std::map<DomainId, GroupCounts> m_layout;
   GroupCounts m_total;
 };
@@ -289,6 +320,18 @@
   return total > 0 ? demand : std::map<ModelId, double>();
 }
 
+// Returns the ratios of groups to demand of all models, the smallest first.
+std::vector<double> SortedRatios(const std::map<ModelId, double>& aDemand,
+                                 const GroupCounts& aGroups)
+{
+  std::vector<double> ratios;
+  for (const auto& [model, demand] : aDemand) {
+    ratios.push_back(RatioOf(aDemand, model, CountOf(aGroups, model)));
+  }
+  std::sort(ratios.begin(), ratios.end());
+  return ratios;
+}
+
 double SmallestRatio(const std::map<ModelId, double>& aDemand,
                      const GroupCounts& aGroups)
 {
@@ -315,7 +358,8 @@
     }
   }
   plan.m_targetRatio = SmallestRatio(aInput.m_demand, target);
-  if (plan.m_targetRatio <= plan.m_currentRatio) {
+  if (SortedRatios(aInput.m_demand, target) <=
+      SortedRatios(aInput.m_demand, Total(aInput.m_domains))) {
     plan.m_targetRatio = plan.m_currentRatio;
     for (const auto& [domain, capacity] : aInput.m_domains) {
       plan.m_domains[domain] = capacity.m_groups;
--- a/briarglade/grouping/capacity_plan_test.cc
+++ b/briarglade/grouping/capacity_plan_test.cc
@@ -103,6 +103,36 @@
   }
 }
 
+// Guards against a lost group that is planned into a domain whose hosts are all
+// in use, while the hosts of the lost one remain.
+TEST_CASE("a lost group is planned where its remaining hosts are")
+{
+  Layout layout(6, 18);
+  layout.SetGroups(1, 2);
+  layout.m_input.m_demand = { { kLarge, 5 }, { kSmall, 10 } };
+  layout.m_input.m_domains[DomainId("d4")].m_groups[kLarge] = 0;
+  const CapacityPlan plan = PlanCapacity(layout.m_input);
+  for (const auto& [id, counts] : plan.m_domains) {
+    CAPTURE(id.Value());
+    CHECK(counts.at(kLarge) == 1);
+    CHECK(counts.at(kSmall) == 2);
+  }
+}
+
+// Guards against hosts that stay idle because the model with the smallest ratio
+// can't use them.
+TEST_CASE("a lost group of a model with enough capacity is planned as well")
+{
+  Layout layout(6, 18);
+  layout.SetGroups(1, 2);
+  layout.m_input.m_demand = { { kLarge, 6 }, { kSmall, 10.5 } };
+  layout.m_input.m_domains[DomainId("d4")].m_groups[kSmall] = 1;
+  const CapacityPlan plan = PlanCapacity(layout.m_input);
+  CHECK(plan.m_targetRatio == doctest::Approx(plan.m_currentRatio));
+  CHECK(Layout::Count(plan, kSmall) == 12);
+  CHECK(Layout::Count(plan, kLarge) == 6);
+}
+
 TEST_CASE("a layout that fits its demand stays as it is")
 {
   Layout layout(6, 18);
--- a/briarglade/grouping/group_control.h
+++ b/briarglade/grouping/group_control.h
@@ -301,6 +301,8 @@
     // Since when the target has been much better than the present layout.
     std::optional<Millis> m_unfitSince;
     bool m_isActive = false;
+    // Free hosts form only groups of the target layout.
+    bool m_isRepairing = false;
     // The model that last gained groups by a move, and when.
     ModelId m_lastGainer;
     Millis m_lastMoveAt;
--- a/briarglade/grouping/group_forming.cc
+++ b/briarglade/grouping/group_forming.cc
@@ -339,7 +339,10 @@
   input.m_groupsInDomain = CountGroups(aService.m_id, aFree.front()->m_domain);
   input.m_demand = m_view->m_demand;
   const auto capacity = m_capacity.find(aService.m_id);
-  if (capacity != m_capacity.end() && capacity->second.m_isActive) {
+  const bool isPlanned =
+    capacity != m_capacity.end() &&
+    (capacity->second.m_isActive || capacity->second.m_isRepairing);
+  if (isPlanned) {
     const auto& layout = capacity->second.m_plan.m_domains;
     const auto wanted = layout.find(aFree.front()->m_domain);
     if (wanted != layout.end()) {
--- a/briarglade/grouping/group_loss_test.cc
+++ b/briarglade/grouping/group_loss_test.cc
@@ -41,6 +41,63 @@
   }
 };
 
+// Two servers are lost for good in every interval, and two empty ones are added
+// to the domains with the fewest.
+struct Attrition
+{
+  MovingWorld& m_world;
+  Millis m_interval{ 3'000 };
+  Millis m_nextAt = m_world.m_now + m_interval;
+  int m_added = 0;
+
+  std::map<std::string, int> CountUp() const
+  {
+    std::map<std::string, int> counts;
+    for (int domain = 0; domain < m_world.m_shape.m_domains; ++domain) {
+      counts["d" + std::to_string(domain)] = 0;
+    }
+    for (const HostId& host : m_world.m_servers.Hosts()) {
+      const ServerRecord* report = m_world.m_servers.Report(host);
+      if (report != nullptr) {
+        ++counts[report->m_domain.Value()];
+      }
+    }
+    return counts;
+  }
+  void LoseOne()
+  {
+    std::vector<HostId> up;
+    for (const HostId& host : m_world.m_servers.Hosts()) {
+      if (m_world.m_servers.IsUp(host)) {
+        up.push_back(host);
+      }
+    }
+    m_world.m_servers.Crash(up[m_world.m_random() % up.size()]);
+  }
+  void AddOne()
+  {
+    const std::map<std::string, int> counts = CountUp();
+    const auto fewest = std::min_element(
+      counts.begin(), counts.end(), [](const auto& aA, const auto& aB) {
+        return aA.second < aB.second;
+      });
+    m_world.m_servers.Add(fewest->first + "n" + std::to_string(1'000 + m_added),
+                          fewest->first);
+    ++m_added;
+  }
+  void Step()
+  {
+    if (m_world.m_now < m_nextAt) {
+      return;
+    }
+    m_nextAt += m_interval;
+    LoseOne();
+    LoseOne();
+    AddOne();
+    AddOne();
+  }
+};
+
 // A world with large groups, in which few domains hold many hosts.
 struct LossCase
 {
@@ -75,6 +132,36 @@
                static_cast<double>(2 * aMeter.m_total.Count()));
 }
 
+// Guards against repairs that form smaller groups from the hosts of a lost
+// large one, so that each loss of a large group is permanent.
+TEST_CASE("while servers are lost and added steadily, also if the holder "
+          "changes, no model stays below its demand")
+{
+  for (const LossCase& loss : LossCases()) {
+    for (uint32_t seed = 1; seed <= 6; ++seed) {
+      CAPTURE(loss.m_shape.m_hosts);
+      CAPTURE(seed);
+      MovingWorld world(loss.m_shape);
+      world.m_random.seed(seed);
+      world.Run(Millis(40'000));
+      world.BeginTraffic(loss.m_large, loss.m_small);
+      world.Run(Millis(15'000));
+      Attrition attrition{ world };
+      ShortageMeter meter{ world };
+      for (int tick = 0; tick < 2'400; ++tick) {
+        if (seed % 2 == 0 && tick % 500 == 499) {
+          world.ReplaceHolder(20 + static_cast<uint64_t>(tick));
+        }
+        attrition.Step();
+        world.Step();
+        meter.Record();
+      }
+      CheckShortages(meter);
+      CHECK(world.m_servers.Violations().empty());
+    }
+  }
+}
+
 // Guards against groups that count as capacity although callers are no longer
 // sent to their zone.
 TEST_CASE("after a zone has been evacuated, no model stays below its demand")
