Capacity: a model short of groups takes hosts that hold its weights

Groups that only load weights counted as capacity, and a model with too few hosts for a group waited for loads. Loads slow each other down, members are lost meanwhile, and the model stayed below its demand or without a group while the members of another model's groups held its weights.

If a model has less than nine tenths of its demand, not counting groups that load, and a group was lost or a zone taken out within 30 s, or if it has no group at all, groups of a model that has more than its demand end, so that a group is formed without a load. shortage_plan.* chooses the domain where the fewest hosts must be taken. A model without any group takes from another one even if that then has less than its demand, but never the last group. A scarce model's groups may also use the spares.

Replay in group_loss_test.cc: one of three zones is evacuated while the servers of another one restart.

--- a/briarglade/grouping/group_control.cc
+++ b/briarglade/grouping/group_control.cc
@@ -54,6 +54,10 @@
   m_suspectedHosts.clear();
   m_standbys.clear();
   m_capacity.clear();
+  m_shortageRepairs.clear();
+  m_scarceSince.clear();
+  m_lostGroupAt.reset();
+  m_knownZonesOut.clear();
   m_stageOrders.clear();
   m_reportsRequestedAt.clear();
   m_heardHosts.clear();
--- a/briarglade/grouping/group_control.h
+++ b/briarglade/grouping/group_control.h
@@ -46,6 +46,7 @@
 #include "briarglade/grouping/group_view.h"
 #include "briarglade/grouping/load_budget.h"
 #include "briarglade/grouping/model_work.h"
+#include "briarglade/grouping/shortage_plan.h"
 
 namespace briarglade {
 
@@ -130,6 +131,8 @@
     std::map<HostId, Millis> m_orderedAt;
     std::set<HostId> m_joined;
     std::set<HostId> m_ready;
+    // Members that have to load the weights.
+    uint32_t m_loads = 0;
     Millis m_probedAt;
     Millis m_openOrderedAt;
     bool m_isOpened = false;
@@ -211,6 +214,15 @@
     const DomainChange& aChange) const;
   bool IsDisturbed(const DomainId& aDomain) const;
   uint32_t CountMoves() const;
+  bool HoldsWeights(const HostId& aHost, const ModelId& aModel) const;
+  GroupCounts CountReadyGroups(const ServiceId& aService) const;
+  ShortageInput SurveyShortage(const ServiceSpec& aService,
+                               const ModelId& aModel) const;
+  void RepairShortage(const ServiceSpec& aService);
+  void BeginShortageRepair(const ServiceSpec& aService,
+                           const ModelId& aModel,
+                           const ShortageRepair& aRepair);
+  void ExpireShortageRepairs();
   std::vector<HostId> MembersWithout(const ReplicaGroup& aGroup,
                                      const ModelId& aModel) const;
   bool StageModel(const HostId& aHost, const ReplicaModel& aModel);
@@ -303,6 +315,9 @@
     bool m_isActive = false;
     // Free hosts form only groups of the target layout.
     bool m_isRepairing = false;
+    // The model whose groups, not counting those that load weights, are the
+    // smallest part of its demand. Empty if all have enough.
+    ModelId m_scarceModel;
     // The model that last gained groups by a move, and when.
     ModelId m_lastGainer;
     Millis m_lastMoveAt;
@@ -310,6 +325,23 @@
     Millis m_reversalTime;
   };
   std::map<ServiceId, ServiceCapacity> m_capacity;
+  // A domain's free hosts are to form a group of this model without a load,
+  // once the other groups that give hosts up have ended.
+  struct DomainRepair
+  {
+    ServiceId m_service;
+    ModelId m_model;
+    std::vector<GroupId> m_sources;
+    // Since when all sources have ended.
+    Millis m_endedAt;
+  };
+  std::map<DomainId, DomainRepair> m_shortageRepairs;
+  // Since when a model has had less than its demand.
+  std::map<ModelId, Millis> m_scarceSince;
+  // When a group was last lost or a zone taken out or in, and the zones that
+  // are out.
+  std::optional<Millis> m_lostGroupAt;
+  std::set<ZoneId> m_knownZonesOut;
   // The model that a host was last ordered to stage, and when.
   struct StageOrder
   {
--- a/briarglade/grouping/group_forming.cc
+++ b/briarglade/grouping/group_forming.cc
@@ -260,6 +260,7 @@
   forming.m_since = m_now;
   forming.m_openOrderedAt = m_now - kOrderRetryTime;
   forming.m_group = std::move(aGroup);
+  forming.m_loads = aLoads;
   const ReplicaModel* model =
     aService.m_engine->FindModel(forming.m_group.m_model);
   if (model != nullptr) {
@@ -343,13 +344,24 @@
     capacity != m_capacity.end() &&
     (capacity->second.m_isActive || capacity->second.m_isRepairing);
   if (isPlanned) {
+    input.m_scarceModel = capacity->second.m_scarceModel;
     const auto& layout = capacity->second.m_plan.m_domains;
     const auto wanted = layout.find(aFree.front()->m_domain);
     if (wanted != layout.end()) {
       input.m_wanted = wanted->second;
     }
   }
-  const bool hasSettled = HasSettled(aFree.front()->m_domain, aFree);
+  const auto repair = m_shortageRepairs.find(aFree.front()->m_domain);
+  const bool isShortageRepair = repair != m_shortageRepairs.end() &&
+                                repair->second.m_service == aService.m_id;
+  if (isShortageRepair) {
+    const ModelId& model = repair->second.m_model;
+    input.m_scarceModel = model;
+    input.m_wanted =
+      GroupCounts{ { model, input.m_groupsInDomain[model] + 1 } };
+  }
+  const bool hasSettled =
+    HasSettled(aFree.front()->m_domain, aFree) && !isShortageRepair;
   input.m_loadsAllowed = hasSettled ? m_loadBudget.AllowedLoads(m_now) : 0;
   const FreeHosts& known = m_freeHosts[aFree.front()->m_domain];
   input.m_maySwitchSpares = m_now - known.m_since >= kSwitchTime &&
@@ -363,6 +375,7 @@
   }
   const std::vector<PlannedGroup> planned = PlanGroups(input);
   for (const PlannedGroup& plan : planned) {
+    m_shortageRepairs.erase(aFree.front()->m_domain);
     m_loadBudget.RecordLoads(m_now, plan.m_loads);
     StartForming(
       aService,
--- a/briarglade/grouping/group_loss_test.cc
+++ b/briarglade/grouping/group_loss_test.cc
@@ -189,5 +189,91 @@
   }
 }
 
+// Guards against a model whose last group is lost with a zone, and whose hosts
+// form groups of the other model because those need no load.
+TEST_CASE("after all servers of a zone have restarted while another one is "
+          "evacuated, each model serves again")
+{
+  for (const LossCase& loss : LossCases()) {
+    for (int restarted = 0; restarted < 3; ++restarted) {
+      CAPTURE(loss.m_shape.m_hosts);
+      CAPTURE(restarted);
+      MovingWorld world(loss.m_shape);
+      world.Run(Millis(40'000));
+      world.BeginTraffic(loss.m_largeWithZoneOut, loss.m_smallWithZoneOut);
+      world.Run(Millis(15'000));
+      // A zone has two domains.
+      const auto zone = [](int aZone, const HostId& aHost) {
+        const int domain = aHost.Value()[1] - '0';
+        return domain / 2 == aZone;
+      };
+      for (int domain = 0; domain < 2; ++domain) {
+        const int evacuated = ((restarted + 1) % 3) * 2 + domain;
+        world.m_zonesOut.insert(ZoneId("zone-d" + std::to_string(evacuated)));
+      }
+      ShortageMeter meter{ world };
+      for (const HostId& host : world.m_servers.Hosts()) {
+        if (zone(restarted, host)) {
+          world.m_servers.Crash(host);
+        }
+      }
+      for (int tick = 0; tick < 60; ++tick) {
+        world.Step();
+        meter.Record();
+      }
+      // The servers come back one after the other.
+      int back = 0;
+      std::vector<HostId> hosts = world.m_servers.Hosts();
+      std::shuffle(hosts.begin(), hosts.end(), world.m_random);
+      for (const HostId& host : hosts) {
+        if (zone(restarted, host)) {
+          world.m_servers.Restart(host);
+          if (++back % 2 == 0) {
+            world.Step();
+            meter.Record();
+          }
+        }
+      }
+      for (int tick = 0; tick < 1'200; ++tick) {
+        world.Step();
+        meter.Record();
+      }
+      CheckShortages(meter);
+      CHECK(world.m_servers.Violations().empty());
+    }
+  }
+}
+
+// Guards against hosts that stay with the other model until the time in which
+// no move goes back has passed, although no demand has changed.
+TEST_CASE("large groups that are lost for good soon after a move come back")
+{
+  MovingWorld world;
+  world.Run(Millis(40'000));
+  world.BeginTraffic(3.6, 14);
+  world.Run(Millis(10'000));
+  REQUIRE(world.m_endings["capacity-moved"] > 0);
+  uint32_t left = 2;
+  for (const auto& [id, group] : FindGroups(world.m_view, world.m_config)) {
+    if (group.m_model == kLarge && IsServing(group) && left > 0) {
+      --left;
+      for (const HostId& host : group.m_members) {
+        world.m_servers.Crash(host);
+      }
+    }
+  }
+  world.Run(Millis(1'000));
+  ShortageMeter meter{ world };
+  for (int tick = 0; tick < 1'200; ++tick) {
+    world.Step();
+    meter.Record();
+  }
+  MESSAGE(world.Serving(kLarge)
+          << " large and " << world.Serving(kSmall) << " small groups");
+  CHECK(world.Serving(kLarge) >= 3);
+  CHECK(meter.m_longestWithout[kLarge] <= Millis(5'000));
+  CHECK(world.m_servers.Violations().empty());
+}
+
 } // namespace
 } // namespace briarglade
--- a/briarglade/grouping/group_moving.cc
+++ b/briarglade/grouping/group_moving.cc
@@ -435,6 +435,10 @@
     const Millis plannedAt = m_capacity[id].m_plannedAt;
     UpdateCapacity(service);
     const bool isPlanned = m_capacity[id].m_plannedAt != plannedAt;
+    ExpireShortageRepairs();
+    if (isPlanned) {
+      RepairShortage(service);
+    }
     if (isPlanned && m_capacity[id].m_isActive) {
       MoveGroups(service);
     }
--- a/briarglade/grouping/group_plan.cc
+++ b/briarglade/grouping/group_plan.cc
@@ -147,12 +147,16 @@
       wanted == aInput.m_wanted->end() ? 0 : wanted->second;
     const uint32_t count =
       has == aInput.m_groupsInDomain.end() ? 0 : has->second;
-    const size_t needed = model.m_size + kSpareHosts;
-    if (count >= target || model.m_size == 0 || aInput.m_free.size() < needed) {
+    if (count >= target || model.m_size == 0 ||
+        aInput.m_free.size() < model.m_size) {
       continue;
     }
     std::vector<FreeHost> free = aInput.m_free;
     PlannedGroup group = ChooseHosts(free, model);
+    const size_t spares = model.m_id == aInput.m_scarceModel ? 0 : kSpareHosts;
+    if (aInput.m_free.size() < model.m_size + spares) {
+      continue;
+    }
     const double missing = static_cast<double>(target - count) / target;
     if (group.m_loads <= aMaxLoads && (!best || missing > bestMissing)) {
       best = std::move(group);
--- a/briarglade/grouping/group_plan.h
+++ b/briarglade/grouping/group_plan.h
@@ -50,6 +50,9 @@
   // If set, only these are formed, and the hosts reserved for repairs are
   // kSpareHosts.
   std::optional<std::map<ModelId, uint32_t>> m_wanted = std::nullopt;
+  // A model with less capacity than demand. Its groups may use the hosts that
+  // are reserved for repairs. May be empty.
+  ModelId m_scarceModel = ModelId();
   // Number of weight loads that may start now.
   uint32_t m_loadsAllowed = 0;
   // Spare hosts may replace the weights that they hold by those of another
