--- a/briarglade/grouping/group_moving.cc
+++ b/briarglade/grouping/group_moving.cc
@@ -97,13 +97,14 @@
   for (const auto& [id, group] : m_view->m_groups) {
     const bool isCounted = group.m_service == aService.m_id &&
                            IsServing(group) && m_endingGroups.count(id) == 0 &&
-                           m_formingGroups.count(id) == 0;
+                           m_formingGroups.count(id) == 0 && !IsZoneOut(group);
     if (isCounted) {
       ++input.m_domains[group.m_domain].m_groups[group.m_model];
     }
   }
   for (const auto& [id, forming] : m_formingGroups) {
-    if (forming.m_group.m_service == aService.m_id) {
+    if (forming.m_group.m_service == aService.m_id &&
+        !IsZoneOut(forming.m_group)) {
       ++input.m_domains[forming.m_group.m_domain]
           .m_groups[forming.m_group.m_model];
     }
@@ -137,6 +138,9 @@
     wasActive ? isKnown && target > now * kRemainingGain
               : isUnfit && m_now - *capacity.m_unfitSince >= kConfirmTime &&
                   m_now - m_leaseAcquiredAt >= kHolderSettleTime;
+  // Otherwise hosts of a lost group would go to the model that is the quickest
+  // to repair, and would have to move back.
+  capacity.m_isRepairing = isKnown && now < kAmpleRatio;
   if (capacity.m_isActive != wasActive) {
     std::vector<LogField> fields = {
       { "service", aService.m_id.Value() },
@@ -431,6 +435,10 @@
     const Millis plannedAt = m_capacity[id].m_plannedAt;
     UpdateCapacity(service);
     const bool isPlanned = m_capacity[id].m_plannedAt != plannedAt;
+    ExpireShortageRepairs();
+    if (isPlanned) {
+      RepairShortage(service);
+    }
     if (isPlanned && m_capacity[id].m_isActive) {
       MoveGroups(service);
     }
