Listeners: one place for the pause after a failed accept

Cause: the pause was implemented in http_server.cc and peer_rpc.cc, and failed accepts and closed connections at the port for other nodes were not counted.

Change: internal::AcceptListener listens, accepts, pauses and counts for both. PeerRpc counts the connections that it closes at its bound. The metrics and the line caller-limits-reached include both.

--- a/briarglade/entry/entry_node.cc
+++ b/briarglade/entry/entry_node.cc
@@ -258,7 +258,8 @@
 uint64_t EntryNode::CountClosedAtLimit() const
 {
   return m_callerServer.ClosedAtLimit() + m_directoryServer.ClosedAtLimit() +
-         m_readinessServer.ClosedAtLimit() + m_metricsServer.ClosedAtLimit();
+         m_readinessServer.ClosedAtLimit() + m_metricsServer.ClosedAtLimit() +
+         m_peers.ClosedAtLimit();
 }
 
 uint64_t EntryNode::CountEvictions() const
@@ -270,7 +271,8 @@
 uint64_t EntryNode::CountAcceptFailures() const
 {
   return m_callerServer.AcceptFailures() + m_directoryServer.AcceptFailures() +
-         m_readinessServer.AcceptFailures() + m_metricsServer.AcceptFailures();
+         m_readinessServer.AcceptFailures() + m_metricsServer.AcceptFailures() +
+         m_peers.AcceptFailures();
 }
 
 // Writes at most one line in a second, and only if a limit was reached.
--- a/briarglade/net/http_server.cc
+++ b/briarglade/net/http_server.cc
@@ -2,16 +2,14 @@
 
 #include "briarglade/net/http_server.h"
 
-#include <arpa/inet.h>
-#include <event2/event.h>
-#include <event2/listener.h>
+#include <event2/util.h>
 #include <limits>
-#include <sys/socket.h>
 #include <utility>
 #include <vector>
 
 #include "briarglade/net/caller_budget.h"
 #include "briarglade/net/event_loop.h"
+#include "briarglade/net/internal/accept_listener.h"
 #include "briarglade/net/internal/http_connection.h"
 
 namespace briarglade {
@@ -19,10 +17,6 @@
 namespace {
 
 constexpr int kBacklog = 1024;
-// How long no connection is accepted after an accept has failed, for example
-// for want of descriptors. The listener stays readable then, so that the loop
-// would otherwise do nothing else.
-constexpr Millis kAcceptPause = Millis(100);
 
 } // namespace
 
@@ -30,6 +24,10 @@
   : m_loop(aLoop)
   , m_limits(aLimits)
   , m_budget(std::make_shared<CallerBudget>(std::numeric_limits<size_t>::max()))
+  , m_listener(
+      std::make_unique<internal::AcceptListener>(aLoop, [this](int aSocket) {
+        Accept(aSocket);
+      }))
 {
 }
 
@@ -85,67 +83,30 @@
   return true;
 }
 
-void HttpServer::OnAccept(evconnlistener*,
-                          int aSocket,
-                          sockaddr*,
-                          int,
-                          void* aSelf)
+void HttpServer::Accept(int aSocket)
 {
-  auto* self = static_cast<HttpServer*>(aSelf);
-  if (self->m_connections.size() >= self->m_limits.m_maxConnections &&
-      !self->EvictOne()) {
-    ++self->m_closedAtLimit;
+  if (m_connections.size() >= m_limits.m_maxConnections && !EvictOne()) {
+    ++m_closedAtLimit;
     evutil_closesocket(aSocket);
     return;
   }
   // The connection deletes itself when it ends.
-  new HttpConnection(*self, aSocket);
+  new HttpConnection(*this, aSocket);
 }
 
-void HttpServer::OnAcceptFailed(evconnlistener* aListener, void* aSelf)
+uint16_t HttpServer::Listen(const Endpoint& aEndpoint)
 {
-  auto* self = static_cast<HttpServer*>(aSelf);
-  ++self->m_acceptFailures;
-  evconnlistener_disable(aListener);
-  self->m_acceptAgain->Start(kAcceptPause);
+  return m_listener->Listen(aEndpoint, kBacklog);
 }
 
-uint16_t HttpServer::Listen(const Endpoint& aEndpoint)
+void HttpServer::StopListening()
 {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(aEndpoint.m_port);
-  if (inet_pton(AF_INET, aEndpoint.m_ip.c_str(), &address.sin_addr) != 1) {
-    return 0;
-  }
-  m_listener =
-    evconnlistener_new_bind(m_loop.Base(),
-                            &OnAccept,
-                            this,
-                            LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE,
-                            kBacklog,
-                            reinterpret_cast<sockaddr*>(&address),
-                            sizeof(address));
-  if (m_listener == nullptr) {
-    return 0;
-  }
-  m_acceptAgain =
-    m_loop.MakeTimer([this] { evconnlistener_enable(m_listener); });
-  evconnlistener_set_error_cb(m_listener, &OnAcceptFailed);
-  socklen_t length = sizeof(address);
-  getsockname(evconnlistener_get_fd(m_listener),
-              reinterpret_cast<sockaddr*>(&address),
-              &length);
-  return ntohs(address.sin_port);
+  m_listener->Stop();
 }
 
-void HttpServer::StopListening()
+uint64_t HttpServer::AcceptFailures() const
 {
-  m_acceptAgain.reset();
-  if (m_listener != nullptr) {
-    evconnlistener_free(m_listener);
-    m_listener = nullptr;
-  }
+  return m_listener->Failures();
 }
 
 void HttpServer::BeginDraining()
--- a/briarglade/net/http_server.h
+++ b/briarglade/net/http_server.h
@@ -23,15 +23,15 @@
 #include "briarglade/net/connection_order.h"
 #include "briarglade/net/http_headers.h"
 
-struct evconnlistener;
-struct sockaddr;
-
 namespace briarglade {
 
+namespace internal {
+class AcceptListener;
+} // namespace internal
+
 class CallerBudget;
 class EventLoop;
 class HttpExchange;
-class Timer;
 class HttpConnection;
 
 // Bounds on what a stranger may make the server hold.
@@ -114,17 +114,12 @@
   // admit new ones, and accepts that failed.
   uint64_t ClosedAtLimit() const { return m_closedAtLimit; }
   uint64_t Evictions() const { return m_evictions; }
-  uint64_t AcceptFailures() const { return m_acceptFailures; }
+  uint64_t AcceptFailures() const;
 
 private:
   friend class HttpConnection;
 
-  static void OnAccept(evconnlistener*,
-                       int aSocket,
-                       sockaddr*,
-                       int,
-                       void* aSelf);
-  static void OnAcceptFailed(evconnlistener*, void* aSelf);
+  void Accept(int aSocket);
   // Closes a connection that is idle or incomplete. Returns whether there was
   // one.
   bool EvictOne();
@@ -135,13 +130,11 @@
   HeadJudge m_headJudge;
   std::shared_ptr<CallerBudget> m_budget;
   RejectionObserver m_rejectionObserver;
-  evconnlistener* m_listener = nullptr;
-  std::unique_ptr<Timer> m_acceptAgain;
+  const std::unique_ptr<internal::AcceptListener> m_listener;
   EvictionObserver m_evictionObserver;
   ConnectionOrder<HttpConnection> m_order;
   uint64_t m_closedAtLimit = 0;
   uint64_t m_evictions = 0;
-  uint64_t m_acceptFailures = 0;
   bool m_isDraining = false;
   std::unordered_set<HttpConnection*> m_connections;
 };
--- a/briarglade/net/peer_rpc.cc
+++ b/briarglade/net/peer_rpc.cc
@@ -7,7 +7,6 @@
 #include <capnp/rpc-twoparty.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <event2/listener.h>
 #include <map>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -18,6 +17,7 @@
 #include "briarglade/membership/envelope.h"
 #include "briarglade/net/caller_budget.h"
 #include "briarglade/net/event_loop.h"
+#include "briarglade/net/internal/accept_listener.h"
 #include "briarglade/net/internal/bufferevent_stream.h"
 #include "briarglade/net/internal/kj_bridge.h"
 #include "briarglade/net/peer.capnp.h"
@@ -38,8 +38,6 @@
 // The bound on what has come of messages that are not whole.
 constexpr size_t kMaxIncompleteBytes = 4 * kMaxMessageBytes;
 constexpr Millis kBudgetPeriod = Millis(50);
-// How long no connection is accepted after an accept has failed.
-constexpr Millis kAcceptPause = Millis(100);
 constexpr int kBacklog = 256;
 
 sockaddr_in ToSocketAddress(const Endpoint& aEndpoint)
@@ -196,51 +194,21 @@
 {
 public:
   explicit Impl(EventLoop& aLoop)
-    : m_loop(aLoop)
+    : m_listener(aLoop, [this](int aSocket) { Accept(aSocket); })
+    , m_loop(aLoop)
     , m_bridge(aLoop)
     , m_accepted(*this)
     , m_calls(*this)
   {
   }
 
-  ~Impl() noexcept
-  {
-    if (m_listener != nullptr) {
-      evconnlistener_free(m_listener);
-    }
-  }
-
   uint16_t Listen(const Endpoint& aEndpoint)
   {
-    const sockaddr_in address = ToSocketAddress(aEndpoint);
-    auto accept =
-      [](
-        evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aSelf) {
-        static_cast<Impl*>(aSelf)->Accept(aSocket);
-      };
-    m_listener = evconnlistener_new_bind(
-      m_loop.Base(),
-      accept,
-      this,
-      LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC,
-      kBacklog,
-      reinterpret_cast<const sockaddr*>(&address),
-      sizeof(address));
-    if (m_listener == nullptr) {
-      return 0;
+    const uint16_t port = m_listener.Listen(aEndpoint, kBacklog);
+    if (port != 0) {
+      TickBudget();
     }
-    evconnlistener_set_error_cb(
-      m_listener, [](evconnlistener* aListener, void* aSelf) {
-        evconnlistener_disable(aListener);
-        static_cast<Impl*>(aSelf)->m_acceptAgain->Start(kAcceptPause);
-      });
-    TickBudget();
-    sockaddr_in bound{};
-    socklen_t length = sizeof(bound);
-    getsockname(evconnlistener_get_fd(m_listener),
-                reinterpret_cast<sockaddr*>(&bound),
-                &length);
-    return ntohs(bound.sin_port);
+    return port;
   }
 
   void Send(const Endpoint& aPeer, const Envelope& aEnvelope, DoneHandler aDone)
@@ -277,6 +245,8 @@
   Handler m_handler;
   Traffic m_traffic;
   size_t m_maxAccepted = kMaxAccepted;
+  uint64_t m_closedAtLimit = 0;
+  internal::AcceptListener m_listener;
   std::shared_ptr<CallerBudget> m_budget =
     std::make_shared<CallerBudget>(kMaxIncompleteBytes);
 
@@ -298,6 +268,7 @@
   void Accept(evutil_socket_t aSocket)
   {
     if (m_acceptedCount >= m_maxAccepted) {
+      ++m_closedAtLimit;
       evutil_closesocket(aSocket);
       return;
     }
@@ -356,9 +327,6 @@
 
   EventLoop& m_loop;
   KjBridge m_bridge;
-  evconnlistener* m_listener = nullptr;
-  const std::unique_ptr<Timer> m_acceptAgain =
-    m_loop.MakeTimer([this] { evconnlistener_enable(m_listener); });
   const std::unique_ptr<Timer> m_budgetTimer =
     m_loop.MakeTimer([this] { TickBudget(); });
   size_t m_acceptedCount = 0;
@@ -400,6 +368,16 @@
   m_impl->Send(aPeer, aEnvelope, std::move(aDone));
 }
 
+uint64_t PeerRpc::ClosedAtLimit() const
+{
+  return m_impl->m_closedAtLimit;
+}
+
+uint64_t PeerRpc::AcceptFailures() const
+{
+  return m_impl->m_listener.Failures();
+}
+
 uint64_t PeerRpc::BytesSent() const
 {
   return m_impl->m_traffic.m_sent;
--- a/briarglade/net/peer_rpc.h
+++ b/briarglade/net/peer_rpc.h
@@ -44,6 +44,9 @@
   void Send(const Endpoint& aPeer,
             const Envelope& aEnvelope,
             DoneHandler aDone);
+  // Connections closed at the bound on connections, and accepts that failed.
+  uint64_t ClosedAtLimit() const;
+  uint64_t AcceptFailures() const;
   // Bytes of payload sent and received since the start.
   uint64_t BytesSent() const;
   uint64_t BytesReceived() const;
