Clients: lines about refused clients name the account or the address

Cause: request-unreadable named only the address, or nobody if the request could not be decoded, request-refused named nobody, and neither the latter nor lines about requests that could not be decoded were bounded.

Change: all name the account if the head has been read and its key is known, else the address. Of request-refused there are at most ten lines in a second, counted in the new metric requests_refused_unrouted; request-unreadable shares its ten with connection-evicted. A refused request that is beyond the bound can be traced by its answer only.

--- a/briarglade/entry/entry_event.h
+++ b/briarglade/entry/entry_event.h
@@ -33,6 +33,8 @@
   RequestHandle m_handle;
   std::string m_path;
   CallerRequest m_request;
+  // The caller's address, for the log.
+  std::string m_address;
   // The xxhash of host, request target, account key and body.
   Fingerprint m_fingerprint;
 };
--- a/briarglade/entry/entry_node.cc
+++ b/briarglade/entry/entry_node.cc
@@ -215,6 +215,19 @@
   return m_settings.m_fileDescriptors * aParts / kDescriptorParts;
 }
 
+LogField EntryNode::NameClient(const HttpExchange* aHead,
+                               const std::string& aAddress) const
+{
+  if (aHead != nullptr) {
+    const Result<CallerRequest> decoded =
+      m_binding.m_codec.m_decodeRequest(*aHead);
+    if (const auto* request = std::get_if<CallerRequest>(&decoded)) {
+      return NameCaller(m_state, request->m_accountKey, aAddress);
+    }
+  }
+  return { "address", aAddress };
+}
+
 bool EntryNode::TakeRejectionLine()
 {
   if (m_rejectionLines >= kMaxRejectionLines) {
@@ -252,7 +265,7 @@
     { { "path", aRejection.m_path },
       { "code", std::to_string(static_cast<uint16_t>(aRejection.m_code)) },
       { "listener", aListener },
-      { "address", aRejection.m_address } } });
+      NameClient(aRejection.m_head, aRejection.m_address) } });
 }
 
 uint64_t EntryNode::CountClosedAtLimit() const
@@ -408,10 +421,14 @@
 {
   Result<CallerRequest> decoded = m_binding.m_codec.m_decodeRequest(*aExchange);
   if (const Error* error = GetError(decoded)) {
-    m_log.Write(LogEvent{
-      LogLevel::Info,
-      "request-unreadable",
-      { { "path", aExchange->Path() }, { "problem", error->m_detail } } });
+    ++m_rejections;
+    if (TakeRejectionLine()) {
+      m_log.Write(LogEvent{ LogLevel::Info,
+                            "request-unreadable",
+                            { { "path", aExchange->Path() },
+                              { "problem", error->m_detail },
+                              { "address", aExchange->Address() } } });
+    }
     aExchange->Respond(DescribeResultCode(error->m_code).m_httpStatus,
                        m_binding.m_codec.m_encodeOwnAnswer("", Millis()),
                        {});
@@ -420,6 +437,7 @@
   RequestReceived received;
   received.m_handle = RequestHandle(++m_lastHandle);
   received.m_path = aExchange->Path();
+  received.m_address = aExchange->Address();
   received.m_request = std::get<CallerRequest>(std::move(decoded));
   if (aExchange->IsBodyDropped() &&
       !RefusalByHead(m_state, received.m_request, received.m_path)) {
@@ -542,6 +560,8 @@
     static_cast<double>(m_client.Budget()->UnreadStreamBytes()));
   m_metrics.SetGauge("answers_cut",
                      static_cast<double>(m_client.Budget()->CutCount()));
+  m_metrics.SetGauge("requests_refused_unrouted",
+                     static_cast<double>(m_state.m_refusals));
   m_metrics.SetGauge("connections_evicted",
                      static_cast<double>(CountEvictions()));
   m_metrics.SetGauge("accept_failures",
--- a/briarglade/entry/entry_node.h
+++ b/briarglade/entry/entry_node.h
@@ -92,6 +92,10 @@
   void BoundCallers();
   // Returns so many parts of the descriptors.
   size_t Descriptors(size_t aParts) const;
+  // Returns the log field that names a client: its account if the head of the
+  // request has a key that is known, else its address.
+  LogField NameClient(const HttpExchange* aHead,
+                      const std::string& aAddress) const;
   void LogRejection(const char* aListener, const HttpRejection& aRejection);
   void LogEviction(const char* aListener, const HttpEviction& aEviction);
   // Returns whether one more line about a refused client may be written.
--- a/briarglade/entry/internal/caller_requests.cc
+++ b/briarglade/entry/internal/caller_requests.cc
@@ -13,6 +13,10 @@
 // When callers should retry while this node has no configuration, or may lack a
 // version of it.
 constexpr Millis kNoConfigRetryAfter = Millis(250);
+// Lines about refused requests in a period. Clients that nobody controls would
+// otherwise decide how much is logged.
+constexpr uint32_t kMaxRefusalLines = 10;
+constexpr Millis kRefusalLinesPeriod = Millis(1'000);
 
 bool NeedsKey(const RouteIndex& aRoutes, const RouteRule& aRule)
 {
@@ -25,9 +29,28 @@
                                    ResultCode aCode,
                                    Millis aRetryAfter)
 {
+  LogRefusal(aReceived, aCode);
+  m_effects.emplace_back(
+    AnswerCaller{ aReceived.m_handle, aCode, aRetryAfter });
+}
+
+void EntryReduction::LogRefusal(const RequestReceived& aReceived,
+                                ResultCode aCode)
+{
+  ++m_state.m_refusals;
+  if (m_now - m_state.m_refusalLinesAt >= kRefusalLinesPeriod) {
+    m_state.m_refusalLinesAt = m_now;
+    m_state.m_refusalLines = 0;
+  }
+  if (m_state.m_refusalLines >= kMaxRefusalLines) {
+    return;
+  }
+  ++m_state.m_refusalLines;
   Log(LogLevel::Info,
       "request-refused",
       { { "request", aReceived.m_request.m_attemptName },
+        NameCaller(
+          m_state, aReceived.m_request.m_accountKey, aReceived.m_address),
         { "host", aReceived.m_request.m_host },
         { "path", aReceived.m_path },
         { "code", std::to_string(static_cast<uint16_t>(aCode)) },
@@ -35,8 +58,6 @@
           m_state.m_routes
             ? std::to_string(m_state.m_routes->Config().m_version.Value())
             : "none" } });
-  m_effects.emplace_back(
-    AnswerCaller{ aReceived.m_handle, aCode, aRetryAfter });
 }
 
 // Refuses a request whose path or key this node does not know, without saying
@@ -141,6 +162,16 @@
 
 namespace briarglade {
 
+LogField NameCaller(const EntryState& aState,
+                    const std::string& aAccountKey,
+                    const std::string& aAddress)
+{
+  const AccountSpec* account =
+    aState.m_routes ? aState.m_routes->FindAccount(aAccountKey) : nullptr;
+  return account == nullptr ? LogField{ "address", aAddress }
+                            : LogField{ "account", account->m_id.Value() };
+}
+
 std::optional<ResultCode> RefusalByHead(const EntryState& aState,
                                         const CallerRequest& aRequest,
                                         const std::string& aPath)
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -159,6 +159,8 @@
   std::optional<Millis> ConfigBehindSince() const;
   bool MayLackConfig() const;
   void TickConfigCurrency();
+  // Writes a bounded number of lines about refused requests.
+  void LogRefusal(const RequestReceived& aReceived, ResultCode aCode);
   void RejectUnknown(const RequestReceived& aReceived, ResultCode aCode);
   void RecordVersions(const NodeNews& aUpdate);
   void RequestMissingRows();
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -168,6 +168,11 @@
   Millis m_controlTickedAt;
   GatewayState m_gateway{ GatewaySettings() };
   uint32_t m_nodeCount = 1;
+  // Requests refused before a service was chosen, and the lines about them in
+  // the second that began at m_refusalLinesAt.
+  uint64_t m_refusals = 0;
+  uint32_t m_refusalLines = 0;
+  Millis m_refusalLinesAt;
 };
 
 // Returns the state of a node that has just started. aIncarnation must differ
@@ -188,6 +193,12 @@
                                         const CallerRequest& aRequest,
                                         const std::string& aPath);
 
+// Returns the log field that names a caller: its account if the key is known,
+// else its address.
+LogField NameCaller(const EntryState& aState,
+                    const std::string& aAccountKey,
+                    const std::string& aAddress);
+
 // Returns whether the node can serve requests, for the platform's readiness
 // checks. A node that may have lacked a version of the configuration for long
 // is not ready if there are other nodes.
--- a/briarglade/net/http_exchange.cc
+++ b/briarglade/net/http_exchange.cc
@@ -49,6 +49,11 @@
   return FindHeader(m_headers, aName);
 }
 
+std::string HttpExchange::Address() const
+{
+  return IsOpen() ? m_connection->Address() : std::string();
+}
+
 std::string HttpExchange::MakeHead(uint16_t aStatus,
                                    const HttpHeaders& aHeaders) const
 {
--- a/briarglade/net/http_exchange.h
+++ b/briarglade/net/http_exchange.h
@@ -39,6 +39,8 @@
   const HttpHeaders& Headers() const { return m_headers; }
   // Returns a request header, or an empty string.
   std::string Header(std::string_view aName) const;
+  // The client's address; empty if the client has gone.
+  std::string Address() const;
   // Frees the body once it is no longer needed. Returns it.
   std::string TakeBody() { return std::move(m_body); }
 
--- a/briarglade/net/http_server.h
+++ b/briarglade/net/http_server.h
@@ -55,6 +55,8 @@
   std::string m_path;
   // The client's address.
   std::string m_address;
+  // The head of the request, during the call; nullptr if it was not read.
+  const HttpExchange* m_head = nullptr;
 };
 
 // A connection that was closed to admit a new one.
--- a/briarglade/net/internal/http_connection.cc
+++ b/briarglade/net/internal/http_connection.cc
@@ -110,6 +110,14 @@
   return internal::UnsentBytes(m_bufferevent);
 }
 
+const std::string& HttpConnection::Address()
+{
+  if (m_address.empty()) {
+    m_address = internal::PeerAddress(bufferevent_getfd(m_bufferevent));
+  }
+  return m_address;
+}
+
 bool HttpConnection::MustClose() const
 {
   return !m_keepsAfterRequest || m_server.m_isDraining;
@@ -219,10 +227,8 @@
 void HttpConnection::Evict()
 {
   if (m_server.m_evictionObserver) {
-    m_server.m_evictionObserver(
-      HttpEviction{ internal::PeerAddress(bufferevent_getfd(m_bufferevent)),
-                    m_parser.has_value(),
-                    EventLoop::Now() - m_place->m_since });
+    m_server.m_evictionObserver(HttpEviction{
+      Address(), m_parser.has_value(), EventLoop::Now() - m_place->m_since });
   }
   if (m_parser) {
     Reject(ResultCode::NoCapacity);
@@ -398,10 +404,8 @@
   return false;
 }
 
-// Decides by the head whether the body is read, and asks for its memory.
-void HttpConnection::OnHead()
+void HttpConnection::MakeExchange()
 {
-  m_keepsAfterRequest = m_parser->KeepsConnection();
   m_exchange.reset(new HttpExchange(this));
   HttpExchange& exchange = *m_exchange;
   exchange.m_method = m_parser->Method();
@@ -412,6 +416,14 @@
   exchange.m_query =
     mark == std::string::npos ? std::string() : target.substr(mark + 1);
   exchange.m_target = target;
+}
+
+// Decides by the head whether the body is read, and asks for its memory.
+void HttpConnection::OnHead()
+{
+  m_keepsAfterRequest = m_parser->KeepsConnection();
+  MakeExchange();
+  HttpExchange& exchange = *m_exchange;
   const bool isWhole = m_parser->IsDone();
   // A body that has come with its head is left to the handler's judgement.
   const bool hasCome =
@@ -536,11 +548,16 @@
 void HttpConnection::Reject(ResultCode aCode)
 {
   const std::string& target = m_parser->Target();
+  // A body that is announced as too long fails the parser at the head's end.
+  const bool hasHead =
+    m_parser->HasHead() ||
+    m_parser->Failure() == internal::HttpParseFailure::BodyTooLarge;
+  if (!m_exchange && hasHead) {
+    MakeExchange();
+  }
   if (m_server.m_rejectionObserver) {
-    m_server.m_rejectionObserver(
-      HttpRejection{ aCode,
-                     target.substr(0, target.find('?')),
-                     internal::PeerAddress(bufferevent_getfd(m_bufferevent)) });
+    m_server.m_rejectionObserver(HttpRejection{
+      aCode, target.substr(0, target.find('?')), Address(), m_exchange.get() });
   }
   m_parser.reset();
   FreeBody();
--- a/briarglade/net/internal/http_connection.h
+++ b/briarglade/net/internal/http_connection.h
@@ -42,6 +42,8 @@
   // Sends it with the next part, or at the end of this turn of the loop.
   void SendLater(const std::string& aText);
   size_t UnsentBytes() const;
+  // The client's address.
+  const std::string& Address();
   // Keeps the hold of the present answer until all sent bytes have been taken.
   // If the answer is cut, so is the connection.
   void HoldUntilTaken(std::shared_ptr<AnswerHold> aHold);
@@ -87,6 +89,8 @@
   void ReadRequests();
   bool ReadPart();
   bool ReadHead(std::string_view aBytes);
+  // Makes the exchange of the request whose head has been read.
+  void MakeExchange();
   void OnHead();
   bool ReadBody(std::string_view aBytes);
   bool MakeRoom(size_t aBytes);
@@ -111,6 +115,8 @@
   std::unique_ptr<Timer> m_timer;
   std::optional<internal::HttpMessageParser<true>> m_parser;
   std::string m_body;
+  // Empty until it is asked for.
+  std::string m_address;
   // What the budget must grant before the body is read.
   size_t m_neededBytes = 0;
   size_t m_droppedBytes = 0;
