Queue: where engine times are stated, late requests go last

In an overload a request that could be on time waited behind urgent ones that were late already, and a new one behind all that waited. Where the engine's times are stated, the queue now starts requests that can still be on time first, by priority, and then the late ones in the order of their last times to start. A new request that would be first is tried at once.

The replay has arrivals that don't depend on what the nodes decide, and counts the time to the first event from the first attempt.

--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -82,6 +82,7 @@
   void Take(const BadRow& aRow);
   void UpdateBackends();
   std::vector<Backend> MakeBackends() const;
+  EngineTimes TimesOf(const ServiceSpec& aService) const;
   Backend MakeBackend(const ServerRecord& aServer,
                       const ServiceSpec& aService) const;
   Millis ColdUntil(const ServerRecord& aServer,
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -4,6 +4,7 @@
 #include "briarglade/entry/internal/entry_reduction.h"
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <utility>
 
@@ -548,6 +549,35 @@
   return std::max(aServer.m_coldUntil, returned->second + aService.m_coldTime);
 }
 
+// Returns the stated times of a service's engine, with the strictest goal for
+// the pauses of the streams that are routed to the service.
+EngineTimes EntryReduction::TimesOf(const ServiceSpec& aService) const
+{
+  constexpr double kMillisPerSecond = 1'000;
+  const EngineSpec& engine = *aService.m_engine;
+  EngineTimes times;
+  times.m_stepMillis = engine.m_stepMillis;
+  times.m_stepMillisPerRequest = engine.m_stepMillisPerRequest;
+  times.m_prefillTokensPerMilli =
+    engine.m_prefillTokensPerSecond / kMillisPerSecond;
+  times.m_prefillChunkTokens = engine.m_prefillChunkTokens;
+  times.m_stepsPerPass = engine.m_stepsPerPass;
+  for (const RouteRule& route : m_state.m_routes->Config().m_routes) {
+    const bool isToService =
+      std::any_of(route.m_services.begin(),
+                  route.m_services.end(),
+                  [&](const WeightedService& aTarget) {
+                    return aTarget.m_service == aService.m_id;
+                  });
+    if (isToService && route.m_kind == RouteKind::Stream) {
+      times.m_gapGoal = times.m_gapGoal == Millis()
+                          ? route.m_gapGoal
+                          : std::min(times.m_gapGoal, route.m_gapGoal);
+    }
+  }
+  return times;
+}
+
 // Returns the backends that may receive new requests: servers of services
 // without groups, and the leaders of groups that serve.
 std::vector<Backend> EntryReduction::MakeBackends() const
@@ -563,6 +593,9 @@
       backends.push_back(MakeBackend(server, *service));
     }
   }
+  // A configuration may have thousands of routes: they are searched once for
+  // each service, not for each group.
+  std::map<ServiceId, EngineTimes> timesOfServices;
   for (const auto& [id, group] : m_state.m_groups) {
     const ServiceSpec* service = m_state.m_routes->FindService(group.m_service);
     if (!IsServing(group) || service == nullptr ||
@@ -580,6 +613,12 @@
     const ReplicaModel* model = service->m_engine->FindModel(group.m_model);
     backend.m_maxPassTime = service->m_engine->MaxPassTime(
       model == nullptr ? 1 : model->m_timeFactor);
+    auto times = timesOfServices.find(service->m_id);
+    if (times == timesOfServices.end()) {
+      times = timesOfServices.emplace(service->m_id, TimesOf(*service)).first;
+    }
+    backend.m_times =
+      times->second.MultipliedBy(model == nullptr ? 1 : model->m_timeFactor);
     backends.push_back(std::move(backend));
   }
   return backends;
--- a/briarglade/gateway/backend_table.cc
+++ b/briarglade/gateway/backend_table.cc
@@ -195,6 +195,21 @@
     });
 }
 
+Millis BackendTable::IdleFirstEvent(
+  const BackendRequirements& aRequirements) const
+{
+  Millis fastest;
+  for (const BackendSlot& slot : m_slots) {
+    const EngineTimes& times = slot.m_backend.m_times;
+    if (Serves(slot, aRequirements) && times.AreKnown()) {
+      const Millis first =
+        EstimateFirstEvent(times, {}, aRequirements.m_promptTokens);
+      fastest = fastest == Millis() ? first : std::min(fastest, first);
+    }
+  }
+  return fastest;
+}
+
 bool BackendTable::HasRoom(Millis aNow, const BackendSlot& aSlot)
 {
   const double limit = aSlot.m_backend.m_slots * (1 + kMaxQueuedFraction);
--- a/briarglade/gateway/backend_table.h
+++ b/briarglade/gateway/backend_table.h
@@ -55,6 +55,7 @@
   // Backends that the request was already sent to; they are not chosen again.
   // May be nullptr.
   const std::vector<BackendSerial>* m_tried = nullptr;
+  uint32_t m_promptTokens = 0;
 };
 
 // One backend and its state as seen by this node. The index of a slot does not
@@ -142,6 +143,10 @@
                     const BackendRequirements& aRequirements,
                     Millis aBefore);
 
+  // Returns the time to the first event at the fastest of the backends if it is
+  // idle; zero if the engine's times are not stated.
+  Millis IdleFirstEvent(const BackendRequirements& aRequirements) const;
+
   // Records that a request with aPromptTokens tokens was sent.
   void RecordStarted(Millis aNow, size_t aSlot, uint32_t aPromptTokens);
   // Records that the answer to a request has started.
--- a/briarglade/gateway/gateway.cc
+++ b/briarglade/gateway/gateway.cc
@@ -46,9 +46,12 @@
 BackendRequirements GatewayReduction::RequirementsOf(
   const GatewayRequest& aRequest)
 {
-  return BackendRequirements{ aRequest.m_request.m_service,
-                              aRequest.m_request.m_model,
-                              &aRequest.m_tried };
+  BackendRequirements requirements;
+  requirements.m_service = aRequest.m_request.m_service;
+  requirements.m_model = aRequest.m_request.m_model;
+  requirements.m_tried = &aRequest.m_tried;
+  requirements.m_promptTokens = aRequest.m_request.m_promptTokens;
+  return requirements;
 }
 
 WaitQueue& GatewayReduction::QueueOf(const GatewayRequest& aRequest)
@@ -223,10 +226,36 @@
   m_effects.emplace_back(std::move(send));
 }
 
+Millis GatewayReduction::MaxWait(const GatewayRequest& aRequest) const
+{
+  return std::min(kMaxWait, TimeLeft(aRequest) / kMaxWaitDivisor);
+}
+
+// Returns the queue entry of a request that begins to wait now.
+WaitingRequest GatewayReduction::MakeWaiting(
+  const GatewayRequest& aRequest) const
+{
+  const bool hasGoal = aRequest.m_request.m_goal > Millis();
+  WaitingRequest waiting;
+  // Streams that have begun precede all other requests.
+  waiting.m_priority = aRequest.m_answerBegan ? kAnswerBegunPriority
+                                              : aRequest.m_request.m_priority;
+  waiting.m_startBy = m_now + MaxWait(aRequest);
+  waiting.m_goalAt = hasGoal ? aRequest.m_arrivedAt + aRequest.m_request.m_goal
+                             : waiting.m_startBy;
+  waiting.m_handle = aRequest.m_request.m_handle;
+  waiting.m_account = aRequest.m_request.m_account;
+  waiting.m_hasBegun = aRequest.m_answerBegan;
+  if (hasGoal) {
+    waiting.m_idleFirstEvent =
+      m_state.m_backendTable.IdleFirstEvent(RequirementsOf(aRequest));
+  }
+  return waiting;
+}
+
 void GatewayReduction::WaitOrRefuse(GatewayRequest& aRequest)
 {
-  const Millis maxWait =
-    std::min(kMaxWait, TimeLeft(aRequest) / kMaxWaitDivisor);
+  const Millis maxWait = MaxWait(aRequest);
   const bool hasBackend = m_state.m_backendTable.HasCandidate(
     m_now, RequirementsOf(aRequest), m_now + maxWait);
   // The caller of a stream that has begun can't be asked to retry: the request
@@ -240,18 +269,18 @@
     return;
   }
   WaitQueue& queue = QueueOf(aRequest);
-  // Streams that have begun precede all other requests.
-  const int32_t priority = aRequest.m_answerBegan
-                             ? kAnswerBegunPriority
-                             : aRequest.m_request.m_priority;
+  aRequest.m_waiting = MakeWaiting(aRequest);
+  const WaitingRequest& waiting = aRequest.m_waiting;
+  const bool isTimed = waiting.m_idleFirstEvent > Millis();
   const Millis wait =
-    queue.ExpectedWait(m_now, priority, aRequest.m_request.m_account);
+    isTimed ? queue.ExpectedWait(m_now, waiting)
+            : queue.ExpectedWait(m_now, waiting.m_priority, waiting.m_account);
   if (hasBackend && wait > maxWait) {
     LogRequest("request-turned-away",
                aRequest,
                { { "account", aRequest.m_request.m_account.Value() },
                  { "model", aRequest.m_request.m_model.Value() },
-                 { "priority", std::to_string(priority) },
+                 { "priority", std::to_string(waiting.m_priority) },
                  { "wait-ms", std::to_string(wait.Count()) },
                  { "patience-ms", std::to_string(maxWait.Count()) },
                  { "waiting", std::to_string(queue.Size()) } });
@@ -259,16 +288,7 @@
     return;
   }
   aRequest.m_phase = GatewayPhase::Waiting;
-  const bool hasGoal = aRequest.m_request.m_goal > Millis();
-  const Millis goalAt = hasGoal
-                          ? aRequest.m_arrivedAt + aRequest.m_request.m_goal
-                          : m_now + maxWait;
-  aRequest.m_waiting = WaitingRequest{ priority,
-                                       goalAt,
-                                       m_now + maxWait,
-                                       aRequest.m_request.m_handle,
-                                       aRequest.m_request.m_account };
-  queue.Add(m_now, aRequest.m_waiting);
+  queue.Add(m_now, waiting);
 }
 
 void GatewayReduction::RemoveFromQueue(GatewayRequest& aRequest)
@@ -310,13 +330,29 @@
     Finish(request, ResultCode::HarmfulRequest, blockedFor);
     return;
   }
-  const bool isQueueEmpty = QueueOf(request).Size() == 0;
-  if (isQueueEmpty && Start(request)) {
+  const WaitQueue& queue = QueueOf(request);
+  const WaitingRequest waiting = MakeWaiting(request);
+  const bool isFirst = waiting.m_idleFirstEvent > Millis()
+                         ? queue.IsFirst(m_now, waiting)
+                         : queue.Size() == 0;
+  if (isFirst && Start(request)) {
     return;
   }
   WaitOrRefuse(request);
 }
 
+void GatewayReduction::RecordTimeToFirstBytes(const GatewayRequest& aRequest,
+                                              Millis aElapsed)
+{
+  WaitQueue& queue = QueueOf(aRequest);
+  queue.RecordTimeToFirstBytes(aElapsed);
+  const Millis idle =
+    m_state.m_backendTable.IdleFirstEvent(RequirementsOf(aRequest));
+  if (idle > Millis()) {
+    queue.RecordTimeToFirstEvent(aElapsed, idle);
+  }
+}
+
 void GatewayReduction::On(const AnswerProgressed& aProgress)
 {
   GatewayRequest* request = Find(aProgress.m_handle);
@@ -335,7 +371,7 @@
   if (!exchange.m_began) {
     exchange.m_began = true;
     exchange.m_beganAt = m_now;
-    QueueOf(*request).RecordTimeToFirstBytes(m_now - exchange.m_sentAt);
+    RecordTimeToFirstBytes(*request, m_now - exchange.m_sentAt);
     m_state.m_backendTable.RecordAnswerStarted(
       m_now, exchange.m_slot, request->m_request.m_promptTokens);
   } else {
--- a/briarglade/gateway/gateway_event.h
+++ b/briarglade/gateway/gateway_event.h
@@ -23,6 +23,7 @@
 #include "briarglade/gateway/harm_detector.h"
 #include "briarglade/gateway/rate_limit_notice.h"
 #include "briarglade/gateway/server_run.h"
+#include "briarglade/gateway/start_estimate.h"
 #include "briarglade/routing/request_event.h"
 
 namespace briarglade {
@@ -52,6 +53,8 @@
   uint32_t m_maxConnections = 100;
   // The longest time that a working group normally takes between two outputs.
   Millis m_maxPassTime;
+  // Used to estimate the start of a request; unknown for a plain service.
+  EngineTimes m_times;
 };
 
 // The complete list of backends that may receive new requests.
--- a/briarglade/gateway/internal/gateway_reduction.h
+++ b/briarglade/gateway/internal/gateway_reduction.h
@@ -91,6 +91,10 @@
   // none.
   bool Start(GatewayRequest& aRequest);
   uint32_t MaxIdleConnections(const Backend& aBackend) const;
+  // Returns the longest time that the request may wait from now on.
+  Millis MaxWait(const GatewayRequest& aRequest) const;
+  WaitingRequest MakeWaiting(const GatewayRequest& aRequest) const;
+  void RecordTimeToFirstBytes(const GatewayRequest& aRequest, Millis aElapsed);
   // Queues the request, or rejects it if no backend can serve it or the
   // expected wait is too long.
   void WaitOrRefuse(GatewayRequest& aRequest);
--- a/briarglade/gateway/overload_replay_test.cc
+++ b/briarglade/gateway/overload_replay_test.cc
@@ -10,7 +10,7 @@
 namespace briarglade {
 namespace {
 
-constexpr uint32_t kSeeds = 2;
+constexpr uint32_t kSeeds = 3;
 
 // The load of most of the day, and of a surge, as multiples of what the groups
 // can run.
@@ -42,17 +42,20 @@
   return all;
 }
 
-OverloadResult ReplayLoad(double aOverload)
+OverloadResult ReplayLoad(double aOverload, bool aStatesTimes)
 {
-  return Replay(
-    [&](OverloadOptions& aOptions) { aOptions.m_overload = aOverload; });
+  return Replay([&](OverloadOptions& aOptions) {
+    aOptions.m_overload = aOverload;
+    aOptions.m_statesTimes = aStatesTimes;
+  });
 }
 
-OverloadResult ReplaySurge()
+OverloadResult ReplaySurge(bool aStatesTimes)
 {
-  return Replay([](OverloadOptions& aOptions) {
+  return Replay([&](OverloadOptions& aOptions) {
     aOptions.m_overload = kUsualLoad;
     aOptions.m_surgeFactor = kSurgeFactor;
+    aOptions.m_statesTimes = aStatesTimes;
   });
 }
 
@@ -93,24 +96,46 @@
   }
 }
 
-TEST_CASE("overload replay: at 1.0 no route, account or size starves")
+// Checks the condition for each rule that applies where engine times are
+// stated: at least as many on time as by slots and load, and at most 2 % fewer
+// served.
+void CheckNoWorse(const OverloadResult& aResult, const OverloadResult& aBase)
+{
+  constexpr double kServedFraction = 0.98;
+  CHECK(aResult.m_all.m_onTime >= aBase.m_all.m_onTime);
+  CHECK(aResult.m_all.ServedFraction() >=
+        aBase.m_all.ServedFraction() * kServedFraction);
+}
+
+// The cases below guard against nodes that all fill the same room, and against
+// late requests that make others late.
+TEST_CASE("overload replay: at 1.0 stated times make nothing worse")
 {
-  const OverloadResult result = ReplayLoad(1);
+  const OverloadResult base = ReplayLoad(1, false);
+  const OverloadResult result = ReplayLoad(1, true);
+  MESSAGE("1.0 by slots and load: " << Describe(base));
   MESSAGE("1.0: " << Describe(result));
+  CheckNoWorse(result, base);
   CheckNoneStarves(result);
 }
 
-TEST_CASE("overload replay: at 1.5 no route, account or size starves")
+TEST_CASE("overload replay: at 1.5 stated times make nothing worse")
 {
-  const OverloadResult result = ReplayLoad(1.5);
+  const OverloadResult base = ReplayLoad(1.5, false);
+  const OverloadResult result = ReplayLoad(1.5, true);
+  MESSAGE("1.5 by slots and load: " << Describe(base));
   MESSAGE("1.5: " << Describe(result));
+  CheckNoWorse(result, base);
   CheckNoneStarves(result);
 }
 
-TEST_CASE("overload replay: in a surge no route, account or size starves")
+TEST_CASE("overload replay: in a surge stated times make nothing worse")
 {
-  const OverloadResult result = ReplaySurge();
+  const OverloadResult base = ReplaySurge(false);
+  const OverloadResult result = ReplaySurge(true);
+  MESSAGE("surge by slots and load: " << Describe(base));
   MESSAGE("surge: " << Describe(result));
+  CheckNoWorse(result, base);
   CheckNoneStarves(result);
 }
 
--- a/briarglade/gateway/overload_replay_test.h
+++ b/briarglade/gateway/overload_replay_test.h
@@ -70,6 +70,8 @@
   Millis m_length = Millis(14'000);
   // How long callers wait in total, with their returns.
   Millis m_patience = Millis(5'000);
+  // Whether the configuration states the engine's times.
+  bool m_statesTimes = true;
   uint32_t m_seed = 1;
 };
 
@@ -123,6 +125,7 @@
   explicit OverloadReplay(OverloadOptions aOptions)
     : m_options(std::move(aOptions))
     , m_random(m_options.m_seed)
+    , m_nodeRandom(m_options.m_seed)
     , m_groups(m_options.m_groups)
   {
     RosterChanged roster;
@@ -209,9 +212,9 @@
     uint32_t m_events = 0;
     Millis m_givesUpAt;
     bool m_isCounted = false;
-    // The current attempt.
-    uint32_t m_node = 0;
     Millis m_arrivedAt;
+    // That of the current attempt.
+    uint32_t m_node = 0;
   };
   struct Stream
   {
@@ -265,11 +268,26 @@
       backend.m_zone = ZoneOf(group);
       backend.m_slots = m_options.m_slots;
       backend.m_maxPassTime = engine.MaxPassTime(m_options.m_pace);
+      if (m_options.m_statesTimes) {
+        backend.m_times = MakeTimes();
+      }
       backends.push_back(backend);
     }
     return backends;
   }
 
+  EngineTimes MakeTimes() const
+  {
+    EngineTimes times;
+    times.m_stepMillis = m_options.m_stepMillis;
+    times.m_stepMillisPerRequest = m_options.m_stepMillisPerRequest;
+    times.m_prefillTokensPerMilli = m_options.m_promptTokensPerMilli;
+    times.m_prefillChunkTokens = m_options.m_chunkTokens;
+    times.m_stepsPerPass = m_options.m_stepsPerPass;
+    times.m_gapGoal = m_options.m_gapGoal;
+    return times.MultipliedBy(m_options.m_pace);
+  }
+
   void Do(uint32_t aNode, const GatewayEvent& aEvent)
   {
     for (const GatewayEffect& effect :
@@ -305,6 +323,7 @@
       part < kAccountParts / 2 ? "large" : "small-" + std::to_string(part);
     caller.m_promptTokens = static_cast<uint32_t>(
       std::min(m_options.m_maxPromptTokens, 1 + prompt(m_random)));
+    caller.m_arrivedAt = m_now;
     caller.m_givesUpAt = m_now + m_options.m_patience;
     caller.m_isCounted =
       m_now >= m_options.m_warmUp && m_now < m_options.m_length;
@@ -330,8 +349,7 @@
 
   void Send(Caller aCaller)
   {
-    aCaller.m_node = static_cast<uint32_t>(m_random() % m_options.m_nodes);
-    aCaller.m_arrivedAt = m_now;
+    aCaller.m_node = static_cast<uint32_t>(m_nodeRandom() % m_options.m_nodes);
     const uint64_t handle = ++m_handles;
     m_callers[handle] = aCaller;
     CallerRequestArrived request;
@@ -566,8 +584,8 @@
     }
   }
 
-  // The time to the first event counts from the last attempt: a caller that
-  // returns as told expects the goal of a new request.
+  // The time to the first event counts from the first attempt, so that refusals
+  // can't make a request count as on time.
   void CountServed(const Stream& aStream)
   {
     const Caller& caller = m_callers.at(aStream.m_handle);
@@ -585,7 +603,10 @@
   }
 
   OverloadOptions m_options;
+  // Of the arrivals, which are the same whatever the nodes decide.
   std::mt19937 m_random;
+  // Of the node that an attempt is sent to.
+  std::mt19937 m_nodeRandom;
   std::vector<Group> m_groups;
   std::deque<GatewayState> m_nodes;
   std::unordered_map<uint64_t, Caller> m_callers;
--- a/briarglade/gateway/wait_queue.cc
+++ b/briarglade/gateway/wait_queue.cc
@@ -13,6 +13,11 @@
 // Weights of the latest sample in the moving averages.
 constexpr double kFreedIntervalWeight = 0.1;
 constexpr double kFirstBytesWeight = 0.05;
+// The quantile that is followed as the added delay, and the step of each sample
+// in milliseconds. A low quantile, as most requests of a surge wait at the
+// servers, which says nothing of a request that is sent when they have room.
+constexpr double kAddedDelayQuantile = 0.25;
+constexpr double kAddedDelayStep = 4;
 // Time constant of the usage decay: a request started this long ago still
 // counts 1/e.
 constexpr double kUsageDecayMillis = 1'000;
@@ -38,31 +43,49 @@
 
 bool WaitQueue::IsLate(Millis aNow, const WaitingRequest& aWaiting) const
 {
-  const Millis expected(static_cast<int64_t>(m_meanTimeToFirstBytes));
+  const bool isTimed = aWaiting.m_idleFirstEvent > Millis();
+  const Millis expected =
+    isTimed
+      ? aWaiting.m_idleFirstEvent + Millis(static_cast<int64_t>(m_addedDelay))
+      : Millis(static_cast<int64_t>(m_meanTimeToFirstBytes));
   return aNow + expected > aWaiting.m_goalAt;
 }
 
+WaitQueue::Rank WaitQueue::RankOf(Millis aNow,
+                                  const WaitingRequest& aWaiting) const
+{
+  const bool isLate = IsLate(aNow, aWaiting);
+  const bool isTimed = aWaiting.m_idleFirstEvent > Millis();
+  return { !aWaiting.m_hasBegun,
+           isTimed && isLate,
+           isTimed && isLate ? 0 : aWaiting.m_priority,
+           isLate,
+           UsageStep(aNow, aWaiting.m_account),
+           isLate ? aWaiting.m_startBy : aWaiting.m_goalAt,
+           aWaiting.m_handle };
+}
+
 std::optional<WaitingRequest> WaitQueue::Next(Millis aNow) const
 {
-  const auto rank = [&](const WaitingRequest& aWaiting) {
-    const bool isLate = IsLate(aNow, aWaiting);
-    const Millis due = isLate ? aWaiting.m_startBy : aWaiting.m_goalAt;
-    return std::make_tuple(aWaiting.m_priority,
-                           isLate,
-                           UsageStep(aNow, aWaiting.m_account),
-                           due,
-                           aWaiting.m_handle);
-  };
   const auto first =
     std::min_element(m_waiting.begin(),
                      m_waiting.end(),
                      [&](const WaitingRequest& aA, const WaitingRequest& aB) {
-                       return rank(aA) < rank(aB);
+                       return RankOf(aNow, aA) < RankOf(aNow, aB);
                      });
   return first == m_waiting.end() ? std::nullopt
                                   : std::optional<WaitingRequest>(*first);
 }
 
+bool WaitQueue::IsFirst(Millis aNow, const WaitingRequest& aWaiting) const
+{
+  const Rank rank = RankOf(aNow, aWaiting);
+  return std::all_of(
+    m_waiting.begin(), m_waiting.end(), [&](const WaitingRequest& aOther) {
+      return rank < RankOf(aNow, aOther);
+    });
+}
+
 void WaitQueue::RecordTimeToFirstBytes(Millis aElapsed)
 {
   const auto elapsed = static_cast<double>(aElapsed.Count());
@@ -70,6 +93,15 @@
     (elapsed - m_meanTimeToFirstBytes) * kFirstBytesWeight;
 }
 
+void WaitQueue::RecordTimeToFirstEvent(Millis aElapsed, Millis aIdleFirstEvent)
+{
+  const auto added =
+    static_cast<double>(std::max(Millis(), aElapsed - aIdleFirstEvent).Count());
+  const double below = added < m_addedDelay ? 1 : 0;
+  m_addedDelay = std::max(
+    0.0, m_addedDelay + kAddedDelayStep * (kAddedDelayQuantile - below));
+}
+
 double WaitQueue::Usage::DecayedAt(Millis aNow) const
 {
   const auto elapsed = static_cast<double>((aNow - m_updatedAt).Count());
@@ -111,7 +143,25 @@
                             UsageStep(aNow, aWaiting.m_account) <= step;
     return aWaiting.m_priority < aPriority || isAsUrgent;
   };
-  const auto ahead = std::count_if(m_waiting.begin(), m_waiting.end(), isAhead);
+  return WaitBehind(aNow,
+                    static_cast<size_t>(std::count_if(
+                      m_waiting.begin(), m_waiting.end(), isAhead)));
+}
+
+Millis WaitQueue::ExpectedWait(Millis aNow,
+                               const WaitingRequest& aWaiting) const
+{
+  const Rank rank = RankOf(aNow, aWaiting);
+  const auto isAhead = [&](const WaitingRequest& aOther) {
+    return RankOf(aNow, aOther) < rank;
+  };
+  return WaitBehind(aNow,
+                    static_cast<size_t>(std::count_if(
+                      m_waiting.begin(), m_waiting.end(), isAhead)));
+}
+
+Millis WaitQueue::WaitBehind(Millis aNow, size_t aAhead) const
+{
   // If no backend has become free since requests began to wait, the mean
   // interval is out of date; the time elapsed since then is used if longer.
   const Millis stalledSince = std::max(m_lastFreedAt, m_waitingSince);
@@ -120,7 +170,7 @@
   const double interval =
     std::max(m_meanFreedInterval, std::min(stalled, kMaxFreedIntervalMillis));
   return Millis(
-    static_cast<int64_t>(interval * static_cast<double>(ahead + 1)));
+    static_cast<int64_t>(interval * static_cast<double>(aAhead + 1)));
 }
 
 std::vector<WaitingRequest> WaitQueue::Overdue(Millis aNow) const
--- a/briarglade/gateway/wait_queue_test.cc
+++ b/briarglade/gateway/wait_queue_test.cc
@@ -50,6 +50,70 @@
   CHECK(queue.Next(Millis(600))->m_handle == RequestHandle(1));
 }
 
+// A request whose time at an idle group is 50 ms.
+WaitingRequest MakeTimed(int aPriority,
+                         int aGoalAt,
+                         int aStartBy,
+                         uint64_t aHandle)
+{
+  WaitingRequest waiting;
+  waiting.m_priority = aPriority;
+  waiting.m_goalAt = Millis(aGoalAt);
+  waiting.m_startBy = Millis(aStartBy);
+  waiting.m_handle = RequestHandle(aHandle);
+  waiting.m_idleFirstEvent = Millis(50);
+  return waiting;
+}
+
+// Guards against late urgent requests that make less urgent ones late too, and
+// against late ones that wait behind all urgent ones until they can't finish.
+TEST_CASE("with stated times late requests go last, in the order of their ends")
+{
+  WaitQueue queue;
+  queue.Add(Millis(0), MakeTimed(0, 100, 1'000, 1));
+  queue.Add(Millis(0), MakeTimed(1, 90, 900, 2));
+  queue.Add(Millis(0), MakeTimed(1, 500, 1'500, 3));
+  queue.Add(Millis(0), MakeTimed(0, 600, 1'600, 4));
+  const auto order = [&](int aNow) {
+    WaitQueue copy = queue;
+    std::vector<uint64_t> handles;
+    while (const std::optional<WaitingRequest> next = copy.Next(Millis(aNow))) {
+      handles.push_back(next->m_handle.Value());
+      copy.Remove(*next);
+    }
+    return handles;
+  };
+  // None is late.
+  CHECK(order(0) == std::vector<uint64_t>{ 1, 4, 2, 3 });
+  // The first two are.
+  CHECK(order(60) == std::vector<uint64_t>{ 4, 3, 2, 1 });
+  CHECK(queue.IsFirst(Millis(60), MakeTimed(0, 160, 1'700, 5)));
+  CHECK_FALSE(queue.IsFirst(Millis(60), MakeTimed(1, 700, 1'700, 5)));
+  CHECK(queue.ExpectedWait(Millis(60), MakeTimed(0, 160, 1'700, 5)) <
+        queue.ExpectedWait(Millis(60), MakeTimed(1, 700, 1'700, 5)));
+  // An answer that has begun precedes all.
+  WaitingRequest begun = MakeTimed(1, 10, 2'000, 6);
+  begun.m_hasBegun = true;
+  CHECK(queue.IsFirst(Millis(60), begun));
+}
+
+// Guards against requests that count as able to be on time although servers
+// have a fixed delay, and against a queue at the servers that makes all count
+// as late.
+TEST_CASE("the delay that is added to the stated times is learned")
+{
+  WaitQueue queue;
+  const WaitingRequest waiting = MakeTimed(0, 250, 1'000, 1);
+  CHECK_FALSE(queue.IsLate(Millis(100), waiting));
+  for (int i = 0; i < 400; ++i) {
+    // A fixed delay of 120 ms; two of three also wait in the server's queue.
+    const int queued = i % 3 * 400;
+    queue.RecordTimeToFirstEvent(Millis(50 + 120 + queued), Millis(50));
+  }
+  CHECK_FALSE(queue.IsLate(Millis(60), waiting));
+  CHECK(queue.IsLate(Millis(100), waiting));
+}
+
 TEST_CASE("under a lasting overload those that are served are in time")
 {
   // One backend that takes 10 ms for each; a request every 8 ms. Goal: 100 ms.
