Capacity: metrics for demand, groups, moves and stage orders

Operators could see moves only in the log. The holder's metrics port now shows demand, serving and target groups for each model, and since the start the moves begun, completed and abandoned and the stage orders. The series are bounded by the number of configured models and disappear when the node loses the lease.

--- a/briarglade/entry/entry_node.cc
+++ b/briarglade/entry/entry_node.cc
@@ -454,6 +454,27 @@
   }
 }
 
+// Sets the metrics of the allocation between models.
+void EntryNode::SetCapacityGauges()
+{
+  const CapacityStatus status = m_state.m_control.Capacity();
+  std::map<std::string, double> gauges = {
+    { "moves_begun", static_cast<double>(status.m_movesBegun) },
+    { "moves_completed", static_cast<double>(status.m_movesCompleted) },
+    { "moves_abandoned", static_cast<double>(status.m_movesAbandoned) },
+    { "stage_orders", static_cast<double>(status.m_stageOrders) }
+  };
+  for (const ModelCapacity& model : status.m_models) {
+    const std::string labels =
+      "{service=\"" + EscapeLabel(model.m_service.Value()) + "\",model=\"" +
+      EscapeLabel(model.m_model.Value()) + "\"}";
+    gauges["demand_groups" + labels] = model.m_demand;
+    gauges["serving_groups" + labels] = model.m_servingGroups;
+    gauges["target_groups" + labels] = model.m_targetGroups;
+  }
+  m_metrics.ReplaceGauges("capacity_", gauges);
+}
+
 void EntryNode::HandleMetrics(const std::shared_ptr<HttpExchange>& aExchange)
 {
   m_metrics.SetGauge("requests_in_flight",
@@ -500,6 +521,7 @@
   m_metrics.SetGauge("accept_failures",
                      static_cast<double>(CountAcceptFailures()));
   m_metrics.SetGauge("holds_control", m_state.m_control.IsActive() ? 1 : 0);
+  SetCapacityGauges();
   aExchange->Respond(
     kOk, { { "Content-Type", "text/plain" } }, m_metrics.Render());
 }
--- a/briarglade/entry/entry_node.h
+++ b/briarglade/entry/entry_node.h
@@ -81,6 +81,7 @@
   void CarryOut(EntryEffect& aEffect);
   void HandleCaller(const std::shared_ptr<HttpExchange>& aExchange);
   void HandleDirectory(const std::shared_ptr<HttpExchange>& aExchange);
+  void SetCapacityGauges();
   void HandleMetrics(const std::shared_ptr<HttpExchange>& aExchange);
   void CountAnswer(const GatewayRelay& aRelay, ResultCode aCode);
   void HandleReadiness(const std::shared_ptr<HttpExchange>& aExchange);
--- a/briarglade/grouping/group_control.cc
+++ b/briarglade/grouping/group_control.cc
@@ -55,6 +55,7 @@
   m_standbys.clear();
   m_capacity.clear();
   m_shortageRepairs.clear();
+  m_pendingMoves.clear();
   m_scarceSince.clear();
   m_lostGroupAt.reset();
   m_knownZonesOut.clear();
@@ -484,6 +485,7 @@
     EndUnconfiguredGroups();
     ProgressEndings();
     ProgressForming();
+    ProgressMoves();
     UpdateAssignedHosts();
     AllocateHosts();
     UpdateAssignedHosts();
--- a/briarglade/grouping/group_control.h
+++ b/briarglade/grouping/group_control.h
@@ -41,6 +41,7 @@
 #include "briarglade/base/millis.h"
 #include "briarglade/base/unique_ids.h"
 #include "briarglade/grouping/capacity_plan.h"
+#include "briarglade/grouping/capacity_status.h"
 #include "briarglade/grouping/group_order.h"
 #include "briarglade/grouping/group_plan.h"
 #include "briarglade/grouping/group_view.h"
@@ -102,6 +103,8 @@
   std::vector<ReplicaGroup> OpenedGroups() const;
   // Returns the groups that are being ended. They must get no new requests.
   std::vector<GroupId> EndedGroups() const;
+  // Returns what is known of the allocation between models.
+  CapacityStatus Capacity() const;
 
   // Advances to aNow and returns the orders, probes and log events that are
   // due. Returns nothing while the node does not hold the lease.
@@ -215,6 +218,7 @@
   bool IsDisturbed(const DomainId& aDomain) const;
   uint32_t CountMoves() const;
   bool HoldsWeights(const HostId& aHost, const ModelId& aModel) const;
+  GroupCounts CountServingGroups(const ServiceId& aService) const;
   GroupCounts CountReadyGroups(const ServiceId& aService) const;
   ShortageInput SurveyShortage(const ServiceSpec& aService,
                                const ModelId& aModel) const;
@@ -223,6 +227,8 @@
                            const ModelId& aModel,
                            const ShortageRepair& aRepair);
   void ExpireShortageRepairs();
+  void RecordMove(const DomainId& aDomain, const ModelId& aModel);
+  void ProgressMoves();
   std::vector<HostId> MembersWithout(const ReplicaGroup& aGroup,
                                      const ModelId& aModel) const;
   bool StageModel(const HostId& aHost, const ReplicaModel& aModel);
@@ -309,6 +315,8 @@
   {
     CapacityInput m_input;
     CapacityPlan m_plan;
+    std::vector<ModelId> m_models;
+    GroupCounts m_serving;
     Millis m_plannedAt = Millis(-1'000'000);
     // Since when the target has been much better than the present layout.
     std::optional<Millis> m_unfitSince;
@@ -336,6 +344,16 @@
     Millis m_endedAt;
   };
   std::map<DomainId, DomainRepair> m_shortageRepairs;
+  // A move whose groups have been ordered to end: the model that gains hosts,
+  // and when a group of the domain was last seen to end or to form for it.
+  struct PendingMove
+  {
+    ModelId m_to;
+    Millis m_progressedAt;
+  };
+  std::map<DomainId, PendingMove> m_pendingMoves;
+  // Only the counters are used.
+  CapacityStatus m_capacityCounters;
   // Since when a model has had less than its demand.
   std::map<ModelId, Millis> m_scarceSince;
   // When a group was last lost or a zone taken out or in, and the zones that
--- a/briarglade/grouping/group_forming.cc
+++ b/briarglade/grouping/group_forming.cc
@@ -153,6 +153,11 @@
           { { "group", group.m_id.Value() },
             { "took-ms", std::to_string((m_now - forming.m_since).Count()) } });
       m_openedGroups[group.m_id] = OpenedGroup{ group, m_now };
+      const auto move = m_pendingMoves.find(group.m_domain);
+      if (move != m_pendingMoves.end() && move->second.m_to == group.m_model) {
+        ++m_capacityCounters.m_movesCompleted;
+        m_pendingMoves.erase(move);
+      }
       entry = m_formingGroups.erase(entry);
       continue;
     }
--- a/briarglade/grouping/group_moving.cc
+++ b/briarglade/grouping/group_moving.cc
@@ -49,6 +49,8 @@
 // Groups that may end at the same time for moves, as a fraction of all groups
 // of their model.
 constexpr uint32_t kMoveDivisor = 4;
+// A move is abandoned if for this long no group ends or forms for it.
+constexpr Millis kMoveIdleTime = Millis(5'000);
 // Orders to stage and requests for reports in one step of control, so that
 // thousands of servers are not addressed at once.
 constexpr uint32_t kStageMessagesPerTick = 32;
@@ -120,8 +122,13 @@
     return;
   }
   capacity.m_plannedAt = m_now;
+  capacity.m_models.clear();
+  for (const ReplicaModel& model : aService.m_engine->m_models) {
+    capacity.m_models.push_back(model.m_id);
+  }
   capacity.m_input = SurveyCapacity(aService);
   capacity.m_plan = PlanCapacity(capacity.m_input);
+  capacity.m_serving = CountServingGroups(aService.m_id);
   const double now = capacity.m_plan.m_currentRatio;
   const double target = capacity.m_plan.m_targetRatio;
   const bool isKnown = !capacity.m_input.m_demand.empty();
@@ -268,6 +275,7 @@
   m_stageOrders[aHost] = StageOrder{ aModel.m_id, m_now, false };
   ReplicaGroup target;
   target.m_model = aModel.m_id;
+  ++m_capacityCounters.m_stageOrders;
   Order(OrderKind::Stage, aHost, target);
   return true;
 }
@@ -332,6 +340,7 @@
     capacity.m_reversalTime =
       std::min(capacity.m_reversalTime * 2, kLongestReversal);
   }
+  RecordMove(aDomain, aChange.m_to);
   capacity.m_lastGainer = aChange.m_to;
   capacity.m_lastMoveAt = m_now;
   for (const ReplicaGroup* source : aSources) {
@@ -342,6 +351,68 @@
   }
 }
 
+void GroupControl::RecordMove(const DomainId& aDomain, const ModelId& aModel)
+{
+  ++m_capacityCounters.m_movesBegun;
+  const auto [entry, isNew] =
+    m_pendingMoves.insert_or_assign(aDomain, PendingMove{ aModel, m_now });
+  m_capacityCounters.m_movesAbandoned += isNew ? 0 : 1;
+}
+
+// Drops moves for which no group ends or forms any more.
+void GroupControl::ProgressMoves()
+{
+  for (auto entry = m_pendingMoves.begin(); entry != m_pendingMoves.end();) {
+    const DomainId& domain = entry->first;
+    PendingMove& move = entry->second;
+    const bool isEnding = std::any_of(
+      m_endingGroups.begin(), m_endingGroups.end(), [&](const auto& aEntry) {
+        return aEntry.second.m_isMove && !aEntry.second.m_isEnded &&
+               aEntry.second.m_group.m_domain == domain;
+      });
+    const bool isForming = std::any_of(
+      m_formingGroups.begin(), m_formingGroups.end(), [&](const auto& aEntry) {
+        return aEntry.second.m_group.m_domain == domain &&
+               aEntry.second.m_group.m_model == move.m_to;
+      });
+    move.m_progressedAt = isEnding || isForming ? m_now : move.m_progressedAt;
+    if (m_now - move.m_progressedAt <= kMoveIdleTime) {
+      ++entry;
+      continue;
+    }
+    ++m_capacityCounters.m_movesAbandoned;
+    entry = m_pendingMoves.erase(entry);
+  }
+}
+
+CapacityStatus GroupControl::Capacity() const
+{
+  CapacityStatus status = m_capacityCounters;
+  if (!m_isActive) {
+    return status;
+  }
+  const auto valueOf = [](const auto& aValues, const ModelId& aModel) {
+    const auto found = aValues.find(aModel);
+    return found == aValues.end() ? 0 : found->second;
+  };
+  for (const auto& [service, capacity] : m_capacity) {
+    GroupCounts target;
+    for (const auto& [domain, counts] : capacity.m_plan.m_domains) {
+      for (const auto& [model, count] : counts) {
+        target[model] += count;
+      }
+    }
+    for (const ModelId& model : capacity.m_models) {
+      status.m_models.push_back({ service,
+                                  model,
+                                  valueOf(capacity.m_input.m_demand, model),
+                                  valueOf(capacity.m_serving, model),
+                                  valueOf(target, model) });
+    }
+  }
+  return status;
+}
+
 void GroupControl::MoveGroups(const ServiceSpec& aService)
 {
   struct Candidate
--- a/briarglade/grouping/group_moving_test.cc
+++ b/briarglade/grouping/group_moving_test.cc
@@ -66,6 +66,16 @@
   REQUIRE(world.Served() > 0.9 * 21.8);
   const int moved = world.m_endings["capacity-moved"];
   CHECK(moved > 0);
+  const CapacityStatus status = world.m_control.Capacity();
+  CHECK(status.m_movesBegun > 0);
+  CHECK(status.m_movesCompleted == status.m_movesBegun);
+  CHECK(status.m_movesAbandoned == 0);
+  CHECK(status.m_stageOrders >= world.m_servers.StageCount());
+  REQUIRE(status.m_models.size() == 2);
+  CHECK(status.m_models[0].m_model == kLarge);
+  CHECK(status.m_models[1].m_demand == doctest::Approx(20).epsilon(0.1));
+  CHECK(status.m_models[1].m_servingGroups == world.Serving(kSmall));
+  CHECK(status.m_models[1].m_targetGroups >= 18);
   // Back to the large model. Its hosts hold other weights now.
   world.m_demand = { { kLarge, 6 }, { kSmall, 8 } };
   REQUIRE(world.Served() < 0.8 * 14);
--- a/briarglade/grouping/group_shortage.cc
+++ b/briarglade/grouping/group_shortage.cc
@@ -34,8 +34,7 @@
           ModelOf(server->second.m_membershipHistory.LastGroup()) == aModel);
 }
 
-// Counts the groups that serve, or are formed without a load.
-GroupCounts GroupControl::CountReadyGroups(const ServiceId& aService) const
+GroupCounts GroupControl::CountServingGroups(const ServiceId& aService) const
 {
   GroupCounts counts;
   for (const auto& [id, group] : m_view->m_groups) {
@@ -43,6 +42,13 @@
                            m_endingGroups.count(id) == 0 && !IsZoneOut(group);
     counts[group.m_model] += isCounted ? 1 : 0;
   }
+  return counts;
+}
+
+// Counts the groups that serve, or are formed without a load.
+GroupCounts GroupControl::CountReadyGroups(const ServiceId& aService) const
+{
+  GroupCounts counts = CountServingGroups(aService);
   for (const auto& [id, forming] : m_formingGroups) {
     const auto seen = m_view->m_groups.find(id);
     const bool isSeen =
@@ -151,6 +157,7 @@
   begun.m_model = aModel;
   begun.m_endedAt = m_now;
   if (aRepair.m_groups > 0) {
+    RecordMove(aRepair.m_domain, aModel);
     const DomainChange change{ aRepair.m_from, aRepair.m_groups, aModel };
     for (const ReplicaGroup* source :
          ChooseSources(aService.m_id, aRepair.m_domain, change)) {
--- a/briarglade/telemetry/metrics.cc
+++ b/briarglade/telemetry/metrics.cc
@@ -49,6 +49,22 @@
 
 } // namespace
 
+std::string EscapeLabel(const std::string& aValue)
+{
+  std::string escaped;
+  for (const char character : aValue) {
+    if (character == '\n') {
+      escaped += "\\n";
+      continue;
+    }
+    if (character == '"' || character == '\\') {
+      escaped += '\\';
+    }
+    escaped += character;
+  }
+  return escaped;
+}
+
 bool Metrics::SeriesKey::operator<(const SeriesKey& aOther) const
 {
   return std::tie(m_measure, m_account, m_class) <
@@ -101,6 +117,19 @@
   m_gauges[aName] = aValue;
 }
 
+void Metrics::ReplaceGauges(const std::string& aPrefix,
+                            const std::map<std::string, double>& aGauges)
+{
+  auto entry = m_gauges.lower_bound(aPrefix);
+  while (entry != m_gauges.end() &&
+         entry->first.compare(0, aPrefix.size(), aPrefix) == 0) {
+    entry = m_gauges.erase(entry);
+  }
+  for (const auto& [name, value] : aGauges) {
+    m_gauges[aPrefix + name] = value;
+  }
+}
+
 std::string Metrics::Render() const
 {
   std::ostringstream out;
--- a/briarglade/telemetry/metrics.h
+++ b/briarglade/telemetry/metrics.h
@@ -30,6 +30,10 @@
 
 class LatencyHistogram;
 
+// Returns a label's value as the text exposition format requires it between
+// quotation marks.
+std::string EscapeLabel(const std::string& aValue);
+
 class Metrics
 {
 public:
@@ -56,6 +60,10 @@
   void Count(const std::string& aName, uint64_t aAmount = 1);
   // Sets a gauge of the node.
   void SetGauge(const std::string& aName, double aValue);
+  // Replaces all gauges whose names start with the prefix, so that series with
+  // labels that no longer exist disappear.
+  void ReplaceGauges(const std::string& aPrefix,
+                     const std::map<std::string, double>& aGauges);
 
   // Returns everything in the text exposition format.
   std::string Render() const;
