Cold start: nodes without a quota get turns from nodes with one

Cause: the bound on requests to a server in cold start is distributed over the nodes in whole requests by rank. With 133 nodes and a bound of 30 per second, 103 nodes have no quota. Their requests wait or are refused while the server is idle, whatever the demand at the other 30.

Change: a node whose requests no other server has room for asks a node with a quota for a turn, the right to send one request within 500 ms of asking. The holder of the quota counts the turn as a request of its own, sent at the end of that time, so the sum over all nodes never exceeds the bound. Turns go to the node that has waited longest since its last request to the server. A node that may get turns queues requests for a cold server instead of refusing them at once.

--- a/briarglade/base/roster_place.h
+++ b/briarglade/base/roster_place.h
@@ -9,6 +9,7 @@
 
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 #include <vector>
@@ -31,6 +32,12 @@
                     std::string_view aKey,
                     const NodeId& aSelf);
 
+// Returns the first aCount nodes of a roster by rank for the key, or all nodes
+// if there are fewer.
+std::vector<NodeId> FirstByRank(const std::vector<NodeId>& aRoster,
+                                std::string_view aKey,
+                                size_t aCount);
+
 // Returns the units out of aLimit that are dealt to a place. They never grow
 // with the rank or with the number of nodes.
 uint32_t DealtTo(const RosterPlace& aPlace, uint32_t aLimit);
--- a/briarglade/base/roster_place_test.cc
+++ b/briarglade/base/roster_place_test.cc
@@ -25,6 +25,18 @@
   }
 }
 
+// Guards against requests for turns that go to nodes without a quota.
+TEST_CASE("the first nodes by rank are those with a part of the limit")
+{
+  const std::vector<NodeId> roster = MakeRoster(133);
+  const std::vector<NodeId> first = FirstByRank(roster, "server", 30);
+  REQUIRE(first.size() == 30);
+  for (uint32_t i = 0; i < first.size(); ++i) {
+    CHECK(PlaceIn(roster, "server", first[i]).m_rank == i);
+  }
+  CHECK(FirstByRank(roster, "server", 500).size() == roster.size());
+}
+
 TEST_CASE("a longer roster gives no node more")
 {
   const std::vector<NodeId> longer = MakeRoster(40);
--- a/briarglade/entry/fleet_bounds_test.cc
+++ b/briarglade/entry/fleet_bounds_test.cc
@@ -124,6 +124,31 @@
   }
 }
 
+// Guards against requests that are refused at nodes without a quota while the
+// only server, which is cold, has room.
+TEST_CASE("nodes without a quota of a cold server get turns")
+{
+  FleetOptions options = Busy(63);
+  // Over all nodes, about half of what the bound allows.
+  options.m_requestsPerSecond = 0.2;
+  BusyWorld world(options);
+  world.Run(kSettleTime);
+  world.AddServerIn("cold", 1, kColdTime);
+  world.Run(Millis(500));
+  world.SetLeaving("warm");
+  world.Run(Millis(200));
+  const Millis from = world.Now();
+  const uint64_t before = world.RequestCount();
+  const size_t servedBefore = world.ServedBy("cold").size();
+  world.Run(Millis(2'000));
+  const uint64_t requests = world.RequestCount() - before;
+  const size_t served = world.ServedBy("cold").size() - servedBefore;
+  MESSAGE(served << " of " << requests << " served");
+  CHECK(world.MostServedWithin("cold", kSecond, from, world.Now()) <=
+        world.Bound());
+  CHECK(served * 4 >= requests * 3);
+}
+
 TEST_CASE("a fleet that has just restarted retries, within its budget")
 {
   FleetOptions options = Busy(63);
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -120,6 +120,7 @@
   std::vector<NodeId> RelaysOfZone(const ZoneId& aZone) const;
   void UseLoads(std::vector<ServerLoad> aOthers,
                 const std::vector<GroupId>& aSuspects);
+  void HandleColdTurns(const NodeNews& aUpdate);
   void HandleReport(const NodeNews& aUpdate);
   void HandleFleetDigest(const NodeNews& aUpdate);
   void HandleZoneDigest(const ZoneDigest& aZone);
--- a/briarglade/entry/internal/update_receiving.cc
+++ b/briarglade/entry/internal/update_receiving.cc
@@ -75,6 +75,7 @@
   }
   ApplyRowChanges(update.m_rowChanges);
   UpdateRosterKnowledge(update);
+  HandleColdTurns(update);
   HandleReport(update);
   HandleFleetDigest(update);
   if (!update.m_zoneAges.empty()) {
@@ -90,6 +91,21 @@
   }
 }
 
+void EntryReduction::HandleColdTurns(const NodeNews& aUpdate)
+{
+  for (const ColdTurnRequest& request : aUpdate.m_turnRequests) {
+    DispatchToGateway(
+      ColdTurnRequested{ aUpdate.m_node, aUpdate.m_incarnation, request });
+  }
+  // Granted to an earlier run of this process, which may have used them.
+  if (aUpdate.m_turnIncarnation != m_state.m_incarnation) {
+    return;
+  }
+  for (const ColdTurnGrant& grant : aUpdate.m_turnGrants) {
+    DispatchToGateway(grant);
+  }
+}
+
 // Handles a report that is sent to this node as a relay.
 void EntryReduction::HandleReport(const NodeNews& aUpdate)
 {
--- a/briarglade/entry/node_news.capnp
+++ b/briarglade/entry/node_news.capnp
@@ -186,4 +186,21 @@
   # The sender can read compressed values.
   readsPacked @17 :Bool;
   work @18 :List(ModelWork);
+  # Requests for turns at cold servers, and turns granted to the run of the
+  # receiver that turnIncarnation names.
+  turnRequests @19 :List(ColdTurnRequest);
+  turnGrants @20 :List(ColdTurnGrant);
+  turnIncarnation @21 :UInt64;
+}
+
+struct ColdTurnRequest {
+  server @0 :Text;
+  # By the asker's clock.
+  askedAtMs @1 :Int64;
+  sinceLastSentMs @2 :UInt32;
+}
+
+struct ColdTurnGrant {
+  server @0 :Text;
+  askedAtMs @1 :Int64;
 }
--- a/briarglade/entry/node_news.capnp.h
+++ b/briarglade/entry/node_news.capnp.h
@@ -35,6 +35,8 @@
 CAPNP_DECLARE_SCHEMA(dac2e33edcdbfebc);
 CAPNP_DECLARE_SCHEMA(8a262c332f6ee829);
 CAPNP_DECLARE_SCHEMA(cedd4078abce72d1);
+CAPNP_DECLARE_SCHEMA(d1a3c2c140807fff);
+CAPNP_DECLARE_SCHEMA(d81dfa1d9e491340);
 
 } // namespace schemas
 } // namespace capnp
@@ -412,7 +414,47 @@
 
   struct _capnpPrivate
   {
-    CAPNP_DECLARE_STRUCT_HEADER(cedd4078abce72d1, 3, 13)
+    CAPNP_DECLARE_STRUCT_HEADER(cedd4078abce72d1, 4, 15)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand()
+    {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
+  };
+};
+
+struct ColdTurnRequest
+{
+  ColdTurnRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate
+  {
+    CAPNP_DECLARE_STRUCT_HEADER(d1a3c2c140807fff, 2, 1)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand()
+    {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
+  };
+};
+
+struct ColdTurnGrant
+{
+  ColdTurnGrant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate
+  {
+    CAPNP_DECLARE_STRUCT_HEADER(d81dfa1d9e491340, 1, 1)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand()
     {
@@ -2960,6 +3002,18 @@
                        ::capnp::Kind::STRUCT>::Reader
   getWork() const;
 
+  inline bool hasTurnRequests() const;
+  inline ::capnp::List<::briarglade::wire::ColdTurnRequest,
+                       ::capnp::Kind::STRUCT>::Reader
+  getTurnRequests() const;
+
+  inline bool hasTurnGrants() const;
+  inline ::capnp::List<::briarglade::wire::ColdTurnGrant,
+                       ::capnp::Kind::STRUCT>::Reader
+  getTurnGrants() const;
+
+  inline ::uint64_t getTurnIncarnation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -3194,6 +3248,42 @@
     ::capnp::List<::briarglade::wire::ModelWork, ::capnp::Kind::STRUCT>>
   disownWork();
 
+  inline bool hasTurnRequests();
+  inline ::capnp::List<::briarglade::wire::ColdTurnRequest,
+                       ::capnp::Kind::STRUCT>::Builder
+  getTurnRequests();
+  inline void setTurnRequests(
+    ::capnp::List<::briarglade::wire::ColdTurnRequest,
+                  ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::ColdTurnRequest,
+                       ::capnp::Kind::STRUCT>::Builder
+  initTurnRequests(unsigned int size);
+  inline void adoptTurnRequests(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::ColdTurnRequest,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::ColdTurnRequest, ::capnp::Kind::STRUCT>>
+  disownTurnRequests();
+
+  inline bool hasTurnGrants();
+  inline ::capnp::List<::briarglade::wire::ColdTurnGrant,
+                       ::capnp::Kind::STRUCT>::Builder
+  getTurnGrants();
+  inline void setTurnGrants(::capnp::List<::briarglade::wire::ColdTurnGrant,
+                                          ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::ColdTurnGrant,
+                       ::capnp::Kind::STRUCT>::Builder
+  initTurnGrants(unsigned int size);
+  inline void adoptTurnGrants(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::ColdTurnGrant,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::ColdTurnGrant, ::capnp::Kind::STRUCT>>
+  disownTurnGrants();
+
+  inline ::uint64_t getTurnIncarnation();
+  inline void setTurnIncarnation(::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -3229,6 +3319,227 @@
 };
 #endif // !CAPNP_LITE
 
+class ColdTurnRequest::Reader
+{
+public:
+  typedef ColdTurnRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base)
+    : _reader(base)
+  {
+  }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasServer() const;
+  inline ::capnp::Text::Reader getServer() const;
+
+  inline ::int64_t getAskedAtMs() const;
+
+  inline ::uint32_t getSinceLastSentMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ColdTurnRequest::Builder
+{
+public:
+  typedef ColdTurnRequest Builds;
+
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base)
+    : _builder(base)
+  {
+  }
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return asReader().totalSize();
+  }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return asReader().toString();
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasServer();
+  inline ::capnp::Text::Builder getServer();
+  inline void setServer(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownServer();
+
+  inline ::int64_t getAskedAtMs();
+  inline void setAskedAtMs(::int64_t value);
+
+  inline ::uint32_t getSinceLastSentMs();
+  inline void setSinceLastSentMs(::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ColdTurnRequest::Pipeline
+{
+public:
+  typedef ColdTurnRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr))
+    : _typeless(nullptr)
+  {
+  }
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+    : _typeless(kj::mv(typeless))
+  {
+  }
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+class ColdTurnGrant::Reader
+{
+public:
+  typedef ColdTurnGrant Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base)
+    : _reader(base)
+  {
+  }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasServer() const;
+  inline ::capnp::Text::Reader getServer() const;
+
+  inline ::int64_t getAskedAtMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ColdTurnGrant::Builder
+{
+public:
+  typedef ColdTurnGrant Builds;
+
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base)
+    : _builder(base)
+  {
+  }
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return asReader().totalSize();
+  }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return asReader().toString();
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasServer();
+  inline ::capnp::Text::Builder getServer();
+  inline void setServer(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownServer();
+
+  inline ::int64_t getAskedAtMs();
+  inline void setAskedAtMs(::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ColdTurnGrant::Pipeline
+{
+public:
+  typedef ColdTurnGrant Pipelines;
+
+  inline Pipeline(decltype(nullptr))
+    : _typeless(nullptr)
+  {
+  }
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+    : _typeless(kj::mv(typeless))
+  {
+  }
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool ServerLoad::Reader::hasServer() const
@@ -6794,6 +7105,288 @@
       _builder.getPointerField(::capnp::bounded<12>() * ::capnp::POINTERS));
 }
 
+inline bool NodeNews::Reader::hasTurnRequests() const
+{
+  return !_reader.getPointerField(::capnp::bounded<13>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool NodeNews::Builder::hasTurnRequests()
+{
+  return !_builder.getPointerField(::capnp::bounded<13>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::List<::briarglade::wire::ColdTurnRequest,
+                     ::capnp::Kind::STRUCT>::Reader
+NodeNews::Reader::getTurnRequests() const
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ColdTurnRequest, ::capnp::Kind::STRUCT>>::
+    get(_reader.getPointerField(::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::briarglade::wire::ColdTurnRequest,
+                     ::capnp::Kind::STRUCT>::Builder
+NodeNews::Builder::getTurnRequests()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ColdTurnRequest, ::capnp::Kind::STRUCT>>::
+    get(_builder.getPointerField(::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline void NodeNews::Builder::setTurnRequests(
+  ::capnp::List<::briarglade::wire::ColdTurnRequest,
+                ::capnp::Kind::STRUCT>::Reader value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ColdTurnRequest, ::capnp::Kind::STRUCT>>::
+    set(_builder.getPointerField(::capnp::bounded<13>() * ::capnp::POINTERS),
+        value);
+}
+inline ::capnp::List<::briarglade::wire::ColdTurnRequest,
+                     ::capnp::Kind::STRUCT>::Builder
+NodeNews::Builder::initTurnRequests(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ColdTurnRequest, ::capnp::Kind::STRUCT>>::
+    init(_builder.getPointerField(::capnp::bounded<13>() * ::capnp::POINTERS),
+         size);
+}
+inline void NodeNews::Builder::adoptTurnRequests(
+  ::capnp::Orphan<::capnp::List<::briarglade::wire::ColdTurnRequest,
+                                ::capnp::Kind::STRUCT>>&& value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ColdTurnRequest, ::capnp::Kind::STRUCT>>::
+    adopt(_builder.getPointerField(::capnp::bounded<13>() * ::capnp::POINTERS),
+          kj::mv(value));
+}
+inline ::capnp::Orphan<
+  ::capnp::List<::briarglade::wire::ColdTurnRequest, ::capnp::Kind::STRUCT>>
+NodeNews::Builder::disownTurnRequests()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ColdTurnRequest, ::capnp::Kind::STRUCT>>::
+    disown(
+      _builder.getPointerField(::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+
+inline bool NodeNews::Reader::hasTurnGrants() const
+{
+  return !_reader.getPointerField(::capnp::bounded<14>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool NodeNews::Builder::hasTurnGrants()
+{
+  return !_builder.getPointerField(::capnp::bounded<14>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::List<::briarglade::wire::ColdTurnGrant,
+                     ::capnp::Kind::STRUCT>::Reader
+NodeNews::Reader::getTurnGrants() const
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ColdTurnGrant, ::capnp::Kind::STRUCT>>::
+    get(_reader.getPointerField(::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::briarglade::wire::ColdTurnGrant,
+                     ::capnp::Kind::STRUCT>::Builder
+NodeNews::Builder::getTurnGrants()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ColdTurnGrant, ::capnp::Kind::STRUCT>>::
+    get(_builder.getPointerField(::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+inline void NodeNews::Builder::setTurnGrants(
+  ::capnp::List<::briarglade::wire::ColdTurnGrant,
+                ::capnp::Kind::STRUCT>::Reader value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ColdTurnGrant, ::capnp::Kind::STRUCT>>::
+    set(_builder.getPointerField(::capnp::bounded<14>() * ::capnp::POINTERS),
+        value);
+}
+inline ::capnp::List<::briarglade::wire::ColdTurnGrant,
+                     ::capnp::Kind::STRUCT>::Builder
+NodeNews::Builder::initTurnGrants(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ColdTurnGrant, ::capnp::Kind::STRUCT>>::
+    init(_builder.getPointerField(::capnp::bounded<14>() * ::capnp::POINTERS),
+         size);
+}
+inline void NodeNews::Builder::adoptTurnGrants(
+  ::capnp::Orphan<::capnp::List<::briarglade::wire::ColdTurnGrant,
+                                ::capnp::Kind::STRUCT>>&& value)
+{
+  ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ColdTurnGrant, ::capnp::Kind::STRUCT>>::
+    adopt(_builder.getPointerField(::capnp::bounded<14>() * ::capnp::POINTERS),
+          kj::mv(value));
+}
+inline ::capnp::Orphan<
+  ::capnp::List<::briarglade::wire::ColdTurnGrant, ::capnp::Kind::STRUCT>>
+NodeNews::Builder::disownTurnGrants()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ColdTurnGrant, ::capnp::Kind::STRUCT>>::
+    disown(
+      _builder.getPointerField(::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+
+inline ::uint64_t NodeNews::Reader::getTurnIncarnation() const
+{
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t NodeNews::Builder::getTurnIncarnation()
+{
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void NodeNews::Builder::setTurnIncarnation(::uint64_t value)
+{
+  _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline bool ColdTurnRequest::Reader::hasServer() const
+{
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool ColdTurnRequest::Builder::hasServer()
+{
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Text::Reader ColdTurnRequest::Reader::getServer() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder ColdTurnRequest::Builder::getServer()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ColdTurnRequest::Builder::setServer(::capnp::Text::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder ColdTurnRequest::Builder::initServer(
+  unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ColdTurnRequest::Builder::adoptServer(
+  ::capnp::Orphan<::capnp::Text>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> ColdTurnRequest::Builder::disownServer()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::int64_t ColdTurnRequest::Reader::getAskedAtMs() const
+{
+  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
+                                         ::capnp::ELEMENTS);
+}
+
+inline ::int64_t ColdTurnRequest::Builder::getAskedAtMs()
+{
+  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
+}
+inline void ColdTurnRequest::Builder::setAskedAtMs(::int64_t value)
+{
+  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                   value);
+}
+
+inline ::uint32_t ColdTurnRequest::Reader::getSinceLastSentMs() const
+{
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t ColdTurnRequest::Builder::getSinceLastSentMs()
+{
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void ColdTurnRequest::Builder::setSinceLastSentMs(::uint32_t value)
+{
+  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline bool ColdTurnGrant::Reader::hasServer() const
+{
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool ColdTurnGrant::Builder::hasServer()
+{
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Text::Reader ColdTurnGrant::Reader::getServer() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder ColdTurnGrant::Builder::getServer()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ColdTurnGrant::Builder::setServer(::capnp::Text::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder ColdTurnGrant::Builder::initServer(
+  unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ColdTurnGrant::Builder::adoptServer(
+  ::capnp::Orphan<::capnp::Text>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> ColdTurnGrant::Builder::disownServer()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::int64_t ColdTurnGrant::Reader::getAskedAtMs() const
+{
+  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
+                                         ::capnp::ELEMENTS);
+}
+
+inline ::int64_t ColdTurnGrant::Builder::getAskedAtMs()
+{
+  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
+}
+inline void ColdTurnGrant::Builder::setAskedAtMs(::int64_t value)
+{
+  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                   value);
+}
+
 } // namespace
 } // namespace
 
--- a/briarglade/entry/node_news.cc
+++ b/briarglade/entry/node_news.cc
@@ -272,6 +272,21 @@
   aEntry.setAgeMs(ToDuration(aNotice.m_age));
 }
 
+void WriteTurnRequest(wire::ColdTurnRequest::Builder aEntry,
+                      const ColdTurnRequest& aRequest)
+{
+  aEntry.setServer(aRequest.m_server.Value());
+  aEntry.setAskedAtMs(aRequest.m_askedAt.Count());
+  aEntry.setSinceLastSentMs(ToDuration(aRequest.m_sinceLastSent));
+}
+
+void WriteTurnGrant(wire::ColdTurnGrant::Builder aEntry,
+                    const ColdTurnGrant& aGrant)
+{
+  aEntry.setServer(aGrant.m_server.Value());
+  aEntry.setAskedAtMs(aGrant.m_askedAt.Count());
+}
+
 void WriteRefusal(wire::TraitRefusal::Builder aEntry,
                   const TraitRefusal& aRefusal)
 {
@@ -507,6 +522,13 @@
   WriteList(aMessage.initRateLimits(SizeOf(aUpdate.m_rateLimits)),
             aUpdate.m_rateLimits,
             WriteRateLimit);
+  WriteList(aMessage.initTurnRequests(SizeOf(aUpdate.m_turnRequests)),
+            aUpdate.m_turnRequests,
+            WriteTurnRequest);
+  WriteList(aMessage.initTurnGrants(SizeOf(aUpdate.m_turnGrants)),
+            aUpdate.m_turnGrants,
+            WriteTurnGrant);
+  aMessage.setTurnIncarnation(aUpdate.m_turnIncarnation);
 }
 
 Subscription ReadSubscription(uint8_t aValue)
@@ -556,6 +578,17 @@
   for (const auto notice : aMessage.getRateLimits()) {
     update.m_rateLimits.push_back(ReadRateLimit(notice));
   }
+  for (const auto request : aMessage.getTurnRequests()) {
+    update.m_turnRequests.push_back(
+      ColdTurnRequest{ HostId(ToText(request.getServer())),
+                       Millis(request.getAskedAtMs()),
+                       Millis(request.getSinceLastSentMs()) });
+  }
+  for (const auto grant : aMessage.getTurnGrants()) {
+    update.m_turnGrants.push_back(ColdTurnGrant{
+      HostId(ToText(grant.getServer())), Millis(grant.getAskedAtMs()) });
+  }
+  update.m_turnIncarnation = aMessage.getTurnIncarnation();
   return update;
 }
 
--- a/briarglade/entry/node_news.h
+++ b/briarglade/entry/node_news.h
@@ -171,6 +171,12 @@
 
   std::vector<Bulletin> m_bulletins;
 
+  // Requests for turns at cold servers, and turns granted to the run of the
+  // receiver's process that m_turnIncarnation identifies.
+  std::vector<ColdTurnRequest> m_turnRequests;
+  std::vector<ColdTurnGrant> m_turnGrants;
+  uint64_t m_turnIncarnation = 0;
+
   // Whether the sender can read compressed values of rows. Set by decoding:
   // earlier versions of the program cannot.
   bool m_readsPacked = false;
--- a/briarglade/entry/node_news_test.cc
+++ b/briarglade/entry/node_news_test.cc
@@ -58,6 +58,9 @@
   news.m_condition.m_isStoreLost = true;
   news.m_rateLimits = { RateLimitNotice{
     ServerRun{ HostId("i-3"), BootId("18") }, 0.25, Millis(5) } };
+  news.m_turnRequests = { { HostId("i-4"), Millis(1'234), Millis(900'000) } };
+  news.m_turnGrants = { { HostId("i-5"), Millis(9'876'543'210) } };
+  news.m_turnIncarnation = 1ULL << 60U;
   news.m_completeUpTo = { RowVersion(1), RowVersion(2), RowVersion(3) };
   news.m_rosterKnownUpTo = Millis(4'711);
   news.m_subscription = Subscription::All;
@@ -112,6 +115,14 @@
   CHECK(read->m_loads[0].m_pendingPromptTokens == 4'000);
   CHECK(read->m_loads[1].m_inFlight == 0xffff);
   CHECK(read->m_suspects == sent.m_suspects);
+  REQUIRE(read->m_turnRequests.size() == 1);
+  CHECK(read->m_turnRequests[0].m_server == HostId("i-4"));
+  CHECK(read->m_turnRequests[0].m_askedAt == Millis(1'234));
+  CHECK(read->m_turnRequests[0].m_sinceLastSent == Millis(900'000));
+  REQUIRE(read->m_turnGrants.size() == 1);
+  CHECK(read->m_turnGrants[0].m_server == HostId("i-5"));
+  CHECK(read->m_turnGrants[0].m_askedAt == Millis(9'876'543'210));
+  CHECK(read->m_turnIncarnation == 1ULL << 60U);
   CHECK(read->m_requestsRows);
   CheckRows(read->m_rowChanges, sent.m_rowChanges);
 }
--- a/briarglade/entry/reduce_entry.cc
+++ b/briarglade/entry/reduce_entry.cc
@@ -61,6 +61,17 @@
           m_state.m_peerUpdates.m_nextBulletin.m_rateLimits.push_back(
             std::move(aReport.m_notice));
         },
+        [this](AskForColdTurn& aAsk) {
+          NodeNews update = MakePeerUpdate();
+          update.m_turnRequests.push_back(std::move(aAsk.m_request));
+          Send({ aAsk.m_node }, std::move(update));
+        },
+        [this](GrantColdTurn& aGrant) {
+          NodeNews update = MakePeerUpdate();
+          update.m_turnGrants.push_back(std::move(aGrant.m_grant));
+          update.m_turnIncarnation = aGrant.m_incarnation;
+          Send({ aGrant.m_asker }, std::move(update));
+        },
         [this](auto& aBody) { m_effects.emplace_back(std::move(aBody)); } },
       effect);
   }
--- a/briarglade/gateway/backend_table.cc
+++ b/briarglade/gateway/backend_table.cc
@@ -98,6 +98,9 @@
     }
   }
   RecomputePeerLoads();
+  for (const Backend& backend : aBackends) {
+    m_coldStart.RecordBackend(aNow, backend);
+  }
   m_coldStart.RemoveIdle(aNow);
   m_rateLimits.RemoveIdle(aNow);
   EraseIf(m_backoffUntil,
@@ -184,7 +187,7 @@
       const Backend& backend = aSlot.m_backend;
       const bool isOutsideQuota = m_coldStart.IsCold(aNow, backend) &&
                                   backend.m_coldUntil >= aBefore &&
-                                  !m_coldStart.HasQuota(aNow, backend);
+                                  !m_coldStart.MayGetTurns(aNow, backend);
       if (!Serves(aSlot, aRequirements) || WasTried(aSlot, aRequirements) ||
           isOutsideQuota || BackoffUntil(aSlot) >= aBefore) {
         return false;
@@ -195,12 +198,12 @@
     });
 }
 
-bool BackendTable::HasRoom(Millis aNow, const BackendSlot& aSlot)
+// Returns whether the backend has room, apart from the limit on cold servers.
+bool BackendTable::HasRoomWhenWarm(Millis aNow, const BackendSlot& aSlot)
 {
   const double limit = aSlot.m_backend.m_slots * (1 + kMaxQueuedFraction);
   return !aSlot.IsSuspect(aNow) && aSlot.m_avoidUntil <= aNow &&
          BackoffUntil(aSlot) <= aNow && aSlot.Load() < limit &&
-         m_coldStart.MaySend(aNow, aSlot.m_backend) &&
          m_rateLimits.MaySend(aNow, RunOf(aSlot.m_backend));
 }
 
@@ -221,17 +224,25 @@
 {
   std::vector<size_t> candidates;
   std::vector<double> costs;
+  std::vector<size_t> outsideQuota;
   std::uniform_real_distribution<double> jitter(0, kCostJitter);
   for (size_t i = 0; i < m_slots.size(); ++i) {
     BackendSlot& slot = m_slots[i];
     if (!Serves(slot, aRequirements) || WasTried(slot, aRequirements) ||
-        !HasRoom(aNow, slot)) {
+        !HasRoomWhenWarm(aNow, slot)) {
+      continue;
+    }
+    if (!m_coldStart.MaySend(aNow, slot.m_backend)) {
+      outsideQuota.push_back(i);
       continue;
     }
     candidates.push_back(i);
     costs.push_back(Cost(slot) + jitter(m_random) * slot.m_backend.m_slots);
   }
   if (candidates.empty()) {
+    for (const size_t i : outsideQuota) {
+      m_coldStart.RecordWanted(aNow, m_slots[i].m_backend.m_server);
+    }
     return std::nullopt;
   }
   const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
--- a/briarglade/gateway/backend_table.h
+++ b/briarglade/gateway/backend_table.h
@@ -133,7 +133,8 @@
   ServerRateLimits& RateLimits() { return m_rateLimits; }
 
   // Returns a slot that has room for the request, one of low cost by the loads
-  // known and expected, or nothing if there is none.
+  // known and expected, or nothing if there is none. In that case it records
+  // which cold servers would have room if this node had quota left.
   std::optional<size_t> Choose(Millis aNow,
                                const BackendRequirements& aRequirements);
   // Returns whether an untried backend, with or without room, can serve the
@@ -194,7 +195,7 @@
   Millis BackoffUntil(const BackendSlot& aSlot) const;
   static bool WasTried(const BackendSlot& aSlot,
                        const BackendRequirements& aRequirements);
-  bool HasRoom(Millis aNow, const BackendSlot& aSlot);
+  bool HasRoomWhenWarm(Millis aNow, const BackendSlot& aSlot);
   double Cost(const BackendSlot& aSlot) const;
   double UnreportedRequests(Millis aNow,
                             const BackendRequirements& aRequirements) const;
--- a/briarglade/gateway/cold_start_limit.cc
+++ b/briarglade/gateway/cold_start_limit.cc
@@ -1,9 +1,12 @@
-// Limits the recent requests to each cold-starting server to this node's quota.
+// Counts requests and granted turns against this node's quota.
 
 #include "briarglade/gateway/cold_start_limit.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
+#include "briarglade/base/erase_if.h"
 #include "briarglade/gateway/fleet_quota.h"
 #include "briarglade/gateway/gateway_event.h"
 
@@ -20,26 +23,60 @@
   m_slack = aSlack;
 }
 
+void ColdStartLimit::RecordBackend(Millis aNow, const Backend& aBackend)
+{
+  if (IsCold(aNow, aBackend)) {
+    Server& server = m_servers[aBackend.m_server];
+    server.m_coldRate = aBackend.m_coldRate;
+    server.m_coldUntil = aBackend.m_coldUntil;
+    m_coldServers.insert(aBackend.m_server);
+  }
+}
+
 bool ColdStartLimit::IsCold(Millis aNow, const Backend& aBackend) const
 {
   return aNow < aBackend.m_coldUntil && aBackend.m_coldRate > 0;
 }
 
+uint32_t ColdStartLimit::Limit(double aColdRate) const
+{
+  return static_cast<uint32_t>(aColdRate * m_factor + m_slack);
+}
+
 uint32_t ColdStartLimit::LocalQuota(Millis aNow,
-                                    const Backend& aBackend,
+                                    const HostId& aHost,
+                                    double aColdRate,
                                     Server& aServer) const
 {
-  if (!m_quota->IsValid(aNow)) {
-    return 0;
-  }
-  const double limit = aBackend.m_coldRate * m_factor + m_slack;
-  return aServer.m_rank.LocalQuota(
-    *m_quota, aBackend.m_server, static_cast<uint32_t>(limit));
+  return m_quota->IsValid(aNow)
+           ? aServer.m_rank.LocalQuota(*m_quota, aHost, Limit(aColdRate))
+           : 0;
+}
+
+uint32_t ColdStartLimit::UnusedQuota(Millis aNow,
+                                     const HostId& aHost,
+                                     double aColdRate,
+                                     Server& aServer) const
+{
+  const uint32_t quota = LocalQuota(aNow, aHost, aColdRate, aServer);
+  const auto used = static_cast<uint32_t>(aServer.m_sent.Count(aNow) +
+                                          aServer.m_granted.Count(aNow));
+  return quota - std::min(quota, used);
 }
 
-bool ColdStartLimit::HasQuota(Millis aNow, const Backend& aBackend)
+bool ColdStartLimit::HasTurn(Millis aNow, const Server& aServer)
 {
-  return LocalQuota(aNow, aBackend, m_servers[aBackend.m_server]) > 0;
+  return aServer.m_hasTurn && aNow < aServer.m_turnAskedAt + kTurnLifetime;
+}
+
+bool ColdStartLimit::MayGetTurns(Millis aNow, const Backend& aBackend)
+{
+  const bool mayAsk =
+    m_quota->NodeCount() > 1 && Limit(aBackend.m_coldRate) > 0;
+  return mayAsk || LocalQuota(aNow,
+                              aBackend.m_server,
+                              aBackend.m_coldRate,
+                              m_servers[aBackend.m_server]) > 0;
 }
 
 bool ColdStartLimit::MaySend(Millis aNow, const Backend& aBackend)
@@ -48,19 +85,172 @@
     return true;
   }
   Server& server = m_servers[aBackend.m_server];
-  return server.m_sent.Count(aNow) < LocalQuota(aNow, aBackend, server);
+  if (HasTurn(aNow, server)) {
+    return true;
+  }
+  RemoveExpiredRequests(aNow, server);
+  const auto precedingRequests = std::count_if(
+    server.m_pending.begin(), server.m_pending.end(), [&](const auto& aEntry) {
+      return aEntry.second.m_lastSentAt < server.m_lastSentAt;
+    });
+  return UnusedQuota(aNow, aBackend.m_server, aBackend.m_coldRate, server) >
+         static_cast<size_t>(precedingRequests);
 }
 
 void ColdStartLimit::RecordSent(Millis aNow, const HostId& aServer)
 {
-  m_servers[aServer].m_sent.Note(aNow);
+  Server& server = m_servers[aServer];
+  // The holder of the quota has counted the turn.
+  if (aNow < server.m_coldUntil && HasTurn(aNow, server)) {
+    server.m_hasTurn = false;
+  } else {
+    server.m_sent.Note(aNow);
+  }
+  server.m_lastSentAt = aNow;
+}
+
+void ColdStartLimit::RecordWanted(Millis aNow, const HostId& aServer)
+{
+  m_servers[aServer].m_wantedAt = aNow;
+}
+
+std::vector<AskForColdTurn> ColdStartLimit::NextRequests(Millis aNow)
+{
+  EraseIf(m_coldServers, [&](const HostId& aHost) {
+    const auto server = m_servers.find(aHost);
+    return server == m_servers.end() || server->second.m_coldUntil <= aNow;
+  });
+  std::vector<std::pair<Millis, HostId>> due;
+  for (const HostId& host : m_coldServers) {
+    const Server& server = m_servers.at(host);
+    if (aNow - server.m_wantedAt < kWantedTime &&
+        aNow - server.m_askedAt >= kRequestInterval && !HasTurn(aNow, server)) {
+      due.emplace_back(server.m_askedAt, host);
+    }
+  }
+  // If not all requests can be sent, the servers take turns.
+  std::sort(due.begin(), due.end());
+  std::vector<AskForColdTurn> requests;
+  for (const auto& [askedAt, host] : due) {
+    Ask(aNow, host, m_servers.at(host), requests);
+  }
+  return requests;
+}
+
+// Asks the next holder of a quota in turn. Nodes begin at different holders, by
+// their own rank.
+void ColdStartLimit::Ask(Millis aNow,
+                         const HostId& aHost,
+                         Server& aServer,
+                         std::vector<AskForColdTurn>& aRequests)
+{
+  if (m_requests.Count(aNow) >= kMaxRequestsPerSecond) {
+    return;
+  }
+  const std::vector<NodeId> holders =
+    m_quota->Holders(aHost.Value(), Limit(aServer.m_coldRate));
+  if (holders.empty()) {
+    return;
+  }
+  const size_t first = m_quota->RankFor(aHost.Value()).m_rank;
+  const NodeId* holder =
+    &holders[(first + aServer.m_askCount++) % holders.size()];
+  if (*holder == m_quota->Self()) {
+    holder = &holders[(first + aServer.m_askCount++) % holders.size()];
+  }
+  if (*holder == m_quota->Self()) {
+    return;
+  }
+  m_requests.Note(aNow);
+  aServer.m_askedAt = aNow;
+  aRequests.push_back(AskForColdTurn{
+    *holder, ColdTurnRequest{ aHost, aNow, aNow - aServer.m_lastSentAt } });
+}
+
+void ColdStartLimit::OnRequest(Millis aNow, const ColdTurnRequested& aRequest)
+{
+  const auto server = m_servers.find(aRequest.m_request.m_server);
+  if (server != m_servers.end() && aNow < server->second.m_coldUntil) {
+    server->second.m_pending[aRequest.m_asker] = PendingRequest{
+      aRequest, aNow, aNow - aRequest.m_request.m_sinceLastSent
+    };
+  }
+}
+
+void ColdStartLimit::RemoveExpiredRequests(Millis aNow, Server& aServer)
+{
+  auto& pending = aServer.m_pending;
+  for (auto entry = pending.begin(); entry != pending.end();) {
+    entry = aNow - entry->second.m_receivedAt >= kRequestInterval
+              ? pending.erase(entry)
+              : std::next(entry);
+  }
+}
+
+std::vector<GrantColdTurn> ColdStartLimit::NextGrants(Millis aNow)
+{
+  std::vector<GrantColdTurn> grants;
+  // The turn must end before this node's right to its quota does.
+  if (!m_quota->IsValid(aNow + kTurnLifetime)) {
+    return grants;
+  }
+  for (const HostId& host : m_coldServers) {
+    Server& server = m_servers.at(host);
+    RemoveExpiredRequests(aNow, server);
+    while (!server.m_pending.empty() && aNow < server.m_coldUntil) {
+      const auto next = std::min_element(
+        server.m_pending.begin(),
+        server.m_pending.end(),
+        [](const auto& aOne, const auto& aOther) {
+          return aOne.second.m_lastSentAt < aOther.second.m_lastSentAt;
+        });
+      const bool isOwnTurn = aNow - server.m_wantedAt < kWantedTime &&
+                             server.m_lastSentAt <= next->second.m_lastSentAt;
+      const uint32_t reserved = isOwnTurn ? 1 : 0;
+      if (UnusedQuota(aNow, host, server.m_coldRate, server) <= reserved) {
+        break;
+      }
+      const ColdTurnRequested& request = next->second.m_request;
+      grants.push_back(
+        GrantColdTurn{ request.m_asker,
+                       request.m_incarnation,
+                       ColdTurnGrant{ host, request.m_request.m_askedAt } });
+      server.m_granted.Note(aNow);
+      server.m_pending.erase(next);
+    }
+  }
+  return grants;
+}
+
+bool ColdStartLimit::OnGrant(Millis aNow, const ColdTurnGrant& aGrant)
+{
+  const auto found = m_servers.find(aGrant.m_server);
+  if (found == m_servers.end()) {
+    return false;
+  }
+  Server& server = found->second;
+  // A turn that is older than the last one may have been received before.
+  const bool isUsable = aGrant.m_askedAt > server.m_turnAskedAt &&
+                        aGrant.m_askedAt <= aNow &&
+                        aNow < aGrant.m_askedAt + kTurnLifetime;
+  if (isUsable) {
+    server.m_turnAskedAt = aGrant.m_askedAt;
+    server.m_hasTurn = true;
+  }
+  return isUsable;
 }
 
 void ColdStartLimit::RemoveIdle(Millis aNow)
 {
   for (auto entry = m_servers.begin(); entry != m_servers.end();) {
-    entry = entry->second.m_sent.Count(aNow) == 0 ? m_servers.erase(entry)
-                                                  : std::next(entry);
+    const Server& server = entry->second;
+    const bool isIdle = server.m_sent.Count(aNow) == 0 &&
+                        server.m_granted.Count(aNow) == 0 &&
+                        !HasTurn(aNow, server) && server.m_coldUntil <= aNow;
+    if (isIdle) {
+      m_coldServers.erase(entry->first);
+    }
+    entry = isIdle ? m_servers.erase(entry) : std::next(entry);
   }
 }
 
--- /dev/null
+++ b/briarglade/gateway/cold_turn.h
@@ -0,0 +1,58 @@
+// The messages by which nodes pass on turns at a server in cold start
+// (cold_start_limit.h).
+
+#pragma once
+
+#include <cstdint>
+
+#include "briarglade/base/ids.h"
+#include "briarglade/base/millis.h"
+
+namespace briarglade {
+
+// A node asks another one, which has a quota of the server's limit, for a turn:
+// the right to send the server one request.
+struct ColdTurnRequest
+{
+  HostId m_server;
+  // When the asker sent this, by the asker's clock. It identifies the request,
+  // and the turn expires by it.
+  Millis m_askedAt;
+  // The time since the asker last sent the server a request.
+  Millis m_sinceLastSent;
+};
+
+// The answer that grants the turn.
+struct ColdTurnGrant
+{
+  HostId m_server;
+  // Copied from the request.
+  Millis m_askedAt;
+};
+
+// A request for a turn, as its receiver gets it.
+struct ColdTurnRequested
+{
+  NodeId m_asker;
+  // Identifies the run of the asker's process. A grant must not reach another
+  // run, which has another clock.
+  uint64_t m_incarnation = 0;
+  ColdTurnRequest m_request;
+};
+
+// Send a request for a turn to another node.
+struct AskForColdTurn
+{
+  NodeId m_node;
+  ColdTurnRequest m_request;
+};
+
+// Grant a turn to the run of another node that requested it.
+struct GrantColdTurn
+{
+  NodeId m_asker;
+  uint64_t m_incarnation = 0;
+  ColdTurnGrant m_grant;
+};
+
+} // namespace briarglade
--- a/briarglade/gateway/fleet_quota.cc
+++ b/briarglade/gateway/fleet_quota.cc
@@ -28,4 +28,10 @@
   return DealtTo(RankFor(aKey), aLimit);
 }
 
+std::vector<NodeId> FleetQuota::Holders(std::string_view aKey,
+                                        uint32_t aLimit) const
+{
+  return m_nodes ? FirstByRank(*m_nodes, aKey, aLimit) : std::vector<NodeId>();
+}
+
 } // namespace briarglade
--- a/briarglade/gateway/fleet_quota.h
+++ b/briarglade/gateway/fleet_quota.h
@@ -58,6 +58,9 @@
   // Returns this node's quota of aLimit by the last roster, whether that is
   // still valid or not.
   uint32_t LocalQuota(std::string_view aKey, uint32_t aLimit) const;
+  // Returns the nodes of the last roster whose quota of aLimit is not zero, in
+  // order of rank.
+  std::vector<NodeId> Holders(std::string_view aKey, uint32_t aLimit) const;
 
 private:
   NodeId m_self;
--- a/briarglade/gateway/gateway.cc
+++ b/briarglade/gateway/gateway.cc
@@ -390,6 +390,36 @@
   m_state.m_quota->SetLiveNodeCount(aChange.m_liveNodeCount);
 }
 
+void GatewayReduction::On(const ColdTurnRequested& aRequest)
+{
+  m_state.m_backendTable.ColdStart().OnRequest(m_now, aRequest);
+}
+
+void GatewayReduction::On(const ColdTurnGrant& aGrant)
+{
+  if (m_state.m_backendTable.ColdStart().OnGrant(m_now, aGrant)) {
+    StartQueuedRequests();
+  }
+}
+
+void GatewayReduction::ExchangeColdTurns()
+{
+  ColdStartLimit& limit = m_state.m_backendTable.ColdStart();
+  for (AskForColdTurn& ask : limit.NextRequests(m_now)) {
+    m_effects.emplace_back(std::move(ask));
+  }
+  for (GrantColdTurn& grant : limit.NextGrants(m_now)) {
+    LogEvent event;
+    event.m_event = "cold-turn-granted";
+    event.m_fields = { { "server", grant.m_grant.m_server.Value() },
+                       { "to", grant.m_asker.Value() },
+                       { "nodes",
+                         std::to_string(m_state.m_quota->NodeCount()) } };
+    m_effects.emplace_back(std::move(event));
+    m_effects.emplace_back(std::move(grant));
+  }
+}
+
 void GatewayReduction::On(const GatewayTick&)
 {
   m_state.m_harmDetector.Tick(
@@ -448,6 +478,7 @@
   GatewayEffects effects;
   internal::GatewayReduction reduction(aState, aNow, effects);
   std::visit([&](const auto& aBody) { reduction.On(aBody); }, aEvent);
+  reduction.ExchangeColdTurns();
   return effects;
 }
 
--- a/briarglade/gateway/gateway_event.h
+++ b/briarglade/gateway/gateway_event.h
@@ -18,6 +18,7 @@
 #include "briarglade/base/log_event.h"
 #include "briarglade/base/millis.h"
 #include "briarglade/base/result_code.h"
+#include "briarglade/gateway/cold_turn.h"
 #include "briarglade/gateway/fleet_quota.h"
 #include "briarglade/gateway/gateway_config.h"
 #include "briarglade/gateway/harm_detector.h"
@@ -211,6 +212,8 @@
                                   TraitRefusal,
                                   RosterChanged,
                                   RateLimitNotice,
+                                  ColdTurnRequested,
+                                  ColdTurnGrant,
                                   CallerRequestArrived,
                                   AnswerProgressed,
                                   ServerLeaving,
@@ -303,6 +306,8 @@
                                    CheckServer,
                                    ReportServerLeaving,
                                    ReportRateLimit,
+                                   AskForColdTurn,
+                                   GrantColdTurn,
                                    SendToServer,
                                    CancelExchange,
                                    PromoteHedge,
--- a/briarglade/gateway/internal/gateway_reduction.h
+++ b/briarglade/gateway/internal/gateway_reduction.h
@@ -73,6 +73,11 @@
   void On(const RateLimitNotice& aNotice);
   void On(const ExchangeEnded& aEnded);
   void On(const CallerLeft& aLeft);
+  void On(const ColdTurnRequested& aRequest);
+  void On(const ColdTurnGrant& aGrant);
+
+  // Asks other nodes for turns at cold servers, and grants theirs.
+  void ExchangeColdTurns();
 
 private:
   // Returns the request, or nullptr.
