Tests: turns at a cold server under failures

Cause: the existing test of cold servers under failures has another server with room, so that no node asks for a turn.

Change: four cases in which the cold server is the only one: nodes that fail and updates that are lost, a server that flaps, a zone's return, and a restart of all nodes.

--- a/briarglade/entry/fleet_bounds_test.cc
+++ b/briarglade/entry/fleet_bounds_test.cc
@@ -336,6 +336,105 @@
   }
 }
 
+// As above, but no other server has room, so that nodes ask each other for
+// turns.
+TEST_CASE("a cold server is not overloaded by turns while nodes fail and "
+          "updates are lost")
+{
+  constexpr uint32_t kSeeds = 4;
+  constexpr int kColdServers = 4;
+  for (uint32_t seed = 1; seed <= SeedCount(kSeeds); ++seed) {
+    CAPTURE(seed);
+    FleetOptions options = Busy(seed % 2 == 0 ? 35 : 65, seed);
+    options.m_requestsPerSecond = 2;
+    options.m_mostDelay = seed > 2 ? Millis(700) : Millis(200);
+    options.m_lossRate = 0.1;
+    FaultyWorld world(options);
+    world.Run(kSettleTime);
+    std::string previous = "warm";
+    size_t served = 0;
+    for (int i = 0; i < kColdServers; ++i) {
+      const std::string cold = "cold" + std::to_string(i);
+      const Millis from = world.Now();
+      world.SetLeaving(previous);
+      world.AddServerIn(cold, 1, kColdTime);
+      for (Millis passed; passed < kColdTime; passed += Millis(300)) {
+        world.InjectFault();
+        world.Run(Millis(300));
+      }
+      CHECK(world.MostServedWithin(cold, kSecond, from, from + kColdTime) <=
+            world.Bound());
+      served += world.ServedBy(cold).size();
+      previous = cold;
+    }
+    MESSAGE("served " << served << ", turns granted " << world.GrantCount());
+    CHECK(served > 0);
+    CHECK(world.GrantCount() > 0);
+  }
+}
+
+// Guards against quotas and turns that are counted by run of the server: it
+// starts anew every second while it is cold.
+TEST_CASE("a cold server that flaps is not overloaded by turns")
+{
+  FleetOptions options = Busy(63);
+  options.m_requestsPerSecond = 2;
+  options.m_mostDelay = Millis(300);
+  BusyWorld world(options);
+  world.Run(kSettleTime);
+  world.SetLeaving("warm");
+  const Millis from = world.Now();
+  for (int i = 0; i < 5; ++i) {
+    world.AddServerIn("cold", 1, kColdTime);
+    world.Run(kSecond);
+  }
+  world.Run(kColdTime - kSecond);
+  CHECK(world.GrantCount() > 0);
+  CHECK(world.MostServedWithin("cold", kSecond, from, world.Now()) <=
+        world.Bound());
+}
+
+TEST_CASE("servers of a zone that returns are not overloaded by turns")
+{
+  FleetOptions options = Busy(63);
+  options.m_requestsPerSecond = 2;
+  BusyWorld world(options);
+  world.AddServerIn("away", 2, Millis());
+  world.Run(kSettleTime);
+  world.SetZoneOut(FleetWorld::ZoneName(2), true);
+  world.Run(Millis(5'000));
+  world.SetLeaving("warm");
+  const Millis returned = world.Now();
+  world.SetZoneOut(FleetWorld::ZoneName(2), false);
+  world.Run(Millis(1'500));
+  world.AddServerIn("away", 2, kColdTime - Millis(1'500));
+  world.Run(Millis(1'500));
+  CHECK(world.GrantCount() > 0);
+  CHECK(world.MostServedWithin(
+          "away", kSecond, returned, returned + kColdTime) <= world.Bound());
+}
+
+// Guards against a fleet of new processes that get turns out of quotas whose
+// earlier holders had granted them to others.
+TEST_CASE("a cold server is not overloaded by turns while all nodes restart")
+{
+  BusyWorld world(Busy(63));
+  world.Run(kSettleTime);
+  world.SetLeaving("warm");
+  world.Run(Millis(500));
+  const Millis from = world.Now();
+  world.AddServerIn("cold", 1, kColdTime * 3);
+  for (size_t node = 0; node < world.NodeCount(); ++node) {
+    world.Run(Millis(100));
+    world.Kill(node);
+    world.Start(node);
+  }
+  world.Run(kColdTime * 3 - (world.Now() - from));
+  CHECK(world.GrantCount() > 0);
+  CHECK(world.MostServedWithin("cold", kSecond, from, world.Now()) <=
+        world.Bound());
+}
+
 TEST_CASE("servers that turned cold while their zone was out are not "
           "overloaded when it returns")
 {
--- a/briarglade/entry/fleet_world_test.h
+++ b/briarglade/entry/fleet_world_test.h
@@ -340,6 +340,8 @@
   uint64_t RequestCount() const { return m_lastHandle; }
   uint64_t AnsweredCount() const { return m_answered; }
   uint64_t RejectedCount() const { return m_refused; }
+  // Returns the number of turns at cold servers that nodes have granted.
+  size_t GrantCount() const { return m_grants; }
   ResultCode LastRejection() const { return m_lastRejection; }
   static std::string ZoneName(size_t aZone)
   {
@@ -789,6 +791,7 @@
                            ? EncodeNodeNews(*aNews.m_update).size()
                            : 0;
     NodeNews received = *aNews.m_update;
+    m_grants += received.m_turnGrants.size();
     received.m_readsPacked = m_nodes[aFrom].m_readsPacked;
     for (const Endpoint& receiver : aNews.m_receivers) {
       Tell(aFrom, receiver.m_port - kFirstPort, received, bytes);
@@ -935,6 +938,7 @@
   uint64_t m_lastHandle = 0;
   uint64_t m_answered = 0;
   uint64_t m_refused = 0;
+  size_t m_grants = 0;
   ResultCode m_lastRejection = ResultCode::Ok;
   std::deque<Watch> m_watches;
   std::priority_queue<Message> m_messages;
