Nodes: bound what a message from another node takes when unpacked

Cause: memory is taken for a whole packed message before any of it is read, up to the library's default of 64 MB, while zeros are packed at 1,024 to 1. A message of 61 KB, which anybody who reaches the port for other nodes can send, took 63 MB. The existing bound covers only the compressed values in a message.

Change: a message of over 16 MiB unpacked is dropped. That an update of the largest fleet stays below was not measured; packed, it may have 4 MiB.

The new case of node_news_test.cc failed before. entry_test 156 cases pass; net_test and gateway_test do not contain the change.

--- a/briarglade/entry/node_news.cc
+++ b/briarglade/entry/node_news.cc
@@ -25,6 +25,12 @@
 constexpr uint32_t kMaxInFlight = 0xffff;
 constexpr int64_t kMaxAge = 0xffff;
 
+// The most bytes of an update when it is unpacked, without the compressed
+// values in it. Zeros are packed at 1,024 to 1, so that a message of 64 KB,
+// which anybody who reaches the port can send, could take 64 MB. An update that
+// is sent has at most 4 MiB packed.
+constexpr uint64_t kMaxUnpackedBytes = 16 * 1024 * 1024;
+
 // The doubt of nodes that tell of it, but not how long it lasts.
 constexpr Millis kUnstatedEntryDoubt = Millis(1'500);
 
@@ -611,7 +617,10 @@
   std::optional<NodeNews> update;
   const auto failure = kj::runCatchingExceptions([&] {
     kj::ArrayInputStream input(BytesOf(aBytes));
-    capnp::PackedMessageReader reader(input);
+    // Memory is taken for the whole unpacked message before any of it is read.
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = kMaxUnpackedBytes / sizeof(capnp::word);
+    capnp::PackedMessageReader reader(input, options);
     const auto message = reader.getRoot<wire::NodeNews>();
     // Anybody who reaches the port can send small messages of large values.
     KJ_REQUIRE(UnpackedBytesOf(message) <= kMaxPackedValueBytes,
--- a/briarglade/entry/node_news_test.cc
+++ b/briarglade/entry/node_news_test.cc
@@ -244,5 +244,22 @@
   }
 }
 
+// Guards against small messages for which memory was taken as for large ones.
+TEST_CASE("an update that is small when packed and large when unpacked is not "
+          "read")
+{
+  // Packed, 256 words of zeros take two bytes.
+  constexpr uint32_t kWords = 0x780000;
+  constexpr uint32_t kWordsPerRun = 256;
+  // A head of one segment, of which only the third byte of the size is not
+  // zero.
+  std::string bytes = "\x40\x78";
+  for (uint32_t words = 0; words < kWords; words += kWordsPerRun) {
+    bytes.append("\x00\xff", 2);
+  }
+  CHECK(bytes.size() < 64 * 1024);
+  CHECK_FALSE(DecodeNodeNews(bytes).has_value());
+}
+
 } // namespace
 } // namespace briarglade
