Admission: refused callers return one for each request that ends

Retry-After was 100 ms after a wait in the queue, and half of the estimated wait otherwise. At 1.5 each refused caller returned several times, counted as a new request each time, and went before requests that could still be on time. Where the engine's times are stated, refused callers are now told to return one for each interval in which one of the node's requests ends, in the order of their refusals.

Choice of a group by the expected first event was tried and is left out: a cost that grows near a group's slots left fewer on time at 1.0 (docs/design/placement.md).

--- a/briarglade/gateway/gateway.cc
+++ b/briarglade/gateway/gateway.cc
@@ -257,6 +257,18 @@
   return waiting;
 }
 
+// Returns when a caller that the queue refuses should return. Callers wait at
+// most as long as MaxWait() allows before they give up. aWithoutTimes is used
+// where the engine's times are not stated.
+Millis GatewayReduction::RetryAfterQueue(const GatewayRequest& aRequest,
+                                         Millis aWithoutTimes)
+{
+  return aRequest.m_waiting.m_idleFirstEvent > Millis()
+           ? QueueOf(aRequest).ReturnAfter(
+               m_now, kMinRetryAfter, MaxWait(aRequest))
+           : aWithoutTimes;
+}
+
 void GatewayReduction::WaitOrRefuse(GatewayRequest& aRequest)
 {
   const Millis maxWait = MaxWait(aRequest);
@@ -288,7 +300,9 @@
                  { "wait-ms", std::to_string(wait.Count()) },
                  { "patience-ms", std::to_string(maxWait.Count()) },
                  { "waiting", std::to_string(queue.Size()) } });
-    Finish(aRequest, ResultCode::QueueFull, std::max(kMinRetryAfter, wait / 2));
+    Finish(aRequest,
+           ResultCode::QueueFull,
+           RetryAfterQueue(aRequest, std::max(kMinRetryAfter, wait / 2)));
     return;
   }
   aRequest.m_phase = GatewayPhase::Waiting;
@@ -445,7 +459,9 @@
     for (const WaitingRequest& waiting : queue.Overdue(m_now)) {
       queue.Remove(waiting);
       if (GatewayRequest* request = Find(waiting.m_handle)) {
-        Finish(*request, ResultCode::QueueDeadline, kMinRetryAfter);
+        Finish(*request,
+               ResultCode::QueueDeadline,
+               RetryAfterQueue(*request, kMinRetryAfter));
       }
     }
   }
--- a/briarglade/gateway/internal/gateway_reduction.h
+++ b/briarglade/gateway/internal/gateway_reduction.h
@@ -98,6 +98,7 @@
   // Queues the request, or rejects it if no backend can serve it or the
   // expected wait is too long.
   void WaitOrRefuse(GatewayRequest& aRequest);
+  Millis RetryAfterQueue(const GatewayRequest& aRequest, Millis aWithoutTimes);
   // Removes the request from its queue.
   void RemoveFromQueue(GatewayRequest& aRequest);
   // Starts queued requests while backends have room.
--- a/briarglade/gateway/overload_replay_test.cc
+++ b/briarglade/gateway/overload_replay_test.cc
@@ -10,7 +10,8 @@
 namespace briarglade {
 namespace {
 
-constexpr uint32_t kSeeds = 3;
+// With 3 seeds, one that happens to be overloaded for long decides the result.
+constexpr uint32_t kSeeds = 8;
 
 // The load of most of the day, and of a surge, as multiples of what the groups
 // can run.
--- a/briarglade/gateway/wait_queue.cc
+++ b/briarglade/gateway/wait_queue.cc
@@ -173,6 +173,15 @@
     static_cast<int64_t>(interval * static_cast<double>(aAhead + 1)));
 }
 
+Millis WaitQueue::ReturnAfter(Millis aNow, Millis aMin, Millis aMax)
+{
+  const Millis at = std::max(aNow + aMin, m_lastReturnAt + WaitBehind(aNow, 0));
+  if (at - aNow <= aMax) {
+    m_lastReturnAt = at;
+  }
+  return at - aNow;
+}
+
 std::vector<WaitingRequest> WaitQueue::Overdue(Millis aNow) const
 {
   std::vector<WaitingRequest> overdue;
--- a/briarglade/gateway/wait_queue.h
+++ b/briarglade/gateway/wait_queue.h
@@ -91,6 +91,11 @@
   // Returns the estimated waiting time of a new request whose time at an idle
   // group is known.
   Millis ExpectedWait(Millis aNow, const WaitingRequest& aWaiting) const;
+  // Returns after what time a caller that is refused now should return: one
+  // caller for each interval in which a backend becomes free, in the order of
+  // their refusals, and not before aMin. A caller that can't wait for longer
+  // than aMax takes no place in that order.
+  Millis ReturnAfter(Millis aNow, Millis aMin, Millis aMax);
   // Returns the requests that can no longer be started in time. They stay in
   // the queue until they are removed.
   std::vector<WaitingRequest> Overdue(Millis aNow) const;
@@ -132,6 +137,8 @@
   // milliseconds.
   double m_meanFreedInterval = 20;
   Millis m_lastFreedAt;
+  // When the last of the refused callers returns.
+  Millis m_lastReturnAt;
   // Since when the queue has not been empty.
   Millis m_waitingSince;
 };
--- a/briarglade/gateway/wait_queue_test.cc
+++ b/briarglade/gateway/wait_queue_test.cc
@@ -238,6 +238,30 @@
         5'000);
 }
 
+// Guards against refused callers that all return at once, and against places
+// that are kept for callers who do not return.
+TEST_CASE("refused callers return one for each free backend, in order")
+{
+  WaitQueue queue;
+  for (int i = 1; i <= 200; ++i) {
+    queue.RecordBackendFreed(Millis(i * 50));
+  }
+  const Millis now(10'000);
+  const Millis min(100);
+  const Millis max(250);
+  CHECK(queue.ReturnAfter(now, min, max) == Millis(100));
+  const Millis second = queue.ReturnAfter(now, min, max);
+  CHECK(second >= Millis(148));
+  CHECK(second <= Millis(152));
+  queue.ReturnAfter(now, min, max);
+  queue.ReturnAfter(now, min, max);
+  // The next one would have to wait for about 300 ms.
+  const Millis tooLong = queue.ReturnAfter(now, min, max);
+  CHECK(tooLong > max);
+  CHECK(queue.ReturnAfter(now, min, max) == tooLong);
+  CHECK(queue.ReturnAfter(now + Millis(1'000), min, max) == min);
+}
+
 TEST_CASE("what can't start in time any more is found")
 {
   WaitQueue queue;
