Overload replay: bounds that the former rules don't meet

The cases compared with slots and load at least as many on time, which the former rules meet too. They now require twice as many at 1.5 and half as many again in a surge.

--- a/briarglade/gateway/overload_replay_test.cc
+++ b/briarglade/gateway/overload_replay_test.cc
@@ -137,6 +137,9 @@
   MESSAGE("1.5 by slots and load: " << Describe(base));
   MESSAGE("1.5: " << Describe(result));
   CheckNoWorse(result, base);
+  // A target. Without the share of the room, or with the former Retry-After,
+  // fewer are on time.
+  CHECK(result.m_all.m_onTime >= base.m_all.m_onTime * 2);
   CheckNoneStarves(result);
 }
 
@@ -147,6 +150,7 @@
   MESSAGE("surge by slots and load: " << Describe(base));
   MESSAGE("surge: " << Describe(result));
   CheckNoWorse(result, base);
+  CHECK(result.m_all.m_onTime * 2 >= base.m_all.m_onTime * 3);
   CheckNoneStarves(result);
 }
 
