--- a/briarglade/entry/entry_node.cc
+++ b/briarglade/entry/entry_node.cc
@@ -88,13 +88,14 @@
       MakeEntryState(aSettings, m_incarnation, m_binding.m_store.m_decode))
 {
   m_client.Budget()->OnCut([this](const AnswerCut& aCut) {
-    m_log.Write(
-      LogEvent{ LogLevel::Warn,
-                "answer-cut",
-                { { "request", aCut.m_request },
-                  { "held-bytes", std::to_string(aCut.m_heldBytes) },
-                  { "all-held-bytes", std::to_string(aCut.m_allHeldBytes) },
-                  { "max-bytes", std::to_string(aCut.m_maxBytes) } } });
+    m_log.Write(LogEvent{
+      LogLevel::Warn,
+      "answer-cut",
+      { { "request", aCut.m_request },
+        { "held-bytes", std::to_string(aCut.m_heldBytes) },
+        { "bound", aCut.m_isForUnreadStreams ? "unread-streams" : "all" },
+        { "all-held-bytes", std::to_string(aCut.m_allHeldBytes) },
+        { "max-bytes", std::to_string(aCut.m_maxBytes) } } });
   });
 }
 
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -154,7 +154,7 @@
   void BeginStoreCheck(const NodeId& aOrigin);
   void EndStoreCheck(const NodeId& aOrigin);
   void CheckStore();
-  bool IsStandIn() const;
+  bool IsSubstituteFollower() const;
   std::vector<NodeId> RankedFollowers() const;
   void RecordAccepted(const FeedAnswered& aAnswer, const CallTimes& aCall);
   Millis StoreUptimeNow() const;
--- a/briarglade/entry/internal/row_sharing.cc
+++ b/briarglade/entry/internal/row_sharing.cc
@@ -103,12 +103,13 @@
   m_state.m_storeSuspectUntil = m_now + kSuspectTime;
 }
 
-bool EntryReduction::IsStandIn() const
+bool EntryReduction::IsSubstituteFollower() const
 {
-  return m_state.m_storeCheck.IsStandIn(m_now) && !IsStoreLost();
+  return m_state.m_storeCheck.IsSubstituteFollower(m_now) && !IsStoreLost();
 }
 
-// Returns the nodes that may follow the store, those that come next first.
+// Returns all live nodes in the followers' rank, also those that have lost the
+// store. The lease holder is not moved to the front.
 std::vector<NodeId> EntryReduction::RankedFollowers() const
 {
   return RankNodes("store", m_state.m_directory.ActiveNodeIds(m_now));
@@ -119,7 +120,7 @@
 void EntryReduction::RequestStoreCheck()
 {
   SuspectStore();
-  const bool isFollowing = m_state.m_isFollower || IsStandIn();
+  const bool isFollowing = m_state.m_isFollower || IsSubstituteFollower();
   if (!isFollowing || !m_state.m_storeCheck.TakeRequest(m_now)) {
     return;
   }
@@ -239,7 +240,7 @@
   const std::optional<Millis> doubtSince =
     m_state.m_configCurrency.DoubtSince();
   const bool isInDoubt = doubtSince && m_now - *doubtSince >= kStoreProbeTime;
-  const bool isFollowing = m_state.m_isFollower || IsStandIn();
+  const bool isFollowing = m_state.m_isFollower || IsSubstituteFollower();
   const PollConditions conditions{ isFollowing,
                                    isConfirmedUpToDate,
                                    isInDoubt };
@@ -255,9 +256,9 @@
 {
   const bool isFirstRead = aAfter == RowVersion();
   // While the first follower may be refused, the others forward, too.
-  const bool isOther =
-    IsStandIn() || (m_state.m_isFollower && IsStoreSuspect());
-  if ((!m_state.m_isFirstFollower && !isOther) || isFirstRead) {
+  const bool forwardsAsWell =
+    IsSubstituteFollower() || (m_state.m_isFollower && IsStoreSuspect());
+  if ((!m_state.m_isFirstFollower && !forwardsAsWell) || isFirstRead) {
     return;
   }
   RowChanges changes = m_state.m_rows.ChangesAfter(aFeed, aAfter);
@@ -300,10 +301,10 @@
 
 // Returns for how much longer the store may lack entries by what this node has
 // seen of an outage; zero if it does not follow the store, or if the store
-// failed only this node and others, but not all.
+// failed some nodes but not all.
 Millis EntryReduction::OwnEntryDoubt() const
 {
-  const bool isFollowing = m_state.m_isFollower || IsStandIn();
+  const bool isFollowing = m_state.m_isFollower || IsSubstituteFollower();
   if (!isFollowing || WasStoreAvailable()) {
     return Millis();
   }
--- a/briarglade/entry/store_check.h
+++ b/briarglade/entry/store_check.h
@@ -30,7 +30,7 @@
 public:
   // Until then the fleet has agreed on new followers: a node counts as refused
   // after 700 ms, and the others learn of it within 800 ms.
-  static constexpr Millis kStandInTime = Millis(2'000);
+  static constexpr Millis kSubstituteTime = Millis(2'000);
   // The least time between two requests of one node.
   static constexpr Millis kRequestPeriod = Millis(1'000);
 
@@ -67,7 +67,7 @@
   {
     m_requestedAt = aNow;
     m_dueAt = aNow + DelayOf(aRank);
-    m_standInUntil.reset();
+    m_substituteUntil.reset();
   }
 
   // Records that the store serves a node that is ranked before this one.
@@ -75,7 +75,7 @@
   {
     m_requestedAt.reset();
     m_dueAt.reset();
-    m_standInUntil.reset();
+    m_substituteUntil.reset();
   }
 
   // Returns whether this node is to call the store for the check now. It must
@@ -99,15 +99,15 @@
       return false;
     }
     m_requestedAt.reset();
-    m_standInUntil = aNow + kStandInTime;
+    m_substituteUntil = aNow + kSubstituteTime;
     return true;
   }
 
   // Returns whether this node is to follow the store although it isn't one of
   // the followers.
-  bool IsStandIn(Millis aNow) const
+  bool IsSubstituteFollower(Millis aNow) const
   {
-    return m_standInUntil && aNow < *m_standInUntil;
+    return m_substituteUntil && aNow < *m_substituteUntil;
   }
 
 private:
@@ -117,7 +117,7 @@
   std::optional<Millis> m_requestedAt;
   // When this node calls the store for it; none: it has.
   std::optional<Millis> m_dueAt;
-  std::optional<Millis> m_standInUntil;
+  std::optional<Millis> m_substituteUntil;
 };
 
 } // namespace briarglade
--- a/briarglade/entry/store_check_test.cc
+++ b/briarglade/entry/store_check_test.cc
@@ -46,16 +46,17 @@
 {
   const Millis now(1'000);
   StoreCheck check;
-  CHECK_FALSE(check.IsStandIn(now));
+  CHECK_FALSE(check.IsSubstituteFollower(now));
   check.OnRequested(now, 0);
   REQUIRE(check.TakeDue(now));
   // Accepted before the other node was refused.
   CHECK_FALSE(check.OnServed(now + Millis(5), now - Millis(500)));
-  CHECK_FALSE(check.IsStandIn(now + Millis(5)));
+  CHECK_FALSE(check.IsSubstituteFollower(now + Millis(5)));
   CHECK(check.OnServed(now + Millis(10), now));
   CHECK_FALSE(check.OnServed(now + Millis(300), now + Millis(100)));
-  CHECK(check.IsStandIn(now + StoreCheck::kStandInTime));
-  CHECK_FALSE(check.IsStandIn(now + StoreCheck::kStandInTime + Millis(10)));
+  CHECK(check.IsSubstituteFollower(now + StoreCheck::kSubstituteTime));
+  CHECK_FALSE(
+    check.IsSubstituteFollower(now + StoreCheck::kSubstituteTime + Millis(10)));
 }
 
 TEST_CASE("a node that stands in leaves it to one that is ranked before")
@@ -66,7 +67,7 @@
   REQUIRE(check.TakeDue(now));
   REQUIRE(check.OnServed(now + Millis(10), now));
   check.OnBetterServed();
-  CHECK_FALSE(check.IsStandIn(now + Millis(20)));
+  CHECK_FALSE(check.IsSubstituteFollower(now + Millis(20)));
 }
 
 // Guards against a check for each failed call of a node that the store refuses
--- a/briarglade/entry/store_uptime.h
+++ b/briarglade/entry/store_uptime.h
@@ -43,8 +43,8 @@
 class StoreUptime
 {
 public:
-  // The longest gap by default. A follower calls each 1,050 ms at least, and a
-  // node that takes its place 600 ms later.
+  // The longest gap by default: a follower calls at least each 1,050 ms, a node
+  // that takes its place calls up to 600 ms later, and 100 ms are for the call.
   static constexpr Millis kMaxGap = Millis(1'750);
 
   // aHeartbeat: the interval at which a server renews its entry, which expires
--- a/briarglade/gateway/stale_load_choice.cc
+++ b/briarglade/gateway/stale_load_choice.cc
@@ -20,11 +20,11 @@
 }
 
 size_t ChooseByStaleLoad(const std::vector<double>& aCosts,
-                         double aUnknownRequests,
+                         double aUnreportedRequests,
                          double aDraw)
 {
-  const double level = FillLevel(aCosts, aUnknownRequests);
-  double left = aDraw * aUnknownRequests;
+  const double level = FillLevel(aCosts, aUnreportedRequests);
+  double left = aDraw * aUnreportedRequests;
   for (size_t i = 0; i < aCosts.size(); ++i) {
     const double share = std::max(0.0, level - aCosts[i]);
     if (left < share) {
--- a/briarglade/gateway/stale_load_choice.h
+++ b/briarglade/gateway/stale_load_choice.h
@@ -6,7 +6,7 @@
 // of all nodes until the next update, while others get none.
 //
 // The choice therefore assumes that the requests not known yet fill the
-// backends up to a common level, as water would, and chooses each backend with
+// backends up to a common level, and chooses each backend with
 // the probability of such a request going there. The more requests are unknown,
 // the less do differences in cost matter. Source: M. Dahlin, "Interpreting
 // Stale Load Information", IEEE TPDS 11(10), 2000 (Basic LI).
@@ -26,12 +26,12 @@
 // a cost of 1 to one of them. aCosts must not be empty.
 double FillLevel(std::vector<double> aCosts, double aRequests);
 
-// Returns an index of aCosts, which must not be empty. aUnknownRequests is the
-// number of requests that all nodes have placed, or place, before their effect
-// is known; with 0 the lowest cost is chosen. aDraw is a random number from 0
-// up to, but not including, 1.
+// Returns an index of aCosts, which must not be empty. aUnreportedRequests is
+// the number of requests that all nodes have placed, or place, before their
+// effect is known; with 0 the lowest cost is chosen. aDraw is a random number
+// from 0 up to, but not including, 1.
 size_t ChooseByStaleLoad(const std::vector<double>& aCosts,
-                         double aUnknownRequests,
+                         double aUnreportedRequests,
                          double aDraw);
 
 } // namespace briarglade
--- a/briarglade/gateway/start_share.h
+++ b/briarglade/gateway/start_share.h
@@ -12,7 +12,7 @@
 //
 // Example:
 //   share.Update(now, reportAge, loads);
-//   if (share.MayStart()) {
+//   if (share.MayStart(isLate)) {
 //     share.RecordStarted();
 //   }
 
--- a/briarglade/gateway/wait_queue.h
+++ b/briarglade/gateway/wait_queue.h
@@ -4,10 +4,10 @@
 // 2. requests that can still meet their latency goal before those that cannot;
 // 3. requests of accounts that were served clearly less in the recent past;
 // 4. the request with the least time left.
-// Where the engine's times are stated, 2 comes before 1, and late requests are
-// in the order of their last times to start, whatever their priority: urgency
-// no longer helps them, and less urgent ones would wait until they can't
-// finish. Requests whose answer has begun precede all others.
+// Where the engine's times are stated, 2 comes before 1. Late requests are then
+// ordered by 3 and by their last times to start, whatever their priority:
+// urgency no longer helps them, and less urgent ones would wait until they
+// can't finish. Requests whose answer has begun precede all others.
 //
 // Designed for these load patterns:
 // - A short burst beyond the capacity of the backends. A request that cannot
--- a/briarglade/grouping/group_control.cc
+++ b/briarglade/grouping/group_control.cc
@@ -57,8 +57,8 @@
   m_shortageRepairs.clear();
   m_pendingMoves.clear();
   m_scarceSince.clear();
-  m_lostGroupAt.reset();
-  m_knownZonesOut.clear();
+  m_capacityLostAt.reset();
+  m_knownZonesOut.reset();
   m_stageOrders.clear();
   m_reportsRequestedAt.clear();
   m_heardHosts.clear();
--- a/briarglade/grouping/group_control.h
+++ b/briarglade/grouping/group_control.h
@@ -321,8 +321,9 @@
     // Since when the target has been much better than the present layout.
     std::optional<Millis> m_unfitSince;
     bool m_isActive = false;
-    // Free hosts form only groups of the target layout.
-    bool m_isRepairing = false;
+    // Whether free hosts form only groups of the target layout: the demand is
+    // known and some model has less than twice its demand.
+    bool m_isLayoutBinding = false;
     // The model whose groups, not counting those that load weights, are the
     // smallest part of its demand. Empty if all have enough.
     ModelId m_scarceModel;
@@ -352,14 +353,14 @@
     Millis m_progressedAt;
   };
   std::map<DomainId, PendingMove> m_pendingMoves;
-  // Only the counters are used.
+  // Counts since this node took the lease; the other fields stay empty.
   CapacityStatus m_capacityCounters;
   // Since when a model has had less than its demand.
   std::map<ModelId, Millis> m_scarceSince;
   // When a group was last lost or a zone taken out or in, and the zones that
   // are out.
-  std::optional<Millis> m_lostGroupAt;
-  std::set<ZoneId> m_knownZonesOut;
+  std::optional<Millis> m_capacityLostAt;
+  std::optional<std::set<ZoneId>> m_knownZonesOut;
   // The model that a host was last ordered to stage, and when.
   struct StageOrder
   {
--- a/briarglade/grouping/group_ending.cc
+++ b/briarglade/grouping/group_ending.cc
@@ -144,10 +144,10 @@
     const bool hasLost =
       std::any_of(group.m_members.begin(), group.m_members.end(), isLost);
     if (group.m_leaderPhase == GroupPhase::Broken) {
-      m_lostGroupAt = m_now;
+      m_capacityLostAt = m_now;
       EndGroup(group, "broken");
     } else if (hasLost) {
-      m_lostGroupAt = m_now;
+      m_capacityLostAt = m_now;
       EndGroup(group, "member-lost");
     } else if (group.m_isLeaving && ShouldEndDrainingGroup(group)) {
       EndGroup(group, "member-leaving", true);
--- a/briarglade/grouping/group_forming.cc
+++ b/briarglade/grouping/group_forming.cc
@@ -347,7 +347,7 @@
   const auto capacity = m_capacity.find(aService.m_id);
   const bool isPlanned =
     capacity != m_capacity.end() &&
-    (capacity->second.m_isActive || capacity->second.m_isRepairing);
+    (capacity->second.m_isActive || capacity->second.m_isLayoutBinding);
   if (isPlanned) {
     input.m_scarceModel = capacity->second.m_scarceModel;
     const auto& layout = capacity->second.m_plan.m_domains;
--- a/briarglade/grouping/group_moving.cc
+++ b/briarglade/grouping/group_moving.cc
@@ -147,7 +147,7 @@
                   m_now - m_leaseAcquiredAt >= kHolderSettleTime;
   // Otherwise hosts of a lost group would go to the model that is the quickest
   // to repair, and would have to move back.
-  capacity.m_isRepairing = isKnown && now < kAmpleRatio;
+  capacity.m_isLayoutBinding = isKnown && now < kAmpleRatio;
   if (capacity.m_isActive != wasActive) {
     std::vector<LogField> fields = {
       { "service", aService.m_id.Value() },
--- a/briarglade/grouping/group_shortage.cc
+++ b/briarglade/grouping/group_shortage.cc
@@ -77,7 +77,7 @@
   input.m_to = aModel;
   for (const auto& [host, server] : m_view->m_servers) {
     if (server.m_service == aService.m_id && IsFree(server)) {
-      input.m_domains[server.m_domain].m_holders +=
+      input.m_domains[server.m_domain].m_freeWithWeights +=
         HoldsWeights(host, aModel) ? 1 : 0;
     }
   }
@@ -89,7 +89,7 @@
       m_view->m_suspectedGroups.count(id) == 0;
     if (isSource) {
       input.m_domains[group.m_domain]
-        .m_holdersInGroups[group.m_model]
+        .m_membersWithWeights[group.m_model]
         .push_back(static_cast<uint32_t>(group.m_members.size() -
                                          MembersWithout(group, aModel).size()));
     }
@@ -107,10 +107,11 @@
 
 void GroupControl::RepairShortage(const ServiceSpec& aService)
 {
-  if (m_knownZonesOut != m_view->m_zonesOut) {
-    m_knownZonesOut = m_view->m_zonesOut;
-    m_lostGroupAt = m_now;
+  // A new holder does not know since when a zone has been out.
+  if (m_knownZonesOut && *m_knownZonesOut != m_view->m_zonesOut) {
+    m_capacityLostAt = m_now;
   }
+  m_knownZonesOut = m_view->m_zonesOut;
   const auto& demand = m_capacity[aService.m_id].m_input.m_demand;
   const GroupCounts ready = CountReadyGroups(aService.m_id);
   const ModelId model = ScarcestModel(demand, ready);
@@ -124,7 +125,8 @@
     return;
   }
   const Millis since = m_scarceSince.try_emplace(model, m_now).first->second;
-  const bool hasLost = m_lostGroupAt && m_now - *m_lostGroupAt < kRecentLoss;
+  const bool hasLost =
+    m_capacityLostAt && m_now - *m_capacityLostAt < kRecentLoss;
   const auto count = ready.find(model);
   const bool hasNone = count == ready.end() || count->second == 0;
   if (m_now - since < kShortageConfirmTime || (!hasLost && !hasNone)) {
--- a/briarglade/grouping/shortage_plan.cc
+++ b/briarglade/grouping/shortage_plan.cc
@@ -80,11 +80,11 @@
   std::optional<ShortageRepair> best;
   uint32_t fewest = 0;
   for (const auto& [id, domain] : aInput.m_domains) {
-    if (domain.m_holders >= to->m_size) {
+    if (domain.m_freeWithWeights >= to->m_size) {
       return ShortageRepair{ id, ModelId(), 0 };
     }
-    const uint32_t lack = to->m_size - domain.m_holders;
-    for (const auto& [from, holders] : domain.m_holdersInGroups) {
+    const uint32_t lack = to->m_size - domain.m_freeWithWeights;
+    for (const auto& [from, holders] : domain.m_membersWithWeights) {
       const ReplicaModel* model = aInput.m_engine->FindModel(from);
       const std::optional<uint32_t> groups = GroupsNeeded(holders, lack);
       if (model == nullptr || !groups || *groups > SurplusOf(aInput, from)) {
--- a/briarglade/grouping/shortage_plan.h
+++ b/briarglade/grouping/shortage_plan.h
@@ -11,7 +11,8 @@
 // Example:
 //   input.m_to = ScarcestModel(input.m_demand, input.m_groups);
 //   if (std::optional<ShortageRepair> repair = PlanShortageRepair(input)) {
-//   End(*repair); }
+//     End(*repair);
+//   }
 
 #pragma once
 
@@ -28,10 +29,10 @@
 struct ShortageDomain
 {
   // Free hosts that hold the weights of the model.
-  uint32_t m_holders = 0;
-  // For each healthy group of another model, the number of its members that
-  // hold the weights.
-  std::map<ModelId, std::vector<uint32_t>> m_holdersInGroups;
+  uint32_t m_freeWithWeights = 0;
+  // For each other model, one entry for each of its healthy groups: how many
+  // members hold the weights of the model in need.
+  std::map<ModelId, std::vector<uint32_t>> m_membersWithWeights;
 };
 
 struct ShortageInput
--- a/briarglade/net/answer_budget.cc
+++ b/briarglade/net/answer_budget.cc
@@ -67,9 +67,12 @@
   if (largest == nullptr) {
     return false;
   }
-  const AnswerCut cut{
-    largest->m_request, largest->m_bytes, m_heldBytes, m_maxBytes
-  };
+  const AnswerCut cut{ largest->m_request,
+                       largest->m_bytes,
+                       aUnreadStreamsOnly,
+                       aUnreadStreamsOnly ? m_unreadStreamBytes : m_heldBytes,
+                       aUnreadStreamsOnly ? m_maxBytes / kUnreadStreamsDivisor
+                                          : m_maxBytes };
   Count(*largest, 0);
   largest->m_isCut = true;
   ++m_cutCount;
--- a/briarglade/net/answer_budget.h
+++ b/briarglade/net/answer_budget.h
@@ -32,6 +32,9 @@
 {
   std::string m_request;
   size_t m_heldBytes = 0;
+  // Whether the bound on unread streams was exceeded; the two numbers below are
+  // then those of unread streams only.
+  bool m_isForUnreadStreams = false;
   size_t m_allHeldBytes = 0;
   size_t m_maxBytes = 0;
 };
@@ -39,7 +42,8 @@
 class AnswerBudget
 {
 public:
-  // The same as PauseBytes() while unread streams take little.
+  // Unread bytes of one stream at which reading from its server pauses, as long
+  // as all unread streams together take at most a quarter of the bound.
   static constexpr size_t kPauseBytes = 64 * 1024;
 
   explicit AnswerBudget(size_t aMaxBytes);
