--- a/briarglade/grouping/capacity_plan_test.cc
+++ b/briarglade/grouping/capacity_plan_test.cc
@@ -112,8 +112,9 @@
   layout.m_input.m_demand = { { kLarge, 5 }, { kSmall, 10 } };
   layout.m_input.m_domains[DomainId("d4")].m_groups[kLarge] = 0;
   const CapacityPlan plan = PlanCapacity(layout.m_input);
-  for (const auto& [id, counts] : plan.m_domains) {
-    CAPTURE(id.Value());
+  for (const auto& [domain, counts] : plan.m_domains) {
+    const std::string& name = domain.Value();
+    CAPTURE(name);
     CHECK(counts.at(kLarge) == 1);
     CHECK(counts.at(kSmall) == 2);
   }
