Cold start: the use of quotas follows the server's responses

Cause: a server in cold start that responds slowly, refuses or fails went on getting requests up to the bound.

Change: each bad response halves the use of the quota by which the request was sent, twice at most; a good one restores it. A response is bad if the server refused or failed, or if its first bytes took more than 3 times the usual time of the service and model at servers that are not cold. A node that used a turn reports the response to the turn's holder. Quotas are only used less, so the bound holds. Nothing changes at servers that are not cold.

--- a/briarglade/entry/internal/update_receiving.cc
+++ b/briarglade/entry/internal/update_receiving.cc
@@ -101,6 +101,9 @@
     DispatchToGateway(
       ColdTurnEnded{ aUpdate.m_node, aUpdate.m_incarnation, turn });
   }
+  for (const ColdTurnResponse& response : aUpdate.m_turnResponses) {
+    DispatchToGateway(response);
+  }
   // Granted to an earlier run of this process, which may have used them.
   if (aUpdate.m_turnIncarnation != m_state.m_incarnation) {
     return;
--- a/briarglade/entry/node_news.capnp
+++ b/briarglade/entry/node_news.capnp
@@ -193,6 +193,8 @@
   turnIncarnation @21 :UInt64;
   # Granted by the receiver; the sender will not use them any more.
   endedTurns @22 :List(ColdTurn);
+  # To requests sent by turns of the receiver.
+  turnResponses @23 :List(ColdTurnResponse);
 }
 
 struct ColdTurnRequest {
@@ -206,3 +208,8 @@
   server @0 :Text;
   askedAtMs @1 :Int64;
 }
+
+struct ColdTurnResponse {
+  server @0 :Text;
+  good @1 :Bool;
+}
--- a/briarglade/entry/node_news.capnp.h
+++ b/briarglade/entry/node_news.capnp.h
@@ -37,6 +37,7 @@
 CAPNP_DECLARE_SCHEMA(cedd4078abce72d1);
 CAPNP_DECLARE_SCHEMA(d1a3c2c140807fff);
 CAPNP_DECLARE_SCHEMA(dbb7d0b7344a90c3);
+CAPNP_DECLARE_SCHEMA(da553355fedbdc28);
 
 } // namespace schemas
 } // namespace capnp
@@ -414,7 +415,7 @@
 
   struct _capnpPrivate
   {
-    CAPNP_DECLARE_STRUCT_HEADER(cedd4078abce72d1, 4, 16)
+    CAPNP_DECLARE_STRUCT_HEADER(cedd4078abce72d1, 4, 17)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand()
     {
@@ -464,6 +465,26 @@
   };
 };
 
+struct ColdTurnResponse
+{
+  ColdTurnResponse() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate
+  {
+    CAPNP_DECLARE_STRUCT_HEADER(da553355fedbdc28, 1, 1)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand()
+    {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class ServerLoad::Reader
@@ -3019,6 +3040,11 @@
                        ::capnp::Kind::STRUCT>::Reader
   getEndedTurns() const;
 
+  inline bool hasTurnResponses() const;
+  inline ::capnp::List<::briarglade::wire::ColdTurnResponse,
+                       ::capnp::Kind::STRUCT>::Reader
+  getTurnResponses() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -3305,6 +3331,23 @@
     ::capnp::List<::briarglade::wire::ColdTurn, ::capnp::Kind::STRUCT>>
   disownEndedTurns();
 
+  inline bool hasTurnResponses();
+  inline ::capnp::List<::briarglade::wire::ColdTurnResponse,
+                       ::capnp::Kind::STRUCT>::Builder
+  getTurnResponses();
+  inline void setTurnResponses(
+    ::capnp::List<::briarglade::wire::ColdTurnResponse,
+                  ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::briarglade::wire::ColdTurnResponse,
+                       ::capnp::Kind::STRUCT>::Builder
+  initTurnResponses(unsigned int size);
+  inline void adoptTurnResponses(
+    ::capnp::Orphan<::capnp::List<::briarglade::wire::ColdTurnResponse,
+                                  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+    ::capnp::List<::briarglade::wire::ColdTurnResponse, ::capnp::Kind::STRUCT>>
+  disownTurnResponses();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -3561,6 +3604,114 @@
 };
 #endif // !CAPNP_LITE
 
+class ColdTurnResponse::Reader
+{
+public:
+  typedef ColdTurnResponse Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base)
+    : _reader(base)
+  {
+  }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasServer() const;
+  inline ::capnp::Text::Reader getServer() const;
+
+  inline bool getGood() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ColdTurnResponse::Builder
+{
+public:
+  typedef ColdTurnResponse Builds;
+
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base)
+    : _builder(base)
+  {
+  }
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return asReader().totalSize();
+  }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return asReader().toString();
+  }
+#endif // !CAPNP_LITE
+
+  inline bool hasServer();
+  inline ::capnp::Text::Builder getServer();
+  inline void setServer(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownServer();
+
+  inline bool getGood();
+  inline void setGood(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ColdTurnResponse::Pipeline
+{
+public:
+  typedef ColdTurnResponse Pipelines;
+
+  inline Pipeline(decltype(nullptr))
+    : _typeless(nullptr)
+  {
+  }
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+    : _typeless(kj::mv(typeless))
+  {
+  }
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool ServerLoad::Reader::hasServer() const
@@ -7332,6 +7483,80 @@
       _builder.getPointerField(::capnp::bounded<15>() * ::capnp::POINTERS));
 }
 
+inline bool NodeNews::Reader::hasTurnResponses() const
+{
+  return !_reader.getPointerField(::capnp::bounded<16>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool NodeNews::Builder::hasTurnResponses()
+{
+  return !_builder.getPointerField(::capnp::bounded<16>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::List<::briarglade::wire::ColdTurnResponse,
+                     ::capnp::Kind::STRUCT>::Reader
+NodeNews::Reader::getTurnResponses() const
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ColdTurnResponse,
+                  ::capnp::Kind::STRUCT>>::get(_reader
+                                                 .getPointerField(
+                                                   ::capnp::bounded<16>() *
+                                                   ::capnp::POINTERS));
+}
+inline ::capnp::List<::briarglade::wire::ColdTurnResponse,
+                     ::capnp::Kind::STRUCT>::Builder
+NodeNews::Builder::getTurnResponses()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ColdTurnResponse,
+                  ::capnp::Kind::STRUCT>>::get(_builder
+                                                 .getPointerField(
+                                                   ::capnp::bounded<16>() *
+                                                   ::capnp::POINTERS));
+}
+inline void NodeNews::Builder::setTurnResponses(
+  ::capnp::List<::briarglade::wire::ColdTurnResponse,
+                ::capnp::Kind::STRUCT>::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::List<::briarglade::wire::ColdTurnResponse,
+                                           ::capnp::Kind::STRUCT>>::
+    set(_builder.getPointerField(::capnp::bounded<16>() * ::capnp::POINTERS),
+        value);
+}
+inline ::capnp::List<::briarglade::wire::ColdTurnResponse,
+                     ::capnp::Kind::STRUCT>::Builder
+NodeNews::Builder::initTurnResponses(unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ColdTurnResponse,
+                  ::capnp::Kind::STRUCT>>::init(_builder
+                                                  .getPointerField(
+                                                    ::capnp::bounded<16>() *
+                                                    ::capnp::POINTERS),
+                                                size);
+}
+inline void NodeNews::Builder::adoptTurnResponses(
+  ::capnp::Orphan<::capnp::List<::briarglade::wire::ColdTurnResponse,
+                                ::capnp::Kind::STRUCT>>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::List<::briarglade::wire::ColdTurnResponse,
+                                           ::capnp::Kind::STRUCT>>::
+    adopt(_builder.getPointerField(::capnp::bounded<16>() * ::capnp::POINTERS),
+          kj::mv(value));
+}
+inline ::capnp::Orphan<
+  ::capnp::List<::briarglade::wire::ColdTurnResponse, ::capnp::Kind::STRUCT>>
+NodeNews::Builder::disownTurnResponses()
+{
+  return ::capnp::_::PointerHelpers<
+    ::capnp::List<::briarglade::wire::ColdTurnResponse,
+                  ::capnp::Kind::STRUCT>>::disown(_builder
+                                                    .getPointerField(
+                                                      ::capnp::bounded<16>() *
+                                                      ::capnp::POINTERS));
+}
+
 inline bool ColdTurnRequest::Reader::hasServer() const
 {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
@@ -7470,6 +7695,64 @@
                                    value);
 }
 
+inline bool ColdTurnResponse::Reader::hasServer() const
+{
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool ColdTurnResponse::Builder::hasServer()
+{
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::Text::Reader ColdTurnResponse::Reader::getServer() const
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder ColdTurnResponse::Builder::getServer()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ColdTurnResponse::Builder::setServer(::capnp::Text::Reader value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder ColdTurnResponse::Builder::initServer(
+  unsigned int size)
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ColdTurnResponse::Builder::adoptServer(
+  ::capnp::Orphan<::capnp::Text>&& value)
+{
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> ColdTurnResponse::Builder::disownServer()
+{
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ColdTurnResponse::Reader::getGood() const
+{
+  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool ColdTurnResponse::Builder::getGood()
+{
+  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ColdTurnResponse::Builder::setGood(bool value)
+{
+  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 } // namespace
 } // namespace
 
--- a/briarglade/entry/node_news.cc
+++ b/briarglade/entry/node_news.cc
@@ -531,6 +531,11 @@
   WriteList(aMessage.initEndedTurns(SizeOf(aUpdate.m_endedTurns)),
             aUpdate.m_endedTurns,
             WriteTurn);
+  auto responses = aMessage.initTurnResponses(SizeOf(aUpdate.m_turnResponses));
+  for (unsigned index = 0; index < responses.size(); ++index) {
+    responses[index].setServer(aUpdate.m_turnResponses[index].m_server.Value());
+    responses[index].setGood(aUpdate.m_turnResponses[index].m_isGood);
+  }
 }
 
 Subscription ReadSubscription(uint8_t aValue)
@@ -598,6 +603,10 @@
   }
   update.m_turnGrants = ReadTurns(aMessage.getTurnGrants());
   update.m_endedTurns = ReadTurns(aMessage.getEndedTurns());
+  for (const auto response : aMessage.getTurnResponses()) {
+    update.m_turnResponses.push_back(ColdTurnResponse{
+      HostId(ToText(response.getServer())), response.getGood() });
+  }
   update.m_turnIncarnation = aMessage.getTurnIncarnation();
   return update;
 }
--- a/briarglade/entry/node_news.h
+++ b/briarglade/entry/node_news.h
@@ -178,6 +178,8 @@
   std::vector<ColdTurn> m_turnGrants;
   uint64_t m_turnIncarnation = 0;
   std::vector<ColdTurn> m_endedTurns;
+  // How cold servers responded to requests sent by turns of the receiver.
+  std::vector<ColdTurnResponse> m_turnResponses;
 
   // Whether the sender can read compressed values of rows. Set by decoding:
   // earlier versions of the program cannot.
--- a/briarglade/entry/node_news_test.cc
+++ b/briarglade/entry/node_news_test.cc
@@ -61,6 +61,7 @@
   news.m_turnRequests = { { HostId("i-4"), Millis(1'234), Millis(900'000) } };
   news.m_turnGrants = { { HostId("i-5"), Millis(9'876'543'210) } };
   news.m_endedTurns = { { HostId("i-6"), Millis(12) } };
+  news.m_turnResponses = { { HostId("i-7"), false }, { HostId("i-8"), true } };
   news.m_turnIncarnation = 1ULL << 60U;
   news.m_completeUpTo = { RowVersion(1), RowVersion(2), RowVersion(3) };
   news.m_rosterKnownUpTo = Millis(4'711);
@@ -126,6 +127,10 @@
   REQUIRE(read->m_endedTurns.size() == 1);
   CHECK(read->m_endedTurns[0].m_server == HostId("i-6"));
   CHECK(read->m_endedTurns[0].m_askedAt == Millis(12));
+  REQUIRE(read->m_turnResponses.size() == 2);
+  CHECK(read->m_turnResponses[0].m_server == HostId("i-7"));
+  CHECK_FALSE(read->m_turnResponses[0].m_isGood);
+  CHECK(read->m_turnResponses[1].m_isGood);
   CHECK(read->m_turnIncarnation == 1ULL << 60U);
   CHECK(read->m_requestsRows);
   CheckRows(read->m_rowChanges, sent.m_rowChanges);
--- a/briarglade/entry/reduce_entry.cc
+++ b/briarglade/entry/reduce_entry.cc
@@ -72,6 +72,11 @@
           update.m_turnIncarnation = aGrant.m_incarnation;
           Send({ aGrant.m_asker }, std::move(update));
         },
+        [this](ReportTurnResponse& aReport) {
+          NodeNews update = MakePeerUpdate();
+          update.m_turnResponses.push_back(std::move(aReport.m_response));
+          Send({ aReport.m_holder }, std::move(update));
+        },
         [this](EndColdTurn& aEnd) {
           NodeNews update = MakePeerUpdate();
           update.m_endedTurns.push_back(std::move(aEnd.m_turn));
--- a/briarglade/gateway/backend_table.cc
+++ b/briarglade/gateway/backend_table.cc
@@ -41,6 +41,13 @@
 constexpr double kCostJitter = 0.1;
 // Loads of other nodes are 150 to 600 ms old.
 constexpr Millis kLoadReportAge = Millis(400);
+// A response is slow if it takes longer than the usual time times this factor:
+// the time also depends on the length of the prompt.
+constexpr double kSlowResponseFactor = 3;
+// A response within this time is never slow, however fast the usual one is.
+constexpr Millis kMinSlowResponse = Millis(100);
+// Weight of the latest response in the usual time.
+constexpr double kResponseTimeWeight = 0.05;
 // Window of the count from which this node's request rate is derived.
 constexpr Millis kStartRateWindow = Millis(2'000);
 // When a caller should retry if this node has no quota of the only servers'
@@ -307,6 +314,27 @@
   RecordProgress(aNow, aSlot);
 }
 
+void BackendTable::RecordResponseTime(Millis aNow, size_t aSlot, Millis aSentAt)
+{
+  const Backend& backend = m_slots[aSlot].m_backend;
+  const auto elapsed = static_cast<double>((aNow - aSentAt).Count());
+  const auto [usual, isFirst] = m_usualResponseTimes.try_emplace(
+    Target(backend.m_service, backend.m_model), elapsed);
+  const bool isSlow = elapsed > usual->second * kSlowResponseFactor &&
+                      aNow - aSentAt > kMinSlowResponse;
+  m_coldStart.RecordResponse(aSentAt, backend.m_server, !isSlow);
+  if (!m_coldStart.IsCold(aNow, backend)) {
+    usual->second += (elapsed - usual->second) * kResponseTimeWeight;
+  } else if (isFirst) {
+    m_usualResponseTimes.erase(usual);
+  }
+}
+
+void BackendTable::RecordBadResponse(Millis aSentAt, size_t aSlot)
+{
+  m_coldStart.RecordResponse(aSentAt, m_slots[aSlot].m_backend.m_server, false);
+}
+
 void BackendTable::RecordProgress(Millis aNow, size_t aSlot)
 {
   m_slots[aSlot].m_lastBytesAt = aNow;
--- a/briarglade/gateway/backend_table.h
+++ b/briarglade/gateway/backend_table.h
@@ -147,6 +147,12 @@
   void RecordStarted(Millis aNow, size_t aSlot, uint32_t aPromptTokens);
   // Records that the answer to a request has started.
   void RecordAnswerStarted(Millis aNow, size_t aSlot, uint32_t aPromptTokens);
+  // Records that the first bytes of the answer to a request sent at aSentAt
+  // have arrived. At a cold server the time is compared with the usual time of
+  // the service and model.
+  void RecordResponseTime(Millis aNow, size_t aSlot, Millis aSentAt);
+  // Records that a backend refused a request sent at aSentAt, or failed.
+  void RecordBadResponse(Millis aSentAt, size_t aSlot);
   // Records that bytes of an answer arrived, which clears any suspicion.
   void RecordProgress(Millis aNow, size_t aSlot);
   // Records that an exchange ended. aAnswerBegan must say whether
@@ -211,6 +217,9 @@
   std::shared_ptr<const FleetQuota> m_quota;
   // Requests that this node recently sent to the backends of a model.
   std::map<Target, RecentCount> m_recentStarts;
+  // Moving average of the time to the first bytes of an answer of the backends
+  // of a model that are not cold, in milliseconds.
+  std::map<Target, double> m_usualResponseTimes;
   ColdStartLimit m_coldStart;
   ServerRateLimits m_rateLimits;
   std::deque<BackendSlot> m_slots;
--- a/briarglade/gateway/cold_start_limit.cc
+++ b/briarglade/gateway/cold_start_limit.cc
@@ -61,7 +61,18 @@
   const uint32_t quota = LocalQuota(aNow, aHost, aColdRate, aServer);
   const auto used = static_cast<uint32_t>(aServer.m_sent.Count(aNow) +
                                           GrantedCount(aNow, aServer));
-  return quota - std::min(quota, used);
+  if (aServer.m_halvings == 0 || quota == 0) {
+    return quota - std::min(quota, used);
+  }
+  const uint32_t reduced = quota >> aServer.m_halvings;
+  if (reduced > 0) {
+    return reduced - std::min(reduced, used);
+  }
+  // Less than one request per window: one in a longer time.
+  const Millis lastUsedAt =
+    std::max(aServer.m_lastOwnAt, aServer.m_lastGrantAt);
+  const Millis interval = kCountWindow * (1 << aServer.m_halvings) / quota;
+  return used == 0 && aNow - lastUsedAt >= interval ? 1 : 0;
 }
 
 size_t ColdStartLimit::GrantedCount(Millis aNow, const Server& aServer)
@@ -112,13 +123,59 @@
   Server& server = m_servers[aServer];
   // The holder of the quota has counted the turn.
   if (aNow < server.m_coldUntil && HasTurn(aNow, server)) {
+    EraseIf(server.m_usedTurns, [&](const UsedTurn& aTurn) {
+      return aNow - aTurn.m_sentAt >= kMaxResponseTime;
+    });
+    server.m_usedTurns.push_back(UsedTurn{ aNow, server.m_turnHolder });
     EndTurn(aServer, server);
   } else {
     server.m_sent.Note(aNow);
+    server.m_lastOwnAt = aNow;
   }
   server.m_lastSentAt = aNow;
 }
 
+void ColdStartLimit::RecordResponse(Millis aSentAt,
+                                    const HostId& aServer,
+                                    bool aIsGood)
+{
+  const auto found = m_servers.find(aServer);
+  if (found == m_servers.end()) {
+    return;
+  }
+  std::vector<UsedTurn>& used = found->second.m_usedTurns;
+  const auto turn =
+    std::find_if(used.begin(), used.end(), [&](const UsedTurn& aTurn) {
+      return aTurn.m_sentAt == aSentAt;
+    });
+  if (turn == used.end()) {
+    ApplyResponse(found->second, aIsGood);
+    return;
+  }
+  m_turnResponses.push_back(
+    ReportTurnResponse{ turn->m_holder, ColdTurnResponse{ aServer, aIsGood } });
+  used.erase(turn);
+}
+
+void ColdStartLimit::ApplyResponse(Server& aServer, bool aIsGood)
+{
+  aServer.m_halvings =
+    aIsGood ? 0 : std::min(aServer.m_halvings + 1, kMaxHalvings);
+}
+
+std::vector<ReportTurnResponse> ColdStartLimit::TakeTurnResponses()
+{
+  return std::exchange(m_turnResponses, {});
+}
+
+void ColdStartLimit::OnTurnResponse(const ColdTurnResponse& aResponse)
+{
+  const auto server = m_servers.find(aResponse.m_server);
+  if (server != m_servers.end()) {
+    ApplyResponse(server->second, aResponse.m_isGood);
+  }
+}
+
 void ColdStartLimit::RecordWanted(Millis aNow, const HostId& aServer)
 {
   m_servers[aServer].m_wantedAt = aNow;
@@ -227,6 +284,7 @@
       EraseIf(server.m_granted, [&](const Grant& aGrant) {
         return aGrant.m_endsAt <= aNow - kCountWindow;
       });
+      server.m_lastGrantAt = aNow;
       server.m_granted.push_back(Grant{ request.m_asker,
                                         request.m_incarnation,
                                         askedAt,
--- a/briarglade/gateway/cold_start_limit.h
+++ b/briarglade/gateway/cold_start_limit.h
@@ -20,6 +20,13 @@
 // equal part of a quota that accumulates while it waits, and nodes that do not
 // want it take nothing.
 //
+// A server that responds slowly, refuses or fails gets fewer requests at once:
+// each such response halves the use of the quota that the request was sent by,
+// and a good one restores it. The holder of the quota is told of the responses
+// to requests that were sent by its turns, because in a large fleet no other
+// node sees several responses during a cold start. This only ever leaves a part
+// of the limit unused.
+//
 // Example:
 //   if (limit.MaySend(now, backend)) {
 //     limit.RecordSent(now, backend.m_server);
@@ -75,6 +82,15 @@
   // Records a request to a server, whether it is cold or not: the server may
   // enter cold start next.
   void RecordSent(Millis aNow, const HostId& aServer);
+  // Records whether a server responded well to a request that this node sent at
+  // aSentAt.
+  void RecordResponse(Millis aSentAt, const HostId& aServer, bool aIsGood);
+  // Returns the responses to be reported to the holders of turns since the last
+  // call.
+  std::vector<ReportTurnResponse> TakeTurnResponses();
+  // Records the response to a request that was sent by a turn of this node's
+  // quota.
+  void OnTurnResponse(const ColdTurnResponse& aResponse);
   // Records that a request waits that would be sent to the server if the limit
   // allowed it.
   void RecordWanted(Millis aNow, const HostId& aServer);
@@ -131,6 +147,20 @@
     Millis m_lastSentAt;
   };
 
+  // How often the use of a quota is halved at most, so that the server's
+  // recovery is found out in time.
+  static constexpr uint32_t kMaxHalvings = 2;
+  // For how long the response to a request sent by a turn is waited for, so
+  // that requests without one do not accumulate.
+  static constexpr Millis kMaxResponseTime = Millis(30'000);
+
+  // A turn that this node has used, and whose response is not known yet.
+  struct UsedTurn
+  {
+    Millis m_sentAt;
+    NodeId m_holder;
+  };
+
   // A turn that this node has granted.
   struct Grant
   {
@@ -152,6 +182,11 @@
     std::vector<Grant> m_granted;
     CachedRank m_rank;
     Millis m_lastSentAt = Millis(-1'000'000);
+    // The same, within this node's quota, and when it last granted a turn.
+    Millis m_lastOwnAt = Millis(-1'000'000);
+    Millis m_lastGrantAt = Millis(-1'000'000);
+    // How often the use of the quota is halved, because of bad responses.
+    uint32_t m_halvings = 0;
     Millis m_wantedAt = Millis(-1'000'000);
     // Requests for turns by this node, and the turn that it was granted last.
     Millis m_askedAt = Millis(-1'000'000);
@@ -159,6 +194,7 @@
     Millis m_turnAskedAt = Millis(-1'000'000);
     bool m_hasTurn = false;
     NodeId m_turnHolder;
+    std::vector<UsedTurn> m_usedTurns;
     std::map<NodeId, PendingRequest> m_pending;
   };
 
@@ -172,6 +208,7 @@
                        double aColdRate,
                        Server& aServer) const;
   static bool HasTurn(Millis aNow, const Server& aServer);
+  static void ApplyResponse(Server& aServer, bool aIsGood);
   static size_t GrantedCount(Millis aNow, const Server& aServer);
   void EndTurn(const HostId& aHost, Server& aServer);
   static void RemoveExpiredRequests(Millis aNow, Server& aServer);
@@ -188,6 +225,7 @@
   // The servers that were cold when last looked at.
   std::set<HostId> m_coldServers;
   std::vector<EndColdTurn> m_endedTurns;
+  std::vector<ReportTurnResponse> m_turnResponses;
 };
 
 } // namespace briarglade
--- a/briarglade/gateway/cold_start_limit_test.cc
+++ b/briarglade/gateway/cold_start_limit_test.cc
@@ -30,6 +30,8 @@
 constexpr Millis kSettleTime = Millis(14'000);
 // The longest time between sending a request and its arrival.
 constexpr int kMaxArrivalJitter = 300;
+// The time from a request's arrival to the server's response.
+constexpr Millis kResponseTime = Millis(50);
 
 struct ReplayOptions
 {
@@ -41,6 +43,8 @@
   int m_leastDelay = 10;
   int m_mostDelay = 100;
   double m_lossRate = 0;
+  // Whether the server responds well to a request that arrives now.
+  std::function<bool(Millis)> m_respondsWell = [](Millis) { return true; };
   uint32_t m_seed = 1;
 };
 
@@ -112,6 +116,14 @@
   size_t MessageCount() const { return m_messageCount; }
   uint32_t Pick(uint32_t aCount) { return m_random() % aCount; }
 
+  size_t ArrivedBetween(Millis aFrom, Millis aUntil) const
+  {
+    return static_cast<size_t>(
+      std::count_if(m_arrivals.begin(), m_arrivals.end(), [&](Millis aAt) {
+        return aAt >= aFrom && aAt < aUntil;
+      }));
+  }
+
   // Returns the greatest number of requests that arrived within a second.
   size_t MostWithinSecond() const
   {
@@ -208,7 +220,16 @@
            node.m_limit.MaySend(m_now, m_backend)) {
       node.m_waiting.pop_front();
       node.m_limit.RecordSent(m_now, m_backend.m_server);
-      m_arrivals.push_back(m_now + Millis(Pick(kMaxArrivalJitter + 1)));
+      const Millis arrival = m_now + Millis(Pick(kMaxArrivalJitter + 1));
+      m_arrivals.push_back(arrival);
+      const bool isGood = m_options.m_respondsWell(arrival);
+      const Millis sentAt = m_now;
+      m_messages.emplace(
+        arrival + kResponseTime,
+        Message{
+          aNode, m_incarnations[aNode], [this, sentAt, isGood](Node& aSender) {
+            aSender.m_limit.RecordResponse(sentAt, m_backend.m_server, isGood);
+          } });
       ++m_sentBy[aNode];
     }
     if (!node.m_waiting.empty()) {
@@ -237,6 +258,14 @@
                       Receive(granted, aReceiver);
                     } });
     }
+    for (const ReportTurnResponse& report :
+         aState.m_limit.TakeTurnResponses()) {
+      const ColdTurnResponse response = report.m_response;
+      Send(aNode,
+           Message{ IndexOf(report.m_holder), 0, [response](Node& aReceiver) {
+                     aReceiver.m_limit.OnTurnResponse(response);
+                   } });
+    }
     for (const EndColdTurn& end : aState.m_limit.TakeEndedTurns()) {
       const ColdTurnEnded ended{ (*m_roster)[aNode],
                                  m_incarnations[aNode],
@@ -320,6 +349,34 @@
   CHECK(replay.SentCount() >= replay.Bound());
 }
 
+// Guards against a rate that does not follow how the server responds. Equal
+// times are compared that are much longer than the 1.4 s in which each quota is
+// used once, because the nodes' uses are nearly simultaneous.
+TEST_CASE("a cold server that does not cope gets fewer requests, and more once "
+          "it does")
+{
+  for (const uint32_t nodes : { 9U, 65U, 133U }) {
+    CAPTURE(nodes);
+    ReplayOptions options;
+    options.m_nodes = nodes;
+    options.m_requestsPerSecond = 400.0 / nodes;
+    options.m_respondsWell = [](Millis aAt) {
+      return aAt < Millis(7'000) || aAt >= Millis(17'000);
+    };
+    Replay replay(options);
+    replay.TurnCold(Millis(29'000));
+    replay.Run(Millis(29'000));
+    const size_t well = replay.ArrivedBetween(Millis(1'000), Millis(7'000));
+    const size_t badly = replay.ArrivedBetween(Millis(10'000), Millis(16'000));
+    const size_t again = replay.ArrivedBetween(Millis(23'000), Millis(29'000));
+    MESSAGE("well " << well << ", badly " << badly << ", again " << again);
+    CHECK(replay.MostWithinSecond() <= replay.Bound());
+    CHECK(badly * 2 <= well);
+    CHECK(badly > 0);
+    CHECK(again * 4 >= well * 3);
+  }
+}
+
 // Guards against turns that are used twice or outlive their quota.
 TEST_CASE("a cold server is not overloaded while turns are delayed or lost and "
           "nodes restart")
--- a/briarglade/gateway/cold_turn.h
+++ b/briarglade/gateway/cold_turn.h
@@ -31,6 +31,14 @@
   Millis m_askedAt;
 };
 
+// How a server responded to a request that was sent by a turn.
+struct ColdTurnResponse
+{
+  HostId m_server;
+  // Whether it responded within the usual time, and neither refused nor failed.
+  bool m_isGood = true;
+};
+
 // A request for a turn, as its receiver gets it.
 struct ColdTurnRequested
 {
@@ -79,4 +87,11 @@
   ColdTurn m_turn;
 };
 
+// Tell the node that granted a turn how the server responded.
+struct ReportTurnResponse
+{
+  NodeId m_holder;
+  ColdTurnResponse m_response;
+};
+
 } // namespace briarglade
--- a/briarglade/gateway/exchange_ends.cc
+++ b/briarglade/gateway/exchange_ends.cc
@@ -82,6 +82,11 @@
   if (end == ExchangeEnd::Cancelled) {
     return;
   }
+  if (!aIsServed) {
+    m_state.m_backendTable.RecordBadResponse(aExchange.m_sentAt, slot);
+  } else if (!aExchange.m_began) {
+    m_state.m_backendTable.RecordResponseTime(m_now, slot, aExchange.m_sentAt);
+  }
   if (end == ExchangeEnd::RefusedByServer) {
     m_state.m_backendTable.Avoid(m_now + kRejectedBackoff, slot);
     return;
--- a/briarglade/gateway/gateway.cc
+++ b/briarglade/gateway/gateway.cc
@@ -338,6 +338,8 @@
     QueueOf(*request).RecordTimeToFirstBytes(m_now - exchange.m_sentAt);
     m_state.m_backendTable.RecordAnswerStarted(
       m_now, exchange.m_slot, request->m_request.m_promptTokens);
+    m_state.m_backendTable.RecordResponseTime(
+      m_now, exchange.m_slot, exchange.m_sentAt);
   } else {
     m_state.m_backendTable.RecordProgress(m_now, exchange.m_slot);
   }
@@ -404,6 +406,11 @@
   }
 }
 
+void GatewayReduction::On(const ColdTurnResponse& aResponse)
+{
+  m_state.m_backendTable.ColdStart().OnTurnResponse(aResponse);
+}
+
 void GatewayReduction::On(const ColdTurnEnded& aEnded)
 {
   m_state.m_backendTable.ColdStart().OnEnded(m_now, aEnded);
@@ -425,6 +432,9 @@
     m_effects.emplace_back(std::move(event));
     m_effects.emplace_back(std::move(grant));
   }
+  for (ReportTurnResponse& report : limit.TakeTurnResponses()) {
+    m_effects.emplace_back(std::move(report));
+  }
   for (EndColdTurn& end : limit.TakeEndedTurns()) {
     m_effects.emplace_back(std::move(end));
   }
--- a/briarglade/gateway/internal/gateway_reduction.h
+++ b/briarglade/gateway/internal/gateway_reduction.h
@@ -76,6 +76,7 @@
   void On(const ColdTurnRequested& aRequest);
   void On(const ColdTurnGranted& aGrant);
   void On(const ColdTurnEnded& aEnded);
+  void On(const ColdTurnResponse& aResponse);
 
   // Asks other nodes for turns at cold servers, and grants theirs.
   void ExchangeColdTurns();
