Capacity: repairs keep to the target layout only where no mix is stated

After a loss, hosts waited for a load or for more hosts although another model could have used them at once.

Measured: grouping_test, 74 cases pass.

--- a/briarglade/grouping/group_control.h
+++ b/briarglade/grouping/group_control.h
@@ -322,7 +322,8 @@
     std::optional<Millis> m_unfitSince;
     bool m_isActive = false;
     // Whether free hosts form only groups of the target layout: the demand is
-    // known and some model has less than twice its demand.
+    // known, some model has less than twice its demand, and the operators have
+    // stated no mix of models.
     bool m_isLayoutBinding = false;
     // The model whose groups, not counting those that load weights, are the
     // smallest part of its demand. Empty if all have enough.
--- a/briarglade/grouping/group_moving.cc
+++ b/briarglade/grouping/group_moving.cc
@@ -146,8 +146,10 @@
               : isUnfit && m_now - *capacity.m_unfitSince >= kConfirmTime &&
                   m_now - m_leaseAcquiredAt >= kHolderSettleTime;
   // Otherwise hosts of a lost group would go to the model that is the quickest
-  // to repair, and would have to move back.
-  capacity.m_isLayoutBinding = isKnown && now < kAmpleRatio;
+  // to repair, and would have to move back. Where the operators have stated a
+  // mix, the first layout fits it, and the quickest repair serves callers better.
+  capacity.m_isLayoutBinding =
+    isKnown && now < kAmpleRatio && HasEqualShares(*aService.m_engine);
   if (capacity.m_isActive != wasActive) {
     std::vector<LogField> fields = {
       { "service", aService.m_id.Value() },
@@ -507,7 +509,7 @@
     UpdateCapacity(service);
     const bool isPlanned = m_capacity[id].m_plannedAt != plannedAt;
     ExpireShortageRepairs();
-    if (isPlanned) {
+    if (isPlanned && HasEqualShares(*service.m_engine)) {
       RepairShortage(service);
     }
     if (isPlanned && m_capacity[id].m_isActive) {
