--- a/briarglade/grouping/group_moving.cc
+++ b/briarglade/grouping/group_moving.cc
@@ -147,7 +147,8 @@
                   m_now - m_leaseAcquiredAt >= kHolderSettleTime;
   // Otherwise hosts of a lost group would go to the model that is the quickest
   // to repair, and would have to move back. Where the operators have stated a
-  // mix, the first layout fits it, and the quickest repair serves callers better.
+  // mix, the first layout fits it, and the quickest repair serves callers
+  // better.
   capacity.m_isLayoutBinding =
     isKnown && now < kAmpleRatio && HasEqualShares(*aService.m_engine);
   if (capacity.m_isActive != wasActive) {
