LOST: a stopping node counts from when it may have been asked to stop

Class: a moment is bound to an event elsewhere, but measured from the notice of it.

Change: the loop knows when its last turns began. A signal that is called back now can't have come before that, so the stop counts from there, both for the requests that are refused and for the end of the process. The exit stays in the last sixth of the grace time, in which callers may count on it. The log line says within how many ms the signal was noted. m_lastTickAt was set and never read: gone.

--- a/briarglade/cli/serve_command.cc
+++ b/briarglade/cli/serve_command.cc
@@ -62,8 +62,11 @@
     std::fprintf(stderr, "briarglade: %s\n", error->m_detail.c_str());
     return ExitCode::Failed;
   }
-  loop.OnSignal(SIGTERM, [&node] { node.BeginShutdown(); });
-  loop.OnSignal(SIGINT, [&node] { node.BeginShutdown(); });
+  const auto stop = [&node, &loop] {
+    node.BeginShutdown(loop.EarliestSignalTime());
+  };
+  loop.OnSignal(SIGTERM, stop);
+  loop.OnSignal(SIGINT, stop);
   loop.OnSignal(SIGHUP, [&node] { Reload(node); });
   loop.Run();
   aLog.Write(LogEvent{ LogLevel::Info, "loop-ended", {} });
--- a/briarglade/entry/entry_event.h
+++ b/briarglade/entry/entry_event.h
@@ -56,9 +56,13 @@
   NodeNews m_update;
 };
 
-// The process has been asked to stop.
+// The process has noted that it is asked to stop.
 struct StopRequested
-{};
+{
+  // The earliest moment at which it may have been asked. A process that has no
+  // processor, or is busy, notes it late.
+  Millis m_notBefore;
+};
 
 using EntryEvent = std::variant<EntryTick,
                                 FeedAnswered,
--- a/briarglade/entry/entry_node.cc
+++ b/briarglade/entry/entry_node.cc
@@ -151,9 +151,9 @@
   return std::nullopt;
 }
 
-void EntryNode::BeginShutdown()
+void EntryNode::BeginShutdown(Millis aNotBefore)
 {
-  Dispatch(StopRequested{});
+  Dispatch(StopRequested{ aNotBefore });
 }
 
 void EntryNode::Dispatch(const EntryEvent& aEvent)
--- a/briarglade/entry/fleet_world_test.h
+++ b/briarglade/entry/fleet_world_test.h
@@ -268,7 +268,12 @@
   {
     m_requestHook = std::move(aHook);
   }
-  void Stop(size_t aNode) { Send(aNode, Millis(), StopRequested{}); }
+  // Asks the node to stop. It notes this now, and was asked up to aNotedAfter
+  // before.
+  void Stop(size_t aNode, Millis aNotedAfter = Millis())
+  {
+    Send(aNode, Millis(), StopRequested{ m_now - aNotedAfter });
+  }
 
   void Run(Millis aTime)
   {
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -66,7 +66,7 @@
   void On(const ServerRateStated& aStated) { DispatchToGateway(aStated); }
   void On(const ExchangeEnded& aEnded) { DispatchToGateway(aEnded); }
   void On(const CallerLeft& aLeft) { DispatchToGateway(aLeft); }
-  void On(const StopRequested&);
+  void On(const StopRequested& aRequest);
 
   void DispatchToGateway(const GatewayEvent& aEvent);
   void ApplyRows(const std::vector<StoredRow>& aRows);
--- a/briarglade/entry/reduce_entry.cc
+++ b/briarglade/entry/reduce_entry.cc
@@ -3,6 +3,7 @@
 
 #include "briarglade/entry/reduce_entry.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -22,10 +23,9 @@
 // A process that shuts down serves callers at least until those that got its
 // address before the stop have a newer list.
 constexpr Millis kServeTime = kAddressLifetime * kAddressCacheLifetimes;
-// A process may see the request to stop this long after it was sent: it may
-// have no processor for a scheduling period of 100 ms, and its timer fires
-// every 50 ms.
-constexpr Millis kStopDelay = Millis(150);
+// The longest time that the request to stop takes from its sender to this
+// process, which may note it much later.
+constexpr Millis kSignalTime = Millis(50);
 // A process that shuts down exits this long before it would be killed.
 constexpr Millis kGraceMargin = Millis(500);
 // A process that shuts down waits at most this long for the store to remove its
@@ -70,7 +70,6 @@
 
 void EntryReduction::On(const EntryTick&)
 {
-  m_state.m_lastTickAt = m_now;
   TickConfigCurrency();
   ChooseFollowers();
   CheckStore();
@@ -129,14 +128,18 @@
 
 // Graceful shutdown.
 
-void EntryReduction::On(const StopRequested&)
+void EntryReduction::On(const StopRequested& aRequest)
 {
   if (m_state.m_phase != EntryPhase::Serving) {
     return;
   }
-  Log(LogLevel::Info, "shutdown-began", {});
+  Log(LogLevel::Info,
+      "shutdown-began",
+      { { "noted-within-ms",
+          std::to_string((m_now - aRequest.m_notBefore).Count()) } });
   m_state.m_phase = EntryPhase::Leaving;
   m_state.m_leavingSince = m_now;
+  m_state.m_stopNotBefore = aRequest.m_notBefore;
   m_state.m_directory.SetSelf(false, true);
   m_state.m_roster.OnLeaving();
   UpdateRoster();
@@ -146,19 +149,23 @@
   TickLease();
 }
 
-// Returns when this node, which is shutting down, exits at the latest.
+// Returns when this node, which is shutting down, exits at the latest: before
+// it would be killed, if the request to stop came as early as it may have, but
+// not in the time in which callers may count on it, if it came just now.
 Millis EntryReduction::ExitTime() const
 {
-  return m_state.m_leavingSince + m_state.m_settings.m_bounds.m_graceTime -
-         kGraceMargin;
+  const Millis grace = m_state.m_settings.m_bounds.m_graceTime;
+  return std::max(m_state.m_stopNotBefore + grace - kGraceMargin,
+                  m_state.m_leavingSince + grace * 5 / 6);
 }
 
 // Returns since when a request must be able to end before this node exits.
 // Callers whose lists name this node a little longer than kServeTime, because
 // another node's directory learned of the stop late, are refused from then on.
+// Callers count from the request to stop, however late this node noted it.
 Millis EntryReduction::LateRequestsSince() const
 {
-  return m_state.m_leavingSince + kServeTime - kStopDelay;
+  return m_state.m_stopNotBefore - kSignalTime + kServeTime;
 }
 
 // Removes the row by which the other nodes find this one. Until then they keep
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -79,8 +79,10 @@
   RowDecoder m_decode;
 
   EntryPhase m_phase = EntryPhase::Serving;
+  // When this node noted that it is asked to stop, and the earliest moment at
+  // which it may have been asked.
   Millis m_leavingSince;
-  Millis m_lastTickAt;
+  Millis m_stopNotBefore;
 
   // State read from the store.
   RowCache m_rows;
--- a/briarglade/entry/shutdown_test.cc
+++ b/briarglade/entry/shutdown_test.cc
@@ -23,7 +23,8 @@
 class ShutdownWorld : public FleetWorld
 {
 public:
-  ShutdownWorld()
+  // aNotedAfter: how long after the request to stop the node notes it.
+  explicit ShutdownWorld(Millis aNotedAfter = Millis())
     : FleetWorld(MakeOptions())
   {
     ServiceSpec service;
@@ -44,9 +45,9 @@
     Run(Millis(5'000));
     // A request that keeps the node from exiting early.
     Submit(kLongWait);
-    Stop(kLeavingNode);
+    Stop(kLeavingNode, aNotedAfter);
+    m_stoppedAt = Now() - aNotedAfter;
     Run(kStep);
-    m_stoppedAt = Now();
   }
 
   void RunUntilAfterStop(Millis aTime) { Run(m_stoppedAt + aTime - Now()); }
@@ -91,20 +92,23 @@
   CHECK(world.LastRejection() == ResultCode::ShuttingDown);
 }
 
+// Guards against streams that are cut because the node noted the request to
+// stop later than it usually does.
 TEST_CASE("LOST: a request sent after callers have left a stopping node is "
           "refused if it may outlast the node, however late the node saw the "
           "request to stop and whatever the phase of its timer")
 {
-  // The sum of the chain: signal to process and tick (150 ms), and the time for
-  // which a directory that heard late still names the node.
-  constexpr Millis kLatestSignal = Millis(150);
+  // A node that lacks the processor, or is busy with a large row, may note a
+  // signal after several hundred milliseconds. A directory that heard late
+  // still names the node for some time.
+  constexpr Millis kLatestSignal = Millis(1'000);
   constexpr Millis kLatestList = Millis(150);
   for (Millis signal; signal <= kLatestSignal; signal = signal + kStep) {
     for (Millis list; list <= kLatestList; list = list + kStep) {
       CAPTURE(signal.Count());
       CAPTURE(list.Count());
-      ShutdownWorld world;
-      world.RunUntilAfterStop(kAddressUse + list - signal);
+      ShutdownWorld world(signal);
+      world.RunUntilAfterStop(kAddressUse + list);
       world.Submit(kLongWait);
       CHECK(world.LateSentCount() == 0);
       CHECK(world.LastRejection() == ResultCode::ShuttingDown);
@@ -112,6 +116,26 @@
   }
 }
 
+// Guards against a node that is killed, or exits too early, because it counts
+// its time from another moment than the platform does.
+TEST_CASE("LOST: a stopping node exits in the last sixth of its time, however "
+          "late it saw the request to stop")
+{
+  constexpr Millis kLatestSignal = Millis(1'200);
+  for (Millis signal; signal <= kLatestSignal; signal = signal + kStep) {
+    // The request may have come at any moment since m_notBefore.
+    for (const Millis asked : { Millis(), signal / 2, signal }) {
+      CAPTURE(signal.Count());
+      CAPTURE(asked.Count());
+      ShutdownWorld world(signal);
+      world.RunUntilAfterStop(asked + kGraceTime * 5 / 6 - kStep);
+      CHECK(world.IsUp(kLeavingNode));
+      world.RunUntilAfterStop(asked + kGraceTime);
+      CHECK_FALSE(world.IsUp(kLeavingNode));
+    }
+  }
+}
+
 TEST_CASE("a late request that ends before the stopping node does is served")
 {
   ShutdownWorld world;
--- a/briarglade/net/event_loop.cc
+++ b/briarglade/net/event_loop.cc
@@ -2,6 +2,7 @@
 
 #include "briarglade/net/event_loop.h"
 
+#include <algorithm>
 #include <csignal>
 #include <ctime>
 #include <event2/event.h>
@@ -76,6 +77,7 @@
     static_cast<EventLoop*>(aSelf)->RunDeferred();
   };
   m_deferEvent = event_new(m_base, -1, 0, run, this);
+  m_turnsBegan.fill(Now());
 }
 
 EventLoop::~EventLoop()
@@ -106,7 +108,17 @@
 
 void EventLoop::Run()
 {
-  event_base_loop(m_base, EVLOOP_NO_EXIT_ON_EMPTY);
+  // The flag of an earlier Stop() is cleared when the loop begins.
+  do {
+    BeginTurn();
+    event_base_loop(m_base, EVLOOP_ONCE | EVLOOP_NO_EXIT_ON_EMPTY);
+  } while (event_base_got_break(m_base) == 0);
+}
+
+void EventLoop::BeginTurn()
+{
+  std::move(m_turnsBegan.begin() + 1, m_turnsBegan.end(), m_turnsBegan.begin());
+  m_turnsBegan.back() = Now();
 }
 
 void EventLoop::Stop()
--- a/briarglade/net/event_loop.h
+++ b/briarglade/net/event_loop.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -66,12 +67,20 @@
   void Defer(std::function<void()> aCallback);
   // Calls back on each arrival of a signal.
   void OnSignal(int aSignal, std::function<void()> aCallback);
+  // Returns the earliest time at which a signal can have come that is called
+  // back now. The process may have had no processor since, or been busy.
+  Millis EarliestSignalTime() const { return m_turnsBegan.front(); }
 
   event_base* Base() { return m_base; }
 
 private:
   struct Periodic;
   struct Signal;
+  // A signal is found when a turn begins to look for events, or, if very many
+  // wait to be read, in the next one: it came in one of the last two turns, or
+  // in this one.
+  static constexpr size_t kTurns = 3;
+  void BeginTurn();
   void RunDeferred();
 
   event_base* m_base;
@@ -79,6 +88,8 @@
   std::vector<std::function<void()>> m_deferred;
   std::vector<std::unique_ptr<Periodic>> m_periodics;
   std::vector<std::unique_ptr<Signal>> m_signals;
+  // When the last turns of the loop began, the earliest first.
+  std::array<Millis, kTurns> m_turnsBegan;
 };
 
 } // namespace briarglade
