DRAIN: a follower whose call is overdue asks the others to check the store

What callers saw: requests reach a server for more than 2 s after its entry was removed, by way of nodes that the store serves, while it gives several other nodes no answer (not a refusal): both nodes that follow it, half, all but one.

Cause: only a *failed* call made a follower ask the others to check whether the store serves them. A wait without an answer is overdue after 1.5 s and fails 1 s later.

The virtual store was too kind besides: a wait that was begun before the silence was answered in it.

Change: a call that is overdue requests the check, as a failed one does. The first follower's calls of the servers' feed wait for 300 ms, not 1 s, so that the gap stays below 1.75 s also if others must check one after the other: 350 + 800 + 150 + 300 ms, worked out. Cost: up to 2.3 calls a second of one node while no entry changes.

Command: scripts/run-doctest build/release/entry_test -tc="DRAIN*serves while*"

--- a/briarglade/entry/fleet_world_test.h
+++ b/briarglade/entry/fleet_world_test.h
@@ -451,6 +451,9 @@
   static constexpr uint16_t kFirstPort = 9'000;
   static constexpr const char* kZonePrefix = "out/";
   static constexpr const char* kConfigKey = "config";
+  // A call is given up this long after the time for which it asks the store to
+  // wait.
+  static constexpr Millis kAnswerTimeout = Millis(1'000);
   // Three heartbeats.
   static constexpr Millis kEntryLifetime = Millis(3'000);
 
@@ -681,7 +684,6 @@
   template<typename Answer>
   bool FailIfUnavailable(size_t aNode, Answer aAnswer, Millis aWait = Millis())
   {
-    constexpr Millis kAnswerTimeout = Millis(1'000);
     ++m_calls;
     const StoreStatus status = m_nodes[aNode].m_storeStatus;
     aAnswer.m_status = status;
@@ -763,6 +765,17 @@
     Send(aNode, kStep, written);
   }
 
+  // Lets a call that waits for changes get no answer, as the store has ceased
+  // to answer the node in the meantime.
+  void LoseAnswer(const Watch& aWatch)
+  {
+    FeedAnswered answer;
+    answer.m_call = aWatch.m_call.m_call;
+    answer.m_feed = aWatch.m_call.m_feed;
+    answer.m_status = StoreStatus::Unknown;
+    Send(aWatch.m_node, aWatch.m_until + kAnswerTimeout - m_now, answer);
+  }
+
   void AnswerWatches()
   {
     for (auto watch = m_watches.begin(); watch != m_watches.end();) {
@@ -771,6 +784,11 @@
         watch = m_watches.erase(watch);
         continue;
       }
+      if (node.m_storeStatus == StoreStatus::Unknown) {
+        LoseAnswer(*watch);
+        watch = m_watches.erase(watch);
+        continue;
+      }
       const bool isDue = m_now >= watch->m_until;
       const uint64_t after = NumberOf(watch->m_call.m_after);
       if (!isDue && after >= m_version) {
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -145,6 +145,7 @@
   void PublishHarm(const HarmNotices& aNotices);
   bool RecordLeavingServer(const ServerRun& aServer);
   void ChooseFollowers();
+  Millis ServersWatchTime() const;
   void ForwardRowChanges(Feed aFeed, RowVersion aAfter);
   void AnswerWithRows(const NodeNews& aUpdate);
   void ApplyRowChanges(const std::vector<RowChanges>& aChanges);
--- a/briarglade/entry/internal/row_sharing.cc
+++ b/briarglade/entry/internal/row_sharing.cc
@@ -34,10 +34,13 @@
 // For how long a follower that the store is lost to reports doubt: until after
 // its next update, even if its relay changes.
 constexpr Millis kStoreLostDoubt = Millis(1'500);
-// How long a follower's call waits for changes; and that of the servers' feed
-// while the store may be refusing some nodes, so that all nodes learn of an
-// accepted call well before the next long gap would end.
+// How long a follower's call waits for changes. The first follower's calls of
+// the servers' feed wait for less: if no follower gets answers, that is noticed
+// before the gap between accepted calls is as long as that of an outage. While
+// the store may be refusing some nodes, all followers' calls of that feed wait
+// so little that all nodes learn of an accepted call in time.
 constexpr Millis kWatchTime = Millis(1'000);
+constexpr Millis kFirstWatchTime = Millis(300);
 constexpr Millis kSuspectWatchTime = Millis(200);
 // For how long the store is suspected after the last sign: a node that is
 // served again may doubt removals for 2.3 s without others hearing of it.
@@ -116,7 +119,7 @@
 }
 
 // Asks the other nodes to check whether the store serves them, after it has
-// refused this one, if they rely on it.
+// refused this one, or has not answered it in time, if they rely on it.
 void EntryReduction::RequestStoreCheck()
 {
   SuspectStore();
@@ -247,8 +250,17 @@
   for (auto& [feed, follower] : m_state.m_feeds) {
     follower.SetGap(PollIntervalOf(m_now, follower, feed, conditions));
   }
-  m_state.m_feeds[Feed::Servers].SetWait(
-    isFollowing && IsStoreSuspect() ? kSuspectWatchTime : kWatchTime);
+  m_state.m_feeds[Feed::Servers].SetWait(ServersWatchTime());
+}
+
+// Returns for how long this node's calls of the servers' feed wait for changes.
+Millis EntryReduction::ServersWatchTime() const
+{
+  const bool isFollowing = m_state.m_isFollower || IsSubstituteFollower();
+  if (isFollowing && IsStoreSuspect()) {
+    return kSuspectWatchTime;
+  }
+  return m_state.m_isFirstFollower ? kFirstWatchTime : kWatchTime;
 }
 
 // Adds the changes of a feed since a version to the next bulletin.
--- a/briarglade/entry/reduce_entry.cc
+++ b/briarglade/entry/reduce_entry.cc
@@ -98,9 +98,13 @@
 void EntryReduction::FollowFeeds()
 {
   for (auto& [feed, follower] : m_state.m_feeds) {
+    const bool wasUnanswered = follower.UnansweredSince().has_value();
     if (std::optional<FeedCall> call = follower.Tick(m_now)) {
       std::visit([this](auto& aCall) { m_effects.emplace_back(aCall); }, *call);
     }
+    if (!wasUnanswered && follower.UnansweredSince()) {
+      RequestStoreCheck();
+    }
   }
 }
 
--- a/briarglade/entry/store_refusal_test.cc
+++ b/briarglade/entry/store_refusal_test.cc
@@ -70,10 +70,12 @@
     Run(Millis(5'000) + RandomTime(2'000));
   }
 
-  void AddServer()
+  void AddServer(bool aIsDraining = false)
   {
     ServerRecord record;
     record.m_host = HostId("s1");
+    record.m_isDraining = aIsDraining;
+    record.m_sequence = aIsDraining ? 1 : 0;
     FleetWorld::AddServer(record);
   }
   Millis RandomTime(size_t aBound)
@@ -130,12 +132,19 @@
       Run(kStep);
     }
   }
+  // Returns whether a node sends requests to the server.
+  bool Uses(size_t aNode) const
+  {
+    const auto server = StateOf(aNode).m_servers.find(HostId("s1"));
+    return server != StateOf(aNode).m_servers.end() &&
+           !server->second.m_isDraining;
+  }
   // Returns the number of nodes that use the server.
   size_t NodesThatUseIt() const
   {
     size_t count = 0;
     for (size_t node = 0; node < NodeCount(); ++node) {
-      count += StateOf(node).m_servers.count(HostId("s1"));
+      count += Uses(node) ? 1 : 0;
     }
     return count;
   }
@@ -199,6 +208,95 @@
   }
 }
 
+// How a server leaves: its entry is removed, or says so.
+enum class Leaving : uint8_t
+{
+  ByRemoval,
+  ByEntry
+};
+
+// A trial: some nodes get no answer from the store for a time, and a server
+// leaves before, in or after it.
+struct SilenceTrial
+{
+  uint32_t m_nodes = 0;
+  Refused m_refused = Refused::Followers;
+  Leaving m_leaving = Leaving::ByRemoval;
+  uint32_t m_seed = 0;
+};
+
+// Returns the number of nodes that still use the server kDrainTime after it
+// left, of those that the store served all the time.
+size_t UsersAfterSilence(const SilenceTrial& aTrial, Millis& aLeftAfter)
+{
+  constexpr size_t kLatestLeaving = 7'000;
+  constexpr Millis kSilence = Millis(4'000);
+  World world(aTrial.m_nodes, aTrial.m_seed);
+  const Millis begin = world.Now();
+  const std::vector<size_t> chosen = world.PickNodes(aTrial.m_refused);
+  const size_t skew = aTrial.m_seed % 2 == 0 ? kShortSkew : kLongSkew;
+  world.SetStatusSoon(chosen, StoreStatus::Unknown, skew);
+  const Millis leftAt = begin + world.RandomTime(kLatestLeaving);
+  const Millis backAt = begin + kSilence;
+  aLeftAfter = leftAt - begin;
+  world.RunUntil(std::min(leftAt, backAt));
+  if (leftAt > backAt) {
+    world.SetStatusSoon(chosen, StoreStatus::Ok);
+    world.RunUntil(leftAt);
+  }
+  if (aTrial.m_leaving == Leaving::ByRemoval) {
+    world.RemoveServer("s1");
+  } else {
+    world.AddServer(true);
+  }
+  if (backAt >= leftAt && backAt < leftAt + kDrainTime) {
+    world.RunUntil(backAt);
+    world.SetStatusSoon(chosen, StoreStatus::Ok);
+  }
+  world.RunUntil(leftAt + kDrainTime);
+  size_t users = 0;
+  for (size_t node = 0; node < aTrial.m_nodes; ++node) {
+    const bool wasServed =
+      std::find(chosen.begin(), chosen.end(), node) == chosen.end();
+    users += wasServed && world.Uses(node) ? 1 : 0;
+  }
+  return users;
+}
+
+// Guards against nodes that notice too late that the followers of the store get
+// no answer, and then take that for an outage.
+TEST_CASE("DRAIN: a server that leaves is out of use within 2 s on every node "
+          "that the store serves while several others get no answer")
+{
+  for (const uint32_t nodes : { 5, 12, 40 }) {
+    for (const Refused refused : { Refused::Followers,
+                                   Refused::Two,
+                                   Refused::Half,
+                                   Refused::AllButOne }) {
+      for (const Leaving leaving : { Leaving::ByRemoval, Leaving::ByEntry }) {
+        size_t late = 0;
+        const uint32_t seeds = SeedCount(nodes > 12 ? 6 : 30);
+        for (uint32_t seed = 1; seed <= seeds; ++seed) {
+          Millis leftAfter;
+          const size_t users = UsersAfterSilence(
+            SilenceTrial{ nodes, refused, leaving, seed }, leftAfter);
+          if (users > 0) {
+            ++late;
+            MESSAGE(nodes << " nodes, " << std::string(NameOf(refused))
+                          << ", seed " << seed << ": left " << leftAfter.Count()
+                          << " ms after the silence "
+                          << "began, still used by " << users);
+          }
+        }
+        CAPTURE(nodes);
+        CAPTURE(NameOf(refused));
+        CAPTURE(leaving == Leaving::ByRemoval);
+        CHECK(late == 0);
+      }
+    }
+  }
+}
+
 // Guards against a check by every node of a large fleet for each failed call of
 // a follower.
 TEST_CASE("a moment in which the store refuses its followers makes few nodes "
