--- a/scripts/lib/platform_cluster.py
+++ b/scripts/lib/platform_cluster.py
@@ -26,7 +26,7 @@
 region = "region-1"
 internal_ports = [{peers}, {metrics}]
 bootstrap = true
-heartbeat_ms = 300
+heartbeat_ms = {heartbeat_ms}
 contracts = ["base"]
 a_field_of_tomorrow = {{ is = "passed over" }}
 [zones]
@@ -42,7 +42,7 @@
 configuration_ms = 2000
 drain_ms = 2000
 grace_s = 8
-stall_ms = 3000
+stall_ms = {stall_ms}
 budget_ratio = 0.2
 budget_window_s = 10
 budget_slack = 134
@@ -58,11 +58,13 @@
 """
 
 
-def settings_text(name, ip, zone, *, descriptors=4100, memory_mb=260, **ports):
+def settings_text(name, ip, zone, *, descriptors=4100, memory_mb=260, heartbeat_ms=300,
+                  stall_ms=3000, **ports):
     """Returns a node's settings; `ports` has store, peers, metrics, callers, ready and
     directory."""
     return SETTINGS.format(name=name, ip=ip, zone=zone, descriptors=descriptors,
-                           memory_mb=memory_mb, **ports)
+                           memory_mb=memory_mb, heartbeat_ms=heartbeat_ms, stall_ms=stall_ms,
+                           **ports)
 
 
 def free_ports(address, count):
@@ -80,7 +82,8 @@
     """One `briarglade serve`, with an address of its own on loopback."""
 
     def __init__(self, name, zone, store_port, directory, program=None, **limits):
-        """`limits` has the descriptors and memory_mb that are not the usual ones."""
+        """`limits` has the descriptors, memory_mb, heartbeat_ms and stall_ms that are not the
+        usual ones."""
         self.name = name
         self.program = program or os.path.join(BUILD, "briarglade")
         # An address that no other run on this machine uses at the same time.
@@ -139,7 +142,23 @@
             return [line for line in file if f"event={event} " in line + " "]
 
 
-def configuration(version, extra_route=False):
+class Shape:  # pylint: disable=too-few-public-methods
+    """The sizes of the groups of both models, and the times of servers in ms."""
+
+    def __init__(self, large=3, small=2, load_ms=1000, heartbeat_ms=300, stall_ms=3000,
+                 report_lag_ms=50):
+        self.large, self.small = large, small
+        self.load_ms, self.heartbeat_ms, self.stall_ms = load_ms, heartbeat_ms, stall_ms
+        self.report_lag_ms = report_lag_ms
+
+    def flags(self):
+        """The flags with which the stand-in platform has this shape."""
+        return ["--large", str(self.large), "--small", str(self.small), "--model-load-ms",
+                str(self.load_ms), "--heartbeat-ms", str(self.heartbeat_ms), "--stall-ms",
+                str(self.stall_ms), "--report-lag-ms", str(self.report_lag_ms)]
+
+
+def configuration(version, extra_route=False, shape=Shape()):
     """The operators' configuration, as the store holds it."""
     def route(name, service, kind, **fields):
         return {"name": name, "host": "models.example", "prefix": f"/{name}/",
@@ -147,8 +166,8 @@
                 "attempts": 3, "priority": 0, **fields}
 
     def model(name, size, share):
-        return {"name": name, "size": size, "pace": 1.0, "share": share, "load_s": 1.0,
-                "warm_s": 0.1}
+        return {"name": name, "size": size, "pace": 1.0, "share": share,
+                "load_s": shape.load_ms / 1e3, "warm_s": shape.load_ms / 1e4}
     routes = [route("write", "models", "streaming", resumable=True, gap_target_ms=250),
               route("book", "desk", "non_idempotent")]
     if extra_route:
@@ -159,7 +178,8 @@
                  "engine": {"slots": 8, "kv_capacity_tokens": 100000, "step_ms": 10,
                             "per_seq_ms": 0, "read_per_s": 50000, "loads_per_s": 4,
                             "retains": 1, "formation_ms": 100,
-                            "models": [model("large", 3, 0.6), model("small", 2, 0.4)]}},
+                            "models": [model("large", shape.large, 0.6),
+                                       model("small", shape.small, 0.4)]}},
                 {"name": "desk", "health_path": "/health", "max_connections": 200}],
             "tenants": [{"name": "sled-tours", "api_keys": [ACCOUNT_KEY]}],
             "limits": {"header_bytes": 8192, "body_bytes": 65536, "header_timeout_ms": 2000,
@@ -169,7 +189,10 @@
 class PlatformCluster:
     """The platform's stand-in and entry nodes on it."""
 
-    def __init__(self, nodes=3, flags=(), program=None):
+    def __init__(self, nodes=3, flags=(), program=None, shape=None):
+        """shape: that of the groups and servers; else the usual one, and what `flags` say."""
+        self.shape = shape or Shape()
+        flags = [*flags, *(shape.flags() if shape else [])]
         self.nodes = {}
         self.platform = None
         try:
@@ -183,14 +206,15 @@
                 name = f"node-{number}"
                 self.nodes[name] = EntryNode(
                     name, ZONES[(number - 1) % len(ZONES)],
-                    self.platform.ports[f"store-{number}"], self.directory, program)
+                    self.platform.ports[f"store-{number}"], self.directory, program,
+                    heartbeat_ms=self.shape.heartbeat_ms, stall_ms=self.shape.stall_ms)
         except BaseException:
             self.close()
             raise
 
     def configure(self, version, extra_route=False):
         self.platform.administer("/admin/row", key="config",
-                                 value=configuration(version, extra_route))
+                                 value=configuration(version, extra_route, self.shape))
 
     def store(self, **faults):
         """Sets the faults of the store's doors; none: all is well."""
@@ -199,6 +223,10 @@
     def server(self, host, **faults):
         return self.platform.administer("/admin/server", host=host, **faults)
 
+    def server_all(self, **faults):
+        """Sets the faults of all servers."""
+        return self.platform.administer("/admin/server", **faults)
+
     def stats(self):
         return self.platform.administer("/admin/stats")
 
--- a/standin/platform_role.cc
+++ b/standin/platform_role.cc
@@ -74,6 +74,9 @@
     options.m_zone = std::move(aZone);
     options.m_stepTime = Time(aArguments, "--step-ms");
     options.m_runTime = Time(aArguments, "--run-ms");
+    options.m_heartbeat = Time(aArguments, "--heartbeat-ms");
+    options.m_stallTime = Time(aArguments, "--stall-ms");
+    options.m_reportLag = Time(aArguments, "--report-lag-ms");
     return options;
   }
 
@@ -95,8 +98,10 @@
     options.m_service = "models";
     PlatformMemberOptions member;
     member.m_domain = "domain-" + std::to_string(aDomain);
-    member.m_models = { PlatformModel{ "large", 3, load, load / 10 },
-                        PlatformModel{ "small", 2, load, load / 10 } };
+    member.m_models = {
+      PlatformModel{ "large", Number(aArguments, "--large"), load, load / 10 },
+      PlatformModel{ "small", Number(aArguments, "--small"), load, load / 10 }
+    };
     options.m_member = std::move(member);
     AddServer(aLoop, std::move(options));
   }
--- a/standin/standin_main.cc
+++ b/standin/standin_main.cc
@@ -38,6 +38,8 @@
   briarglade-standin services <host>... [--run-ms N]
   briarglade-standin platform [--doors N] [--domains N] [--hosts N]
       [--services N] [--step-ms N] [--run-ms N] [--model-load-ms N]
+      [--large N] [--small N] [--heartbeat-ms N] [--stall-ms N]
+      [--report-lag-ms N]
   briarglade-standin --help
 
 A <host> is NAME or NAME:PORT. Ports that aren't given are chosen by the kernel.
@@ -59,6 +61,11 @@
   --domains N        Domains of model servers [default: 2].
   --hosts N          Model servers of a domain [default: 7].
   --services N       Servers of the plain service [default: 2].
+  --large N          Servers of a group of the large model [default: 3].
+  --small N          Servers of a group of the small model [default: 2].
+  --heartbeat-ms N   Time between two writes of a server's entry [default: 300].
+  --report-lag-ms N  Time until a server's change is in the store [default: 50].
+  --stall-ms N       A group that stands still breaks after it [default: 3000].
 
 Administration, on the port printed as "admin":
   POST /admin/fault  {"host": NAME, ...faults of the stand-in...}
