DRAIN: the trial that long waits of the first follower failed is a test

One of 1,440 trials failed as long as the first follower's calls waited for 1 s: 40 nodes, all but one without an answer, seed 57.

Command: scripts/run-doctest build/release/entry_test -tc="DRAIN*in the trial*"

--- a/briarglade/entry/store_refusal_test.cc
+++ b/briarglade/entry/store_refusal_test.cc
@@ -297,6 +297,24 @@
   }
 }
 
+// Guards against a gap between accepted calls that is as long as that of an
+// outage: with longer waits of the first follower, one of 1,440 trials failed.
+TEST_CASE(
+  "DRAIN: a server that leaves is out of use within 2 s on the only node "
+  "that the store serves, in the trial that failed")
+{
+  constexpr uint32_t kManyNodes = 40;
+  constexpr uint32_t kFailedSeed = 57;
+  for (uint32_t seed = kFailedSeed; seed < kFailedSeed + 4; ++seed) {
+    CAPTURE(seed);
+    Millis leftAfter;
+    CHECK(UsersAfterSilence(
+            SilenceTrial{
+              kManyNodes, Refused::AllButOne, Leaving::ByRemoval, seed },
+            leftAfter) == 0);
+  }
+}
+
 // Guards against a check by every node of a large fleet for each failed call of
 // a follower.
 TEST_CASE("a moment in which the store refuses its followers makes few nodes "
