DRAIN: the gap between accepted calls is a test, and leaving servers a soak

What it brings is the gap: the test holds that silence towards all nodes but one leaves no gap in the store's accepted calls, whenever it begins.

Tried and dropped: "the others check within 1.6 s", which passes without the request, too (an earlier wait that fails 1.3 s after it began requests it).

The stand-in's servers can leave without a word and say which calls came after.

Measured: scripts/run-doctest build/release/entry_test -tc="DRAIN*leaves no gap*"

--- a/briarglade/entry/store_refusal_test.cc
+++ b/briarglade/entry/store_refusal_test.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <doctest/doctest.h>
 #include <numeric>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -315,6 +316,39 @@
   }
 }
 
+// Guards against a gap between accepted calls as long as that of an outage,
+// because the others are asked too late to check the store.
+TEST_CASE("DRAIN: silence of the store towards all nodes but one leaves no gap "
+          "between the calls that it accepts")
+{
+  constexpr Millis kLatestBegin = Millis(1'000);
+  constexpr Millis kPart = Millis(100);
+  constexpr Millis kSilence = Millis(4'000);
+  uint32_t seed = 0;
+  for (const uint32_t nodes : { 5, 12, 40 }) {
+    for (Millis begin; begin < kLatestBegin; begin += kPart) {
+      CAPTURE(nodes);
+      CAPTURE(begin.Count());
+      World world(nodes, ++seed);
+      world.Run(begin);
+      const Millis silentSince = world.Now();
+      const std::vector<size_t> silenced = world.PickNodes(Refused::AllButOne);
+      for (const size_t node : silenced) {
+        world.SetStoreStatus(node, StoreStatus::Unknown);
+      }
+      world.Run(kSilence);
+      for (const size_t node : silenced) {
+        world.Kill(node);
+      }
+      const size_t served = world.Find([](const EntryState&) { return true; });
+      const std::optional<StorePeriod> last =
+        world.StateOf(served).m_storeUptime.Last();
+      REQUIRE(last);
+      CHECK(last->m_since < silentSince);
+    }
+  }
+}
+
 // Guards against a check by every node of a large fleet for each failed call of
 // a follower.
 TEST_CASE("a moment in which the store refuses its followers makes few nodes "
--- a/standin/platform_role.cc
+++ b/standin/platform_role.cc
@@ -143,6 +143,9 @@
       if (aCall.value("drain", false)) {
         server->Drain();
       }
+      if (aCall.value("unlist", false)) {
+        server->Unlist();
+      }
     }
   }
 
@@ -166,6 +169,11 @@
                                   { "served", server->ServedCount() },
                                   { "group", server->Group() },
                                   { "leads", server->IsHead() } };
+      json late = json::object();
+      for (const auto& [attempt, after] : server->LateCalls()) {
+        late[attempt] = after.Count();
+      }
+      servers[server->Host()]["late_calls"] = late;
       for (const auto& [attempt, count] : server->Runs()) {
         runs[attempt] += count;
       }
--- a/standin/platform_server.cc
+++ b/standin/platform_server.cc
@@ -75,6 +75,9 @@
   m_port = m_server->Listen(Endpoint{ "127.0.0.1", m_port });
   m_isUp = true;
   m_isDraining = false;
+  m_isUnlisted = false;
+  m_leftAt.reset();
+  m_lateCalls.clear();
   m_startedAt = UnixMillis();
   if (m_id.empty()) {
     m_id = m_options.m_host + "." + std::to_string(++m_starts);
@@ -132,6 +135,13 @@
   TellStore();
 }
 
+void PlatformServer::Unlist()
+{
+  m_isUnlisted = true;
+  m_store.Remove(kServersTable, m_id);
+  m_leftAt = EventLoop::Now();
+}
+
 // Writes the entry and does so again after a heartbeat.
 void PlatformServer::Register()
 {
@@ -147,9 +157,13 @@
   entry.emplace("sequence", 0);
   // The store holds the entry as it is only while more than a counter changes.
   const std::string text = entry.dump();
-  if (!m_faults.m_keepsEntry && m_store.Find(kServersTable, m_id) != text) {
+  const bool isWritten = !m_faults.m_keepsEntry && !m_isUnlisted;
+  if (isWritten && m_store.Find(kServersTable, m_id) != text) {
     m_store.Put(kServersTable, m_id, text);
   }
+  if (isWritten && m_isDraining && !m_leftAt) {
+    m_leftAt = EventLoop::Now();
+  }
   m_heartbeatTimer->Start(m_options.m_heartbeat);
 }
 
@@ -305,7 +319,11 @@
 void PlatformServer::HandleCall(const Exchange& aExchange)
 {
   ++m_served;
-  ++m_runs[aExchange->Header(kAttemptHeader)];
+  const std::string attempt = aExchange->Header(kAttemptHeader);
+  ++m_runs[attempt];
+  if (m_leftAt) {
+    m_lateCalls[attempt] = EventLoop::Now() - *m_leftAt;
+  }
   m_calls.After(m_options.m_runTime + m_faults.m_delay, [this, aExchange] {
     if (m_faults.m_cutAfterRun) {
       aExchange->Abort();
--- a/standin/platform_server.h
+++ b/standin/platform_server.h
@@ -101,10 +101,15 @@
   void Crash(Millis aDownTime, bool aKeepsId);
   // Announces that the server will leave.
   void Drain();
+  // Leaves without a word: the entry is removed, and the server serves on.
+  void Unlist();
 
   // Runs so far of each call, by attempt id. Streams aren't counted.
   const std::map<std::string, uint32_t>& Runs() const { return m_runs; }
   uint64_t ServedCount() const { return m_served; }
+  // Returns how long after the store knew that this run of the server leaves
+  // its calls came, by attempt id.
+  const std::map<std::string, Millis>& LateCalls() const { return m_lateCalls; }
   // Returns the group that the server is in; empty: none.
   std::string Group() const { return m_member ? m_member->Group() : ""; }
   bool IsHead() const { return m_member && m_member->IsHead(); }
@@ -157,6 +162,10 @@
   uint16_t m_port = 0;
   bool m_isUp = false;
   bool m_isDraining = false;
+  bool m_isUnlisted = false;
+  // When the store has learned that the server leaves.
+  std::optional<Millis> m_leftAt;
+  std::map<std::string, Millis> m_lateCalls;
 
   std::string m_id;
   uint32_t m_starts = 0;
--- a/standin/standin_main.cc
+++ b/standin/standin_main.cc
@@ -73,7 +73,7 @@
   GET  /admin/stats  counters
   of the platform:
   POST /admin/store  {"door": NAME, ...faults of the store...}
-  POST /admin/server {"host": NAME, ...faults of the server, "crash", "drain"...}
+  POST /admin/server {"host": NAME, ...faults of the server, "crash", "drain", "unlist"...}
   POST /admin/row    {"key": KEY, "value": JSON}  an operators' row
   POST /admin/forget-history
 )";
