--- a/briarglade/entry/reduce_entry.cc
+++ b/briarglade/entry/reduce_entry.cc
@@ -26,6 +26,9 @@
 // The longest time that the request to stop takes from its sender to this
 // process, which may note it much later.
 constexpr Millis kSignalTime = Millis(50);
+// Callers of a process that shuts down may count on it for so many sixths of
+// the time until it would be killed.
+constexpr int64_t kServedSixths = 5;
 // A process that shuts down exits this long before it would be killed.
 constexpr Millis kGraceMargin = Millis(500);
 // A process that shuts down waits at most this long for the store to remove its
@@ -160,7 +163,7 @@
 {
   const Millis grace = m_state.m_settings.m_bounds.m_graceTime;
   return std::max(m_state.m_stopNotBefore + grace - kGraceMargin,
-                  m_state.m_leavingSince + grace * 5 / 6);
+                  m_state.m_leavingSince + grace * kServedSixths / 6);
 }
 
 // Returns since when a request must be able to end before this node exits.
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -127,7 +127,8 @@
   // How many removals of entries were acted on although calls to the store had
   // failed, because the store had served other nodes.
   uint64_t m_removalsBelieved = 0;
-  // The same as reported by another node. This node does not forward it.
+  // Until when an outage may be the reason for missing entries, as reported by
+  // another node. This node does not forward it.
   Millis m_reportedDisturbedUntil;
   GroupMap m_groups;
   // Groups that the holder of the control lease is ending; they get no
