LOST: a signal's earliest time holds also if many sockets became ready first

What callers saw: none has reported it; found on reading again. A node that was paused while callers kept it busy, and was asked to stop in the pause, would count its stop from after the pause, and take and cut streams as before.

Evidence: event_loop_test, 400 sockets that become ready before the signal: the earliest time was 32 ms after the signal, in 3 of 3 runs.

Change: signals have a handler of the loop's own, which sets a flag and wakes the loop by a pipe; the loop looks at the flags when each turn begins. A signal that is found now came after the last turn began, however many sockets wait.

Measured: the test failed before, passes now in 3 of 3 runs.

Command: scripts/run-doctest build/release/net_test -tc="LOST*earliest*"

--- a/briarglade/net/event_loop.cc
+++ b/briarglade/net/event_loop.cc
@@ -1,11 +1,18 @@
-// libevent behind the EventLoop interface.
+// libevent behind the EventLoop interface. Signals have a handler of their own:
+// libevent reads them from a socket, which a process that was paused gets to
+// only after all others that became ready, some turns of the loop later.
 
 #include "briarglade/net/event_loop.h"
 
-#include <algorithm>
+#include <array>
+#include <cerrno>
 #include <csignal>
+#include <cstdio>
+#include <cstdlib>
 #include <ctime>
 #include <event2/event.h>
+#include <fcntl.h>
+#include <unistd.h>
 #include <utility>
 
 namespace briarglade {
@@ -14,6 +21,31 @@
 
 constexpr int64_t kMicrosPerMilli = 1000;
 
+// What the handler of signals touches: which have come, and where it wakes the
+// loop.
+volatile std::sig_atomic_t gHasCome[NSIG];
+volatile std::sig_atomic_t gWakeSocket = -1;
+
+extern "C" void NoteSignal(int aSignal)
+{
+  const int error = errno;
+  gHasCome[aSignal] = 1;
+  // A full pipe wakes the loop, too.
+  const char byte = 0;
+  [[maybe_unused]] const ssize_t written = write(gWakeSocket, &byte, 1);
+  errno = error;
+}
+
+void SetHandler(int aSignal, void (*aHandler)(int))
+{
+  struct sigaction action
+  {};
+  action.sa_handler = aHandler;
+  action.sa_flags = SA_RESTART;
+  sigfillset(&action.sa_mask);
+  sigaction(aSignal, &action, nullptr);
+}
+
 timeval ToTimeval(Millis aMillis)
 {
   timeval value{};
@@ -59,10 +91,14 @@
 
 struct EventLoop::Signal
 {
+  int m_number = 0;
   std::function<void()> m_callback;
-  event* m_event = nullptr;
 
-  ~Signal() { event_free(m_event); }
+  ~Signal()
+  {
+    SetHandler(m_number, SIG_DFL);
+    gHasCome[m_number] = 0;
+  }
 };
 
 EventLoop::EventLoop()
@@ -77,7 +113,6 @@
     static_cast<EventLoop*>(aSelf)->RunDeferred();
   };
   m_deferEvent = event_new(m_base, -1, 0, run, this);
-  m_turnsBegan.fill(Now());
 }
 
 EventLoop::~EventLoop()
@@ -89,6 +124,12 @@
   event_free(m_deferEvent);
   m_periodics.clear();
   m_signals.clear();
+  if (m_wakeEvent != nullptr) {
+    gWakeSocket = -1;
+    event_free(m_wakeEvent);
+    close(m_wakePipe[0]);
+    close(m_wakePipe[1]);
+  }
   event_base_free(m_base);
 }
 
@@ -108,21 +149,36 @@
 
 void EventLoop::Run()
 {
-  // The flag of an earlier Stop() is cleared when the loop begins.
-  do {
+  m_isStopped = false;
+  m_turnBegan = Now();
+  while (!m_isStopped) {
     BeginTurn();
-    event_base_loop(m_base, EVLOOP_ONCE | EVLOOP_NO_EXIT_ON_EMPTY);
-  } while (event_base_got_break(m_base) == 0);
+    if (!m_isStopped) {
+      event_base_loop(m_base, EVLOOP_ONCE | EVLOOP_NO_EXIT_ON_EMPTY);
+    }
+  }
 }
 
 void EventLoop::BeginTurn()
 {
-  std::move(m_turnsBegan.begin() + 1, m_turnsBegan.end(), m_turnsBegan.begin());
-  m_turnsBegan.back() = Now();
+  m_lastTurnBegan = m_turnBegan;
+  m_turnBegan = Now();
+  RunSignals();
+}
+
+void EventLoop::RunSignals()
+{
+  for (const std::unique_ptr<Signal>& signal : m_signals) {
+    if (gHasCome[signal->m_number] != 0) {
+      gHasCome[signal->m_number] = 0;
+      signal->m_callback();
+    }
+  }
 }
 
 void EventLoop::Stop()
 {
+  m_isStopped = true;
   event_base_loopbreak(m_base);
 }
 
@@ -165,15 +221,33 @@
 
 void EventLoop::OnSignal(int aSignal, std::function<void()> aCallback)
 {
+  OpenWakePipe();
   auto handler = std::make_unique<Signal>();
+  handler->m_number = aSignal;
   handler->m_callback = std::move(aCallback);
-  auto fire = [](evutil_socket_t, short, void* aHandler) {
-    static_cast<Signal*>(aHandler)->m_callback();
-  };
-  handler->m_event =
-    event_new(m_base, aSignal, EV_SIGNAL | EV_PERSIST, fire, handler.get());
-  event_add(handler->m_event, nullptr);
   m_signals.push_back(std::move(handler));
+  SetHandler(aSignal, &NoteSignal);
+}
+
+void EventLoop::OpenWakePipe()
+{
+  if (m_wakeEvent != nullptr) {
+    return;
+  }
+  if (pipe2(m_wakePipe, O_NONBLOCK | O_CLOEXEC) != 0) {
+    // Without it the process couldn't be stopped gracefully.
+    std::perror("briarglade: a pipe for signals could not be opened");
+    std::exit(EXIT_FAILURE);
+  }
+  auto drain = [](evutil_socket_t aPipe, short, void*) {
+    std::array<char, 64> bytes{};
+    while (read(aPipe, bytes.data(), bytes.size()) > 0) {
+    }
+  };
+  m_wakeEvent =
+    event_new(m_base, m_wakePipe[0], EV_READ | EV_PERSIST, drain, nullptr);
+  event_add(m_wakeEvent, nullptr);
+  gWakeSocket = m_wakePipe[1];
 }
 
 } // namespace briarglade
--- a/briarglade/net/event_loop.h
+++ b/briarglade/net/event_loop.h
@@ -8,7 +8,6 @@
 
 #pragma once
 
-#include <array>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -65,22 +64,22 @@
   // Calls back once, from the loop, after the present callback has returned.
   // What still waits when the loop is destroyed is dropped.
   void Defer(std::function<void()> aCallback);
-  // Calls back on each arrival of a signal.
+  // Calls back after a signal has come, once if it comes several times in quick
+  // succession. One loop of a process at a time may do so.
   void OnSignal(int aSignal, std::function<void()> aCallback);
-  // Returns the earliest time at which a signal can have come that is called
-  // back now. The process may have had no processor since, or been busy.
-  Millis EarliestSignalTime() const { return m_turnsBegan.front(); }
+  // Returns, in the callback of a signal, the earliest time at which it can
+  // have come, by Now(). The process may have had no processor since, or been
+  // busy.
+  Millis EarliestSignalTime() const { return m_lastTurnBegan; }
 
   event_base* Base() { return m_base; }
 
 private:
   struct Periodic;
   struct Signal;
-  // A signal is found when a turn begins to look for events, or, if very many
-  // wait to be read, in the next one: it came in one of the last two turns, or
-  // in this one.
-  static constexpr size_t kTurns = 3;
   void BeginTurn();
+  void RunSignals();
+  void OpenWakePipe();
   void RunDeferred();
 
   event_base* m_base;
@@ -88,8 +87,14 @@
   std::vector<std::function<void()>> m_deferred;
   std::vector<std::unique_ptr<Periodic>> m_periodics;
   std::vector<std::unique_ptr<Signal>> m_signals;
-  // When the last turns of the loop began, the earliest first.
-  std::array<Millis, kTurns> m_turnsBegan;
+  // Its first end is read when a signal has come; -1 without OnSignal().
+  int m_wakePipe[2] = { -1, -1 };
+  event* m_wakeEvent = nullptr;
+  bool m_isStopped = false;
+  // Signals are looked for when a turn begins. One that is found now came after
+  // the last turn had begun.
+  Millis m_turnBegan;
+  Millis m_lastTurnBegan;
 };
 
 } // namespace briarglade
