Logs: a request to check the store says which call decided, and why

Now it has `feed` and `reason`, the call's status or "overdue".

Also names and units of: the six of five sixths, what the 50 ms of kSignalTime are (the sender's part, not how late this process notes it), and by whose clock the moment of a stop is. No decision has changed.

--- a/briarglade/entry/entry_event.h
+++ b/briarglade/entry/entry_event.h
@@ -59,8 +59,8 @@
 // The process has noted that it is asked to stop.
 struct StopRequested
 {
-  // The earliest moment at which it may have been asked. A process that has no
-  // processor, or is busy, notes it late.
+  // The earliest moment at which it may have been asked, by this node's clock.
+  // A process that has no processor, or is busy, notes it late.
   Millis m_notBefore;
 };
 
--- a/briarglade/entry/entry_node.h
+++ b/briarglade/entry/entry_node.h
@@ -71,8 +71,8 @@
   std::optional<Error> Start();
   // Returns the port of the listener for callers; 0 before Start().
   uint16_t CallerPort() const { return m_callerPort; }
-  // Begins a graceful shutdown, which was asked for at aNotBefore or later. The
-  // loop stops when the shutdown is complete.
+  // Begins a graceful shutdown, which was asked for at aNotBefore or later,
+  // by EventLoop::Now(). The loop stops when the shutdown is complete.
   void BeginShutdown(Millis aNotBefore);
   // Writes one line to the log.
   void WriteLog(const LogEvent& aEvent) { m_log.Write(aEvent); }
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -151,7 +151,7 @@
   void ApplyRowChanges(const std::vector<RowChanges>& aChanges);
   bool IsStoreSuspect() const;
   void SuspectStore();
-  void RequestStoreCheck();
+  void RequestStoreCheck(Feed aFeed, const char* aReason);
   void BeginStoreCheck(const NodeId& aOrigin);
   void EndStoreCheck(const NodeId& aOrigin);
   void CheckStore();
--- a/briarglade/entry/internal/row_sharing.cc
+++ b/briarglade/entry/internal/row_sharing.cc
@@ -119,8 +119,9 @@
 }
 
 // Asks the other nodes to check whether the store serves them, after it has
-// refused this one, or has not answered it in time, if they rely on it.
-void EntryReduction::RequestStoreCheck()
+// refused this one, or has not answered it in time, if they rely on it. For the
+// log: the feed whose call had this end, and its status, or that it is overdue.
+void EntryReduction::RequestStoreCheck(Feed aFeed, const char* aReason)
 {
   SuspectStore();
   const bool isFollowing = m_state.m_isFollower || IsSubstituteFollower();
@@ -129,7 +130,9 @@
   }
   Log(LogLevel::Info,
       "store-check-requested",
-      { { "first", m_state.m_isFirstFollower ? "yes" : "no" },
+      { { "feed", FeedName(aFeed) },
+        { "reason", aReason },
+        { "first", m_state.m_isFirstFollower ? "yes" : "no" },
         { "store-uptime-ms", std::to_string(StoreUptimeNow().Count()) } });
   m_state.m_peerUpdates.m_nextBulletin.m_storeCheck =
     StoreCheckNotice::Requested;
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -65,7 +65,7 @@
           { "version", std::to_string(follower.Version().Value()) } });
   }
   if (!wasFailing && follower.FailingSince()) {
-    RequestStoreCheck();
+    RequestStoreCheck(aAnswer.m_feed, StoreStatusName(aAnswer.m_status));
   }
   RecordOutage(before, follower, answeredBefore);
   if (aAnswer.m_status != StoreStatus::Ok) {
--- a/briarglade/entry/reduce_entry.cc
+++ b/briarglade/entry/reduce_entry.cc
@@ -23,12 +23,14 @@
 // A process that shuts down serves callers at least until those that got its
 // address before the stop have a newer list.
 constexpr Millis kServeTime = kAddressLifetime * kAddressCacheLifetimes;
-// The longest time that the request to stop takes from its sender to this
-// process, which may note it much later.
+// How long before the request to stop reached this process its sender may have
+// taken the time from which callers count. How late this process notes it comes
+// on top, and is known (StopRequested).
 constexpr Millis kSignalTime = Millis(50);
 // Callers of a process that shuts down may count on it for so many sixths of
 // the time until it would be killed.
 constexpr int64_t kServedSixths = 5;
+constexpr int64_t kSixths = 6;
 // A process that shuts down exits this long before it would be killed.
 constexpr Millis kGraceMargin = Millis(500);
 // A process that shuts down waits at most this long for the store to remove its
@@ -106,7 +108,7 @@
       std::visit([this](auto& aCall) { m_effects.emplace_back(aCall); }, *call);
     }
     if (!wasUnanswered && follower.UnansweredSince()) {
-      RequestStoreCheck();
+      RequestStoreCheck(feed, "overdue");
     }
   }
 }
@@ -163,7 +165,7 @@
 {
   const Millis grace = m_state.m_settings.m_bounds.m_graceTime;
   return std::max(m_state.m_stopNotBefore + grace - kGraceMargin,
-                  m_state.m_leavingSince + grace * kServedSixths / 6);
+                  m_state.m_leavingSince + grace * kServedSixths / kSixths);
 }
 
 // Returns since when a request must be able to end before this node exits.
