--- a/review/7/case.py
+++ b/review/7/case.py
@@ -7,8 +7,8 @@
 import uuid
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib-2"))
-import platform_2 as p  # noqa: E402  pylint: disable=wrong-import-position
+sys.path.insert(0, FOLDER)
+import standins as p  # noqa: E402  pylint: disable=wrong-import-position
 
 MODELS = {"m1": {"size": 3, "load_s": 12.0, "warm_s": 1.1}}
 HOSTS = 11
--- a/review/lib-2/platform_2.py
+++ b/review/7/standins.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the scripts of the second review: the platform's store, servers and
+"""Stand-ins for the script of this folder: the platform's store, servers and
 clients, in one process, on loopback addresses and the real clock. They speak what
 PROTOCOL.md says. Entry nodes are the project's own program, started as the deploy file
 says, each as a process of its own."""
@@ -10,6 +10,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -571,7 +572,10 @@
 
 
 def has_trouble():
-    return os.environ.get("TROUBLE", "1") != "0"
+    """Returns whether the disruption is to happen: run.sh says so by its word."""
+    if sys.argv[1:] not in (["trouble"], ["calm"]):
+        raise CannotRun("to be started by run.sh")
+    return sys.argv[1] == "trouble"
 
 
 def run_case(case):
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,10 +1,10 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of the second review start. They are all in
-# lib-2/platform_2.py and run in the script's own process, so there is nothing to build
-# but Python's own byte code, which is not kept: this only tells whether Python can read it.
+# Builds the stand-ins that the scripts of the second review start. Each case has its own
+# in its folder, in standins.py, and runs them in the script's own process, so there is
+# nothing to compile: this only tells whether Python can read them.
 set -euo pipefail
 cd "$(dirname "$0")"
-PYTHONDONTWRITEBYTECODE=1 python3 - lib-2/*.py [0-9]*/case.py <<'EOF'
+PYTHONDONTWRITEBYTECODE=1 python3 - 7/*.py 8/*.py <<'EOF'
 import ast
 import sys
 for path in sys.argv[1:]:
