LOST: a group that loses its leader's record no longer ends the node

Cause: UpdateBackends found the groups, then erased unlisted servers that no group needs, then asked for the leader of each group with at(). A server whose entry has expired and that leads a group by its last report is erased by the second step, so the third one threw std::out_of_range, on this holder and, with the same rows, on the next one.

Change: UpdateGroups finds the groups again until no unlisted server is left that no group needs, so that each member of a group is a known server. If a leader is unknown all the same, the group is passed over with a line "group-leader-unknown".

--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -81,7 +81,7 @@
                         const std::optional<NodeRow>& aContent);
   void Take(const BadRow& aRow);
   void UpdateBackends();
-  std::vector<Backend> MakeBackends() const;
+  std::vector<Backend> MakeBackends();
   EngineTimes TimesOf(const ServiceSpec& aService) const;
   Backend MakeBackend(const ServerRecord& aServer,
                       const ServiceSpec& aService) const;
@@ -137,7 +137,8 @@
   void LogRemoval(const char* aEvent, const HostId& aHost);
   bool ServesAsMember(const ServerRecord& aServer) const;
   void RemoveServer(const HostId& aHost);
-  void RemoveUnlisted();
+  bool RemoveUnlisted();
+  void UpdateGroups();
   void ReportServerLost(const ServerRecord& aServer);
   void CheckIfRunning(const ServerRun& aServer);
   void EndCheck(const ServerProbed& aProbed);
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -405,9 +405,11 @@
   }
 }
 
-// Removes unlisted servers whose groups no longer serve.
-void EntryReduction::RemoveUnlisted()
+// Removes unlisted servers whose groups no longer serve. Returns whether there
+// were any; m_groups may then name servers that are no longer known.
+bool EntryReduction::RemoveUnlisted()
 {
+  bool hasRemoved = false;
   for (auto entry = m_state.m_servers.begin();
        entry != m_state.m_servers.end();) {
     const ServerRecord& server = entry->second;
@@ -415,10 +417,24 @@
       Log(
         LogLevel::Info, "server-gone", { { "server", server.m_host.Value() } });
       entry = m_state.m_servers.erase(entry);
+      hasRemoved = true;
     } else {
       ++entry;
     }
   }
+  return hasRemoved;
+}
+
+// Finds the groups anew, so that each of their members is a known server.
+void EntryReduction::UpdateGroups()
+{
+  do {
+    m_state.m_groups =
+      FindGroups(m_state.m_servers, m_state.m_routes->Config());
+    EraseIf(m_state.m_endedGroups, [&](const GroupId& aGroup) {
+      return m_state.m_groups.count(aGroup) == 0;
+    });
+  } while (RemoveUnlisted());
 }
 
 // Removes the servers whose expired entries were not written again after the
@@ -585,7 +601,7 @@
 
 // Returns the backends that may receive new requests: servers of services
 // without groups, and the leaders of groups that serve.
-std::vector<Backend> EntryReduction::MakeBackends() const
+std::vector<Backend> EntryReduction::MakeBackends()
 {
   std::vector<Backend> backends;
   for (const auto& [host, server] : m_state.m_servers) {
@@ -607,7 +623,15 @@
         m_state.m_endedGroups.count(id) > 0) {
       continue;
     }
-    const ServerRecord& leader = m_state.m_servers.at(group.Leader());
+    const auto found = m_state.m_servers.find(group.Leader());
+    if (found == m_state.m_servers.end()) {
+      // UpdateGroups() leaves no such group; one must not end this node.
+      Log(LogLevel::Warn,
+          "group-leader-unknown",
+          { { "group", id.Value() }, { "leader", group.Leader().Value() } });
+      continue;
+    }
+    const ServerRecord& leader = found->second;
     if (leader.m_isDraining || m_state.m_zonesOut.count(leader.m_zone) > 0) {
       continue;
     }
@@ -636,11 +660,7 @@
   if (!m_state.m_routes) {
     return;
   }
-  m_state.m_groups = FindGroups(m_state.m_servers, m_state.m_routes->Config());
-  EraseIf(m_state.m_endedGroups, [&](const GroupId& aGroup) {
-    return m_state.m_groups.count(aGroup) == 0;
-  });
-  RemoveUnlisted();
+  UpdateGroups();
   DispatchToGateway(BackendsChanged{ MakeBackends() });
 }
 
