entry: store_rows.cc in four files, each with one job

Callers see nothing of it: functions were moved, none was changed.

Change: server_entries.cc, server_checks.cc and backends.cc beside it; RunOf is declared in entry_reduction.h, as all three use it.

Result: build/release/entry_test: 176 of 176 cases, 1,117,379 assertions, as before.

--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -2,7 +2,10 @@
 // class are implemented in one source file per concern:
 //
 //   reduce_entry.cc     ticks, startup and shutdown
-//   store_rows.cc       rows from the store, and the backends derived from them
+//   store_rows.cc       rows from the store
+//   server_entries.cc   the rows of backend servers
+//   server_checks.cc    probes of servers that broke off exchanges
+//   backends.cc         the groups and backends derived from the servers
 //   update_receiving.cc messages received from other nodes
 //   update_sending.cc   messages sent to other nodes, as a node or as a relay
 //   bulletins.cc        changes that every node must know immediately
@@ -29,6 +32,9 @@
 // write again the entries that are missing, and operators their rows.
 constexpr Millis kRewriteTime = Millis(2'300);
 
+// Returns the run of a server that a record is about.
+BootId RunOf(const ServerRecord& aServer);
+
 // Applies one event and collects the effects.
 class EntryReduction
 {
