--- a/briarglade/entry/entry_event.h
+++ b/briarglade/entry/entry_event.h
@@ -45,6 +45,10 @@
 struct ServerProbed
 {
   HostId m_host;
+  // The process that the probe was for. What answers at its address may be
+  // another one; a report says when that one has started, but not which server
+  // it is.
+  ServerProcess m_asked;
   Result<ServerRecord> m_record;
   // When the probe was sent, by this node's clock.
   Millis m_requestedAt;
--- a/briarglade/entry/entry_node.cc
+++ b/briarglade/entry/entry_node.cc
@@ -350,9 +350,12 @@
         m_binding.m_probe(
           aProbe.m_server,
           kProbeTimeout,
-          [this, host = aProbe.m_server.m_host, requestedAt = EventLoop::Now()](
-            Result<ServerRecord> aRecord) {
-            Dispatch(ServerProbed{ host, std::move(aRecord), requestedAt });
+          [this,
+           host = aProbe.m_server.m_host,
+           asked = aProbe.m_server.Process(),
+           requestedAt = EventLoop::Now()](Result<ServerRecord> aRecord) {
+            Dispatch(
+              ServerProbed{ host, asked, std::move(aRecord), requestedAt });
           });
       },
       [&](const SendPeerUpdate& aSend) { SendUpdate(aSend); },
--- a/briarglade/entry/fleet_world_test.h
+++ b/briarglade/entry/fleet_world_test.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <cstdlib>
 #include <deque>
+#include <doctest/doctest.h>
 #include <functional>
 #include <map>
 #include <memory>
@@ -31,6 +32,7 @@
 #include "briarglade/entry/crashing_servers_test.h"
 #include "briarglade/entry/own_rows.h"
 #include "briarglade/entry/reduce_entry.h"
+#include "briarglade/entry/state_invariants_test.h"
 #include "briarglade/entry/store_version.h"
 
 namespace briarglade {
@@ -327,6 +329,7 @@
           [](const auto&) {} },
         effect);
     }
+    CheckInvariants(*m_nodes[aNode].m_state);
   }
 
   const EntryState& StateOf(size_t aNode) const
@@ -559,6 +562,18 @@
     return text;
   }
 
+  // Checks what must hold of a node each time its groups have been found anew.
+  void CheckInvariants(const EntryState& aState) const
+  {
+    if (aState.m_backendsUpdatedAt != m_now) {
+      return;
+    }
+    const std::string broken = BrokenInvariant(aState);
+    if (!broken.empty()) {
+      FAIL_CHECK("at " << m_now.Count() << " ms: " << broken);
+    }
+  }
+
   bool IsRunning(size_t aNode) const
   {
     return m_nodes[aNode].m_isUp && m_nodes[aNode].m_frozenUntil <= m_now;
@@ -636,11 +651,12 @@
       return;
     }
     const HostId& host = aProbe.m_server.m_host;
+    const ServerProcess asked = aProbe.m_server.Process();
     Result<ServerRecord> result = aProbe.m_server;
     if (m_crashingServers.IsDown(host)) {
       result = Error{ ResultCode::BackendFailed, "refused" };
     }
-    Send(aNode, kStep, ServerProbed{ host, std::move(result), m_now });
+    Send(aNode, kStep, ServerProbed{ host, asked, std::move(result), m_now });
   }
 
   void StepServers()
--- a/briarglade/entry/group_members_test.cc
+++ b/briarglade/entry/group_members_test.cc
@@ -47,18 +47,73 @@
     record.m_service = ServiceId("models");
     record.m_domain = DomainId("d0");
     record.m_zone = ZoneId(ZoneName(0));
-    record.m_startedAt = 1;
+    record.m_startedAt = kStart;
     record.m_groupMembership = std::move(aPlace);
     return record;
   }
 
-  // Lets the node get a server's answer to a probe that it has just sent.
-  void Report(const ServerRecord& aRecord)
+  // Lets the node get the answer to a probe that it has just sent to a server.
+  // The report's address is the one that was asked.
+  void Report(const std::string& aHost, ServerRecord aReport)
   {
-    SendEvent(0, kStep, ServerProbed{ aRecord.m_host, aRecord, Now() });
+    const ServerRecord& known = Node().m_servers.at(HostId(aHost));
+    aReport.m_host = known.m_host;
+    aReport.m_endpoint = known.m_endpoint;
+    SendEvent(
+      0, kStep, ServerProbed{ known.m_host, known.Process(), aReport, Now() });
     Run(kStep * 5);
   }
 
+  // Lets the node get the report of a process that started at aStart at the
+  // address of a server that it has just probed.
+  void ReportOf(const std::string& aHost,
+                int64_t aStart,
+                std::optional<GroupMembership> aPlace)
+  {
+    ServerRecord report = Record(aHost, std::move(aPlace));
+    report.m_startedAt = aStart;
+    Report(aHost, report);
+  }
+
+  // Writes the entry of a server that started at aStart at an address that ends
+  // with aAddress.
+  void AddAt(const std::string& aHost,
+             uint16_t aAddress,
+             int64_t aStart,
+             std::optional<GroupMembership> aPlace)
+  {
+    ServerRecord record = Record(aHost, std::move(aPlace));
+    record.m_endpoint = Endpoint{ "10.1.0.1", aAddress };
+    record.m_startedAt = aStart;
+    AddServer(record);
+    Run(Millis(600));
+  }
+
+  // A group of two servers that serves, at the addresses 1 and 2.
+  void AddPair()
+  {
+    AddAt("a", 1, kStart, Place("pair.1", 0, GroupPhase::Open));
+    AddAt("b", 2, kStart, Place("pair.1", 1, GroupPhase::Ready));
+  }
+
+  bool Serves(const std::string& aGroup) const
+  {
+    const auto group = Node().m_groups.find(GroupId(aGroup));
+    return group != Node().m_groups.end() && IsServing(group->second);
+  }
+  std::string LeaderOf(const std::string& aGroup) const
+  {
+    const auto group = Node().m_groups.find(GroupId(aGroup));
+    return group == Node().m_groups.end() ? "" : group->second.Leader().Value();
+  }
+  bool HasEnded(const std::string& aHost) const
+  {
+    return Node().m_servers.at(HostId(aHost)).m_endedAt.has_value();
+  }
+
+  static constexpr int64_t kStart = 1'000;
+  static constexpr int64_t kLater = 2'000;
+
   const EntryState& Node() const { return StateOf(0); }
   bool IsKnown(const std::string& aHost) const
   {
@@ -100,17 +155,132 @@
     world.Record("a", world.Place("pair.1", 0, GroupPhase::Open)));
   world.AddServer(
     world.Record("b", world.Place("pair.1", 1, GroupPhase::Ready)));
-  world.Run(Millis(100));
+  world.Run(Millis(600));
   world.RemoveServer("b");
-  world.Run(Millis(100));
+  world.Run(Millis(600));
   // It stays a member of its group.
   REQUIRE(world.IsKnown("b"));
-  world.Report(world.Record("b", world.Place("single.2", 0, GroupPhase::Open)));
+  world.Report("b",
+               world.Record("b", world.Place("single.2", 0, GroupPhase::Open)));
   CHECK_FALSE(world.IsKnown("b"));
   CHECK(world.Node().m_groups.count(GroupId("single.2")) == 0);
   REQUIRE(world.Node().m_groups.count(GroupId("pair.1")) == 1);
   CHECK_FALSE(IsServing(world.Node().m_groups.at(GroupId("pair.1"))));
 }
 
+// TWO: a group was ended and its members ordered elsewhere because the old id
+// of its leader's address, which sorts later, counted as its leader.
+TEST_CASE("TWO: a report from the address of an old id is not the old id's, "
+          "whatever the ids and the group")
+{
+  for (const std::string old : { "a-old", "z-old" }) {
+    for (const uint32_t rank : { 0U, 1U }) {
+      CAPTURE(old);
+      CAPTURE(rank);
+      MemberWorld world;
+      world.AddAt(old, 1, world.kStart, std::nullopt);
+      const GroupMembership led = world.Place("pair.5", 0, GroupPhase::Open);
+      const GroupMembership followed =
+        world.Place("pair.5", 1, GroupPhase::Ready);
+      // The new process's entry is not read yet, or never.
+      world.ReportOf(old, world.kLater, rank == 0 ? led : followed);
+      CHECK(world.HasEnded(old));
+      CHECK(world.Node().m_groups.empty());
+      world.AddAt("m-new", 1, world.kLater, rank == 0 ? led : followed);
+      world.AddAt("other", 2, world.kStart, rank == 0 ? followed : led);
+      CHECK(world.Serves("pair.5"));
+      CHECK(world.LeaderOf("pair.5") == (rank == 0 ? "m-new" : "other"));
+      // The old entry expires.
+      world.RemoveServer(old);
+      world.Run(Millis(600));
+      CHECK_FALSE(world.IsKnown(old));
+      CHECK(world.Serves("pair.5"));
+    }
+  }
+}
+
+// LOST: requests went to a group whose leader's process had ended, for as long
+// as its entry was listed.
+TEST_CASE("a group loses a member when another server's entry names its "
+          "address, though its own is still listed")
+{
+  MemberWorld world;
+  world.AddPair();
+  REQUIRE(world.Serves("pair.1"));
+  world.AddAt("new", 2, world.kLater, std::nullopt);
+  CHECK(world.HasEnded("b"));
+  CHECK_FALSE(world.Serves("pair.1"));
+  // A heartbeat that was under way when its process ended.
+  world.AddAt(
+    "b", 2, world.kStart, world.Place("pair.1", 1, GroupPhase::Ready));
+  CHECK(world.HasEnded("b"));
+  CHECK_FALSE(world.Serves("pair.1"));
+}
+
+TEST_CASE("a server that restarts under its id is used again by its entry")
+{
+  MemberWorld world;
+  world.AddPair();
+  world.ReportOf("b", world.kLater, std::nullopt);
+  CHECK(world.HasEnded("b"));
+  CHECK_FALSE(world.Serves("pair.1"));
+  world.AddAt("b", 2, world.kLater, std::nullopt);
+  CHECK_FALSE(world.HasEnded("b"));
+  world.ReportOf(
+    "b", world.kLater, world.Place("pair.1", 1, GroupPhase::Ready));
+  CHECK(world.Serves("pair.1"));
+}
+
+TEST_CASE("the answer to a probe of an earlier process shows nothing of the "
+          "present one")
+{
+  MemberWorld world;
+  world.AddPair();
+  const ServerRecord before = world.Node().m_servers.at(HostId("b"));
+  const GroupMembership place = world.Place("pair.1", 1, GroupPhase::Ready);
+  world.AddAt("b", 2, world.kLater, place);
+  REQUIRE(world.Serves("pair.1"));
+  world.Dispatch(0, ServerProbed{ HostId("b"), before.Process(), before, {} });
+  world.Dispatch(0,
+                 ServerProbed{ HostId("b"),
+                               before.Process(),
+                               Error{ ResultCode::BackendFailed, "refused" },
+                               {} });
+  world.Run(Millis(600));
+  CHECK_FALSE(world.HasEnded("b"));
+  CHECK(world.Serves("pair.1"));
+}
+
+TEST_CASE("an entry of no configured service ends no server at its address")
+{
+  MemberWorld world;
+  world.AddPair();
+  ServerRecord foreign = world.Record("x", std::nullopt);
+  foreign.m_service = ServiceId("unknown");
+  foreign.m_endpoint = Endpoint{ "10.1.0.1", 2 };
+  foreign.m_startedAt = world.kLater;
+  world.AddServer(foreign);
+  world.Run(Millis(600));
+  CHECK_FALSE(world.HasEnded("b"));
+  CHECK(world.Serves("pair.1"));
+}
+
+TEST_CASE("a server's own later report shows that it runs, whatever another "
+          "entry says")
+{
+  MemberWorld world;
+  world.AddPair();
+  world.AddAt("x", 2, world.kLater, std::nullopt);
+  REQUIRE(world.HasEnded("b"));
+  world.ReportOf(
+    "b", world.kStart, world.Place("pair.1", 1, GroupPhase::Ready));
+  CHECK_FALSE(world.HasEnded("b"));
+  CHECK(world.Serves("pair.1"));
+  // The other entry's next heartbeat does not bring that back.
+  world.AddAt("x", 2, world.kLater, std::nullopt);
+  CHECK(world.HasEnded("x"));
+  CHECK(world.Serves("pair.1"));
+}
+
 } // namespace
 } // namespace briarglade
--- a/briarglade/entry/group_world_test.h
+++ b/briarglade/entry/group_world_test.h
@@ -89,6 +89,13 @@
     }
   }
 
+  // Sets for how long the store lists the entry of a server that has stopped:
+  // up to three heartbeats, by when it wrote last.
+  void SetEntryLifetime(std::function<Millis(const HostId&)> aLifetime)
+  {
+    m_entryLifetime = std::move(aLifetime);
+  }
+
   void RunUntilServing(uint32_t aGroups, Millis aLongest = Millis(30'000))
   {
     const Millis began = Now();
@@ -167,22 +174,25 @@
     SendEvent(aNode, aDelay, OrderAnswered{ aOrder, aStatus });
   }
 
-  // Answers a probe with what the server reports now, which arrives later.
+  // Answers a probe with what the server at the address reports now, which
+  // arrives later. A report does not name the server that it is from.
   void Answer(size_t aNode, const ServerRecord& aKnown)
   {
     const HostId& host = aKnown.m_host;
-    const ServerRecord* report = m_servers.Report(host);
+    const ServerRecord* report = m_servers.ReportAt(aKnown.m_endpoint);
     const Millis delay = m_reportDelay ? m_reportDelay(host) : kStep * 2;
     Result<ServerRecord> result =
       Error{ ResultCode::DeadlineExceeded, "no report in time" };
     if (report == nullptr) {
       result = Error{ ResultCode::BackendFailed, "the server is gone" };
     } else if (IsReachable(aNode, host) && delay <= kProbeTimeout) {
-      result = *report;
+      ServerRecord answer = *report;
+      answer.m_host = host;
+      result = std::move(answer);
     }
     SendEvent(aNode,
               std::min(delay, kProbeTimeout),
-              ServerProbed{ host, std::move(result), Now() });
+              ServerProbed{ host, aKnown.Process(), std::move(result), Now() });
   }
 
   void StepModelServers()
@@ -213,7 +223,9 @@
     Entry& entry = m_entries[aHost];
     const ServerRecord* report = m_servers.Report(aHost);
     if (report == nullptr) {
-      const bool isSilentForLong = Now() - entry.m_runningAt > kHeartbeat * 3;
+      const Millis lifetime =
+        m_entryLifetime ? m_entryLifetime(aHost) : kHeartbeat * 3;
+      const bool isSilentForLong = Now() - entry.m_runningAt > lifetime;
       if (entry.m_isListed && isSilentForLong && !m_isStoreDown) {
         entry.m_isListed = false;
         RemoveServer(aHost.Value());
@@ -251,6 +263,7 @@
   std::set<std::pair<size_t, HostId>> m_unreachable;
   std::function<Millis(const GroupOrder&)> m_orderDelay;
   std::function<Millis(const HostId&)> m_reportDelay;
+  std::function<Millis(const HostId&)> m_entryLifetime;
   bool m_isStoreDown = false;
 };
 
--- a/briarglade/entry/internal/backends.cc
+++ b/briarglade/entry/internal/backends.cc
@@ -91,7 +91,7 @@
     const ServiceSpec* service =
       m_state.m_routes->FindService(server.m_service);
     const bool isUsable = service != nullptr && !service->m_engine &&
-                          !server.m_isDraining &&
+                          !server.m_isDraining && !server.m_endedAt &&
                           m_state.m_zonesOut.count(server.m_zone) == 0;
     if (isUsable) {
       backends.push_back(MakeBackend(server, *service));
--- a/briarglade/entry/internal/control_duties.cc
+++ b/briarglade/entry/internal/control_duties.cc
@@ -253,6 +253,11 @@
 void EntryReduction::ApplyMembership(ServerRecord& aServer,
                                      const MembershipUpdate& aUpdate)
 {
+  if (aServer.m_endedAt) {
+    // A process that has ended is in no group; an older update may still say
+    // so.
+    return;
+  }
   const std::optional<GroupMembership> known = aServer.m_groupMembership;
   const MembershipHistory history = aServer.m_membershipHistory;
   const UpdateOutcome outcome =
@@ -297,29 +302,4 @@
   TickControl();
 }
 
-void EntryReduction::On(const ServerProbed& aProbed)
-{
-  EndCheck(aProbed);
-  const auto* record = std::get_if<ServerRecord>(&aProbed.m_record);
-  const auto known = m_state.m_servers.find(aProbed.m_host);
-  if (record != nullptr && known != m_state.m_servers.end() &&
-      known->second.m_startedAt <= record->m_startedAt) {
-    MembershipUpdate update;
-    update.m_source = UpdateSource::Report;
-    update.m_asOf = aProbed.m_requestedAt;
-    update.m_startedAt = record->m_startedAt;
-    update.m_membership = record->m_groupMembership;
-    update.m_orderCount = record->m_orderCount;
-    ApplyMembership(known->second, update);
-    known->second.m_staged = record->m_staged;
-    known->second.m_slowdown = record->m_slowdown;
-    m_state.m_areBackendsStale = true;
-  }
-  const Error* error = GetError(aProbed.m_record);
-  const bool isGone =
-    error != nullptr && error->m_code == ResultCode::BackendFailed;
-  m_state.m_control.OnProbed(m_now, aProbed.m_host, record, isGone);
-  TickControlSoon();
-}
-
 } // namespace briarglade::internal
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -4,6 +4,7 @@
 //   reduce_entry.cc     ticks, startup and shutdown
 //   store_rows.cc       rows from the store
 //   server_entries.cc   the rows of backend servers
+//   server_processes.cc which process of a server a statement is about
 //   server_checks.cc    probes of servers that broke off exchanges
 //   backends.cc         the groups and backends derived from the servers
 //   update_receiving.cc messages received from other nodes
@@ -35,6 +36,18 @@
 // Returns the run of a server that a record is about.
 BootId RunOf(const ServerRecord& aServer);
 
+// What the answer to a probe of a server is about.
+enum class ProbeSubject
+{
+  // The process that is known by the server's entry.
+  KnownProcess,
+  // Another one at its address: the known process has ended.
+  OtherProcess,
+  // Another process than the known one was asked, so that the answer shows
+  // nothing of the known one.
+  Unclear
+};
+
 // Applies one event and collects the effects.
 class EntryReduction
 {
@@ -146,6 +159,15 @@
   bool RemoveUnlisted();
   void UpdateGroups();
   void ReportServerLost(const ServerRecord& aServer);
+  void CarryOver(const ServerRecord& aKnown, ServerRecord& aEntry);
+  void RecordStart(const ServerRecord& aServer);
+  void EndDisplaced(const std::optional<HostId>& aServer, const char* aShownBy);
+  void EndProcess(ServerRecord& aServer, const char* aShownBy);
+  static ProbeSubject SubjectOf(const ServerProbed& aProbed,
+                                const ServerRecord* aKnown);
+  void ApplyReport(ServerRecord& aServer,
+                   const ServerRecord& aReport,
+                   Millis aRequestedAt);
   void CheckIfRunning(const ServerRun& aServer);
   void EndCheck(const ServerProbed& aProbed);
   void LogCheck(const ServerRun& aServer, const char* aOutcome);
--- a/briarglade/entry/internal/server_checks.cc
+++ b/briarglade/entry/internal/server_checks.cc
@@ -44,6 +44,10 @@
     return;
   }
   const ServerRun run{ check->first, check->second };
+  if (BootId(std::to_string(aProbed.m_asked.m_startedAt)) != run.m_run) {
+    // The answer is to the probe of an earlier process.
+    return;
+  }
   m_state.m_serversChecked.erase(check);
   const auto* record = std::get_if<ServerRecord>(&aProbed.m_record);
   const Error* error = GetError(aProbed.m_record);
--- a/briarglade/entry/internal/server_entries.cc
+++ b/briarglade/entry/internal/server_entries.cc
@@ -64,8 +64,8 @@
           { "service", record.m_service.Value() },
           { "zone", record.m_zone.Value() } });
   }
-  if (!isNew && known->second.m_startedAt != record.m_startedAt) {
-    ReportServerLost(known->second);
+  if (!isNew) {
+    CarryOver(known->second, record);
   }
   MembershipUpdate update;
   update.m_asOf = m_now;
@@ -75,6 +75,7 @@
   std::swap(record.m_groupMembership, server.m_groupMembership);
   record.m_membershipHistory = server.m_membershipHistory;
   server = std::move(record);
+  RecordStart(server);
   ApplyMembership(server, update);
   m_state.m_areBackendsStale = true;
 }
@@ -109,9 +110,10 @@
     return;
   }
   Log(LogLevel::Info, "server-gone", { { "server", aHost.Value() } });
-  if (!server->second.m_isDraining) {
+  if (!server->second.m_isDraining && !server->second.m_endedAt) {
     ReportServerLost(server->second);
   }
+  m_state.m_addressOwners.Remove(server->second.m_endpoint, aHost);
   m_state.m_servers.erase(server);
 }
 
@@ -154,6 +156,7 @@
     if (server.m_hasEntryExpired && !ServesAsMember(server)) {
       Log(
         LogLevel::Info, "server-gone", { { "server", server.m_host.Value() } });
+      m_state.m_addressOwners.Remove(server.m_endpoint, server.m_host);
       entry = m_state.m_servers.erase(entry);
       hasRemoved = true;
     } else {
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -19,6 +19,7 @@
 #include <set>
 #include <vector>
 
+#include "briarglade/entry/address_owners.h"
 #include "briarglade/entry/config_currency.h"
 #include "briarglade/entry/control_lease.h"
 #include "briarglade/entry/entry_event.h"
@@ -96,6 +97,8 @@
   // When each zone that had been taken out came back in.
   std::map<ZoneId, Millis> m_zonesReturnedAt;
   ServerMap m_servers;
+  // The servers that were the last to start at their addresses.
+  AddressOwners m_addressOwners;
   // Servers of which an entry may be older or newer than what is known of their
   // group, and when each was last asked.
   std::map<HostId, Millis> m_ambiguousServers;
--- a/briarglade/entry/reduce_entry_test.cc
+++ b/briarglade/entry/reduce_entry_test.cc
@@ -78,8 +78,9 @@
   // Lets a probe of the server end at a node.
   void Probe(size_t aNode, const std::string& aHost, const std::string& aEntry)
   {
+    const ServerRecord record = RecordOf(aHost, aEntry);
     Dispatch(aNode,
-             ServerProbed{ HostId(aHost), RecordOf(aHost, aEntry), Now() });
+             ServerProbed{ record.m_host, record.Process(), record, Now() });
   }
   GroupPhase PhaseAt(size_t aNode, const std::string& aHost) const
   {
--- a/briarglade/grouping/fake_servers_test.h
+++ b/briarglade/grouping/fake_servers_test.h
@@ -32,18 +32,26 @@
     server.m_record.m_service = ServiceId("models");
     server.m_record.m_domain = DomainId(aDomain);
     server.m_record.m_zone = ZoneId("zone-" + aDomain);
+    server.m_record.m_endpoint = Endpoint{ "10.1.0.1", m_nextPort++ };
     server.m_record.m_startedAt = 1;
     server.m_record.m_orderCount = 0;
     m_servers[HostId(aName)] = server;
+    m_atAddress[server.m_record.m_endpoint] = HostId(aName);
   }
 
   // Carries out an order at aNow and returns its outcome.
   OrderStatus Execute(Millis aNow, const GroupOrder& aOrder)
   {
-    const auto found = m_servers.find(aOrder.m_host);
+    const auto atAddress = m_atAddress.find(aOrder.m_endpoint);
+    const auto found = atAddress == m_atAddress.end()
+                         ? m_servers.end()
+                         : m_servers.find(atAddress->second);
     if (found == m_servers.end() || !found->second.m_isUp) {
       return OrderStatus::Unknown;
     }
+    if (found->first != aOrder.m_host) {
+      return OrderStatus::WrongServer;
+    }
     Server& server = found->second;
     if (aOrder.m_fencing < server.m_fencing) {
       return OrderStatus::Fenced;
@@ -105,6 +113,15 @@
     server.m_loadLeft = 0;
     server.m_lastModel = ModelId();
   }
+  // Starts a crashed server's next process, at its address, under a new name.
+  void RestartAs(const HostId& aHost, const HostId& aNewName)
+  {
+    Server server = m_servers[aHost];
+    server.m_record.m_host = aNewName;
+    m_servers[aNewName] = server;
+    Restart(aNewName);
+    m_atAddress[server.m_record.m_endpoint] = aNewName;
+  }
   // Loads take the model's load time, and proportionally longer if more than
   // this number run at the same time. Zero switches this off.
   void SetLoadsAtOnce(uint32_t aLoads) { m_loadsAtOnce = aLoads; }
@@ -150,6 +167,12 @@
              ? &found->second.m_record
              : nullptr;
   }
+  // Returns the report of the server that runs at an address, or null.
+  const ServerRecord* ReportAt(const Endpoint& aAddress) const
+  {
+    const auto atAddress = m_atAddress.find(aAddress);
+    return atAddress == m_atAddress.end() ? nullptr : Report(atAddress->second);
+  }
   // Updates a view with the entries of all running servers, as a node does.
   // Other servers are removed from it unless aKeepsOthers is set.
   void UpdateView(Millis aNow, ServerMap& aView, bool aKeepsOthers) const
@@ -421,6 +444,9 @@
 
   EngineSpec m_engine;
   std::map<HostId, Server> m_servers;
+  // The server that runs, or last ran, at each address.
+  std::map<Endpoint, HostId> m_atAddress;
+  uint16_t m_nextPort = 8'000;
   std::set<std::pair<HostId, Generation>> m_wasReady;
   std::vector<std::string> m_violations;
   Millis m_loadWindow = Millis(5'000);
--- a/briarglade/grouping/group_control.cc
+++ b/briarglade/grouping/group_control.cc
@@ -191,8 +191,13 @@
   return basis;
 }
 
+// Returns whether the server does not answer, or its process has ended.
 bool GroupControl::IsDead(const HostId& aHost) const
 {
+  const auto server = m_view->m_servers.find(aHost);
+  if (server != m_view->m_servers.end() && server->second.m_endedAt) {
+    return true;
+  }
   const auto suspect = m_suspectedHosts.find(aHost);
   return suspect != m_suspectedHosts.end() && suspect->second.m_isDead;
 }
@@ -359,7 +364,7 @@
     }
   }
   for (const auto& [host, server] : m_view->m_servers) {
-    if (server.m_hasEntryExpired) {
+    if (server.m_hasEntryExpired && !server.m_endedAt) {
       suspected.insert(host);
     }
   }
--- a/briarglade/grouping/group_ending.cc
+++ b/briarglade/grouping/group_ending.cc
@@ -22,11 +22,14 @@
 // for any longer.
 constexpr Millis kReportTimeout = Millis(2'000);
 
-// Returns whether the leader's own report shows that it no longer leads the
-// group. A report of no group or of an older one may be outdated and shows
-// nothing.
+// Returns whether the leader's process has ended, or its own report shows that
+// it no longer leads the group. A report of no group or of an older one may be
+// outdated and shows nothing.
 bool HasLeft(const ServerRecord& aLeader, const ReplicaGroup& aGroup)
 {
+  if (aLeader.m_endedAt) {
+    return true;
+  }
   if (!aLeader.m_groupMembership) {
     return false;
   }
--- a/briarglade/grouping/server_record.h
+++ b/briarglade/grouping/server_record.h
@@ -12,6 +12,7 @@
 #include "briarglade/base/millis.h"
 #include "briarglade/grouping/group_membership.h"
 #include "briarglade/grouping/membership_history.h"
+#include "briarglade/grouping/server_process.h"
 
 namespace briarglade {
 
@@ -28,6 +29,10 @@
   // The server's entry in the store has expired, but the server may still run.
   // It still counts as a member of its group.
   bool m_hasEntryExpired = false;
+  // When this node learned that the process which the record is about has
+  // ended: another one has started at its address since. Its entry may still be
+  // listed, but it is in no group and gets neither requests nor orders.
+  std::optional<Millis> m_endedAt;
   // The server is shutting down and must not be given new work.
   bool m_isDraining = false;
   // Remaining duration of the server's cold start at the time of the report,
@@ -52,6 +57,11 @@
   // Factor by which the engine is slower than normal; 1 is normal speed.
   double m_slowdown = 1;
 
+  // Returns the process that the record is about.
+  ServerProcess Process() const
+  {
+    return ServerProcess{ m_endpoint, m_startedAt };
+  }
   // Returns whether the weights of the model are on the host.
   bool HasStaged(const ModelId& aModel) const
   {
