PARTIAL: a member that restarts under its id is lost to the group that forms

Callers saw: streams sent to a group that had opened without one of its members stood still until the group ended, up to 6.4 s in the test below.

What a server had done in a forming group (joined, ready) was kept by its id. If the server restarted under its id before the others were ready, that still counted, the new process was not ordered to join, and the group was opened.

Evidence: rack_restart_test.cc, "a group is not opened if a member has restarted under its id since it was ready", without the rule: 6,420 ms with a leader that is open and a group that is not whole.

Change: a group knows when the process of each member started (m_starts); a forming group with a member whose process is another one has lost it and ends.

Result: 0 ms in the same test; entry_test and grouping_test pass.

--- a/briarglade/entry/rack_restart_test.cc
+++ b/briarglade/entry/rack_restart_test.cc
@@ -141,5 +141,50 @@
   }
 }
 
+// PARTIAL: a group was opened without a member that had been ready and had then
+// restarted under its id while the others were still joining.
+TEST_CASE("a group is not opened if a member has restarted under its id since "
+          "it was ready")
+{
+  GroupWorld world(1);
+  for (const char* host : { "a", "b", "c" }) {
+    world.AddModelServer(host);
+  }
+  world.RunUntilServing(1);
+  // The group is formed anew; one of its members joins 1.4 s after the others.
+  world.Servers().Crash(HostId("a"));
+  world.Servers().Restart(HostId("a"));
+  const auto isIn = [&world](const char* aHost, GroupPhase aPhase) {
+    const auto& place =
+      world.Servers().Report(HostId(aHost))->m_groupMembership;
+    return place && place->m_phase == aPhase;
+  };
+  const auto isUnderWay = [&] {
+    return isIn("a", GroupPhase::Joining) && isIn("b", GroupPhase::Ready) &&
+           isIn("c", GroupPhase::Ready);
+  };
+  const Millis began = world.Now();
+  while (!isUnderWay() && world.Now() - began < Millis(30'000)) {
+    world.Run(GroupWorld::kStep);
+  }
+  world.Run(Millis(600));
+  REQUIRE(isUnderWay());
+  // Not the leader: that one would refuse to open.
+  const auto& place = world.Servers().Report(HostId("b"))->m_groupMembership;
+  const HostId restarted(place->m_rank == 0 ? "c" : "b");
+  world.Servers().Crash(restarted);
+  world.Servers().Restart(restarted);
+  Millis openButIncomplete;
+  for (Millis passed; passed < Millis(20'000); passed += GroupWorld::kStep) {
+    world.Run(GroupWorld::kStep);
+    const bool isOpen = !world.Servers().OpenLeader().IsEmpty();
+    openButIncomplete += isOpen && world.Servers().ServingGroups() == 0
+                           ? GroupWorld::kStep
+                           : Millis();
+  }
+  CHECK(openButIncomplete == Millis());
+  CHECK(world.Servers().ServingGroups() == 1);
+}
+
 } // namespace
 } // namespace briarglade
--- a/briarglade/grouping/group_control.h
+++ b/briarglade/grouping/group_control.h
@@ -196,6 +196,7 @@
   void ProgressForming();
   bool OrderJoins(FormingGroup& aForming);
   bool CheckReady(FormingGroup& aForming);
+  bool HasLostMember(const ReplicaGroup& aGroup) const;
   bool IsProbeDue(const FormingGroup& aForming) const;
   void OrderOpen(FormingGroup& aForming);
   void AwaitInheritedGroups();
--- a/briarglade/grouping/group_forming.cc
+++ b/briarglade/grouping/group_forming.cc
@@ -137,6 +137,20 @@
   return age >= kShortestJoin && m_now - aForming.m_probedAt >= period;
 }
 
+// Returns whether a member of a forming group can't become or stay ready: it is
+// gone or leaving, or has restarted and knows nothing of the group.
+bool GroupControl::HasLostMember(const ReplicaGroup& aGroup) const
+{
+  const auto isLost = [this](const HostId& aHost) {
+    const auto server = m_view->m_servers.find(aHost);
+    return server == m_view->m_servers.end() || IsDead(aHost) ||
+           server->second.m_isDraining;
+  };
+  return std::any_of(
+           aGroup.m_members.begin(), aGroup.m_members.end(), isLost) ||
+         StartsOf(aGroup.m_members, m_view->m_servers) != aGroup.m_starts;
+}
+
 // Advances each forming group: sends orders and probes that are due, and ends
 // groups that failed to form.
 void GroupControl::ProgressForming()
@@ -164,12 +178,7 @@
     const EngineSpec* engine = EngineOf(group.m_service);
     const ReplicaModel* model =
       engine == nullptr ? nullptr : engine->FindModel(group.m_model);
-    const bool hasLost = std::any_of(
-      group.m_members.begin(), group.m_members.end(), [&](const HostId& aHost) {
-        const auto server = m_view->m_servers.find(aHost);
-        return server == m_view->m_servers.end() || IsDead(aHost) ||
-               server->second.m_isDraining;
-      });
+    const bool hasLost = HasLostMember(group);
     const Millis longest =
       (model == nullptr ? Millis() : model->m_loadTime * 2) + kFormingGrace;
     if (hasLost || model == nullptr) {
@@ -265,6 +274,8 @@
   forming.m_since = m_now;
   forming.m_openOrderedAt = m_now - kOrderRetryTime;
   forming.m_group = std::move(aGroup);
+  forming.m_group.m_starts =
+    StartsOf(forming.m_group.m_members, m_view->m_servers);
   forming.m_loads = aLoads;
   const ReplicaModel* model =
     aService.m_engine->FindModel(forming.m_group.m_model);
--- a/briarglade/grouping/group_view.cc
+++ b/briarglade/grouping/group_view.cc
@@ -29,12 +29,14 @@
     group.m_model = aModel.m_id;
     group.m_domain = aServer.m_domain;
     group.m_members.resize(std::max(1U, aModel.m_size));
+    group.m_starts.resize(group.m_members.size());
   }
   const bool isOld = membership.m_generation < group.m_generation;
   if (isOld || membership.m_rank >= group.m_members.size()) {
     return;
   }
   group.m_members[membership.m_rank] = aServer.m_host;
+  group.m_starts[membership.m_rank] = aServer.m_startedAt;
   group.m_isLeaving = group.m_isLeaving || aServer.m_isDraining;
   if (membership.m_rank == 0) {
     group.m_leaderPhase = membership.m_phase;
@@ -56,6 +58,17 @@
 
 } // namespace
 
+std::vector<int64_t> StartsOf(const std::vector<HostId>& aMembers,
+                              const ServerMap& aServers)
+{
+  std::vector<int64_t> starts;
+  for (const HostId& member : aMembers) {
+    const auto server = aServers.find(member);
+    starts.push_back(server == aServers.end() ? 0 : server->second.m_startedAt);
+  }
+  return starts;
+}
+
 std::string JoinIds(const std::vector<HostId>& aMembers)
 {
   std::string text;
--- a/briarglade/grouping/group_view.h
+++ b/briarglade/grouping/group_view.h
@@ -33,6 +33,9 @@
   // The members by rank, one entry for each host that a group of the model has.
   // An entry is empty if no server reports that rank.
   std::vector<HostId> m_members;
+  // When the process of each member started, by rank: a server that restarts
+  // under its id is no longer in the group.
+  std::vector<int64_t> m_starts;
   // The phase that the leader reports; Broken if there is no leader.
   GroupPhase m_leaderPhase = GroupPhase::Broken;
   // Every member is known and has reported Ready, Open or Closing.
@@ -45,6 +48,11 @@
 
 using GroupMap = std::map<GroupId, ReplicaGroup>;
 
+// Returns when the processes of the servers started, in the same order; zero
+// for a server that is not known.
+std::vector<int64_t> StartsOf(const std::vector<HostId>& aMembers,
+                              const ServerMap& aServers);
+
 // Returns the members' ids in the order of their ranks, separated by commas,
 // for logs.
 std::string JoinIds(const std::vector<HostId>& aMembers);
