LOST: the news that a group is open names the processes that it was opened with

Callers saw: requests sent to a group whose member had restarted under its id, for as long as the holder of the lease had not read the new entry.

The holder tells all nodes of a group that it has opened, by the members' ids, again and again for 12 s. A node that knew a member's next process already entered the group for that one.

Evidence: group_members_test.cc, "a group that was opened with an earlier process of a member is not used", without the rule: the group serves.

Change: the news holds the start of each member's process (a new field of the wire; an earlier version doesn't send it and is believed as before); a member whose process is another one is passed over.

--- a/briarglade/entry/group_members_test.cc
+++ b/briarglade/entry/group_members_test.cc
@@ -251,6 +251,33 @@
   CHECK(world.Serves("pair.1"));
 }
 
+// LOST: requests went to a group of which a member had restarted under its id,
+// while the lease holder, which did not know yet, announced it as open.
+TEST_CASE("a group that was opened with an earlier process of a member is not "
+          "used")
+{
+  MemberWorld world;
+  world.AddAt("a", 1, world.kStart, std::nullopt);
+  world.AddAt("b", 2, world.kLater, std::nullopt);
+  Bulletin bulletin;
+  bulletin.m_origin = NodeId("holder");
+  bulletin.m_openedGroups = { OpenedGroup{ GroupId("pair.1"),
+                                           Generation(1),
+                                           { HostId("a"), HostId("b") },
+                                           { world.kStart, world.kStart } } };
+  NodeNews news;
+  news.m_node = NodeId("holder");
+  news.m_completeUpTo.resize(kFeedCount);
+  for (const int64_t start : { world.kStart, world.kLater }) {
+    ++bulletin.m_number;
+    bulletin.m_openedGroups[0].m_starts[1] = start;
+    news.m_bulletins = { bulletin };
+    world.Dispatch(0, PeerUpdateReceived{ news });
+    world.Run(Millis(100));
+    CHECK(world.Serves("pair.1") == (start == world.kLater));
+  }
+}
+
 TEST_CASE("an entry of no configured service ends no server at its address")
 {
   MemberWorld world;
--- a/briarglade/entry/internal/bulletins.cc
+++ b/briarglade/entry/internal/bulletins.cc
@@ -45,8 +45,8 @@
   updates.m_nextBulletin.m_endedGroups = std::move(ended);
   updates.m_nextBulletin.m_openedGroups.clear();
   for (const ReplicaGroup& group : opened) {
-    updates.m_nextBulletin.m_openedGroups.push_back(
-      OpenedGroup{ group.m_id, group.m_generation, group.m_members });
+    updates.m_nextBulletin.m_openedGroups.push_back(OpenedGroup{
+      group.m_id, group.m_generation, group.m_members, group.m_starts });
   }
 }
 
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -149,6 +149,9 @@
   void ForwardBulletin(const Bulletin& aBulletin, const NodeId& aSender);
   void PublishGroupChanges();
   void RecordEndedGroups(const std::vector<GroupId>& aGroups);
+  static bool IsOpenedWith(const OpenedGroup& aGroup,
+                           size_t aRank,
+                           const ServerRecord& aServer);
   void ApplyOpenedGroups(const std::vector<OpenedGroup>& aGroups);
   void RemoveExpiredServers();
   void LogMissingEntry(const HostId& aHost);
--- a/briarglade/entry/internal/update_receiving.cc
+++ b/briarglade/entry/internal/update_receiving.cc
@@ -194,6 +194,16 @@
     asOf, aZone.m_zone, aZone.m_digest.m_loads, aZone.m_digest.m_work);
 }
 
+// Returns whether a group was opened with this process of the server, its
+// member of a rank, as far as the holder of the control lease tells.
+bool EntryReduction::IsOpenedWith(const OpenedGroup& aGroup,
+                                  size_t aRank,
+                                  const ServerRecord& aServer)
+{
+  return aGroup.m_starts.size() != aGroup.m_members.size() ||
+         aGroup.m_starts[aRank] == aServer.m_startedAt;
+}
+
 // Applies the groups that the holder of the control lease has opened and that
 // the store does not contain yet.
 void EntryReduction::ApplyOpenedGroups(const std::vector<OpenedGroup>& aGroups)
@@ -201,7 +211,8 @@
   for (const OpenedGroup& group : aGroups) {
     for (size_t rank = 0; rank < group.m_members.size(); ++rank) {
       const auto server = m_state.m_servers.find(group.m_members[rank]);
-      if (server == m_state.m_servers.end()) {
+      if (server == m_state.m_servers.end() ||
+          !IsOpenedWith(group, rank, server->second)) {
         continue;
       }
       GroupMembership membership;
--- a/briarglade/entry/node_news.capnp
+++ b/briarglade/entry/node_news.capnp
@@ -45,6 +45,9 @@
   group @0 :Text;
   generation @1 :UInt64;
   members @2 :List(Text);
+  # When the process of each member started, in milliseconds since the Unix
+  # epoch. Earlier versions don't tell.
+  starts @3 :List(Int64);
 }
 
 # Earlier versions report harmful requests by it; ignored.
--- a/briarglade/entry/node_news.capnp.h
+++ b/briarglade/entry/node_news.capnp.h
@@ -132,7 +132,7 @@
 
   struct _capnpPrivate
   {
-    CAPNP_DECLARE_STRUCT_HEADER(e7dc5e3612357b25, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(e7dc5e3612357b25, 1, 3)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand()
     {
@@ -956,6 +956,10 @@
   inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getMembers()
     const;
 
+  inline bool hasStarts() const;
+  inline ::capnp::List<::int64_t, ::capnp::Kind::PRIMITIVE>::Reader getStarts()
+    const;
+
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -1017,6 +1021,20 @@
   inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
   disownMembers();
 
+  inline bool hasStarts();
+  inline ::capnp::List<::int64_t, ::capnp::Kind::PRIMITIVE>::Builder
+  getStarts();
+  inline void setStarts(
+    ::capnp::List<::int64_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setStarts(::kj::ArrayPtr<const ::int64_t> value);
+  inline ::capnp::List<::int64_t, ::capnp::Kind::PRIMITIVE>::Builder initStarts(
+    unsigned int size);
+  inline void adoptStarts(
+    ::capnp::Orphan<::capnp::List<::int64_t, ::capnp::Kind::PRIMITIVE>>&&
+      value);
+  inline ::capnp::Orphan<::capnp::List<::int64_t, ::capnp::Kind::PRIMITIVE>>
+  disownStarts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -3837,6 +3855,70 @@
       _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool OpenedGroup::Reader::hasStarts() const
+{
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool OpenedGroup::Builder::hasStarts()
+{
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::List<::int64_t, ::capnp::Kind::PRIMITIVE>::Reader
+OpenedGroup::Reader::getStarts() const
+{
+  return ::capnp::_::
+    PointerHelpers<::capnp::List<::int64_t, ::capnp::Kind::PRIMITIVE>>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::int64_t, ::capnp::Kind::PRIMITIVE>::Builder
+OpenedGroup::Builder::getStarts()
+{
+  return ::capnp::_::
+    PointerHelpers<::capnp::List<::int64_t, ::capnp::Kind::PRIMITIVE>>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void OpenedGroup::Builder::setStarts(
+  ::capnp::List<::int64_t, ::capnp::Kind::PRIMITIVE>::Reader value)
+{
+  ::capnp::_::
+    PointerHelpers<::capnp::List<::int64_t, ::capnp::Kind::PRIMITIVE>>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+      value);
+}
+inline void OpenedGroup::Builder::setStarts(
+  ::kj::ArrayPtr<const ::int64_t> value)
+{
+  ::capnp::_::
+    PointerHelpers<::capnp::List<::int64_t, ::capnp::Kind::PRIMITIVE>>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+      value);
+}
+inline ::capnp::List<::int64_t, ::capnp::Kind::PRIMITIVE>::Builder
+OpenedGroup::Builder::initStarts(unsigned int size)
+{
+  return ::capnp::_::
+    PointerHelpers<::capnp::List<::int64_t, ::capnp::Kind::PRIMITIVE>>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+      size);
+}
+inline void OpenedGroup::Builder::adoptStarts(
+  ::capnp::Orphan<::capnp::List<::int64_t, ::capnp::Kind::PRIMITIVE>>&& value)
+{
+  ::capnp::_::
+    PointerHelpers<::capnp::List<::int64_t, ::capnp::Kind::PRIMITIVE>>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+      kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::int64_t, ::capnp::Kind::PRIMITIVE>>
+OpenedGroup::Builder::disownStarts()
+{
+  return ::capnp::_::
+    PointerHelpers<::capnp::List<::int64_t, ::capnp::Kind::PRIMITIVE>>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline ::uint64_t CrashNews::Reader::getFingerprint() const
 {
   return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
--- a/briarglade/entry/node_news.cc
+++ b/briarglade/entry/node_news.cc
@@ -241,6 +241,10 @@
   aEntry.setGroup(aGroup.m_group.Value());
   aEntry.setGeneration(aGroup.m_generation.Value());
   WriteIds(aEntry.initMembers(SizeOf(aGroup.m_members)), aGroup.m_members);
+  auto starts = aEntry.initStarts(SizeOf(aGroup.m_starts));
+  for (uint32_t rank = 0; rank < starts.size(); ++rank) {
+    starts.set(rank, aGroup.m_starts[rank]);
+  }
 }
 
 void WriteTrait(wire::RequestTrait::Builder aEntry, const RequestTrait& aTrait)
@@ -474,10 +478,14 @@
   }
   bulletin.m_endedGroups = ReadIds<GroupId>(aMessage.getEnded());
   for (const auto entry : aMessage.getOpened()) {
-    bulletin.m_openedGroups.push_back(
-      OpenedGroup{ GroupId(ToText(entry.getGroup())),
-                   Generation(entry.getGeneration()),
-                   ReadIds<HostId>(entry.getMembers()) });
+    OpenedGroup group;
+    group.m_group = GroupId(ToText(entry.getGroup()));
+    group.m_generation = Generation(entry.getGeneration());
+    group.m_members = ReadIds<HostId>(entry.getMembers());
+    for (const int64_t start : entry.getStarts()) {
+      group.m_starts.push_back(start);
+    }
+    bulletin.m_openedGroups.push_back(std::move(group));
   }
   bulletin.m_rowChanges = ReadRowChanges(aMessage.getHanded());
   bulletin.m_storeCheck = ReadStoreCheck(aMessage.getStoreCheck());
--- a/briarglade/entry/node_news.h
+++ b/briarglade/entry/node_news.h
@@ -34,6 +34,9 @@
   GroupId m_group;
   Generation m_generation;
   std::vector<HostId> m_members;
+  // When the process of each member started, by rank; empty if the sender is of
+  // an earlier version, which does not tell.
+  std::vector<int64_t> m_starts = {};
 };
 
 // The condition that a node reports of itself.
--- a/briarglade/entry/node_news_test.cc
+++ b/briarglade/entry/node_news_test.cc
@@ -27,9 +27,10 @@
   bulletin.m_harm.m_clearances = { TraitClearance{ kPart, Millis(70'000) } };
   bulletin.m_leavingServers = { { HostId("i-3"), BootId("17") } };
   bulletin.m_endedGroups = { GroupId("m.2") };
-  bulletin.m_openedGroups = {
-    { GroupId("m.3"), Generation(3), { HostId("i-1"), HostId("i-2") } }
-  };
+  bulletin.m_openedGroups = { { GroupId("m.3"),
+                                Generation(3),
+                                { HostId("i-1"), HostId("i-2") },
+                                { 1'700'000'000'000, 1'700'000'000'001 } } };
   bulletin.m_serversComplete = RowVersion(9);
   bulletin.m_entryDoubt = Millis(1'200);
   bulletin.m_storeCheck = StoreCheckNotice::Served;
@@ -177,6 +178,8 @@
   REQUIRE(bulletin.m_openedGroups.size() == 1);
   CHECK(bulletin.m_openedGroups[0].m_members ==
         sent.m_bulletins[0].m_openedGroups[0].m_members);
+  CHECK(bulletin.m_openedGroups[0].m_starts ==
+        sent.m_bulletins[0].m_openedGroups[0].m_starts);
   CHECK(bulletin.m_serversComplete == RowVersion(9));
   CHECK(bulletin.m_entryDoubt == Millis(1'200));
   REQUIRE(bulletin.m_rateLimits.size() == 2);
