--- a/standin/platform_role.cc
+++ b/standin/platform_role.cc
@@ -118,6 +118,18 @@
     m_store.SetFaults(aCall.value("door", ""), faults);
   }
 
+  static PlatformServerCrash CrashOf(const json& aCall)
+  {
+    PlatformServerCrash crash;
+    crash.m_downTime = Millis(aCall.value("down_ms", int64_t{ 1'000 }));
+    crash.m_keepsId = aCall.value("keeps_id", false);
+    crash.m_nextId = aCall.value("next_id", "");
+    if (aCall.contains("lapse_ms")) {
+      crash.m_lapse = Millis(aCall.value("lapse_ms", int64_t{ 0 }));
+    }
+    return crash;
+  }
+
   void SetServerFaults(const json& aCall)
   {
     PlatformServerFaults faults;
@@ -137,8 +149,7 @@
       }
       server->SetFaults(faults);
       if (aCall.value("crash", false)) {
-        server->Crash(Millis(aCall.value("down_ms", int64_t{ 1'000 })),
-                      aCall.value("keeps_id", false));
+        server->Crash(CrashOf(aCall));
       }
       if (aCall.value("drain", false)) {
         server->Drain();
--- a/standin/platform_server.cc
+++ b/standin/platform_server.cc
@@ -80,7 +80,9 @@
   m_lateCalls.clear();
   m_startedAt = UnixMillis();
   if (m_id.empty()) {
-    m_id = m_options.m_host + "." + std::to_string(++m_starts);
+    ++m_starts;
+    m_id = m_nextId.empty() ? m_options.m_host + "." + std::to_string(m_starts)
+                            : std::exchange(m_nextId, {});
   }
   if (m_member) {
     m_member->Start(m_id);
@@ -91,7 +93,7 @@
   m_stepTimer->Start(m_options.m_stepTime);
 }
 
-void PlatformServer::Crash(Millis aDownTime, bool aKeepsId)
+void PlatformServer::Crash(const PlatformServerCrash& aCrash)
 {
   if (!m_isUp) {
     return;
@@ -101,13 +103,14 @@
   m_stepTimer->Stop();
   m_heartbeatTimer->Stop();
   const std::string id = m_id;
-  if (!aKeepsId) {
+  m_nextId = aCrash.m_nextId;
+  if (!aCrash.m_keepsId) {
     m_id.clear();
   }
   // A crash says nothing: the store finds out by the missing heartbeats.
-  const Millis lapse = m_options.m_heartbeat * 3;
-  const bool returnsFirst =
-    aKeepsId && aDownTime >= Millis() && aDownTime < lapse;
+  const Millis lapse = aCrash.m_lapse.value_or(m_options.m_heartbeat * 3);
+  const bool returnsFirst = aCrash.m_keepsId && aCrash.m_downTime >= Millis() &&
+                            aCrash.m_downTime < lapse;
   if (!returnsFirst) {
     m_later.After(lapse, [this, id] {
       if (!m_isUp || m_id != id) {
@@ -116,8 +119,8 @@
     });
   }
   m_loop.Defer([this] { Stop(); });
-  if (aDownTime >= Millis()) {
-    m_restartTimer->Start(aDownTime);
+  if (aCrash.m_downTime >= Millis()) {
+    m_restartTimer->Start(aCrash.m_downTime);
   }
 }
 
--- a/standin/platform_server.h
+++ b/standin/platform_server.h
@@ -55,6 +55,20 @@
   std::optional<PlatformMemberOptions> m_member;
 };
 
+// How a server goes down and starts again.
+struct PlatformServerCrash
+{
+  // A negative time: it never starts again.
+  Millis m_downTime;
+  // It starts again under its id, or else under this one; empty: the next one
+  // of its host.
+  bool m_keepsId = false;
+  std::string m_nextId = {};
+  // When the store removes its entry, if that is not three heartbeats later:
+  // the last heartbeat may have been up to one before the crash.
+  std::optional<Millis> m_lapse = {};
+};
+
 // Faults that an administrator can switch on; all off at first.
 struct PlatformServerFaults
 {
@@ -96,9 +110,8 @@
   uint16_t Port() const { return m_port; }
   bool IsUp() const { return m_isUp; }
   void SetFaults(const PlatformServerFaults& aFaults) { m_faults = aFaults; }
-  // Drops everything at once. Starts again after a while, under a new id unless
-  // the old one is kept; a negative time means never.
-  void Crash(Millis aDownTime, bool aKeepsId);
+  // Drops everything at once, without a word.
+  void Crash(const PlatformServerCrash& aCrash);
   // Announces that the server will leave.
   void Drain();
   // Leaves without a word: the entry is removed, and the server serves on.
@@ -168,6 +181,8 @@
   std::map<std::string, Millis> m_lateCalls;
 
   std::string m_id;
+  // The id of the next start, if one was given.
+  std::string m_nextId;
   uint32_t m_starts = 0;
   int64_t m_startedAt = 0;
   std::optional<PlatformMember> m_member;
