MIXED: an answer whose status is none is no answer

Callers saw: "HTTP/1.1 999 <unknown-status>", signed, for a server's 999; for a server's 000 without a body nothing until their deadline, or, if a 200 followed on the connection, that 200 as the answer.

Cause: a status line of any three digits was accepted. 000 to 099 counted as interim, being below 200, and 600 to 999 as final. An interim answer that announced a body was believed to have none, and 101, which is never asked for, to be followed by an answer.

Change: the parser of all answers that this project reads (calls, streams, hedges, resumed streams, orders, probes, the store, `briarglade node`) takes a status from 100 to 599 alone, not 101, and no interim answer that announces a body. Whether a head has come is told by its own flag, not by a status of zero. Such an answer ends its exchange at once as a wrong answer: the request may have run, the caller gets the node's own 502 or 504, unsigned, and the connection is closed. An order or a write so answered may have been carried out.

--- a/briarglade/net/http_call.cc
+++ b/briarglade/net/http_call.cc
@@ -190,7 +190,7 @@
 
 ExchangeEnd HttpCall::FailureKind() const
 {
-  if (m_head.m_status != 0) {
+  if (m_headTold && !m_isPassedOver) {
     return ExchangeEnd::Truncated;
   }
   if (m_connection->SentBytes() > 0) {
--- a/briarglade/net/http_client.h
+++ b/briarglade/net/http_client.h
@@ -39,6 +39,7 @@
 // The status line and headers of an answer.
 struct HttpAnswerHead
 {
+  // From 100 to 599; zero: no head has come.
   uint16_t m_status = 0;
   HttpHeaders m_headers;
 };
@@ -59,6 +60,7 @@
 struct HttpCallEnd
 {
   ExchangeEnd m_end = ExchangeEnd::Whole;
+  // As in HttpAnswerHead.
   uint16_t m_status = 0;
   // Whether nothing but the close of its connection ended a whole answer.
   bool m_isEndedByClose = false;
--- a/briarglade/net/internal/http_message_parser.cc
+++ b/briarglade/net/internal/http_message_parser.cc
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr uint16_t kFirstFinalStatus = 200;
+
 bool IsControl(char aByte)
 {
   const auto byte = static_cast<unsigned char>(aByte);
@@ -26,6 +28,24 @@
          strncasecmp(aText.data(), aOther.data(), aText.size()) == 0;
 }
 
+// Returns whether a server may answer with a status. Other numbers are none
+// (RFC 9110, 15), and a switch of protocols is never asked for.
+bool IsStatus(int aStatus)
+{
+  constexpr int kFirst = 100;
+  constexpr int kLast = 599;
+  constexpr int kSwitchingProtocols = 101;
+  return aStatus >= kFirst && aStatus <= kLast &&
+         aStatus != kSwitchingProtocols;
+}
+
+// Returns whether a header announces a body.
+bool AnnouncesBody(http::field aField, std::string_view aValue)
+{
+  return aField == http::field::transfer_encoding ||
+         (aField == http::field::content_length && aValue != "0");
+}
+
 bool IsDigit(char aByte)
 {
   return aByte >= '0' && aByte <= '9';
@@ -214,6 +234,10 @@
                                                     ErrorCode& aError)
 {
   aError = {};
+  if (!IsStatus(aStatus)) {
+    aError = http::make_error_code(http::error::bad_status);
+    return;
+  }
   if (HoldsStatusLine(std::string_view(aReason.data(), aReason.size()))) {
     aError = http::make_error_code(http::error::bad_reason);
     return;
@@ -247,6 +271,12 @@
     aError = http::make_error_code(http::error::bad_value);
     return;
   }
+  if (!isRequest && m_status < kFirstFinalStatus &&
+      AnnouncesBody(aField, value)) {
+    // What follows an interim answer is the next one.
+    aError = http::make_error_code(http::error::bad_value);
+    return;
+  }
   if (aField == http::field::transfer_encoding &&
       !EqualsIgnoringCase(value, "chunked")) {
     aError = http::make_error_code(http::error::bad_transfer_encoding);
--- a/briarglade/net/internal/http_message_parser.h
+++ b/briarglade/net/internal/http_message_parser.h
@@ -4,8 +4,10 @@
 // ends: line ends without a carriage return, folded headers, control bytes, and
 // transfer codings other than "chunked" are errors, and so is a status line
 // within an answer's head: there one answer was cut off and another one
-// follows. Chunk extensions and trailers are read and dropped; what stands
-// between two parts of a body may be as long as a head.
+// follows. A status that is none, such as 000 or 999, is an error, as is an
+// interim answer that announces a body. Chunk extensions and trailers are read
+// and dropped; what stands between two parts of a body may be as long as a
+// head.
 //
 // Example:
 //   HttpMessageParser<true> parser(limits);
@@ -75,6 +77,7 @@
   bool KeepsConnection() const { return Base::keep_alive(); }
   const std::string& Method() const { return m_method; }
   const std::string& Target() const { return m_target; }
+  // From 100 to 599. Only after HasHead().
   uint16_t Status() const { return m_status; }
   HttpHeaders& Headers() { return m_headers; }
 
--- a/briarglade/net/internal/http_message_parser_test.cc
+++ b/briarglade/net/internal/http_message_parser_test.cc
@@ -190,5 +190,69 @@
   }
 }
 
+// MIXED: a server in trouble answers with a status that no server has.
+TEST_CASE(
+  "MIXED: an answer whose status is none is malformed in whatever pieces "
+  "its head comes")
+{
+  const std::string bodies[] = {
+    "\r\n",
+    "Content-Length: 0\r\n\r\n",
+    "Content-Length: 2\r\n\r\nok",
+    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+  };
+  for (const char* status : { "000",
+                              "001",
+                              "099",
+                              "0",
+                              "00",
+                              "0200",
+                              "2000",
+                              "-01",
+                              "+20",
+                              "2 0",
+                              "20x",
+                              "101",
+                              "600",
+                              "799",
+                              "999" }) {
+    for (const std::string& body : bodies) {
+      const std::string answer =
+        "HTTP/1.1 " + std::string(status) + " Odd\r\n" + body;
+      for (const size_t piece : { size_t(1), size_t(7), answer.size() }) {
+        CAPTURE(answer);
+        CAPTURE(piece);
+        const Parsed parsed = ParseInPieces<false>(answer, piece);
+        CHECK(parsed.m_failure == HttpParseFailure::Malformed);
+        CHECK_FALSE(parsed.m_isDone);
+      }
+    }
+  }
+}
+
+TEST_CASE("MIXED: an interim answer that announces a body is malformed")
+{
+  const std::string head = "HTTP/1.1 100 Continue\r\n";
+  for (const char* framing : { "Content-Length: 5\r\n\r\nhello",
+                               "Transfer-Encoding: chunked\r\n\r\n" }) {
+    CAPTURE(framing);
+    CHECK(ParseInPieces<false>(head + framing, 1).m_failure ==
+          HttpParseFailure::Malformed);
+  }
+  CHECK(ParseInPieces<false>(head + "Content-Length: 0\r\n\r\n", 1).m_isDone);
+  CHECK(ParseInPieces<false>(head + "\r\n", 1).m_isDone);
+}
+
+TEST_CASE("each status from 100 to 599 is one, but the switch of protocols")
+{
+  for (int status = 100; status < 600; ++status) {
+    CAPTURE(status);
+    const std::string answer = "HTTP/1.1 " + std::to_string(status) +
+                               " Some\r\nContent-Length: 0\r\n\r\n";
+    CHECK(ParseInPieces<false>(answer, answer.size()).m_isDone ==
+          (status != 101));
+  }
+}
+
 } // namespace
 } // namespace briarglade::internal
--- /dev/null
+++ b/standin/platform_status_test.cc
@@ -0,0 +1,213 @@
+// Tests of answers whose status is none (MIXED): 000, numbers beyond 599,
+// interim answers with a body. A server in trouble may send them to requests,
+// and any other party to orders, probes and calls of the store.
+
+#include <doctest/doctest.h>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "briarglade/grouping/group_order.h"
+#include "platform/servers.h"
+#include "standin/platform_world_test.h"
+#include "standin/raw_server.h"
+
+namespace briarglade::standin {
+namespace {
+
+using nlohmann::json;
+
+// Long enough that a test which waited for it would be noticed.
+constexpr int kRouteTimeoutMs = 60'000;
+
+std::vector<std::string> OddHeads()
+{
+  return { "000 ",    "000 Odd", "001 Odd", "099 Odd",
+           "600 Odd", "799 Odd", "999 Odd", "101 Switching Protocols" };
+}
+
+json Configuration(const char* aKind)
+{
+  return { { "version", 1 },
+           { "routes",
+             { { { "name", "book" },
+                 { "host", "desk.example" },
+                 { "prefix", "/book/" },
+                 { "service", "desk" },
+                 { "kind", aKind },
+                 { "timeout_ms", kRouteTimeoutMs },
+                 { "attempts", 2 },
+                 { "public", true } } } },
+           { "services",
+             { { { "name", "desk" }, { "max_connections", 100 } } } },
+           { "limits",
+             { { "header_bytes", 2'048 },
+               { "body_bytes", 4'096 },
+               { "header_timeout_ms", 150 },
+               { "idle_timeout_ms", 1'000 } } } };
+}
+
+std::string Request(const std::string& aAttempt)
+{
+  return "POST /book/x HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: " +
+         aAttempt +
+         "\r\nDeadline-Remaining: " + std::to_string(kRouteTimeoutMs) +
+         "\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody";
+}
+
+bool Has(const std::string& aText, const std::string& aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
+// Returns an answer of a server to the request, without its body's framing.
+std::string Head(const std::string& aStatus)
+{
+  return "HTTP/1.1 " + aStatus +
+         "\r\nAttempt-Id: probe\r\nResponse-Signature: sig\r\n";
+}
+
+// A good answer, to a call as to a stream.
+std::string GoodAnswer(const std::string& aAttempt)
+{
+  const std::string events = "id: 1\ndata: x\n\n";
+  return "HTTP/1.1 200 OK\r\nAttempt-Id: " + aAttempt +
+         "\r\nResponse-Signature: sig\r\nContent-Type: text/event-stream\r\n"
+         "Content-Length: " +
+         std::to_string(events.size()) + "\r\n\r\n" + events;
+}
+
+// Returns what a caller gets if the only server answers its request so.
+std::string AnswerTo(const char* aKind, const std::string& aAnswer)
+{
+  NodeWorld world(Configuration(aKind));
+  RawServer server(world.Loop(), [&](const std::string& aRequest) {
+    const bool isProbe = Has(aRequest, "Attempt-Id: probe");
+    return RawAnswer{ isProbe ? aAnswer : GoodAnswer("warm-up") };
+  });
+  world.AddServer("desk-0", "desk", server.Port());
+  world.WaitFor(Request("warm-up"), "200");
+  return world.Exchange(Request("probe"));
+}
+
+// MIXED: a 999 was passed on, a 000 was taken for an interim answer, so that
+// what followed it was believed, or the caller waited until its deadline.
+TEST_CASE(
+  "MIXED: a caller never gets an answer with a status that is none, nor "
+  "what a server sends behind it")
+{
+  const std::string good = GoodAnswer("probe");
+  const std::string framings[] = { "\r\n",
+                                   "\r\n" + good,
+                                   "Content-Length: 0\r\n\r\n" + good,
+                                   "Content-Length: 5\r\n\r\nhello" };
+  for (const char* kind : { "idempotent", "non_idempotent", "streaming" }) {
+    for (const std::string& status : OddHeads()) {
+      for (const std::string& framing : framings) {
+        CAPTURE(kind);
+        CAPTURE(status);
+        CAPTURE(framing);
+        const std::string answer = AnswerTo(kind, Head(status) + framing);
+        CAPTURE(answer);
+        const bool isOwn =
+          Has(answer, "HTTP/1.1 502 ") || Has(answer, "HTTP/1.1 504 ");
+        CHECK(isOwn);
+        CHECK_FALSE(Has(answer, "Response-Signature"));
+      }
+    }
+  }
+}
+
+TEST_CASE("MIXED: an interim answer with a body is no answer")
+{
+  const std::string answer = AnswerTo(
+    "idempotent", Head("100 Continue") + "Content-Length: 5\r\n\r\nhello");
+  CAPTURE(answer);
+  CHECK(Has(answer, "HTTP/1.1 502 "));
+}
+
+// Calls of the node's own, to a party that gives one answer to everything.
+class OddParty
+{
+public:
+  explicit OddParty(const std::string& aAnswer)
+    : m_server(m_loop, aAnswer, false)
+  {
+  }
+
+  Endpoint Address() const { return Endpoint{ "127.0.0.1", m_server.Port() }; }
+
+  OrderStatus Order()
+  {
+    GroupOrder order;
+    order.m_kind = OrderKind::Join;
+    order.m_host = HostId("i-1");
+    order.m_endpoint = Address();
+    OrderStatus status = OrderStatus::Done;
+    platform::SendOrder(
+      m_client, order, kTimeout, [&](const OrderAnswered& aEnd) {
+        status = aEnd.m_status;
+        m_loop.Stop();
+      });
+    m_loop.Run();
+    return status;
+  }
+
+  Result<ServerRecord> Probe()
+  {
+    ServerRecord record;
+    record.m_host = HostId("i-1");
+    record.m_endpoint = Address();
+    Result<ServerRecord> probed = record;
+    platform::ProbeServer(
+      m_client, record, kTimeout, [&](Result<ServerRecord> aProbed) {
+        probed = std::move(aProbed);
+        m_loop.Stop();
+      });
+    m_loop.Run();
+    return probed;
+  }
+
+  StoreStatus Write()
+  {
+    const PlatformBinding binding = platform::MakeBinding(m_client, Address());
+    WriteOwnRow write;
+    write.m_key = RowKey("row");
+    write.m_value = "value";
+    StoreStatus status = StoreStatus::Ok;
+    binding.m_store.m_write(write, [&](const OwnRowWritten& aWritten) {
+      status = aWritten.m_status;
+      m_loop.Stop();
+    });
+    m_loop.Run();
+    return status;
+  }
+
+private:
+  static constexpr Millis kTimeout = Millis(kRouteTimeoutMs);
+
+  EventLoop m_loop;
+  HttpClient m_client{ m_loop, HttpClientLimits() };
+  RawServer m_server;
+};
+
+TEST_CASE("MIXED: an order, a probe or a write that gets a status that is none "
+          "may have been carried out, and shows nothing")
+{
+  for (const std::string& status : OddHeads()) {
+    for (const char* framing : { "\r\n", "Content-Length: 2\r\n\r\n{}" }) {
+      CAPTURE(status);
+      CAPTURE(framing);
+      OddParty party("HTTP/1.1 " + status + "\r\n" + framing);
+      CHECK(party.Order() == OrderStatus::Unknown);
+      const Result<ServerRecord> probed = party.Probe();
+      const Error* error = GetError(probed);
+      REQUIRE(error != nullptr);
+      CHECK(error->m_code == ResultCode::BackendAnswerInvalid);
+      CHECK(party.Write() == StoreStatus::Unknown);
+    }
+  }
+}
+
+} // namespace
+} // namespace briarglade::standin
