state_invariants_test.h: a text that is returned can be moved

Callers see nothing of it. scripts/lint in a clone of the commit before: "constness of 'broken' prevents automatic move" in each test of entry/.

--- a/briarglade/entry/state_invariants_test.h
+++ b/briarglade/entry/state_invariants_test.h
@@ -89,7 +89,7 @@
     return "";
   }
   for (const auto& [id, group] : aState.m_groups) {
-    const std::string broken = BrokenGroup(aState, group);
+    std::string broken = BrokenGroup(aState, group);
     if (!broken.empty()) {
       return broken;
     }
