--- a/standin/platform_server.cc
+++ b/standin/platform_server.cc
@@ -220,11 +220,14 @@
     aExchange->Abort();
     return;
   }
+  if (aExchange->Path() == kReportPath) {
+    // As on the platform, also if another server is expected.
+    HandleReport(aExchange);
+    return;
+  }
   const std::string expected = aExchange->Header(kExpectedServerHeader);
   if (!expected.empty() && expected != m_id) {
     Refuse(aExchange, kMisdirected);
-  } else if (aExchange->Path() == kReportPath) {
-    HandleReport(aExchange);
   } else if (aExchange->Path() == kOrderPath) {
     HandleOrder(aExchange);
   } else if (aExchange->Path() == kHealthPath) {
