A server that answers a probe while its entry goes does not count as dead

Callers saw: the group of such a server ended ("member-lost") when its entry was back, since the holder took the server for dead for 15 s.

The answer of a server that is no longer listed was taken for that of another process, which says that the asked one has ended, whatever start it told.

Evidence: group_members_test.cc, "a server that answers a probe while its entry goes is not dead when the entry is back", before this change: its group was in the set of ended groups.

Change: the answer is compared with the process that was asked. With its start it is that process's own report; only another start shows that it has ended.

--- a/briarglade/entry/group_members_test.cc
+++ b/briarglade/entry/group_members_test.cc
@@ -278,6 +278,30 @@
   }
 }
 
+// A server whose entry went while it answered a probe counted as dead for 15 s
+// after its entry was back, and its group was ended.
+TEST_CASE("a server that answers a probe while its entry goes is not dead when "
+          "the entry is back")
+{
+  MemberWorld world;
+  world.AddPair();
+  REQUIRE(world.Serves("pair.1"));
+  const ServerRecord member = world.Node().m_servers.at(HostId("b"));
+  // Without an entry it is probed; its group ends with that of the leader.
+  world.RemoveServer("b");
+  world.Run(Millis(600));
+  world.RemoveServer("a");
+  for (int step = 0; step < 100 && world.IsKnown("b"); ++step) {
+    world.Run(world.kStep);
+  }
+  REQUIRE_FALSE(world.IsKnown("b"));
+  world.Dispatch(
+    0, ServerProbed{ HostId("b"), member.Process(), member, world.Now() });
+  world.AddPair();
+  CHECK(world.Serves("pair.1"));
+  CHECK(world.Node().m_endedGroups.empty());
+}
+
 TEST_CASE("an entry of no configured service ends no server at its address")
 {
   MemberWorld world;
--- a/briarglade/entry/internal/server_processes.cc
+++ b/briarglade/entry/internal/server_processes.cc
@@ -77,10 +77,13 @@
 ProbeSubject EntryReduction::SubjectOf(const ServerProbed& aProbed,
                                        const ServerRecord* aKnown)
 {
+  const auto* report = std::get_if<ServerRecord>(&aProbed.m_record);
   if (aKnown == nullptr) {
-    return ProbeSubject::OtherProcess;
+    // Its entry may come back: the answer is still that of the asked process.
+    return report == nullptr || report->Process() == aProbed.m_asked
+             ? ProbeSubject::KnownProcess
+             : ProbeSubject::OtherProcess;
   }
-  const auto* report = std::get_if<ServerRecord>(&aProbed.m_record);
   const bool wasAsked = aProbed.m_asked == aKnown->Process();
   if (report == nullptr) {
     return wasAsked ? ProbeSubject::KnownProcess : ProbeSubject::Unclear;
@@ -105,7 +108,7 @@
   bool isGone = error != nullptr && error->m_code == ResultCode::BackendFailed;
   switch (SubjectOf(aProbed, known)) {
     case ProbeSubject::KnownProcess:
-      if (report != nullptr) {
+      if (report != nullptr && known != nullptr) {
         ApplyReport(*known, *report, aProbed.m_requestedAt);
       }
       break;
