Of two servers at one address the earlier has ended also if configured later

Callers saw: requests sent to a server whose address another one had taken, until its entry lapsed, if both had registered before their service was configured.

Cause: an entry of a service that is not configured names no server and ends none; when a version brought the service, nothing looked at these entries again.

Evidence: group_members_test.cc, "of two servers at one address...", before this change: the earlier one had not ended.

Result: the test passes, with the other tests of servers and groups in entry/.

--- a/briarglade/entry/group_members_test.cc
+++ b/briarglade/entry/group_members_test.cc
@@ -278,6 +278,28 @@
   }
 }
 
+TEST_CASE("of two servers at one address the earlier has ended also if their "
+          "service is configured later")
+{
+  MemberWorld world;
+  for (const int64_t start : { world.kStart, world.kLater }) {
+    ServerRecord record =
+      world.Record(start == world.kStart ? "z-old" : "a-new", std::nullopt);
+    record.m_service = ServiceId("added");
+    record.m_endpoint = Endpoint{ "10.1.0.1", 1 };
+    record.m_startedAt = start;
+    world.AddServer(record);
+  }
+  world.Run(Millis(600));
+  ServiceSpec added;
+  added.m_id = ServiceId("added");
+  world.Config().m_services.emplace(added.m_id, added);
+  world.Configure(3);
+  world.Run(Millis(600));
+  CHECK(world.HasEnded("z-old"));
+  CHECK_FALSE(world.HasEnded("a-new"));
+}
+
 // A server whose entry went while it answered a probe counted as dead for 15 s
 // after its entry was back, and its group was ended.
 TEST_CASE("a server that answers a probe while its entry goes is not dead when "
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -144,6 +144,10 @@
         { "routes", std::to_string(aRow.m_config.m_routes.size()) } });
   m_state.m_routes = std::make_shared<const RouteIndex>(aRow.m_config);
   m_state.m_areBackendsStale = true;
+  // Entries of services that were not configured before name servers now.
+  for (const auto& [host, server] : m_state.m_servers) {
+    RecordStart(server);
+  }
   m_effects.emplace_back(CallerLimitsChanged{ aRow.m_config.m_limits });
 }
 
