Test: a report that was under way when its process was seen to have ended

Callers see nothing of it. The order "asked, entry of the next process, answer" had no test. It guards the rule that only a report requested later outweighs an entry; it passes on the code as it stands.

--- a/briarglade/entry/group_members_test.cc
+++ b/briarglade/entry/group_members_test.cc
@@ -300,6 +300,22 @@
   CHECK_FALSE(world.HasEnded("a-new"));
 }
 
+TEST_CASE("a report that was requested before its process was seen to have "
+          "ended shows no member that runs")
+{
+  MemberWorld world;
+  world.AddPair();
+  const ServerRecord member = world.Node().m_servers.at(HostId("b"));
+  const Millis asked = world.Now();
+  world.AddAt("x", 2, world.kLater, std::nullopt);
+  REQUIRE(world.HasEnded("b"));
+  world.Dispatch(0,
+                 ServerProbed{ HostId("b"), member.Process(), member, asked });
+  world.Run(Millis(100));
+  CHECK(world.HasEnded("b"));
+  CHECK_FALSE(world.Serves("pair.1"));
+}
+
 // A server whose entry went while it answered a probe counted as dead for 15 s
 // after its entry was back, and its group was ended.
 TEST_CASE("a server that answers a probe while its entry goes is not dead when "
