Logs: which process showed that another one has ended, and how old that is

Callers see nothing of it.

Cause: server-process-ended named neither the process that showed it nor the age of what did; two decisions had no line: an answer to a question about an earlier process is passed over, and so is the news of a group that was opened with one.

Change: server-process-ended has age-ms, other-server and other-run, server-process-runs age-ms and taken-for-ended-ms; report-of-earlier-process and opened-group-outdated are new, one line a decision.

Result: the tests of servers and groups in entry/ pass (43 cases).

--- a/briarglade/entry/address_owners.cc
+++ b/briarglade/entry/address_owners.cc
@@ -48,4 +48,10 @@
   }
 }
 
+AddressOwners::Owner AddressOwners::OwnerAt(const Endpoint& aAddress) const
+{
+  const auto owner = m_owners.find(aAddress);
+  return owner == m_owners.end() ? Owner() : owner->second;
+}
+
 } // namespace briarglade
--- a/briarglade/entry/address_owners.h
+++ b/briarglade/entry/address_owners.h
@@ -21,6 +21,14 @@
 class AddressOwners
 {
 public:
+  // The last server that started at an address.
+  struct Owner
+  {
+    HostId m_server;
+    // In milliseconds since the Unix epoch.
+    int64_t m_startedAt = 0;
+  };
+
   // Records that a server has started at an address, at aStartedAt in
   // milliseconds since the Unix epoch. Returns the server that must have ended
   // because of another one's later start there; it may be the given one.
@@ -36,14 +44,10 @@
                                 int64_t aStartedAt);
   // Forgets a server that is no longer listed, or no longer at the address.
   void Remove(const Endpoint& aAddress, const HostId& aServer);
+  // Returns the address's owner, with an empty id if there is none.
+  Owner OwnerAt(const Endpoint& aAddress) const;
 
 private:
-  struct Owner
-  {
-    HostId m_server;
-    int64_t m_startedAt = 0;
-  };
-
   std::map<Endpoint, Owner> m_owners;
 };
 
--- a/briarglade/entry/address_owners_test.cc
+++ b/briarglade/entry/address_owners_test.cc
@@ -17,6 +17,9 @@
   AddressOwners owners;
   CHECK(owners.RecordStart(kAddress, kOld, 1'000) == std::nullopt);
   CHECK(owners.RecordStart(kAddress, kNew, 2'000) == kOld);
+  CHECK(owners.OwnerAt(kAddress).m_server == kNew);
+  CHECK(owners.OwnerAt(kAddress).m_startedAt == 2'000);
+  CHECK(owners.OwnerAt(Endpoint()).m_server.IsEmpty());
 }
 
 TEST_CASE("an entry of an earlier start that is read late ends its own server")
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -48,6 +48,19 @@
   Unclear
 };
 
+// The process that shows that another one at its address has ended.
+struct OtherProcess
+{
+  // Its server; empty if a report showed it, as that names none.
+  HostId m_server;
+  // In milliseconds since the Unix epoch.
+  int64_t m_startedAt = 0;
+  // "entry" or "report", and since when that holds: when the entry was read or
+  // the report requested, by this node's clock.
+  const char* m_shownBy = "";
+  Millis m_shownAt;
+};
+
 // Applies one event and collects the effects.
 class EntryReduction
 {
@@ -164,8 +177,10 @@
   void ReportServerLost(const ServerRecord& aServer);
   void CarryOver(const ServerRecord& aKnown, ServerRecord& aEntry);
   void RecordStart(const ServerRecord& aServer);
-  void EndDisplaced(const std::optional<HostId>& aServer, const char* aShownBy);
-  void EndProcess(ServerRecord& aServer, const char* aShownBy);
+  void EndDisplaced(const std::optional<HostId>& aServer,
+                    const char* aShownBy,
+                    Millis aShownAt);
+  void EndProcess(ServerRecord& aServer, const OtherProcess& aOther);
   static ProbeSubject SubjectOf(const ServerProbed& aProbed,
                                 const ServerRecord* aKnown);
   void ApplyReport(ServerRecord& aServer,
--- a/briarglade/entry/internal/server_processes.cc
+++ b/briarglade/entry/internal/server_processes.cc
@@ -36,23 +36,30 @@
   }
   EndDisplaced(m_state.m_addressOwners.RecordStart(
                  aServer.m_endpoint, aServer.m_host, aServer.m_startedAt),
-               "entry");
+               "entry",
+               m_now);
 }
 
 // Ends the process of a server that is not at its address any more, if there is
 // one.
 void EntryReduction::EndDisplaced(const std::optional<HostId>& aServer,
-                                  const char* aShownBy)
+                                  const char* aShownBy,
+                                  Millis aShownAt)
 {
   const auto found =
     aServer ? m_state.m_servers.find(*aServer) : m_state.m_servers.end();
   if (found != m_state.m_servers.end()) {
-    EndProcess(found->second, aShownBy);
+    const AddressOwners::Owner owner =
+      m_state.m_addressOwners.OwnerAt(found->second.m_endpoint);
+    EndProcess(
+      found->second,
+      OtherProcess{ owner.m_server, owner.m_startedAt, aShownBy, aShownAt });
   }
 }
 
 // Records that the process that a server's record is about has ended.
-void EntryReduction::EndProcess(ServerRecord& aServer, const char* aShownBy)
+void EntryReduction::EndProcess(ServerRecord& aServer,
+                                const OtherProcess& aOther)
 {
   if (aServer.m_endedAt) {
     return;
@@ -62,7 +69,10 @@
       { { "server", aServer.m_host.Value() },
         { "address", aServer.m_endpoint.ToString() },
         { "run", RunOf(aServer).Value() },
-        { "shown-by", aShownBy } });
+        { "shown-by", aOther.m_shownBy },
+        { "age-ms", std::to_string((m_now - aOther.m_shownAt).Count()) },
+        { "other-server", aOther.m_server.Value() },
+        { "other-run", std::to_string(aOther.m_startedAt) } });
   aServer.m_endedAt = m_now;
   aServer.m_groupMembership.reset();
   m_state.m_ambiguousServers.erase(aServer.m_host);
@@ -114,13 +124,24 @@
       break;
     case ProbeSubject::OtherProcess:
       if (known != nullptr) {
-        EndProcess(*known, "report");
+        EndProcess(
+          *known,
+          OtherProcess{
+            HostId(), report->m_startedAt, "report", aProbed.m_requestedAt });
       }
       report = nullptr;
       isGone = true;
       break;
     case ProbeSubject::Unclear:
       // The entry of a later process was read while the probe was under way.
+      Log(LogLevel::Info,
+          "report-of-earlier-process",
+          { { "server", aProbed.m_host.Value() },
+            { "asked-run", std::to_string(aProbed.m_asked.m_startedAt) },
+            { "run", RunOf(*known).Value() },
+            { "outcome", report == nullptr ? "failed" : "report" },
+            { "age-ms",
+              std::to_string((m_now - aProbed.m_requestedAt).Count()) } });
       if (m_state.m_control.IsActive()) {
         m_effects.emplace_back(ProbeServerNow{ *known });
       }
@@ -140,11 +161,15 @@
     Log(LogLevel::Warn,
         "server-process-runs",
         { { "server", aServer.m_host.Value() },
-          { "run", RunOf(aServer).Value() } });
+          { "run", RunOf(aServer).Value() },
+          { "age-ms", std::to_string((m_now - aRequestedAt).Count()) },
+          { "taken-for-ended-ms",
+            std::to_string((m_now - *aServer.m_endedAt).Count()) } });
     aServer.m_endedAt.reset();
     EndDisplaced(m_state.m_addressOwners.Confirm(
                    aServer.m_endpoint, aServer.m_host, aServer.m_startedAt),
-                 "report");
+                 "report",
+                 aRequestedAt);
   }
   MembershipUpdate update;
   update.m_source = UpdateSource::Report;
--- a/briarglade/entry/internal/update_receiving.cc
+++ b/briarglade/entry/internal/update_receiving.cc
@@ -211,8 +211,17 @@
   for (const OpenedGroup& group : aGroups) {
     for (size_t rank = 0; rank < group.m_members.size(); ++rank) {
       const auto server = m_state.m_servers.find(group.m_members[rank]);
-      if (server == m_state.m_servers.end() ||
-          !IsOpenedWith(group, rank, server->second)) {
+      if (server == m_state.m_servers.end()) {
+        continue;
+      }
+      if (!IsOpenedWith(group, rank, server->second)) {
+        Log(LogLevel::Info,
+            "opened-group-outdated",
+            { { "group", group.m_group.Value() },
+              { "generation", std::to_string(group.m_generation.Value()) },
+              { "server", server->second.m_host.Value() },
+              { "opened-with-run", std::to_string(group.m_starts[rank]) },
+              { "run", RunOf(server->second).Value() } });
         continue;
       }
       GroupMembership membership;
