Test: a status that is none from the leader of a group

Callers see nothing of it. Streams of groups had no test of their own for statuses that are none (MIXED).

Two comments say what they are about.

--- a/briarglade/entry/address_owners.cc
+++ b/briarglade/entry/address_owners.cc
@@ -1,3 +1,5 @@
+// Keeps the last start at each address.
+
 #include "briarglade/entry/address_owners.h"
 
 #include <utility>
--- a/briarglade/net/internal/http_message_parser.h
+++ b/briarglade/net/internal/http_message_parser.h
@@ -77,7 +77,7 @@
   bool KeepsConnection() const { return Base::keep_alive(); }
   const std::string& Method() const { return m_method; }
   const std::string& Target() const { return m_target; }
-  // From 100 to 599. Only after HasHead().
+  // An answer's status, from 100 to 599. Only after HasHead().
   uint16_t Status() const { return m_status; }
   HttpHeaders& Headers() { return m_headers; }
 
--- a/standin/platform_status_test.cc
+++ b/standin/platform_status_test.cc
@@ -47,12 +47,13 @@
                { "idle_timeout_ms", 1'000 } } } };
 }
 
-std::string Request(const std::string& aAttempt)
+std::string Request(const std::string& aAttempt,
+                    const std::string& aHeaders = {})
 {
   return "POST /book/x HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: " +
          aAttempt +
-         "\r\nDeadline-Remaining: " + std::to_string(kRouteTimeoutMs) +
-         "\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody";
+         "\r\nDeadline-Remaining: " + std::to_string(kRouteTimeoutMs) + "\r\n" +
+         aHeaders + "Connection: close\r\nContent-Length: 4\r\n\r\nbody";
 }
 
 bool Has(const std::string& aText, const std::string& aPart)
@@ -126,6 +127,83 @@
   CHECK(Has(answer, "HTTP/1.1 502 "));
 }
 
+// A model that needs one server, and a route to it.
+json GroupConfiguration()
+{
+  json configuration = Configuration("streaming");
+  configuration["services"][0]["engine"] = { { "slots", 8 },
+                                             { "kv_capacity_tokens", 100'000 },
+                                             { "step_ms", 10 },
+                                             { "read_per_s", 50'000 },
+                                             { "loads_per_s", 4 },
+                                             { "formation_ms", 100 },
+                                             { "models",
+                                               { { { "name", "single" },
+                                                   { "size", 1 },
+                                                   { "load_s", 1 },
+                                                   { "warm_s", 0.1 } } } } };
+  return configuration;
+}
+
+// Returns what a server that leads an open group says of itself.
+json LeaderState()
+{
+  return { { "domain", "rack-1" },
+           { "staged", json::array({ "single" }) },
+           { "models", json::array() },
+           { "sequence", 2 },
+           { "born", 1'700'000'000'000 },
+           { "group",
+             { { "name", "single.1" },
+               { "epoch", 1 },
+               { "rank", 0 },
+               { "state", "open" } } } };
+}
+
+// Returns what a caller of a model gets if the leader of its only group answers
+// its request so.
+std::string AnswerOfLeader(const std::string& aAnswer)
+{
+  NodeWorld world(GroupConfiguration());
+  RawServer server(world.Loop(), [&](const std::string& aRequest) {
+    if (Has(aRequest, "/-/report")) {
+      const std::string report = LeaderState().dump();
+      return RawAnswer{ "HTTP/1.1 200 OK\r\nContent-Length: " +
+                        std::to_string(report.size()) + "\r\n\r\n" + report };
+    }
+    if (Has(aRequest, "/-/order")) {
+      return RawAnswer{ "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n" };
+    }
+    const bool isProbe = Has(aRequest, "Attempt-Id: probe");
+    return RawAnswer{ isProbe ? aAnswer : GoodAnswer("warm-up") };
+  });
+  json entry = LeaderState();
+  entry.update(
+    { { "service", "desk" },
+      { "address", Endpoint{ "127.0.0.1", server.Port() }.ToString() },
+      { "zone", "zone-a" },
+      { "slots", 8 },
+      { "state", "ready" } });
+  world.Store().Put(platform::kServersTable, "desk-0", entry.dump());
+  const std::string model = "Model: single\r\nToken-Counts: 10,10\r\n";
+  world.WaitFor(Request("warm-up", model), "200");
+  return world.Exchange(Request("probe", model));
+}
+
+TEST_CASE("MIXED: nor does the caller of a model get one from a group's leader")
+{
+  for (const std::string& status : OddHeads()) {
+    CAPTURE(status);
+    const std::string answer =
+      AnswerOfLeader(Head(status) + "\r\n" + GoodAnswer("probe"));
+    CAPTURE(answer);
+    const bool isOwn =
+      Has(answer, "HTTP/1.1 502 ") || Has(answer, "HTTP/1.1 504 ");
+    CHECK(isOwn);
+    CHECK_FALSE(Has(answer, "Response-Signature"));
+  }
+}
+
 // Calls of the node's own, to a party that gives one answer to everything.
 class OddParty
 {
