group-ending says member-restarted where a forming group's member restarted

Callers see nothing of it. The line said member-lost for a member that is gone and for one that restarted under its id, so the log did not tell which rule had acted.

--- a/briarglade/grouping/group_control.h
+++ b/briarglade/grouping/group_control.h
@@ -197,6 +197,7 @@
   bool OrderJoins(FormingGroup& aForming);
   bool CheckReady(FormingGroup& aForming);
   bool HasLostMember(const ReplicaGroup& aGroup) const;
+  bool HasRestartedMember(const ReplicaGroup& aGroup) const;
   bool IsProbeDue(const FormingGroup& aForming) const;
   void OrderOpen(FormingGroup& aForming);
   void AwaitInheritedGroups();
--- a/briarglade/grouping/group_forming.cc
+++ b/briarglade/grouping/group_forming.cc
@@ -137,8 +137,7 @@
   return age >= kShortestJoin && m_now - aForming.m_probedAt >= period;
 }
 
-// Returns whether a member of a forming group can't become or stay ready: it is
-// gone or leaving, or has restarted and knows nothing of the group.
+// Returns whether a member of a forming group is gone or leaving.
 bool GroupControl::HasLostMember(const ReplicaGroup& aGroup) const
 {
   const auto isLost = [this](const HostId& aHost) {
@@ -146,9 +145,14 @@
     return server == m_view->m_servers.end() || IsDead(aHost) ||
            server->second.m_isDraining;
   };
-  return std::any_of(
-           aGroup.m_members.begin(), aGroup.m_members.end(), isLost) ||
-         StartsOf(aGroup.m_members, m_view->m_servers) != aGroup.m_starts;
+  return std::any_of(aGroup.m_members.begin(), aGroup.m_members.end(), isLost);
+}
+
+// Returns whether a member of a forming group has restarted under its id since
+// it was chosen, and so knows nothing of the group.
+bool GroupControl::HasRestartedMember(const ReplicaGroup& aGroup) const
+{
+  return StartsOf(aGroup.m_members, m_view->m_servers) != aGroup.m_starts;
 }
 
 // Advances each forming group: sends orders and probes that are due, and ends
@@ -178,11 +182,12 @@
     const EngineSpec* engine = EngineOf(group.m_service);
     const ReplicaModel* model =
       engine == nullptr ? nullptr : engine->FindModel(group.m_model);
-    const bool hasLost = HasLostMember(group);
     const Millis longest =
       (model == nullptr ? Millis() : model->m_loadTime * 2) + kFormingGrace;
-    if (hasLost || model == nullptr) {
+    if (HasLostMember(group) || model == nullptr) {
       failed.emplace_back(group, "member-lost");
+    } else if (HasRestartedMember(group)) {
+      failed.emplace_back(group, "member-restarted");
     } else if (m_now - forming.m_since > longest) {
       failed.emplace_back(group, "not-ready");
     }
