--- a/briarglade/entry/rack_restart_test.cc
+++ b/briarglade/entry/rack_restart_test.cc
@@ -96,15 +96,6 @@
   uint32_t m_names = 0;
 };
 
-std::string Describe(const FakeServers& aServers)
-{
-  std::string text;
-  for (const std::string& violation : aServers.Violations()) {
-    text += violation + "; ";
-  }
-  return text;
-}
-
 // LOST, TWO: a report of the server that had come back at an address under a
 // new id was taken for the old id's. The node ended by itself, or ordered the
 // members of an open group into another one.
@@ -123,7 +114,7 @@
   world.RunUntilServing(kRacks * kHostsPerRack / kGroupSize);
   CHECK(world.Servers().ServingGroups() == kRacks * kHostsPerRack / kGroupSize);
   CHECK_MESSAGE(world.Servers().Violations().empty(),
-                Describe(world.Servers()));
+                world.Servers().DescribeViolations());
 }
 
 TEST_CASE("LOST, TWO: racks that restart under new ids end no node and put no "
--- a/briarglade/entry/two_groups_test.cc
+++ b/briarglade/entry/two_groups_test.cc
@@ -10,16 +10,6 @@
 namespace briarglade {
 namespace {
 
-// Returns a description of the violations, for a failed check.
-std::string Describe(const FakeServers& aServers)
-{
-  std::string text;
-  for (const std::string& violation : aServers.Violations()) {
-    text += violation + "; ";
-  }
-  return text;
-}
-
 // One group of three servers and a spare. In an outage of the store, the group
 // loses a member and is formed anew with the spare and with its former leader,
 // whose entry still says that it is in no group: it was written before the
@@ -82,7 +72,7 @@
   world.SetStoreDown(false);
   world.Run(Millis(5'000));
   CHECK_MESSAGE(world.Servers().Violations().empty(),
-                Describe(world.Servers()));
+                world.Servers().DescribeViolations());
   CHECK(world.Servers().OpenLeader() == world.FormerLeader());
   CHECK(world.Servers().ServingGroups() == 1);
 }
@@ -112,7 +102,7 @@
   world.SetStoreDownForServers(false);
   world.Run(Millis(5'000));
   CHECK_MESSAGE(world.Servers().Violations().empty(),
-                Describe(world.Servers()));
+                world.Servers().DescribeViolations());
   CHECK(world.Servers().ServingGroups() == 1);
   CHECK(world.Servers().OpenLeader() == world.FormerLeader());
 }
@@ -284,7 +274,8 @@
     History history(seed);
     servingShare += history.Run();
     CHECK_MESSAGE(history.Servers().Violations().empty(),
-                  "seed " << seed << ": " << Describe(history.Servers()));
+                  "seed " << seed << ": "
+                          << history.Servers().DescribeViolations());
   }
   MESSAGE("share of time with a group that serves: "
           << servingShare / static_cast<double>(seeds.size()));
--- a/briarglade/grouping/fake_servers_test.h
+++ b/briarglade/grouping/fake_servers_test.h
@@ -233,6 +233,15 @@
   }
   // Returns descriptions of the violated rules, in order.
   const std::vector<std::string>& Violations() const { return m_violations; }
+  // Returns them as one text, for a failed check.
+  std::string DescribeViolations() const
+  {
+    std::string text;
+    for (const std::string& violation : m_violations) {
+      text += violation + "; ";
+    }
+    return text;
+  }
 
 private:
   struct Server
--- a/standin/platform_stray_test.cc
+++ b/standin/platform_stray_test.cc
@@ -10,8 +10,7 @@
 #include <utility>
 #include <vector>
 
-#include "briarglade/grouping/group_order.h"
-#include "platform/servers.h"
+#include "standin/control_calls_test.h"
 #include "standin/platform_world_test.h"
 #include "standin/raw_server.h"
 
@@ -331,35 +330,11 @@
 
   Endpoint Address() const { return Endpoint{ "127.0.0.1", m_server.Port() }; }
 
-  OrderStatus Order()
-  {
-    GroupOrder order;
-    order.m_kind = OrderKind::Open;
-    order.m_host = HostId("i-1");
-    order.m_endpoint = Address();
-    OrderStatus status = OrderStatus::Unknown;
-    platform::SendOrder(
-      m_client, order, kTimeout, [&](const OrderAnswered& aEnd) {
-        status = aEnd.m_status;
-        m_loop.Stop();
-      });
-    m_loop.Run();
-    return status;
-  }
+  OrderStatus Order() { return OrderAt(m_loop, m_client, Address(), kTimeout); }
 
   Result<ServerRecord> Probe()
   {
-    ServerRecord record;
-    record.m_host = HostId("i-1");
-    record.m_endpoint = Address();
-    Result<ServerRecord> probed = record;
-    platform::ProbeServer(
-      m_client, record, kTimeout, [&](Result<ServerRecord> aProbed) {
-        probed = std::move(aProbed);
-        m_loop.Stop();
-      });
-    m_loop.Run();
-    return probed;
+    return ProbeAt(m_loop, m_client, Address(), kTimeout);
   }
 
 private:
