--- a/briarglade/entry/entry_event.h
+++ b/briarglade/entry/entry_event.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -12,6 +13,7 @@
 #include "briarglade/base/endpoint.h"
 #include "briarglade/base/ids.h"
 #include "briarglade/base/log_event.h"
+#include "briarglade/base/message_echo.h"
 #include "briarglade/base/millis.h"
 #include "briarglade/base/result.h"
 #include "briarglade/entry/node_news.h"
@@ -58,6 +60,8 @@
 struct PeerUpdateReceived
 {
   NodeNews m_update;
+  // What it returns of an earlier message of this node.
+  std::optional<MessageEcho> m_echo = std::nullopt;
 };
 
 // The process has noted that it is asked to stop.
@@ -88,10 +92,17 @@
   ServerRecord m_server;
 };
 
+// A receiver of a message, and what that returns of an earlier one from there.
+struct UpdateReceiver
+{
+  Endpoint m_endpoint;
+  std::optional<MessageEcho> m_echo;
+};
+
 // Sends the same message to several other nodes. Failures are ignored.
 struct SendPeerUpdate
 {
-  std::vector<Endpoint> m_receivers;
+  std::vector<UpdateReceiver> m_receivers;
   std::shared_ptr<const NodeNews> m_update;
 };
 
--- a/briarglade/entry/entry_node.cc
+++ b/briarglade/entry/entry_node.cc
@@ -124,7 +124,7 @@
     [this](const auto& aExchange) { HandleMetrics(aExchange); });
   m_peers.SetHandler([this](const Envelope& aEnvelope) {
     if (std::optional<NodeNews> update = DecodeNodeNews(aEnvelope.m_payload)) {
-      Dispatch(PeerUpdateReceived{ std::move(*update) });
+      Dispatch(PeerUpdateReceived{ std::move(*update), aEnvelope.m_echo });
     }
   });
   m_callerPort = m_callerServer.Listen(m_settings.m_callerAddress);
@@ -414,10 +414,11 @@
   envelope.m_sender = m_settings.m_node;
   envelope.m_incarnation = m_incarnation;
   envelope.m_payload = EncodeNodeNews(*aSend.m_update);
-  for (const Endpoint& receiver : aSend.m_receivers) {
+  for (const UpdateReceiver& receiver : aSend.m_receivers) {
+    envelope.m_echo = receiver.m_echo;
     // A failed send is ignored: an unreachable node is detected by the absence
     // of its own messages.
-    m_peers.Send(receiver, envelope, [](bool) {});
+    m_peers.Send(receiver.m_endpoint, envelope, [](bool) {});
   }
 }
 
--- a/briarglade/entry/fleet_world_test.h
+++ b/briarglade/entry/fleet_world_test.h
@@ -63,6 +63,8 @@
   // The least size of the configuration's row.
   size_t m_configBytes = 0;
   EntryBounds m_bounds;
+  // The nodes' steady clocks differ by up to this.
+  Millis m_clockSpread;
 };
 
 // A request that a server received.
@@ -163,6 +165,10 @@
   {
     const size_t index = m_nodes.size();
     m_nodes.emplace_back();
+    if (m_options.m_clockSpread > Millis()) {
+      m_nodes[index].m_clockOffset =
+        Millis(static_cast<int64_t>(Pick(m_options.m_clockSpread.Count())));
+    }
     m_nodes[index].m_tickOffset =
       Millis(static_cast<int64_t>(index % kTickSteps) * kStep.Count());
     Start(index);
@@ -221,6 +227,25 @@
       m_cuts.erase(std::minmax(aOne, aOther));
     }
   }
+  // Holds back what a node sends to another one from now on, or lets it go: it
+  // all arrives at once, in order, also if the sender has ended meanwhile.
+  void SetHeldBack(size_t aFrom, size_t aTo, bool aIsHeldBack)
+  {
+    if (aIsHeldBack) {
+      m_heldBack.try_emplace({ aFrom, aTo });
+      return;
+    }
+    const auto link = m_heldBack.find({ aFrom, aTo });
+    if (link == m_heldBack.end()) {
+      return;
+    }
+    for (HeldBack& held : link->second) {
+      if (held.m_receiverRun == m_nodes[aTo].m_run) {
+        Send(aTo, m_options.m_leastDelay, std::move(held.m_update));
+      }
+    }
+    m_heldBack.erase(link);
+  }
   // Sets whether the store serves the node's calls, refuses them, or does not
   // answer them.
   void SetStoreStatus(size_t aNode, StoreStatus aStatus)
@@ -274,7 +299,7 @@
   // before.
   void Stop(size_t aNode, Millis aNotedAfter = Millis())
   {
-    Send(aNode, Millis(), StopRequested{ m_now - aNotedAfter });
+    Send(aNode, Millis(), StopRequested{ LocalTime(aNode) - aNotedAfter });
   }
 
   void Run(Millis aTime)
@@ -299,8 +324,9 @@
   // Passes an event to a node and performs its effects.
   void Dispatch(size_t aNode, const EntryEvent& aEvent)
   {
+    m_nodes[aNode].m_lastRanAt = m_now;
     for (EntryEffect& effect :
-         ReduceEntry(*m_nodes[aNode].m_state, m_now, aEvent)) {
+         ReduceEntry(*m_nodes[aNode].m_state, LocalTime(aNode), aEvent)) {
       std::visit(
         Overloaded{
           [&](const WatchFeed& aCall) { Call(aNode, aCall); },
@@ -329,7 +355,7 @@
           [](const auto&) {} },
         effect);
     }
-    CheckInvariants(*m_nodes[aNode].m_state);
+    CheckInvariants(aNode);
   }
 
   const EntryState& StateOf(size_t aNode) const
@@ -339,6 +365,13 @@
   size_t NodeCount() const { return m_nodes.size(); }
   bool IsUp(size_t aNode) const { return m_nodes[aNode].m_isUp; }
   Millis Now() const { return m_now; }
+  // Returns what a node's clock shows now, and when its process last ran, by
+  // the world's clock.
+  Millis LocalTime(size_t aNode) const
+  {
+    return m_now + m_nodes[aNode].m_clockOffset;
+  }
+  Millis LastRanAt(size_t aNode) const { return m_nodes[aNode].m_lastRanAt; }
   std::mt19937& Random() { return m_random; }
   // Returns a random number from 0 to aBound - 1.
   size_t Pick(size_t aBound)
@@ -475,6 +508,10 @@
     StoreStatus m_storeStatus = StoreStatus::Ok;
     Millis m_frozenUntil;
     Millis m_startedAt;
+    // When its process last ran.
+    Millis m_lastRanAt;
+    // How far its clock is ahead of the world's.
+    Millis m_clockOffset;
     Millis m_tickOffset;
     // The number of times its process was started. Messages to an earlier run
     // are dropped.
@@ -488,6 +525,12 @@
     LinkQueue m_sending;
     LinkQueue m_receiving;
   };
+  // An update that waits on a link, for one run of the receiver.
+  struct HeldBack
+  {
+    uint64_t m_receiverRun = 0;
+    PeerUpdateReceived m_update;
+  };
   struct Watch
   {
     size_t m_node = 0;
@@ -563,12 +606,13 @@
   }
 
   // Checks what must hold of a node each time its groups have been found anew.
-  void CheckInvariants(const EntryState& aState) const
+  void CheckInvariants(size_t aNode) const
   {
-    if (aState.m_backendsUpdatedAt != m_now) {
+    const EntryState& state = *m_nodes[aNode].m_state;
+    if (state.m_backendsUpdatedAt != LocalTime(aNode)) {
       return;
     }
-    const std::string broken = BrokenInvariant(aState);
+    const std::string broken = BrokenInvariant(state);
     if (!broken.empty()) {
       FAIL_CHECK("at " << m_now.Count() << " ms: " << broken);
     }
@@ -656,7 +700,9 @@
     if (m_crashingServers.IsDown(host)) {
       result = Error{ ResultCode::BackendFailed, "refused" };
     }
-    Send(aNode, kStep, ServerProbed{ host, asked, std::move(result), m_now });
+    Send(aNode,
+         kStep,
+         ServerProbed{ host, asked, std::move(result), LocalTime(aNode) });
   }
 
   void StepServers()
@@ -829,12 +875,18 @@
                            : 0;
     NodeNews received = *aNews.m_update;
     received.m_readsPacked = m_nodes[aFrom].m_readsPacked;
-    for (const Endpoint& receiver : aNews.m_receivers) {
-      Tell(aFrom, receiver.m_port - kFirstPort, received, bytes);
+    for (const UpdateReceiver& receiver : aNews.m_receivers) {
+      Tell(aFrom,
+           receiver.m_endpoint.m_port - kFirstPort,
+           PeerUpdateReceived{ received, receiver.m_echo },
+           bytes);
     }
   }
 
-  void Tell(size_t aFrom, size_t aTo, const NodeNews& aNews, size_t aBytes)
+  void Tell(size_t aFrom,
+            size_t aTo,
+            const PeerUpdateReceived& aNews,
+            size_t aBytes)
   {
     ++m_nodes[aFrom].m_updatesSent;
     ++m_nodes[aTo].m_updatesSentTo;
@@ -851,16 +903,21 @@
                                                  m_options.m_mostDelay.Count());
     if (const std::optional<Millis> transfer =
           TransferTime(aFrom, aTo, aBytes)) {
-      NodeNews received = aNews;
+      PeerUpdateReceived received = aNews;
       if (!m_nodes[aTo].m_readsPacked) {
-        ClearPacked(received.m_rowChanges);
-        for (Bulletin& bulletin : received.m_bulletins) {
+        ClearPacked(received.m_update.m_rowChanges);
+        for (Bulletin& bulletin : received.m_update.m_bulletins) {
           ClearPacked(bulletin.m_rowChanges);
         }
       }
-      Send(aTo,
-           Millis(delay(m_random)) + *transfer,
-           PeerUpdateReceived{ std::move(received) });
+      const Millis way = Millis(delay(m_random)) + *transfer;
+      const auto heldBack = m_heldBack.find({ aFrom, aTo });
+      if (heldBack != m_heldBack.end()) {
+        heldBack->second.push_back(
+          HeldBack{ m_nodes[aTo].m_run, std::move(received) });
+      } else {
+        Send(aTo, way, std::move(received));
+      }
     }
   }
 
@@ -981,6 +1038,8 @@
   std::set<HostId> m_leaving;
   std::map<HostId, std::optional<double>> m_rateLimits;
   std::set<std::pair<size_t, size_t>> m_cuts;
+  // By sender and receiver.
+  std::map<std::pair<size_t, size_t>, std::vector<HeldBack>> m_heldBack;
   bool m_hasLimitedLinks = false;
   bool m_countsUpdateBytes = false;
   uint64_t m_updateBytes = 0;
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -153,10 +153,13 @@
   std::vector<NodeId> RelaysOfZone(const ZoneId& aZone) const;
   void UseLoads(std::vector<ServerLoad> aOthers,
                 const std::vector<GroupId>& aSuspects);
+  SendTime TimeOf(const PeerUpdateReceived& aReceived);
+  void AnswerEchoRequest(const NodeNews& aUpdate);
   void HandleReport(const NodeNews& aUpdate);
-  void HandleFleetDigest(const NodeNews& aUpdate);
-  void HandleZoneDigest(const ZoneDigest& aZone);
-  void HandleStatuses(const std::vector<NodeStatus>& aNodes);
+  void HandleFleetDigest(const SendTime& aSentAt, const NodeNews& aUpdate);
+  void HandleZoneDigest(const SendTime& aSentAt, const ZoneDigest& aZone);
+  void HandleStatuses(const SendTime& aSentAt,
+                      const std::vector<NodeStatus>& aNodes);
   void HandleBulletin(const Bulletin& aBulletin, const NodeId& aSender);
   void SendBulletin();
   void ForwardBulletin(const Bulletin& aBulletin, const NodeId& aSender);
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -229,6 +229,9 @@
     aRow.m_value ? DecodeNodeRow(*aRow.m_value) : std::nullopt;
   const NodeId node(key.substr(prefix.size()));
   m_state.m_directory.OnRow(m_now, node, row ? &*row : nullptr);
+  if (!row) {
+    m_state.m_peerClocks.Remove(node);
+  }
   m_state.m_roster.OnRow(m_now, node, row.has_value());
   if (node == m_state.m_settings.m_node) {
     HandleOwnNodeRow(aRow, row);
--- a/briarglade/entry/internal/update_receiving.cc
+++ b/briarglade/entry/internal/update_receiving.cc
@@ -59,7 +59,8 @@
   if (update.m_node == m_state.m_settings.m_node) {
     return;
   }
-  m_state.m_directory.OnPeerUpdate(m_now, update);
+  const SendTime sentAt = TimeOf(aReceived);
+  m_state.m_directory.OnPeerUpdate(sentAt, update);
   if (update.m_storePeriod) {
     m_state.m_storeUptime.OnReported(*update.m_storePeriod);
   }
@@ -76,18 +77,54 @@
   ApplyRowChanges(update.m_rowChanges);
   UpdateRosterKnowledge(update);
   HandleReport(update);
-  HandleFleetDigest(update);
+  HandleFleetDigest(sentAt, update);
   if (!update.m_zoneAges.empty()) {
     m_state.m_peerUpdates.m_reportedZoneAges[update.m_node] =
       ReportedZoneAges{ m_now, update.m_zoneAges };
   }
   for (const ZoneDigest& zone : update.m_zones) {
-    HandleZoneDigest(zone);
+    HandleZoneDigest(sentAt, zone);
   }
   RecordVersions(update);
   if (update.m_requestsRows) {
     AnswerWithRows(update);
   }
+  AnswerEchoRequest(update);
+}
+
+// Returns when a message was sent. Nodes whose row is not known are not
+// tracked: anybody who reaches the port can send messages of any name.
+SendTime EntryReduction::TimeOf(const PeerUpdateReceived& aReceived)
+{
+  const NodeNews& update = aReceived.m_update;
+  if (m_state.m_directory.Others().count(update.m_node) == 0) {
+    return { m_now, std::nullopt };
+  }
+  PeerClocks& clocks = m_state.m_peerClocks;
+  const uint64_t resets = clocks.ResetCount();
+  const SendTime sentAt = clocks.OnMessage(
+    m_now,
+    MessageTimes{
+      update.m_node, update.m_incarnation, update.m_sentAt, aReceived.m_echo });
+  if (clocks.ResetCount() != resets) {
+    Log(LogLevel::Warn,
+        "peer-clock-reset",
+        { { "node", update.m_node.Value() },
+          { "incarnation", std::to_string(update.m_incarnation) } });
+  }
+  return sentAt;
+}
+
+// Answers a node that asks how long its messages take, and asks in turn if this
+// node does not know how long the other one's take. Any message will do.
+void EntryReduction::AnswerEchoRequest(const NodeNews& aUpdate)
+{
+  const bool asks = m_state.m_peerClocks.TakeQuestion(m_now, aUpdate.m_node);
+  if (asks || aUpdate.m_requestsEcho) {
+    NodeNews answer = MakePeerUpdate();
+    answer.m_requestsEcho = asks;
+    Send({ aUpdate.m_node }, std::move(answer));
+  }
 }
 
 // Handles a report that is sent to this node as a relay.
@@ -114,11 +151,12 @@
     updates.m_hasUrgentDigest || hasMore || beginsToLeave;
 }
 
-void EntryReduction::HandleStatuses(const std::vector<NodeStatus>& aNodes)
+void EntryReduction::HandleStatuses(const SendTime& aSentAt,
+                                    const std::vector<NodeStatus>& aNodes)
 {
   for (const NodeStatus& status : aNodes) {
-    if (m_state.m_directory.OnStatus(m_now, status)) {
-      HandleCondition(status.m_condition, status.m_age);
+    if (m_state.m_directory.OnStatus(aSentAt, status)) {
+      HandleCondition(status.m_condition, aSentAt.AgeAtReceipt(status.m_age));
     }
   }
 }
@@ -133,7 +171,8 @@
 }
 
 // Applies a relay's digest of the fleet.
-void EntryReduction::HandleFleetDigest(const NodeNews& aUpdate)
+void EntryReduction::HandleFleetDigest(const SendTime& aSentAt,
+                                       const NodeNews& aUpdate)
 {
   if (!aUpdate.m_fleet) {
     return;
@@ -141,7 +180,7 @@
   PeerUpdateState& updates = m_state.m_peerUpdates;
   const StatusDigest& fleet = *aUpdate.m_fleet;
   updates.m_relays.OnDigest(m_now, aUpdate.m_node);
-  HandleStatuses(fleet.m_nodes);
+  HandleStatuses(aSentAt, fleet.m_nodes);
   const bool isPrimary = aUpdate.m_node == updates.m_relays.Primary();
   if (isPrimary) {
     updates.m_primaryDigestAt = m_now;
@@ -174,13 +213,17 @@
 }
 
 // Applies the digest of a zone that a relay of another zone has sent.
-void EntryReduction::HandleZoneDigest(const ZoneDigest& aZone)
+void EntryReduction::HandleZoneDigest(const SendTime& aSentAt,
+                                      const ZoneDigest& aZone)
 {
-  HandleStatuses(aZone.m_digest.m_nodes);
+  if (!aSentAt.IsKnown()) {
+    return;
+  }
+  HandleStatuses(aSentAt, aZone.m_digest.m_nodes);
   PeerUpdateState& updates = m_state.m_peerUpdates;
   const auto [entry, isNew] = updates.m_zones.try_emplace(aZone.m_zone);
   KnownZone& zone = entry->second;
-  const Millis asOf = m_now - aZone.m_age;
+  const Millis asOf = aSentAt.At(aZone.m_age);
   const bool isOwn = aZone.m_zone == m_state.m_settings.m_zone;
   if (isOwn || (!isNew && asOf < zone.m_asOf)) {
     return;
--- a/briarglade/entry/internal/update_sending.cc
+++ b/briarglade/entry/internal/update_sending.cc
@@ -100,6 +100,7 @@
   NodeNews update;
   update.m_node = m_state.m_settings.m_node;
   update.m_incarnation = m_state.m_incarnation;
+  update.m_sentAt = m_now;
   update.m_condition = OwnCondition();
   for (const auto& [feed, follower] : m_state.m_feeds) {
     update.m_completeUpTo.push_back(m_state.m_rows.CompleteUpTo(feed));
@@ -113,25 +114,26 @@
                           NodeNews aUpdate)
 {
   const bool hasPacked = HasPackedRows(aUpdate);
-  std::vector<Endpoint> endpoints;
-  std::vector<Endpoint> unpackedEndpoints;
+  std::vector<UpdateReceiver> receivers;
+  std::vector<UpdateReceiver> unpackedReceivers;
   for (const NodeId& receiver : aReceivers) {
     const auto node = m_state.m_directory.Others().find(receiver);
     if (node == m_state.m_directory.Others().end()) {
       continue;
     }
     const bool canRead = !hasPacked || node->second.m_readsPacked;
-    (canRead ? endpoints : unpackedEndpoints)
-      .push_back(node->second.m_row.m_peerAddress);
+    (canRead ? receivers : unpackedReceivers)
+      .push_back(UpdateReceiver{ node->second.m_row.m_peerAddress,
+                                 m_state.m_peerClocks.EchoFor(receiver) });
   }
-  if (!unpackedEndpoints.empty()) {
+  if (!unpackedReceivers.empty()) {
     m_effects.emplace_back(SendPeerUpdate{
-      std::move(unpackedEndpoints),
+      std::move(unpackedReceivers),
       std::make_shared<const NodeNews>(WithoutPackedRows(aUpdate)) });
   }
-  if (!endpoints.empty()) {
+  if (!receivers.empty()) {
     m_effects.emplace_back(
-      SendPeerUpdate{ std::move(endpoints),
+      SendPeerUpdate{ std::move(receivers),
                       std::make_shared<const NodeNews>(std::move(aUpdate)) });
   }
 }
@@ -268,14 +270,14 @@
   for (const auto& [id, node] : m_state.m_directory.LiveNodes(m_now, aZone)) {
     digest.m_nodes.push_back(
       NodeStatus{ MakeNodeRunKey(id, node->m_incarnation),
-                  m_now - *node->m_lastSeenAt,
+                  ToldAge(m_now - *node->m_lastSeenAt),
                   m_state.m_peerUpdates.m_loads.ReportNumber(id),
                   node->m_condition });
   }
   if (aZone.IsEmpty() || aZone == m_state.m_settings.m_zone) {
     digest.m_nodes.push_back(NodeStatus{
       MakeNodeRunKey(m_state.m_settings.m_node, m_state.m_incarnation),
-      Millis(),
+      ToldAge(),
       0,
       OwnCondition() });
   }
@@ -374,7 +376,7 @@
 ZoneDigest EntryReduction::MakeOwnZone() const
 {
   const ZoneId& zone = m_state.m_settings.m_zone;
-  ZoneDigest own{ zone, Millis(), MakeDigest(zone) };
+  ZoneDigest own{ zone, ToldAge(), MakeDigest(zone) };
   own.m_digest.m_loads = AddLoads(m_state.m_gateway.m_backendTable.OwnLoad(),
                                   m_state.m_peerUpdates.m_loads.SumOfReports());
   own.m_digest.m_work = m_state.m_workMeter.Rates(m_now);
@@ -387,7 +389,7 @@
 {
   std::vector<ZoneAge> ages;
   for (const auto& [id, zone] : m_state.m_peerUpdates.m_zones) {
-    ages.push_back(ZoneAge{ id, m_now - zone.m_asOf });
+    ages.push_back(ZoneAge{ id, ToldAge(m_now - zone.m_asOf) });
   }
   return ages;
 }
@@ -410,12 +412,12 @@
                    reported->second.m_ages.end(),
                    [&](const ZoneAge& aAge) { return aAge.m_zone == id; });
     const bool isMissed = theirAge == reported->second.m_ages.end() ||
-                          theirAge->m_age > kZoneStaleTime;
+                          theirAge->m_age.WhenSent() > kZoneStaleTime;
     const Millis age = m_now - zone.m_asOf;
     if (id == aZone || !isMissed || age > kZoneStaleTime) {
       continue;
     }
-    ZoneDigest digest{ id, age, MakeDigest(id) };
+    ZoneDigest digest{ id, ToldAge(age), MakeDigest(id) };
     digest.m_digest.m_loads = m_state.m_peerUpdates.m_loads.SumOfZone(id);
     digest.m_digest.m_work = m_state.m_peerUpdates.m_loads.WorkOfZone(id);
     digest.m_digest.m_suspects = zone.m_suspects;
--- a/briarglade/entry/node_directory.cc
+++ b/briarglade/entry/node_directory.cc
@@ -58,31 +58,42 @@
   node.m_row = *aRow;
 }
 
-void NodeDirectory::OnPeerUpdate(Millis aNow, const NodeNews& aUpdate)
+void NodeDirectory::OnPeerUpdate(const SendTime& aSentAt,
+                                 const NodeNews& aUpdate)
 {
   const auto found = m_others.find(aUpdate.m_node);
   if (found == m_others.end()) {
     return;
   }
-  found->second.m_incarnation = aUpdate.m_incarnation;
-  found->second.m_readsPacked = aUpdate.m_readsPacked;
+  KnownNode& node = found->second;
+  if (aUpdate.m_incarnation == node.m_row.m_incarnation) {
+    node.m_readsPacked = aUpdate.m_readsPacked;
+  }
+  const bool isOutdated =
+    node.m_lastSeenAt && aSentAt.NotBefore() < *node.m_lastSeenAt;
+  if (!aSentAt.IsKnown() || isOutdated) {
+    return;
+  }
+  node.m_incarnation = aUpdate.m_incarnation;
+  node.m_readsPacked = aUpdate.m_readsPacked;
   NodeCondition condition = aUpdate.m_condition;
   if (!aUpdate.m_rowChanges.empty()) {
     // That doubt is about these rows, for this node alone.
     condition.m_entryDoubt = Millis();
   }
-  RecordCondition(aNow, found->second, condition);
+  RecordCondition(aSentAt.NotBefore(), node, condition);
 }
 
-bool NodeDirectory::OnStatus(Millis aNow, const NodeStatus& aStatus)
+bool NodeDirectory::OnStatus(const SendTime& aSentAt, const NodeStatus& aStatus)
 {
   const auto runNode = m_nodesByRunKey.find(aStatus.m_key);
   if (runNode == m_nodesByRunKey.end()) {
     return false;
   }
   KnownNode& node = m_others.at(runNode->second);
-  const Millis seenAt = aNow - aStatus.m_age;
-  const bool isNewer = !node.m_lastSeenAt || seenAt > *node.m_lastSeenAt;
+  const Millis seenAt = aSentAt.At(aStatus.m_age);
+  const bool isNewer =
+    aSentAt.IsKnown() && (!node.m_lastSeenAt || seenAt > *node.m_lastSeenAt);
   // If the node was last seen with an incarnation other than that of its row,
   // that run is later than the one that this status is about.
   const bool isOtherRun =
--- a/briarglade/entry/node_directory.h
+++ b/briarglade/entry/node_directory.h
@@ -2,7 +2,7 @@
 // condition each was last seen. Determines which addresses callers receive.
 //
 // Example:
-//   directory.OnPeerUpdate(now, update);
+//   directory.OnPeerUpdate(sentAt, update);
 //   std::vector<Endpoint> addresses = directory.Addresses(now, zone);
 
 #pragma once
@@ -20,6 +20,7 @@
 #include "briarglade/base/millis.h"
 #include "briarglade/entry/node_news.h"
 #include "briarglade/entry/own_rows.h"
+#include "briarglade/entry/send_time.h"
 
 namespace briarglade {
 
@@ -29,7 +30,7 @@
   NodeRow m_row;
   // When this node first saw the registration.
   Millis m_knownSince;
-  // When it was last seen; nothing: not yet.
+  // When it was last seen: a time at which its process ran; nothing: not yet.
   std::optional<Millis> m_lastSeenAt;
   // The run of the process that was last seen.
   uint64_t m_incarnation = 0;
@@ -53,11 +54,12 @@
 
   // Records a node's new or changed row; null: the row has been removed.
   void OnRow(Millis aNow, const NodeId& aNode, const NodeRow* aRow);
-  // Records a message from a node. Ignored if the node's row is not known.
-  void OnPeerUpdate(Millis aNow, const NodeNews& aUpdate);
-  // Records a node's status as reported by another node. Returns whether the
-  // status is of another node whose row is known.
-  bool OnStatus(Millis aNow, const NodeStatus& aStatus);
+  // Records a message from a node. Ignored if the node's row is not known, or
+  // if a later message of the node has shown when it was last seen.
+  void OnPeerUpdate(const SendTime& aSentAt, const NodeNews& aUpdate);
+  // Records a node's status as reported by another node in a message. Returns
+  // whether the status is of another node whose row is known.
+  bool OnStatus(const SendTime& aSentAt, const NodeStatus& aStatus);
   // Sets whether callers may be directed to this node itself.
   void SetSelf(bool aIsReady, bool aIsLeaving);
 
--- a/briarglade/entry/node_directory_test.cc
+++ b/briarglade/entry/node_directory_test.cc
@@ -28,6 +28,12 @@
   return news;
 }
 
+// Returns the time of a message that was on its way for no time.
+SendTime SentAt(Millis aNow)
+{
+  return { aNow, aNow };
+}
+
 struct World
 {
   NodeDirectory m_directory{ MakeRow("n1", 1) };
@@ -40,7 +46,7 @@
          { std::pair<const char*, uint16_t>{ "n2", 2 }, { "n3", 3 } }) {
       const NodeRow row = MakeRow(name, port);
       m_directory.OnRow(m_now, row.m_node, &row);
-      m_directory.OnPeerUpdate(m_now, MakeNews(name));
+      m_directory.OnPeerUpdate(SentAt(m_now), MakeNews(name));
     }
   }
   size_t Count() { return m_directory.Addresses(m_now, ZoneId()).size(); }
@@ -52,11 +58,11 @@
   CHECK(world.Count() == 3);
   NodeNews leaving = MakeNews("n2");
   leaving.m_condition.m_isLeaving = true;
-  world.m_directory.OnPeerUpdate(world.m_now, leaving);
+  world.m_directory.OnPeerUpdate(SentAt(world.m_now), leaving);
   CHECK(world.Count() == 2);
   NodeNews unready = MakeNews("n3");
   unready.m_condition.m_isReady = false;
-  world.m_directory.OnPeerUpdate(world.m_now, unready);
+  world.m_directory.OnPeerUpdate(SentAt(world.m_now), unready);
   CHECK(world.Count() == 1);
   world.m_directory.SetSelf(true, true);
   CHECK(world.Count() == 0);
@@ -79,7 +85,7 @@
     NodeRow row = MakeRow(name.c_str(), port);
     row.m_zone = ZoneId(zone);
     directory.OnRow(now, row.m_node, &row);
-    directory.OnPeerUpdate(now, MakeNews(name.c_str()));
+    directory.OnPeerUpdate(SentAt(now), MakeNews(name.c_str()));
   }
   std::map<uint16_t, int> counts;
   constexpr int kQuestions = 40;
@@ -102,7 +108,7 @@
 {
   World world;
   world.m_now += Millis(1'500);
-  world.m_directory.OnPeerUpdate(world.m_now, MakeNews("n2"));
+  world.m_directory.OnPeerUpdate(SentAt(world.m_now), MakeNews("n2"));
   CHECK(world.Count() == 3);
   world.m_now += Millis(1'000);
   CHECK(world.Count() == 2);
@@ -125,7 +131,7 @@
   CHECK_FALSE(world.m_directory.IsLost(world.m_now, other, 1));
   CHECK(world.m_directory.IsLost(world.m_now, other, 2));
   CHECK(world.m_directory.IsLost(world.m_now + Millis(1'400), other, 1));
-  world.m_directory.OnPeerUpdate(world.m_now, MakeNews("n2", 5));
+  world.m_directory.OnPeerUpdate(SentAt(world.m_now), MakeNews("n2", 5));
   CHECK(world.m_directory.IsLost(world.m_now, other, 1));
   CHECK_FALSE(world.m_directory.IsLost(world.m_now, NodeId("n1"), 1));
   CHECK(world.m_directory.IsLost(world.m_now, NodeId("n1"), 9));
@@ -146,7 +152,7 @@
   CHECK(follow(false, "n3").front() == NodeId("n3"));
   NodeNews lost = MakeNews("n3");
   lost.m_condition.m_isStoreLost = true;
-  world.m_directory.OnPeerUpdate(world.m_now, lost);
+  world.m_directory.OnPeerUpdate(SentAt(world.m_now), lost);
   const std::vector<NodeId> rest = { NodeId("n1"), NodeId("n2") };
   std::vector<NodeId> followers = follow(false, "n3");
   std::sort(followers.begin(), followers.end());
@@ -156,14 +162,14 @@
   CHECK(world.m_directory.IsStoreLost(world.m_now + Millis(500), NodeId("n3")));
   // Where the store turns all of them away, some go on trying.
   lost.m_node = NodeId("n2");
-  world.m_directory.OnPeerUpdate(world.m_now, lost);
+  world.m_directory.OnPeerUpdate(SentAt(world.m_now), lost);
   CHECK(follow(true, "").size() == 2);
 }
 
 TEST_CASE("news of a node that isn't registered change nothing")
 {
   World world;
-  world.m_directory.OnPeerUpdate(world.m_now, MakeNews("stranger"));
+  world.m_directory.OnPeerUpdate(SentAt(world.m_now), MakeNews("stranger"));
   CHECK(world.Count() == 3);
 }
 
@@ -179,13 +185,46 @@
   update.m_node = row.m_node;
   update.m_incarnation = row.m_incarnation;
   update.m_condition.m_entryDoubt = Millis(900);
-  directory.OnPeerUpdate(Millis(1'000), update);
+  directory.OnPeerUpdate(SentAt(Millis(1'000)), update);
   const KnownNode& known = directory.Others().at(row.m_node);
   CHECK(known.m_condition.m_entryDoubt == Millis(900));
   update.m_rowChanges = { RowChanges() };
-  directory.OnPeerUpdate(Millis(1'100), update);
+  directory.OnPeerUpdate(SentAt(Millis(1'100)), update);
   CHECK(known.m_condition.m_entryDoubt == Millis());
 }
 
+// Guards against DRAIN: old news, or news of unknown age, named a node that had
+// been gone for long.
+TEST_CASE("a message that was long on its way does not make a node live")
+{
+  World world;
+  world.m_now += Millis(6'000);
+  REQUIRE(world.Count() == 1);
+  const SendTime late(world.m_now, world.m_now - Millis(5'000));
+  world.m_directory.OnPeerUpdate(late, MakeNews("n2"));
+  const SendTime unknown(world.m_now, std::nullopt);
+  world.m_directory.OnPeerUpdate(unknown, MakeNews("n2"));
+  NodeStatus status;
+  status.m_key = MakeNodeRunKey(NodeId("n3"), 1);
+  status.m_age = ToldAge(Millis(80));
+  status.m_condition.m_isReady = true;
+  world.m_directory.OnStatus(late, status);
+  world.m_directory.OnStatus(unknown, status);
+  CHECK(world.Count() == 1);
+  world.m_directory.OnStatus(SentAt(world.m_now), status);
+  CHECK(world.Count() == 2);
+}
+
+TEST_CASE("an older message of a node does not replace what a later one said")
+{
+  World world;
+  NodeNews leaving = MakeNews("n2");
+  leaving.m_condition.m_isLeaving = true;
+  world.m_directory.OnPeerUpdate(SentAt(world.m_now), leaving);
+  const SendTime older(world.m_now, world.m_now - Millis(50));
+  world.m_directory.OnPeerUpdate(older, MakeNews("n2"));
+  CHECK(world.Count() == 2);
+}
+
 } // namespace
 } // namespace briarglade
--- a/briarglade/entry/node_news.capnp
+++ b/briarglade/entry/node_news.capnp
@@ -165,6 +165,8 @@
   # 1: the store has refused the origin, and the other nodes are to check whether
   # it serves them. 2: it serves the origin.
   storeCheck @14 :UInt8;
+  # The time since the origin sent it.
+  ageMs @15 :UInt32;
 }
 
 struct NodeNews {
@@ -196,4 +198,10 @@
   # clock, in milliseconds. Not set if the second one is zero.
   storeAvailableSince @19 :Int64;
   storeAvailableUntil @20 :Int64;
+  # When it was sent, by the sender's steady clock, in milliseconds. Earlier
+  # versions don't tell; they leave tellsSendTime unset.
+  sentAt @21 :Int64;
+  tellsSendTime @22 :Bool;
+  # The sender asks for an answer at once.
+  requestsEcho @23 :Bool;
 }
--- a/briarglade/entry/node_news.capnp.h
+++ b/briarglade/entry/node_news.capnp.h
@@ -412,7 +412,7 @@
 
   struct _capnpPrivate
   {
-    CAPNP_DECLARE_STRUCT_HEADER(cedd4078abce72d1, 5, 13)
+    CAPNP_DECLARE_STRUCT_HEADER(cedd4078abce72d1, 6, 13)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand()
     {
@@ -2671,6 +2671,8 @@
 
   inline ::uint8_t getStoreCheck() const;
 
+  inline ::uint32_t getAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -2859,6 +2861,9 @@
   inline ::uint8_t getStoreCheck();
   inline void setStoreCheck(::uint8_t value);
 
+  inline ::uint32_t getAgeMs();
+  inline void setAgeMs(::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -2987,6 +2992,12 @@
 
   inline ::int64_t getStoreAvailableUntil() const;
 
+  inline ::int64_t getSentAt() const;
+
+  inline bool getTellsSendTime() const;
+
+  inline bool getRequestsEcho() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -3227,6 +3238,15 @@
   inline ::int64_t getStoreAvailableUntil();
   inline void setStoreAvailableUntil(::int64_t value);
 
+  inline ::int64_t getSentAt();
+  inline void setSentAt(::int64_t value);
+
+  inline bool getTellsSendTime();
+  inline void setTellsSendTime(bool value);
+
+  inline bool getRequestsEcho();
+  inline void setRequestsEcho(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -6031,6 +6051,23 @@
                                    value);
 }
 
+inline ::uint32_t Bulletin::Reader::getAgeMs() const
+{
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<7>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t Bulletin::Builder::getAgeMs()
+{
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<7>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void Bulletin::Builder::setAgeMs(::uint32_t value)
+{
+  _builder.setDataField<::uint32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
 inline bool NodeNews::Reader::hasNode() const
 {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
@@ -6942,6 +6979,57 @@
                                    value);
 }
 
+inline ::int64_t NodeNews::Reader::getSentAt() const
+{
+  return _reader.getDataField<::int64_t>(::capnp::bounded<5>() *
+                                         ::capnp::ELEMENTS);
+}
+
+inline ::int64_t NodeNews::Builder::getSentAt()
+{
+  return _builder.getDataField<::int64_t>(::capnp::bounded<5>() *
+                                          ::capnp::ELEMENTS);
+}
+inline void NodeNews::Builder::setSentAt(::int64_t value)
+{
+  _builder.setDataField<::int64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS,
+                                   value);
+}
+
+inline bool NodeNews::Reader::getTellsSendTime() const
+{
+  return _reader.getDataField<bool>(::capnp::bounded<138>() *
+                                    ::capnp::ELEMENTS);
+}
+
+inline bool NodeNews::Builder::getTellsSendTime()
+{
+  return _builder.getDataField<bool>(::capnp::bounded<138>() *
+                                     ::capnp::ELEMENTS);
+}
+inline void NodeNews::Builder::setTellsSendTime(bool value)
+{
+  _builder.setDataField<bool>(::capnp::bounded<138>() * ::capnp::ELEMENTS,
+                              value);
+}
+
+inline bool NodeNews::Reader::getRequestsEcho() const
+{
+  return _reader.getDataField<bool>(::capnp::bounded<139>() *
+                                    ::capnp::ELEMENTS);
+}
+
+inline bool NodeNews::Builder::getRequestsEcho()
+{
+  return _builder.getDataField<bool>(::capnp::bounded<139>() *
+                                     ::capnp::ELEMENTS);
+}
+inline void NodeNews::Builder::setRequestsEcho(bool value)
+{
+  _builder.setDataField<bool>(::capnp::bounded<139>() * ::capnp::ELEMENTS,
+                              value);
+}
+
 } // namespace
 } // namespace
 
--- a/briarglade/entry/node_news.cc
+++ b/briarglade/entry/node_news.cc
@@ -190,7 +190,7 @@
 void WriteStatus(wire::NodeStatus::Builder aEntry, const NodeStatus& aStatus)
 {
   aEntry.setKey(aStatus.m_key.Value());
-  aEntry.setAgeMs(ToAge(aStatus.m_age));
+  aEntry.setAgeMs(ToAge(aStatus.m_age.WhenSent()));
   aEntry.setReportNumber(aStatus.m_reportNumber);
   WriteCondition(aEntry, aStatus.m_condition);
 }
@@ -213,7 +213,7 @@
   digest.m_nodes.reserve(aMessage.getNodes().size());
   for (const auto node : aMessage.getNodes()) {
     digest.m_nodes.push_back(NodeStatus{ NodeRunKey(node.getKey()),
-                                         Millis(node.getAgeMs()),
+                                         ToldAge(Millis(node.getAgeMs())),
                                          node.getReportNumber(),
                                          ReadCondition(node) });
   }
@@ -226,14 +226,14 @@
 void WriteZone(wire::ZoneDigest::Builder aEntry, const ZoneDigest& aZone)
 {
   aEntry.setZone(aZone.m_zone.Value());
-  aEntry.setAgeMs(ToAge(aZone.m_age));
+  aEntry.setAgeMs(ToAge(aZone.m_age.WhenSent()));
   WriteDigest(aEntry.initDigest(), aZone.m_digest);
 }
 
 void WriteZoneAge(wire::ZoneAge::Builder aEntry, const ZoneAge& aZone)
 {
   aEntry.setZone(aZone.m_zone.Value());
-  aEntry.setAgeMs(ToAge(aZone.m_age));
+  aEntry.setAgeMs(ToAge(aZone.m_age.WhenSent()));
 }
 
 void WriteOpened(wire::OpenedGroup::Builder aEntry, const OpenedGroup& aGroup)
@@ -371,6 +371,7 @@
   aEntry.setOrigin(aBulletin.m_origin.Value());
   aEntry.setIncarnation(aBulletin.m_incarnation);
   aEntry.setNumber(aBulletin.m_number);
+  aEntry.setAgeMs(ToDuration(aBulletin.m_age.WhenSent()));
   aEntry.setServersComplete(aBulletin.m_serversComplete.Value());
   WriteEntryDoubt(aEntry, aBulletin.m_entryDoubt);
   const HarmNotices& harm = aBulletin.m_harm;
@@ -460,6 +461,7 @@
   bulletin.m_origin = NodeId(ToText(aMessage.getOrigin()));
   bulletin.m_incarnation = aMessage.getIncarnation();
   bulletin.m_number = aMessage.getNumber();
+  bulletin.m_age = ToldAge(Millis(aMessage.getAgeMs()));
   bulletin.m_serversComplete = RowVersion(aMessage.getServersComplete());
   bulletin.m_entryDoubt = ReadEntryDoubt(aMessage);
   for (const auto entry : aMessage.getEvidence()) {
@@ -496,6 +498,9 @@
 {
   aMessage.setNode(aUpdate.m_node.Value());
   aMessage.setIncarnation(aUpdate.m_incarnation);
+  aMessage.setTellsSendTime(aUpdate.m_sentAt.has_value());
+  aMessage.setSentAt(aUpdate.m_sentAt.value_or(Millis()).Count());
+  aMessage.setRequestsEcho(aUpdate.m_requestsEcho);
   WriteCondition(aMessage.initCondition(), aUpdate.m_condition);
   auto complete = aMessage.initComplete(SizeOf(aUpdate.m_completeUpTo));
   for (unsigned index = 0; index < complete.size(); ++index) {
@@ -560,6 +565,10 @@
       StorePeriod{ Millis(aMessage.getStoreAvailableSince()),
                    Millis(aMessage.getStoreAvailableUntil()) };
   }
+  if (aMessage.getTellsSendTime()) {
+    update.m_sentAt = Millis(aMessage.getSentAt());
+  }
+  update.m_requestsEcho = aMessage.getRequestsEcho();
   update.m_subscription = ReadSubscription(aMessage.getSubscription());
   update.m_reportNumber = aMessage.getReportNumber();
   update.m_loads = ReadLoads(aMessage.getLoads());
@@ -570,12 +579,12 @@
   }
   for (const auto zone : aMessage.getZones()) {
     update.m_zones.push_back(ZoneDigest{ ZoneId(ToText(zone.getZone())),
-                                         Millis(zone.getAgeMs()),
+                                         ToldAge(Millis(zone.getAgeMs())),
                                          ReadDigest(zone.getDigest()) });
   }
   for (const auto zone : aMessage.getZoneAges()) {
-    update.m_zoneAges.push_back(
-      ZoneAge{ ZoneId(ToText(zone.getZone())), Millis(zone.getAgeMs()) });
+    update.m_zoneAges.push_back(ZoneAge{ ZoneId(ToText(zone.getZone())),
+                                         ToldAge(Millis(zone.getAgeMs())) });
   }
   for (const auto bulletin : aMessage.getBulletins()) {
     update.m_bulletins.push_back(ReadBulletin(bulletin));
--- a/briarglade/entry/node_news.h
+++ b/briarglade/entry/node_news.h
@@ -22,6 +22,7 @@
 #include "briarglade/base/millis.h"
 #include "briarglade/entry/store_feed.h"
 #include "briarglade/entry/store_uptime.h"
+#include "briarglade/entry/told_age.h"
 #include "briarglade/gateway/gateway_event.h"
 #include "briarglade/grouping/model_work.h"
 
@@ -67,7 +68,7 @@
 {
   NodeRunKey m_key;
   // The time since it was last seen.
-  Millis m_age;
+  ToldAge m_age;
   // The number of its last report, whose loads are included in the sums.
   uint16_t m_reportNumber = 0;
   NodeCondition m_condition;
@@ -90,7 +91,7 @@
 {
   ZoneId m_zone;
   // The time since the summary was accurate.
-  Millis m_age;
+  ToldAge m_age;
   StatusDigest m_digest;
 };
 
@@ -98,7 +99,7 @@
 struct ZoneAge
 {
   ZoneId m_zone;
-  Millis m_age;
+  ToldAge m_age;
 };
 
 // What a bulletin says about the check whether the store serves its nodes.
@@ -118,6 +119,9 @@
   uint64_t m_incarnation = 0;
   // Unique among the bulletins of one run.
   uint64_t m_number = 0;
+  // The time since the origin sent it, on all ways so far. Who forwards it sets
+  // this age and those of the notices in it anew.
+  ToldAge m_age;
   // Evidence of requests that crash servers, and what clears them.
   HarmNotices m_harm;
   std::vector<ServerRun> m_leavingServers;
@@ -158,6 +162,12 @@
   // The sender.
   NodeId m_node;
   uint64_t m_incarnation = 0;
+  // When it was sent, by the sender's steady clock. Earlier versions do not
+  // send it.
+  std::optional<Millis> m_sentAt;
+  // The sender does not know for how long this node's messages are on their
+  // way, and asks for an answer at once.
+  bool m_requestsEcho = false;
   NodeCondition m_condition;
   // The version up to which the sender has every change, of each feed.
   std::vector<RowVersion> m_completeUpTo;
--- a/briarglade/entry/node_news_test.cc
+++ b/briarglade/entry/node_news_test.cc
@@ -18,6 +18,7 @@
   bulletin.m_origin = NodeId("n7");
   bulletin.m_incarnation = 78;
   bulletin.m_number = 5;
+  bulletin.m_age = ToldAge(Millis(70'001));
   bulletin.m_harm.m_evidence = { CrashEvidence{
     ServerRun{ HostId("i-1"), BootId("16") },
     DomainId("d1"),
@@ -55,6 +56,8 @@
   NodeNews news;
   news.m_node = NodeId("n1");
   news.m_incarnation = 77;
+  news.m_sentAt = Millis(5'000'000'000);
+  news.m_requestsEcho = true;
   news.m_condition.m_isReady = true;
   news.m_condition.m_hasTraffic = true;
   news.m_condition.m_isStoreLost = true;
@@ -69,12 +72,12 @@
   news.m_suspects = { GroupId("m.1") };
   NodeStatus status;
   status.m_key = MakeNodeRunKey(NodeId("n2"), 5);
-  status.m_age = Millis(70'000);
+  status.m_age = ToldAge(Millis(70'000));
   status.m_reportNumber = 3;
   status.m_condition.m_isLeaving = true;
   news.m_fleet = StatusDigest{ { status }, news.m_loads, { GroupId("m.4") } };
-  news.m_zones = { { ZoneId("a"), Millis(20), *news.m_fleet } };
-  news.m_zoneAges = { { ZoneId("b"), Millis(900) } };
+  news.m_zones = { { ZoneId("a"), ToldAge(Millis(20)), *news.m_fleet } };
+  news.m_zoneAges = { { ZoneId("b"), ToldAge(Millis(900)) } };
   news.m_refusals = { TraitRefusal{
     kPart, { kRequest }, Millis(1), Millis(21'600'000) } };
   news.m_bulletins = { MakeBulletin() };
@@ -103,6 +106,8 @@
   REQUIRE(read);
   CHECK(read->m_node == sent.m_node);
   CHECK(read->m_incarnation == 77);
+  CHECK(read->m_sentAt == Millis(5'000'000'000));
+  CHECK(read->m_requestsEcho);
   CHECK(read->m_condition.m_isReady);
   CHECK(read->m_condition.m_isStoreLost);
   CHECK_FALSE(read->m_condition.m_isLeaving);
@@ -124,13 +129,15 @@
 
 TEST_CASE(
   "a report of an earlier version, without a time in which the store was "
-  "available, is decoded as one that knows none")
+  "available and without its own, is decoded as one that knows none")
 {
   NodeNews sent = MakeNews();
   sent.m_storePeriod.reset();
+  sent.m_sentAt.reset();
   const std::optional<NodeNews> read = DecodeNodeNews(EncodeNodeNews(sent));
   REQUIRE(read);
   CHECK_FALSE(read->m_storePeriod);
+  CHECK_FALSE(read->m_sentAt);
 }
 
 TEST_CASE("encoded digests and bulletins are decoded unchanged")
@@ -143,7 +150,7 @@
   const NodeStatus& status = read->m_fleet->m_nodes[0];
   CHECK(status.m_key == MakeNodeRunKey(NodeId("n2"), 5));
   // The greatest age that can be encoded.
-  CHECK(status.m_age == Millis(0xffff));
+  CHECK(status.m_age.WhenSent() == Millis(0xffff));
   CHECK(status.m_reportNumber == 3);
   CHECK(status.m_condition.m_isLeaving);
   CHECK(read->m_fleet->m_suspects == sent.m_fleet->m_suspects);
@@ -151,7 +158,7 @@
   CHECK(read->m_zones[0].m_zone == ZoneId("a"));
   CHECK(read->m_zones[0].m_digest.m_loads.size() == 2);
   REQUIRE(read->m_zoneAges.size() == 1);
-  CHECK(read->m_zoneAges[0].m_age == Millis(900));
+  CHECK(read->m_zoneAges[0].m_age.WhenSent() == Millis(900));
   REQUIRE(read->m_bulletins.size() == 1);
   const Bulletin& bulletin = read->m_bulletins[0];
   CHECK(bulletin.m_origin == NodeId("n7"));
@@ -171,6 +178,7 @@
         std::vector<RequestTrait>{ kRequest });
   CHECK(read->m_refusals[0].m_remaining == Millis(21'600'000));
   CHECK(bulletin.m_harm.m_clearances[0].m_trait == kPart);
+  CHECK(bulletin.m_age.WhenSent() == Millis(70'001));
   CHECK(bulletin.m_harm.m_clearances[0].m_age == Millis(70'000));
   REQUIRE(bulletin.m_leavingServers.size() == 1);
   CHECK(bulletin.m_leavingServers[0].m_run == BootId("17"));
--- a/briarglade/entry/reduce_entry.cc
+++ b/briarglade/entry/reduce_entry.cc
@@ -250,6 +250,7 @@
   self.m_incarnation = aIncarnation;
   self.m_processorShare = aSettings.m_processorShare;
   state.m_directory = NodeDirectory(self);
+  state.m_peerClocks = PeerClocks(aIncarnation);
   state.m_peerUpdates.m_relays = RelaySelector(aSettings.m_node);
   state.m_roster =
     NodeRoster(aSettings.m_node, aSettings.m_bounds.m_retryWindow);
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -28,6 +28,7 @@
 #include "briarglade/entry/leaving_servers.h"
 #include "briarglade/entry/node_directory.h"
 #include "briarglade/entry/node_roster.h"
+#include "briarglade/entry/peer_clocks.h"
 #include "briarglade/entry/peer_update_state.h"
 #include "briarglade/entry/row_cache.h"
 #include "briarglade/entry/row_requests.h"
@@ -158,6 +159,8 @@
   // The removal of the registration, once it was sent.
   std::optional<Deregistration> m_deregistration;
   PeerUpdateState m_peerUpdates;
+  // When other nodes sent their messages.
+  PeerClocks m_peerClocks;
 
   // Whether this node is one of the followers, which watch the store on behalf
   // of all nodes.
--- a/briarglade/membership/envelope.h
+++ b/briarglade/membership/envelope.h
@@ -4,10 +4,12 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "briarglade/base/ids.h"
+#include "briarglade/base/message_echo.h"
 
 namespace briarglade {
 
@@ -25,9 +27,12 @@
   NodeId m_receiver;
   // Counts the sender's envelopes; never used twice in one incarnation.
   uint64_t m_sequence = 0;
-  // HMAC-SHA256 over all the other fields.
+  // HMAC-SHA256 over all the other fields but m_echo.
   std::string m_proof;
   std::string m_payload;
+  // Differs between the receivers of one payload. Only entry nodes set it, and
+  // they send no proof.
+  std::optional<MessageEcho> m_echo;
 };
 
 // Why an envelope was dropped.
--- a/briarglade/net/peer.capnp
+++ b/briarglade/net/peer.capnp
@@ -3,6 +3,14 @@
 
 $import "/capnp/c++.capnp".namespace("briarglade::wire");
 
+# What a message returns to its receiver of an earlier message of that one; see
+# briarglade/base/message_echo.h. Times are in milliseconds.
+struct MessageEcho {
+  incarnation @0 :UInt64;
+  sentAt @1 :Int64;
+  arrivedAt @2 :Int64;
+}
+
 # A sealed message; see briarglade/membership/envelope.h for the fields.
 struct PeerEnvelope {
   cluster @0 :Text;
@@ -13,6 +21,8 @@
   sequence @5 :UInt64;
   proof @6 :Data;
   payload @7 :Data;
+  # Earlier versions don't send it.
+  echo @8 :MessageEcho;
 }
 
 interface Peer {
--- a/briarglade/net/peer.capnp.h
+++ b/briarglade/net/peer.capnp.h
@@ -19,6 +19,7 @@
 namespace capnp {
 namespace schemas {
 
+CAPNP_DECLARE_SCHEMA(e0947766edf87a97);
 CAPNP_DECLARE_SCHEMA(d9cc29fe30925c0f);
 CAPNP_DECLARE_SCHEMA(fb46b6b5ab750998);
 CAPNP_DECLARE_SCHEMA(92a51d59e2f10e25);
@@ -30,6 +31,26 @@
 namespace briarglade {
 namespace wire {
 
+struct MessageEcho
+{
+  MessageEcho() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate
+  {
+    CAPNP_DECLARE_STRUCT_HEADER(e0947766edf87a97, 3, 0)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand()
+    {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
+  };
+};
+
 struct PeerEnvelope
 {
   PeerEnvelope() = delete;
@@ -40,7 +61,7 @@
 
   struct _capnpPrivate
   {
-    CAPNP_DECLARE_STRUCT_HEADER(d9cc29fe30925c0f, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(d9cc29fe30925c0f, 3, 6)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand()
     {
@@ -116,6 +137,114 @@
 
 // =======================================================================================
 
+class MessageEcho::Reader
+{
+public:
+  typedef MessageEcho Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base)
+    : _reader(base)
+  {
+  }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif // !CAPNP_LITE
+
+  inline ::uint64_t getIncarnation() const;
+
+  inline ::int64_t getSentAt() const;
+
+  inline ::int64_t getArrivedAt() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class MessageEcho::Builder
+{
+public:
+  typedef MessageEcho Builds;
+
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base)
+    : _builder(base)
+  {
+  }
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const
+  {
+    return asReader().totalSize();
+  }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const
+  {
+    return asReader().toString();
+  }
+#endif // !CAPNP_LITE
+
+  inline ::uint64_t getIncarnation();
+  inline void setIncarnation(::uint64_t value);
+
+  inline ::int64_t getSentAt();
+  inline void setSentAt(::int64_t value);
+
+  inline ::int64_t getArrivedAt();
+  inline void setArrivedAt(::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class MessageEcho::Pipeline
+{
+public:
+  typedef MessageEcho Pipelines;
+
+  inline Pipeline(decltype(nullptr))
+    : _typeless(nullptr)
+  {
+  }
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+    : _typeless(kj::mv(typeless))
+  {
+  }
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template<typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
 class PeerEnvelope::Reader
 {
 public:
@@ -160,6 +289,9 @@
   inline bool hasPayload() const;
   inline ::capnp::Data::Reader getPayload() const;
 
+  inline bool hasEcho() const;
+  inline ::briarglade::wire::MessageEcho::Reader getEcho() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -242,6 +374,14 @@
   inline void adoptPayload(::capnp::Orphan<::capnp::Data>&& value);
   inline ::capnp::Orphan<::capnp::Data> disownPayload();
 
+  inline bool hasEcho();
+  inline ::briarglade::wire::MessageEcho::Builder getEcho();
+  inline void setEcho(::briarglade::wire::MessageEcho::Reader value);
+  inline ::briarglade::wire::MessageEcho::Builder initEcho();
+  inline void adoptEcho(
+    ::capnp::Orphan<::briarglade::wire::MessageEcho>&& value);
+  inline ::capnp::Orphan<::briarglade::wire::MessageEcho> disownEcho();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -266,6 +406,8 @@
   {
   }
 
+  inline ::briarglade::wire::MessageEcho::Pipeline getEcho();
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -533,6 +675,57 @@
 
 // =======================================================================================
 
+inline ::uint64_t MessageEcho::Reader::getIncarnation() const
+{
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t MessageEcho::Builder::getIncarnation()
+{
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void MessageEcho::Builder::setIncarnation(::uint64_t value)
+{
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline ::int64_t MessageEcho::Reader::getSentAt() const
+{
+  return _reader.getDataField<::int64_t>(::capnp::bounded<1>() *
+                                         ::capnp::ELEMENTS);
+}
+
+inline ::int64_t MessageEcho::Builder::getSentAt()
+{
+  return _builder.getDataField<::int64_t>(::capnp::bounded<1>() *
+                                          ::capnp::ELEMENTS);
+}
+inline void MessageEcho::Builder::setSentAt(::int64_t value)
+{
+  _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+                                   value);
+}
+
+inline ::int64_t MessageEcho::Reader::getArrivedAt() const
+{
+  return _reader.getDataField<::int64_t>(::capnp::bounded<2>() *
+                                         ::capnp::ELEMENTS);
+}
+
+inline ::int64_t MessageEcho::Builder::getArrivedAt()
+{
+  return _builder.getDataField<::int64_t>(::capnp::bounded<2>() *
+                                          ::capnp::ELEMENTS);
+}
+inline void MessageEcho::Builder::setArrivedAt(::int64_t value)
+{
+  _builder.setDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
+                                   value);
+}
+
 inline bool PeerEnvelope::Reader::hasCluster() const
 {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
@@ -804,6 +997,61 @@
     _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool PeerEnvelope::Reader::hasEcho() const
+{
+  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool PeerEnvelope::Builder::hasEcho()
+{
+  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::briarglade::wire::MessageEcho::Reader PeerEnvelope::Reader::getEcho()
+  const
+{
+  return ::capnp::_::PointerHelpers<::briarglade::wire::MessageEcho>::get(
+    _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline ::briarglade::wire::MessageEcho::Builder PeerEnvelope::Builder::getEcho()
+{
+  return ::capnp::_::PointerHelpers<::briarglade::wire::MessageEcho>::get(
+    _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline ::briarglade::wire::MessageEcho::Pipeline
+PeerEnvelope::Pipeline::getEcho()
+{
+  return ::briarglade::wire::MessageEcho::Pipeline(
+    _typeless.getPointerField(5));
+}
+#endif // !CAPNP_LITE
+inline void PeerEnvelope::Builder::setEcho(
+  ::briarglade::wire::MessageEcho::Reader value)
+{
+  ::capnp::_::PointerHelpers<::briarglade::wire::MessageEcho>::set(
+    _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline ::briarglade::wire::MessageEcho::Builder
+PeerEnvelope::Builder::initEcho()
+{
+  return ::capnp::_::PointerHelpers<::briarglade::wire::MessageEcho>::init(
+    _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void PeerEnvelope::Builder::adoptEcho(
+  ::capnp::Orphan<::briarglade::wire::MessageEcho>&& value)
+{
+  ::capnp::_::PointerHelpers<::briarglade::wire::MessageEcho>::adopt(
+    _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
+    kj::mv(value));
+}
+inline ::capnp::Orphan<::briarglade::wire::MessageEcho>
+PeerEnvelope::Builder::disownEcho()
+{
+  return ::capnp::_::PointerHelpers<::briarglade::wire::MessageEcho>::disown(
+    _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
   : ::capnp::Capability::Client(nullptr)
--- a/briarglade/net/peer_rpc.cc
+++ b/briarglade/net/peer_rpc.cc
@@ -10,6 +10,7 @@
 #include <map>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <optional>
 #include <sys/socket.h>
 #include <utility>
 #include <vector>
@@ -71,6 +72,24 @@
                       aBytes.size());
 }
 
+std::optional<MessageEcho> ReadEcho(wire::PeerEnvelope::Reader aFrom)
+{
+  if (!aFrom.hasEcho()) {
+    return std::nullopt;
+  }
+  const auto echo = aFrom.getEcho();
+  return MessageEcho{ echo.getIncarnation(),
+                      Millis(echo.getSentAt()),
+                      Millis(echo.getArrivedAt()) };
+}
+
+void WriteEcho(wire::MessageEcho::Builder aTo, const MessageEcho& aFrom)
+{
+  aTo.setIncarnation(aFrom.m_incarnation);
+  aTo.setSentAt(aFrom.m_sentAt.Count());
+  aTo.setArrivedAt(aFrom.m_arrivedAt.Count());
+}
+
 // The payload is read once only: each reading counts towards the limit of
 // words of its message.
 Envelope ReadEnvelope(wire::PeerEnvelope::Reader aFrom,
@@ -85,6 +104,7 @@
   envelope.m_sequence = aFrom.getSequence();
   envelope.m_proof = ToString(aFrom.getProof());
   envelope.m_payload = ToString(aPayload);
+  envelope.m_echo = ReadEcho(aFrom);
   return envelope;
 }
 
@@ -98,6 +118,9 @@
   aTo.setSequence(aFrom.m_sequence);
   aTo.setProof(ToData(aFrom.m_proof));
   aTo.setPayload(ToData(aFrom.m_payload));
+  if (aFrom.m_echo) {
+    WriteEcho(aTo.initEcho(), *aFrom.m_echo);
+  }
 }
 
 // What both ends count.
--- a/briarglade/net/peer_rpc_test.cc
+++ b/briarglade/net/peer_rpc_test.cc
@@ -3,6 +3,7 @@
 #include "briarglade/net/peer_rpc.h"
 
 #include <doctest/doctest.h>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,32 @@
   CHECK(received == sent);
 }
 
+TEST_CASE("what an envelope returns of an earlier message arrives, and none if "
+          "it returns nothing")
+{
+  EventLoop loop;
+  PeerRpc rpc(loop);
+  std::vector<std::optional<MessageEcho>> received;
+  rpc.SetHandler(
+    [&](const Envelope& aEnvelope) { received.push_back(aEnvelope.m_echo); });
+  const Endpoint self{ "127.0.0.1", rpc.Listen({ "127.0.0.1", 0 }) };
+  REQUIRE(self.m_port != 0);
+  Envelope envelope = MakeEnvelope("one");
+  rpc.Send(self, envelope, [](bool aDelivered) { CHECK(aDelivered); });
+  envelope.m_echo = MessageEcho{ 5, Millis(6'000'000'000), Millis(-7) };
+  rpc.Send(self, envelope, [&](bool aDelivered) {
+    CHECK(aDelivered);
+    loop.Stop();
+  });
+  loop.Run();
+  REQUIRE(received.size() == 2);
+  CHECK_FALSE(received[0].has_value());
+  REQUIRE(received[1].has_value());
+  CHECK(received[1]->m_incarnation == 5);
+  CHECK(received[1]->m_sentAt == Millis(6'000'000'000));
+  CHECK(received[1]->m_arrivedAt == Millis(-7));
+}
+
 TEST_CASE("the longest payload arrives, though messages that are not whole are "
           "bounded to less")
 {
