Relays' words count from when they were sent

They were entered as of receipt.

Change: they count from SendTime::NotBefore(), and only if they are newer than what is in use. Reports and digests of a run whose way is not known yet count for nothing; the answer that the receiver asks for comes one exchange later.

--- a/briarglade/entry/fleet_loads.cc
+++ b/briarglade/entry/fleet_loads.cc
@@ -90,14 +90,18 @@
   }
 }
 
-void FleetLoads::OnReport(Millis aNow,
+void FleetLoads::OnReport(Millis aSentAt,
                           const NodeId& aNode,
                           uint16_t aNumber,
                           std::vector<ServerLoad> aLoads,
                           WorkByModel aWork)
 {
+  const auto known = m_reports.find(aNode);
+  if (known != m_reports.end() && aSentAt < known->second.m_at) {
+    return;
+  }
   m_reports[aNode] =
-    TimedLoads{ aNow, aNumber, std::move(aLoads), std::move(aWork) };
+    TimedLoads{ aSentAt, aNumber, std::move(aLoads), std::move(aWork) };
 }
 
 void FleetLoads::OnZone(Millis aAsOf,
@@ -108,11 +112,15 @@
   m_zones[aZone] = TimedLoads{ aAsOf, 0, std::move(aLoads), std::move(aWork) };
 }
 
-void FleetLoads::OnFleet(Millis aNow,
+bool FleetLoads::OnFleet(Millis aNow,
+                         Millis aSentAt,
                          const std::vector<ServerLoad>& aLoads,
                          std::optional<uint16_t> aOwnNumber,
                          WorkByModel aWork)
 {
+  if (aSentAt < m_fromRelayAt || aNow - aSentAt > kLoadLifetime) {
+    return false;
+  }
   m_workFromRelay = std::move(aWork);
   m_includesOwnWork = aOwnNumber.has_value();
   Sums sums;
@@ -123,7 +131,8 @@
     }
   }
   m_fromRelay = ToList(sums);
-  m_fromRelayAt = aNow;
+  m_fromRelayAt = aSentAt;
+  return true;
 }
 
 bool FleetLoads::Expire(Millis aNow)
--- a/briarglade/entry/fleet_loads.h
+++ b/briarglade/entry/fleet_loads.h
@@ -5,7 +5,7 @@
 //
 // Example:
 //   loads.OnOwnReport(number, ownLoads);
-//   loads.OnFleet(now, digest.m_loads, numberInDigest);
+//   loads.OnFleet(now, sentAt, digest.m_loads, numberInDigest);
 //   Use(loads.FromRelay());
 
 #pragma once
@@ -32,8 +32,9 @@
 public:
   // Records the loads that this node has reported under a number.
   void OnOwnReport(uint16_t aNumber, std::vector<ServerLoad> aLoads);
-  // Records a report that a node has sent to this node.
-  void OnReport(Millis aNow,
+  // Records a report that a node has sent to this node at aSentAt. Ignored if a
+  // later one is known.
+  void OnReport(Millis aSentAt,
                 const NodeId& aNode,
                 uint16_t aNumber,
                 std::vector<ServerLoad> aLoads,
@@ -43,9 +44,12 @@
               const ZoneId& aZone,
               std::vector<ServerLoad> aLoads,
               WorkByModel aWork = {});
-  // Records the fleet's sum as sent by this node's relay. It includes this
-  // node's report of the given number; nullopt if it includes none.
-  void OnFleet(Millis aNow,
+  // Records the fleet's sum as sent by this node's relay at aSentAt. It
+  // includes this node's report of the given number; nullopt if it includes
+  // none. Returns whether it is in use: not if a later one is, or if it has
+  // expired.
+  bool OnFleet(Millis aNow,
+               Millis aSentAt,
                const std::vector<ServerLoad>& aLoads,
                std::optional<uint16_t> aOwnNumber,
                WorkByModel aWork = {});
@@ -89,7 +93,7 @@
   std::deque<OwnReport> m_ownReports;
   std::map<NodeId, TimedLoads> m_reports;
   std::map<ZoneId, TimedLoads> m_zones;
-  Millis m_fromRelayAt;
+  Millis m_fromRelayAt = Millis(-1'000'000);
   std::vector<ServerLoad> m_fromRelay;
   WorkByModel m_workFromRelay;
   bool m_includesOwnWork = false;
--- a/briarglade/entry/internal/control_duties.cc
+++ b/briarglade/entry/internal/control_duties.cc
@@ -94,7 +94,7 @@
   const std::vector<GroupId> ownSuspects = OwnSuspects();
   std::set<GroupId> suspects(ownSuspects.begin(), ownSuspects.end());
   const PeerUpdateState& news = m_state.m_peerUpdates;
-  if (m_now - news.m_suspectsReceivedAt <= kSuspectsLifetime) {
+  if (m_now - news.m_suspectsAsOf <= kSuspectsLifetime) {
     suspects.insert(news.m_suspects.begin(), news.m_suspects.end());
   }
   return suspects;
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -151,11 +151,13 @@
   std::vector<ZoneDigest> ZonesMissedBy(const NodeId& aRelay,
                                         const ZoneId& aZone) const;
   std::vector<NodeId> RelaysOfZone(const ZoneId& aZone) const;
-  void UseLoads(std::vector<ServerLoad> aOthers,
+  void UseLoads(Millis aAsOf,
+                std::vector<ServerLoad> aOthers,
                 const std::vector<GroupId>& aSuspects);
   SendTime TimeOf(const PeerUpdateReceived& aReceived);
   void AnswerEchoRequest(const NodeNews& aUpdate);
-  void HandleReport(const NodeNews& aUpdate);
+  void HandleReport(const SendTime& aSentAt, const NodeNews& aUpdate);
+  void HandleZoneAges(const SendTime& aSentAt, const NodeNews& aUpdate);
   void HandleFleetDigest(const SendTime& aSentAt, const NodeNews& aUpdate);
   void HandleZoneDigest(const SendTime& aSentAt, const ZoneDigest& aZone);
   void HandleStatuses(const SendTime& aSentAt,
--- a/briarglade/entry/internal/update_receiving.cc
+++ b/briarglade/entry/internal/update_receiving.cc
@@ -76,14 +76,13 @@
   }
   ApplyRowChanges(update.m_rowChanges);
   UpdateRosterKnowledge(update);
-  HandleReport(update);
-  HandleFleetDigest(sentAt, update);
-  if (!update.m_zoneAges.empty()) {
-    m_state.m_peerUpdates.m_reportedZoneAges[update.m_node] =
-      ReportedZoneAges{ m_now, update.m_zoneAges };
-  }
-  for (const ZoneDigest& zone : update.m_zones) {
-    HandleZoneDigest(sentAt, zone);
+  if (sentAt.IsKnown()) {
+    HandleReport(sentAt, update);
+    HandleFleetDigest(sentAt, update);
+    HandleZoneAges(sentAt, update);
+    for (const ZoneDigest& zone : update.m_zones) {
+      HandleZoneDigest(sentAt, zone);
+    }
   }
   RecordVersions(update);
   if (update.m_requestsRows) {
@@ -128,21 +127,26 @@
 }
 
 // Handles a report that is sent to this node as a relay.
-void EntryReduction::HandleReport(const NodeNews& aUpdate)
+void EntryReduction::HandleReport(const SendTime& aSentAt,
+                                  const NodeNews& aUpdate)
 {
   if (aUpdate.m_subscription == Subscription::None) {
     return;
   }
   PeerUpdateState& updates = m_state.m_peerUpdates;
-  Subscriber& subscriber = updates.m_subscribers[aUpdate.m_node];
+  const auto [entry, isNew] = updates.m_subscribers.try_emplace(aUpdate.m_node);
+  Subscriber& subscriber = entry->second;
+  if (!isNew && aSentAt.NotBefore() < subscriber.m_lastReportAt) {
+    return;
+  }
   const bool hasMore = aUpdate.m_suspects.size() > subscriber.m_suspects.size();
   const bool beginsToLeave =
     aUpdate.m_condition.m_isLeaving && !subscriber.m_isLeaving;
-  subscriber.m_lastReportAt = m_now;
+  subscriber.m_lastReportAt = aSentAt.NotBefore();
   subscriber.m_subscription = aUpdate.m_subscription;
   subscriber.m_suspects = aUpdate.m_suspects;
   subscriber.m_isLeaving = aUpdate.m_condition.m_isLeaving;
-  updates.m_loads.OnReport(m_now,
+  updates.m_loads.OnReport(aSentAt.NotBefore(),
                            aUpdate.m_node,
                            aUpdate.m_reportNumber,
                            aUpdate.m_loads,
@@ -151,6 +155,19 @@
     updates.m_hasUrgentDigest || hasMore || beginsToLeave;
 }
 
+void EntryReduction::HandleZoneAges(const SendTime& aSentAt,
+                                    const NodeNews& aUpdate)
+{
+  if (aUpdate.m_zoneAges.empty()) {
+    return;
+  }
+  const auto [entry, isNew] =
+    m_state.m_peerUpdates.m_reportedZoneAges.try_emplace(aUpdate.m_node);
+  if (isNew || aSentAt.NotBefore() >= entry->second.m_sentAt) {
+    entry->second = ReportedZoneAges{ aSentAt.NotBefore(), aUpdate.m_zoneAges };
+  }
+}
+
 void EntryReduction::HandleStatuses(const SendTime& aSentAt,
                                     const std::vector<NodeStatus>& aNodes)
 {
@@ -179,11 +196,12 @@
   }
   PeerUpdateState& updates = m_state.m_peerUpdates;
   const StatusDigest& fleet = *aUpdate.m_fleet;
-  updates.m_relays.OnDigest(m_now, aUpdate.m_node);
+  updates.m_relays.OnDigest(aSentAt.NotBefore(), aUpdate.m_node);
   HandleStatuses(aSentAt, fleet.m_nodes);
   const bool isPrimary = aUpdate.m_node == updates.m_relays.Primary();
   if (isPrimary) {
-    updates.m_primaryDigestAt = m_now;
+    updates.m_primaryDigestAt =
+      std::max(updates.m_primaryDigestAt, aSentAt.NotBefore());
   }
   const bool isLate = m_now - updates.m_primaryDigestAt > kPrimaryDigestTimeout;
   if (IsOwnRelay() || (!isPrimary && !isLate)) {
@@ -197,28 +215,30 @@
       ownNumber = status.m_reportNumber;
     }
   }
-  updates.m_loads.OnFleet(m_now, fleet.m_loads, ownNumber, fleet.m_work);
-  UseLoads(updates.m_loads.FromRelay(), fleet.m_suspects);
+  const Millis asOf = aSentAt.NotBefore();
+  if (updates.m_loads.OnFleet(
+        m_now, asOf, fleet.m_loads, ownNumber, fleet.m_work)) {
+    UseLoads(asOf, updates.m_loads.FromRelay(), fleet.m_suspects);
+  }
 }
 
-// Applies the in-flight loads and suspected groups of all other nodes. The
+// Applies the in-flight loads and suspected groups of all other nodes, as of
+// aAsOf. The
 // holder of the control lease uses the suspected groups, too.
-void EntryReduction::UseLoads(std::vector<ServerLoad> aOthers,
+void EntryReduction::UseLoads(Millis aAsOf,
+                              std::vector<ServerLoad> aOthers,
                               const std::vector<GroupId>& aSuspects)
 {
   DispatchToGateway(PeerLoad{ NodeId(), std::move(aOthers), aSuspects });
   PeerUpdateState& updates = m_state.m_peerUpdates;
   updates.m_suspects = { aSuspects.begin(), aSuspects.end() };
-  updates.m_suspectsReceivedAt = m_now;
+  updates.m_suspectsAsOf = aAsOf;
 }
 
 // Applies the digest of a zone that a relay of another zone has sent.
 void EntryReduction::HandleZoneDigest(const SendTime& aSentAt,
                                       const ZoneDigest& aZone)
 {
-  if (!aSentAt.IsKnown()) {
-    return;
-  }
   HandleStatuses(aSentAt, aZone.m_digest.m_nodes);
   PeerUpdateState& updates = m_state.m_peerUpdates;
   const auto [entry, isNew] = updates.m_zones.try_emplace(aZone.m_zone);
--- a/briarglade/entry/internal/update_sending.cc
+++ b/briarglade/entry/internal/update_sending.cc
@@ -258,7 +258,7 @@
     return m_now - aEntry.second.m_asOf > kZoneLifetime;
   });
   EraseIf(updates.m_reportedZoneAges, [&](const auto& aEntry) {
-    return m_now - aEntry.second.m_receivedAt > kZoneAgesLifetime;
+    return m_now - aEntry.second.m_sentAt > kZoneAgesLifetime;
   });
 }
 
@@ -369,7 +369,7 @@
     std::vector<GroupId> suspects;
     AppendSuspects(suspects, updates.m_subscribers);
     AppendSuspects(suspects, updates.m_zones);
-    UseLoads(std::move(others), suspects);
+    UseLoads(m_now, std::move(others), suspects);
   }
 }
 
--- a/briarglade/entry/late_updates_test.cc
+++ b/briarglade/entry/late_updates_test.cc
@@ -39,8 +39,8 @@
     Run(Millis(4'000));
   }
 
-  // Runs the world and watches by how much, after any step, a node is believed
-  // to have been seen later than its process has run.
+  // Runs the world and watches by how much, after any step, a node, or what a
+  // relay says, is believed to be newer than its process has run.
   void RunAndWatch(Millis aTime)
   {
     for (Millis passed; passed < aTime; passed += kStep) {
@@ -131,6 +131,32 @@
           std::max(m_mostTooLate, seenAt - LastRanAt(NumberOfNode(id)));
       }
     }
+    const PeerUpdateState& updates = StateOf(aNode).m_peerUpdates;
+    for (const auto& [id, subscriber] : updates.m_subscribers) {
+      m_mostTooLate = std::max(m_mostTooLate,
+                               subscriber.m_lastReportAt - offset -
+                                 LastRanAt(NumberOfNode(id)));
+    }
+    for (const auto& [id, ages] : updates.m_reportedZoneAges) {
+      m_mostTooLate = std::max(
+        m_mostTooLate, ages.m_sentAt - offset - LastRanAt(NumberOfNode(id)));
+    }
+    for (const auto& [zone, known] : updates.m_zones) {
+      m_mostTooLate =
+        std::max(m_mostTooLate, known.m_asOf - offset - LastRanIn(zone));
+    }
+  }
+
+  // Returns when any process in a zone last ran.
+  Millis LastRanIn(const ZoneId& aZone) const
+  {
+    Millis last;
+    for (size_t node = 0; node < NodeCount(); ++node) {
+      if (StateOf(node).m_settings.m_zone == aZone) {
+        last = std::max(last, LastRanAt(node));
+      }
+    }
+    return last;
   }
 
   size_t NumberOfNode(const NodeId& aNode) const
--- a/briarglade/entry/peer_update_state.h
+++ b/briarglade/entry/peer_update_state.h
@@ -20,6 +20,7 @@
 // A node that reports to this node as its relay.
 struct Subscriber
 {
+  // When its last report was sent.
   Millis m_lastReportAt;
   Subscription m_subscription = Subscription::None;
   std::vector<GroupId> m_suspects;
@@ -35,10 +36,10 @@
 };
 
 // The ages of the zone information that a relay of another zone reported, and
-// when the report was received.
+// when it sent the report.
 struct ReportedZoneAges
 {
-  Millis m_receivedAt;
+  Millis m_sentAt;
   std::vector<ZoneAge> m_ages;
 };
 
@@ -68,11 +69,11 @@
   bool m_hasUrgentDigest = false;
 
   // Groups that other nodes suspect, as reported by the relays, and when that
-  // report was received.
+  // report was sent.
   std::set<GroupId> m_suspects;
-  Millis m_suspectsReceivedAt;
-  // When the last digest of the primary relay was received.
-  Millis m_primaryDigestAt;
+  Millis m_suspectsAsOf;
+  // When the last digest of the primary relay was sent.
+  Millis m_primaryDigestAt = Millis(-1'000'000);
 
   // Bulletins.
   SeenBulletins m_seenBulletins;
--- a/briarglade/entry/relay_selector.cc
+++ b/briarglade/entry/relay_selector.cc
@@ -79,11 +79,11 @@
   m_awaitingDigestSince = { { m_primary, aNow }, { m_backup, aNow } };
 }
 
-void RelaySelector::OnDigest(Millis aNow, const NodeId& aRelay)
+void RelaySelector::OnDigest(Millis aSentAt, const NodeId& aRelay)
 {
   const auto awaited = m_awaitingDigestSince.find(aRelay);
   if (awaited != m_awaitingDigestSince.end()) {
-    awaited->second = aNow;
+    awaited->second = std::max(awaited->second, aSentAt);
   }
 }
 
--- a/briarglade/entry/relay_selector.h
+++ b/briarglade/entry/relay_selector.h
@@ -6,7 +6,7 @@
 // Example:
 //   selector.Update(now, RankRelays(zone, candidates));
 //   Report(selector.Primary());
-//   selector.OnDigest(now, sender);
+//   selector.OnDigest(sentAt.NotBefore(), sender);
 
 #pragma once
 
@@ -44,8 +44,8 @@
   // Selects the relays from the ranked candidates, which include this node if
   // it may be a relay.
   void Update(Millis aNow, const std::vector<NodeId>& aRanked);
-  // Records that a relay has sent a digest.
-  void OnDigest(Millis aNow, const NodeId& aRelay);
+  // Records that a relay has sent a digest at aSentAt.
+  void OnDigest(Millis aSentAt, const NodeId& aRelay);
 
   // Return the primary and the backup relay; empty if there is none. Either may
   // be this node itself.
--- a/briarglade/entry/relay_selector_test.cc
+++ b/briarglade/entry/relay_selector_test.cc
@@ -54,6 +54,22 @@
   CHECK(choice.Backup() == NodeId("n2"));
 }
 
+// Guards against a silent relay being kept for digests that were held back.
+TEST_CASE("a digest that was sent long ago does not show that a relay lives")
+{
+  RelaySelector choice(NodeId("n3"));
+  Millis now(10'000);
+  choice.Update(now, kRanked);
+  const Millis sentAt = now;
+  const Millis end = now + Millis(1'000);
+  for (; now < end; now += Millis(50)) {
+    choice.OnDigest(sentAt, NodeId("n1"));
+    choice.OnDigest(now, NodeId("n2"));
+    choice.Update(now, kRanked);
+  }
+  CHECK(choice.Primary() == NodeId("n2"));
+}
+
 TEST_CASE("a node that is the primary relay does not wait for its own digests")
 {
   RelaySelector choice(NodeId("n1"));
