Notices between nodes are as old as their way makes them

Cause: evidence of crashes, what clears it, refusals of harmful requests, rate limits that servers state and doubt about missing entries are told with an age, or a time that is left, as of sending. They were applied as of receipt, and a bulletin was handed on with the ages that its origin had written, whatever the ways had taken. A limit, a refusal or a doubt that a link had held back for seconds lasted for seconds more, and a crash counted as later than a survival that had cleared it.

Change: AsOfReceipt (notice_age.h) adds the way to each of them before it is applied or handed on, and to the bulletin's own age, which is new. Where the way is not known yet (the first exchange with a run), refusals and limits are left to the next digest; evidence, clearances and doubt, which nobody repeats, count as of receipt, as before.

Evidence: notice_age_test; and late_updates_test dispatches a bulletin that a link held back for 5 s: every node knows the limit in it as 5.2 s to 5.5 s old after 0.2 s. Before, there was no field for the way: the relay and those that it tells would have it as 0.2 s old.

--- a/briarglade/entry/internal/bulletins.cc
+++ b/briarglade/entry/internal/bulletins.cc
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <set>
 
+#include "briarglade/entry/notice_age.h"
+
 namespace briarglade::internal {
 
 namespace {
@@ -119,15 +121,24 @@
   Send({ receivers.begin(), receivers.end() }, std::move(message));
 }
 
-void EntryReduction::HandleBulletin(const Bulletin& aBulletin,
+// Handles a bulletin of a message that was sent at aSentAt, if it is new.
+void EntryReduction::HandleBulletin(const SendTime& aSentAt,
+                                    const Bulletin& aBulletin,
                                     const NodeId& aSender)
 {
   const bool isOwn = aBulletin.m_origin == m_state.m_settings.m_node;
   if (isOwn || !m_state.m_peerUpdates.m_seenBulletins.Add(aBulletin)) {
     return;
   }
+  const Bulletin received = AsOfReceipt(aSentAt, aBulletin);
   // Forwarded before it is applied, because other nodes wait for it.
-  ForwardBulletin(aBulletin, aSender);
+  ForwardBulletin(received, aSender);
+  ApplyBulletin(received);
+}
+
+// Applies a bulletin whose ages are as of now.
+void EntryReduction::ApplyBulletin(const Bulletin& aBulletin)
+{
   for (const CrashEvidence& evidence : aBulletin.m_harm.m_evidence) {
     DispatchToGateway(evidence);
   }
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -162,7 +162,11 @@
   void HandleZoneDigest(const SendTime& aSentAt, const ZoneDigest& aZone);
   void HandleStatuses(const SendTime& aSentAt,
                       const std::vector<NodeStatus>& aNodes);
-  void HandleBulletin(const Bulletin& aBulletin, const NodeId& aSender);
+  void HandleBulletin(const SendTime& aSentAt,
+                      const Bulletin& aBulletin,
+                      const NodeId& aSender);
+  void ApplyBulletin(const Bulletin& aBulletin);
+  void HandleNotices(const SendTime& aSentAt, const NodeNews& aUpdate);
   void SendBulletin();
   void ForwardBulletin(const Bulletin& aBulletin, const NodeId& aSender);
   void PublishGroupChanges();
--- a/briarglade/entry/internal/update_receiving.cc
+++ b/briarglade/entry/internal/update_receiving.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <string>
 
+#include "briarglade/entry/notice_age.h"
+
 namespace briarglade::internal {
 
 namespace {
@@ -64,19 +66,14 @@
   if (update.m_storePeriod) {
     m_state.m_storeUptime.OnReported(*update.m_storePeriod);
   }
-  HandleCondition(update.m_condition, Millis());
+  HandleCondition(update.m_condition, sentAt.KnownDelay());
   for (const Bulletin& bulletin : update.m_bulletins) {
-    HandleBulletin(bulletin, update.m_node);
-  }
-  for (const TraitRefusal& refusal : update.m_refusals) {
-    DispatchToGateway(refusal);
-  }
-  for (const RateLimitNotice& notice : update.m_rateLimits) {
-    DispatchToGateway(notice);
+    HandleBulletin(sentAt, bulletin, update.m_node);
   }
   ApplyRowChanges(update.m_rowChanges);
   UpdateRosterKnowledge(update);
   if (sentAt.IsKnown()) {
+    HandleNotices(sentAt, update);
     HandleReport(sentAt, update);
     HandleFleetDigest(sentAt, update);
     HandleZoneAges(sentAt, update);
@@ -126,6 +123,18 @@
   }
 }
 
+// Applies what a relay's digest repeats of bulletins.
+void EntryReduction::HandleNotices(const SendTime& aSentAt,
+                                   const NodeNews& aUpdate)
+{
+  for (const TraitRefusal& refusal : aUpdate.m_refusals) {
+    DispatchToGateway(AsOfReceipt(aSentAt, refusal));
+  }
+  for (const RateLimitNotice& notice : aUpdate.m_rateLimits) {
+    DispatchToGateway(AsOfReceipt(aSentAt, notice));
+  }
+}
+
 // Handles a report that is sent to this node as a relay.
 void EntryReduction::HandleReport(const SendTime& aSentAt,
                                   const NodeNews& aUpdate)
@@ -179,7 +188,8 @@
 }
 
 // Applies the parts of another node's condition, as of aAge ago, that concern
-// the whole fleet.
+// the whole fleet. Doubt that is told in a message of unknown age counts from
+// now: it keeps servers in use that may still be there.
 void EntryReduction::HandleCondition(const NodeCondition& aCondition,
                                      Millis aAge)
 {
--- a/briarglade/entry/late_updates_test.cc
+++ b/briarglade/entry/late_updates_test.cc
@@ -75,6 +75,22 @@
   }
   void End(const Trouble& aTrouble) { SetCut(aTrouble, false); }
 
+  // Returns a message that a node would send now, with a bulletin of its own.
+  NodeNews MakeUpdate(size_t aNode, Bulletin aBulletin) const
+  {
+    const EntryState& state = StateOf(aNode);
+    aBulletin.m_origin = state.m_settings.m_node;
+    aBulletin.m_incarnation = state.m_incarnation;
+    aBulletin.m_number = 1'000;
+    NodeNews update;
+    update.m_node = state.m_settings.m_node;
+    update.m_incarnation = state.m_incarnation;
+    update.m_sentAt = LocalTime(aNode);
+    update.m_completeUpTo.resize(kFeedCount);
+    update.m_bulletins = { std::move(aBulletin) };
+    return update;
+  }
+
   // Returns how many running nodes believe that a node is live.
   size_t CountBelievers(size_t aNode) const
   {
@@ -231,7 +247,38 @@
   }
 }
 
-// Guards against the same in any order of events.
+// Guards against a limit that a server stated long ago being taken for present,
+// by the node that it reached late and by those that this node told.
+TEST_CASE("a rate limit in a bulletin that a link held back is as old as it is "
+          "on every node")
+{
+  LateUpdatesWorld world(1);
+  const size_t relay = world.InZoneOf(0, true);
+  const size_t sender = world.InZoneOf(0, false);
+  Bulletin bulletin;
+  bulletin.m_rateLimits = { RateLimitNotice{
+    ServerRun{ HostId("s"), BootId("1") }, 4.5, Millis() } };
+  const NodeNews update = world.MakeUpdate(sender, bulletin);
+  world.Run(Millis(5'000));
+  world.Dispatch(relay, PeerUpdateReceived{ update });
+  world.Run(Millis(200));
+  size_t told = 0;
+  for (size_t node = 0; node < world.NodeCount(); ++node) {
+    BackendTable table = world.StateOf(node).m_gateway.m_backendTable;
+    HostId last;
+    const auto notices =
+      table.RateLimits().NextNotices(world.LocalTime(node), last);
+    for (const RateLimitNotice& notice : notices) {
+      ++told;
+      CHECK(notice.m_age >= Millis(5'200));
+      CHECK(notice.m_age <= Millis(5'500));
+    }
+  }
+  // The origin hears of it in a digest.
+  CHECK(told == kNodes);
+}
+
+// Guards against DRAIN as above, in any order of events.
 TEST_CASE("no node is believed to have been seen later than it ran, in "
           "troubles drawn by seed")
 {
