A node confirms a configuration as of when it said so

What callers saw: nothing reported; the same cause on a related path. A node cut off during a change could answer 404 by its old version for longer than the bound, as a message that its link had held back, of a node that had the same old version when it sent it, counted as a confirmation of now. And it could ask a node that had ended for rows, which costs 500 ms each time.

Cause: ConfigCurrency::OnConfirmed and RowRequests::OnVersions were told the time of receipt. A pause of this process was allowed for, a way was not.

Change: both are told a time before which the message was not sent, and keep the latest one. The versions themselves never grow old and stay known as of receipt. An answer of the store, whose way is not measured, counts as before.

Evidence: config_currency_test "a message that a link held back confirms only what was so when it was sent" and row_requests_test "a node that has changes by a message of long ago is not asked": with the time of receipt both would pass the old one.

--- a/briarglade/entry/config_currency.cc
+++ b/briarglade/entry/config_currency.cc
@@ -26,11 +26,11 @@
   return m_tickedAt && aNow - *m_tickedAt > kPauseTime;
 }
 
-void ConfigCurrency::OnConfirmed(Millis aNow)
+void ConfigCurrency::OnConfirmed(Millis aNow, Millis aSentAt)
 {
   const bool mayBeOld = IsPaused(aNow) || aNow < m_resumedAt + kBacklogTime;
   if (!mayBeOld) {
-    m_confirmedAt = aNow;
+    m_confirmedAt = std::max(m_confirmedAt.value_or(aSentAt), aSentAt);
   }
 }
 
--- a/briarglade/entry/config_currency.h
+++ b/briarglade/entry/config_currency.h
@@ -4,7 +4,7 @@
 // long. Handles a node that was unresponsive, or cut off, during a change.
 //
 // Example:
-//   currency.OnConfirmed(now);
+//   currency.OnConfirmed(now, sentAt.NotBefore());
 //   currency.OnTick(now, behindSince);
 //   if (currency.MayLackVersion(now, behindSince)) { ... refuse, not 404 ... }
 
@@ -26,9 +26,11 @@
   {
   }
 
-  // The store, or a node that knows the same version, was heard of. Ignored
-  // just after a pause of this process: the message may have waited for it.
-  void OnConfirmed(Millis aNow);
+  // The store, or a node that knows the same version, was heard of by a message
+  // that was not sent before aSentAt. An answer of the store, for which that is
+  // not known, tells the time of its receipt: it is ignored just after a pause
+  // of this process, as it may have waited for it.
+  void OnConfirmed(Millis aNow, Millis aSentAt);
   // Updates the state; called in each tick. aBehindSince: since when another
   // node has been known to have a later version.
   void OnTick(Millis aNow, std::optional<Millis> aBehindSince);
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -229,7 +229,7 @@
   // Writes a bounded number of lines about refused requests.
   void LogRefusal(const RequestReceived& aReceived, ResultCode aCode);
   void RejectUnknown(const RequestReceived& aReceived, ResultCode aCode);
-  void RecordVersions(const NodeNews& aUpdate);
+  void RecordVersions(const SendTime& aSentAt, const NodeNews& aUpdate);
   void RequestMissingRows();
   void UpdateRoster();
   Millis StoreAnsweredAt() const;
--- a/briarglade/entry/internal/row_sharing.cc
+++ b/briarglade/entry/internal/row_sharing.cc
@@ -371,7 +371,8 @@
 
 // Records which changes the sender has, and requests missing ones if that is
 // due.
-void EntryReduction::RecordVersions(const NodeNews& aUpdate)
+void EntryReduction::RecordVersions(const SendTime& aSentAt,
+                                    const NodeNews& aUpdate)
 {
   if (m_state.m_directory.Others().count(aUpdate.m_node) == 0) {
     return;
@@ -379,8 +380,11 @@
   if (!aUpdate.m_rowChanges.empty()) {
     m_state.m_rowRequests.OnAnswer(aUpdate.m_node);
   }
-  m_state.m_rowRequests.OnVersions(
-    m_now, aUpdate.m_node, aUpdate.m_completeUpTo, OwnVersions());
+  m_state.m_rowRequests.OnVersions(m_now,
+                                   aSentAt.NotBefore(),
+                                   aUpdate.m_node,
+                                   aUpdate.m_completeUpTo,
+                                   OwnVersions());
   RequestMissingRows();
   // A node with an older version is behind itself and confirms nothing.
   constexpr auto kOperator = static_cast<size_t>(Feed::Operator);
@@ -388,7 +392,7 @@
                               aUpdate.m_completeUpTo[kOperator] ==
                                 m_state.m_rows.CompleteUpTo(Feed::Operator);
   if (hasSameVersion) {
-    m_state.m_configCurrency.OnConfirmed(m_now);
+    m_state.m_configCurrency.OnConfirmed(m_now, aSentAt.NotBefore());
   }
 }
 
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -65,7 +65,7 @@
     m_state.m_lease.OnFeedKnown();
   }
   if (aAnswer.m_feed == Feed::Operator) {
-    m_state.m_configCurrency.OnConfirmed(m_now);
+    m_state.m_configCurrency.OnConfirmed(m_now, m_now);
   }
   const RowVersion known = m_state.m_rows.CompleteUpTo(aAnswer.m_feed);
   ApplyRows(m_state.m_rows.Apply(aAnswer));
--- a/briarglade/entry/internal/update_receiving.cc
+++ b/briarglade/entry/internal/update_receiving.cc
@@ -81,7 +81,7 @@
       HandleZoneDigest(sentAt, zone);
     }
   }
-  RecordVersions(update);
+  RecordVersions(sentAt, update);
   if (update.m_requestsRows) {
     AnswerWithRows(update);
   }
--- a/briarglade/entry/row_requests.cc
+++ b/briarglade/entry/row_requests.cc
@@ -26,6 +26,7 @@
 } // namespace
 
 void RowRequests::OnVersions(Millis aNow,
+                             Millis aSentAt,
                              const NodeId& aNode,
                              const std::vector<RowVersion>& aTheirs,
                              const FeedVersions& aOwn)
@@ -41,11 +42,13 @@
       m_behindSince[feed] = m_behindSince[feed].value_or(aNow);
     }
   }
-  if (isAhead) {
-    m_sources[aNode].m_heardAt = aNow;
-  } else {
+  if (!isAhead) {
     m_sources.erase(aNode);
+    return;
   }
+  const auto [source, isNew] = m_sources.try_emplace(aNode);
+  Millis& heardAt = source->second.m_heardAt;
+  heardAt = isNew ? aSentAt : std::max(heardAt, aSentAt);
 }
 
 void RowRequests::OnAnswer(const NodeId& aNode)
--- a/briarglade/entry/row_requests.h
+++ b/briarglade/entry/row_requests.h
@@ -4,7 +4,7 @@
 // arrive, and whose link takes long to transfer an answer.
 //
 // Example:
-//   requests.OnVersions(now, sender, update.m_completeUpTo, own);
+//   requests.OnVersions(now, sentAt, sender, update.m_completeUpTo, own);
 //   if (const auto node = requests.Next(now, own)) { Request(*node); }
 
 #pragma once
@@ -27,8 +27,11 @@
 class RowRequests
 {
 public:
-  // Records that another node knows every change up to the versions.
+  // Records that another node knows every change up to the versions, by a
+  // message that was not sent before aSentAt. The versions stay known, but the
+  // node may have ended since.
   void OnVersions(Millis aNow,
+                  Millis aSentAt,
                   const NodeId& aNode,
                   const std::vector<RowVersion>& aTheirs,
                   const FeedVersions& aOwn);
