An announcement of an open group is as old as its way makes it

Cause: groups that the lease holder announces as open were entered as of receipt, so that an announcement that a link had held back for seconds counted as newer than a server's own report requested in between.

How far that reached, by reading: an announcement is applied only if it advances the server's membership, so it could not undo a later group; a report that says "no group" always wins. What was wrong is the order against a report of an earlier group, the base of the control's decisions (DecisionBasis), and the log.

Change: it counts as of when it was sent, on all ways (Bulletin::m_age).

Evidence: group_members_test "an announcement of an open group that comes late is as old as it is"; with the time of receipt its AsOf() is 5 s later.

--- a/briarglade/entry/group_members_test.cc
+++ b/briarglade/entry/group_members_test.cc
@@ -10,12 +10,13 @@
 namespace briarglade {
 namespace {
 
-// One node before model servers whose entries and reports the test states.
+// One node, unless stated otherwise, before model servers whose entries and
+// reports the test states.
 class MemberWorld : public FleetWorld
 {
 public:
-  MemberWorld()
-    : FleetWorld(OneNode())
+  explicit MemberWorld(uint32_t aNodes = 1)
+    : FleetWorld(WithNodes(aNodes))
   {
     ServiceSpec service;
     service.m_id = ServiceId("models");
@@ -121,10 +122,10 @@
   }
 
 private:
-  static FleetOptions OneNode()
+  static FleetOptions WithNodes(uint32_t aNodes)
   {
     FleetOptions options;
-    options.m_nodes = 1;
+    options.m_nodes = aNodes;
     return options;
   }
 
@@ -371,5 +372,34 @@
   CHECK(world.Serves("pair.1"));
 }
 
+// Guards against an announcement that a link had held back outdating what a
+// server has said since: it is entered as of when it was sent.
+TEST_CASE("an announcement of an open group that comes late is as old as it is")
+{
+  for (const int64_t age : { 0, 5'000 }) {
+    CAPTURE(age);
+    MemberWorld world(2);
+    world.AddAt("a", 1, world.kStart, std::nullopt);
+    world.AddAt("b", 2, world.kStart, std::nullopt);
+    Bulletin bulletin;
+    bulletin.m_origin = NodeId("holder");
+    bulletin.m_age = ToldAge(Millis(age));
+    bulletin.m_openedGroups = { OpenedGroup{
+      GroupId("pair.1"), Generation(1), { HostId("a"), HostId("b") }, {} } };
+    PeerUpdateReceived received;
+    // It tells no time of its own, so that it counts as sent now.
+    received.m_update.m_node = world.StateOf(1).m_settings.m_node;
+    received.m_update.m_completeUpTo.resize(kFeedCount);
+    received.m_update.m_bulletins = { bulletin };
+    const Millis sentAt = world.Now() - Millis(age);
+    world.Dispatch(0, received);
+    world.Run(Millis(100));
+    CHECK(world.Serves("pair.1"));
+    const ServerRecord& member = world.Node().m_servers.at(HostId("b"));
+    CHECK(member.m_membershipHistory.Source() == UpdateSource::Announcement);
+    CHECK(member.m_membershipHistory.AsOf() == sentAt);
+  }
+}
+
 } // namespace
 } // namespace briarglade
--- a/briarglade/entry/internal/bulletins.cc
+++ b/briarglade/entry/internal/bulletins.cc
@@ -163,7 +163,8 @@
   // holder knows and this node does not.
   if (aBulletin.m_serversComplete <=
       m_state.m_rows.CompleteUpTo(Feed::Servers)) {
-    ApplyOpenedGroups(aBulletin.m_openedGroups);
+    ApplyOpenedGroups(m_now - aBulletin.m_age.WhenSent(),
+                      aBulletin.m_openedGroups);
   }
 }
 
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -174,7 +174,7 @@
   static bool IsOpenedWith(const OpenedGroup& aGroup,
                            size_t aRank,
                            const ServerRecord& aServer);
-  void ApplyOpenedGroups(const std::vector<OpenedGroup>& aGroups);
+  void ApplyOpenedGroups(Millis aAsOf, const std::vector<OpenedGroup>& aGroups);
   void RemoveExpiredServers();
   void LogMissingEntry(const HostId& aHost);
   void LogRemovalBelieved(const HostId& aHost);
--- a/briarglade/entry/internal/update_receiving.cc
+++ b/briarglade/entry/internal/update_receiving.cc
@@ -277,9 +277,10 @@
          aGroup.m_starts[aRank] == aServer.m_startedAt;
 }
 
-// Applies the groups that the holder of the control lease has opened and that
-// the store does not contain yet.
-void EntryReduction::ApplyOpenedGroups(const std::vector<OpenedGroup>& aGroups)
+// Applies the groups that the holder of the control lease has opened, as of
+// aAsOf, and that the store does not contain yet.
+void EntryReduction::ApplyOpenedGroups(Millis aAsOf,
+                                       const std::vector<OpenedGroup>& aGroups)
 {
   for (const OpenedGroup& group : aGroups) {
     for (size_t rank = 0; rank < group.m_members.size(); ++rank) {
@@ -304,7 +305,7 @@
       membership.m_phase = rank == 0 ? GroupPhase::Open : GroupPhase::Ready;
       MembershipUpdate update;
       update.m_source = UpdateSource::Announcement;
-      update.m_asOf = m_now;
+      update.m_asOf = aAsOf;
       update.m_startedAt = server->second.m_membershipHistory.StartedAt();
       update.m_membership = membership;
       ApplyMembership(server->second, update);
--- a/briarglade/grouping/membership_update.h
+++ b/briarglade/grouping/membership_update.h
@@ -31,8 +31,9 @@
 struct MembershipUpdate
 {
   UpdateSource m_source = UpdateSource::Row;
-  // By this node's clock: when the report was requested, or when the row, the
-  // announcement or the answer to the order was received.
+  // By this node's clock: when the report was requested, a time before which
+  // the announcement was not sent, or when the row or the answer to the order
+  // was received.
   Millis m_asOf;
   // Start time of the server process, in milliseconds since the Unix epoch.
   int64_t m_startedAt = 0;
