The word of a node that the store serves ends no later check

Cause: a bulletin that says "the store serves me" ended the check that this node was to make, also if a link had held it back since an earlier check. If the store refused its sender by now, no node of lower rank would have called the store.

Change: it ends a check only if it was told less than a request period ago. A late request for a check stays harmless: it costs one call to the store.

Evidence: store_check_test "a node that was served before the check does not end it"; before, any such word ended it (the function took no age).

--- a/briarglade/entry/internal/bulletins.cc
+++ b/briarglade/entry/internal/bulletins.cc
@@ -155,7 +155,7 @@
   if (aBulletin.m_storeCheck == StoreCheckNotice::Requested) {
     BeginStoreCheck(aBulletin.m_origin);
   } else if (aBulletin.m_storeCheck == StoreCheckNotice::Served) {
-    EndStoreCheck(aBulletin.m_origin);
+    EndStoreCheck(aBulletin.m_origin, aBulletin.m_age.WhenSent());
   }
   RecordReportedDoubt(aBulletin.m_entryDoubt);
   ApplyRowChanges(aBulletin.m_rowChanges);
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -209,7 +209,7 @@
   void SuspectStore();
   void RequestStoreCheck(Feed aFeed, const char* aReason);
   void BeginStoreCheck(const NodeId& aOrigin);
-  void EndStoreCheck(const NodeId& aOrigin);
+  void EndStoreCheck(const NodeId& aOrigin, Millis aAge);
   void CheckStore();
   bool IsSubstituteFollower() const;
   std::vector<NodeId> RankedFollowers() const;
--- a/briarglade/entry/internal/row_sharing.cc
+++ b/briarglade/entry/internal/row_sharing.cc
@@ -157,9 +157,9 @@
   CheckStore();
 }
 
-// Leaves the check to a node that the store serves, if this one is ranked
-// after it.
-void EntryReduction::EndStoreCheck(const NodeId& aOrigin)
+// Leaves the check to a node that the store serves, as it told aAge ago, if
+// this one is ranked after it.
+void EntryReduction::EndStoreCheck(const NodeId& aOrigin, Millis aAge)
 {
   SuspectStore();
   for (const NodeId& node : RankedFollowers()) {
@@ -167,7 +167,7 @@
       return;
     }
     if (node == aOrigin) {
-      m_state.m_storeCheck.OnBetterServed();
+      m_state.m_storeCheck.OnBetterServed(aAge);
       return;
     }
   }
--- a/briarglade/entry/store_check.h
+++ b/briarglade/entry/store_check.h
@@ -70,9 +70,14 @@
     m_substituteUntil.reset();
   }
 
-  // Records that the store serves a node that is ranked before this one.
-  void OnBetterServed()
+  // Records that the store serves a node that is ranked before this one, which
+  // told it aAge ago. What was told before the last request may be of an
+  // earlier check and ends nothing.
+  void OnBetterServed(Millis aAge)
   {
+    if (aAge >= kRequestPeriod) {
+      return;
+    }
     m_requestedAt.reset();
     m_dueAt.reset();
     m_substituteUntil.reset();
--- a/briarglade/entry/store_check_test.cc
+++ b/briarglade/entry/store_check_test.cc
@@ -22,7 +22,7 @@
   CHECK_FALSE(last.TakeDue(now));
   SUBCASE("the store serves one that is ranked before")
   {
-    last.OnBetterServed();
+    last.OnBetterServed(Millis(100));
     CHECK_FALSE(last.TakeDue(now + Millis(1'000)));
     // Its calls of other occasions aren't announced, either.
     CHECK_FALSE(last.OnServed(now + Millis(1'010), now + Millis(1'000)));
@@ -66,7 +66,7 @@
   check.OnRequested(now, 2);
   REQUIRE(check.TakeDue(now));
   REQUIRE(check.OnServed(now + Millis(10), now));
-  check.OnBetterServed();
+  check.OnBetterServed(Millis(100));
   CHECK_FALSE(check.IsSubstituteFollower(now + Millis(20)));
 }
 
@@ -81,5 +81,15 @@
   CHECK(check.TakeRequest(now + StoreCheck::kRequestPeriod));
 }
 
+// Guards against a check of the store that no node makes: a link had held back
+// the word of a node that was served in an earlier check.
+TEST_CASE("a node that was served before the check does not end it")
+{
+  StoreCheck check;
+  check.OnRequested(Millis(9'000), 0);
+  check.OnBetterServed(Millis(5'000));
+  CHECK(check.TakeDue(Millis(9'000)));
+}
+
 } // namespace
 } // namespace briarglade
