A late message of a run that has ended does not hide the next run

Cause: the directory took the run of the last message for the node's latest one, and statuses of the run of the row then counted for nothing. A message of the earlier run that came after the new run's row hid the new run from this node until that sent it something directly, which only relays get.

Change: the directory keeps the run whose row was replaced, and when; what that run sent before counts for nothing. A row that a store's return from an older copy brings back replaces the living run's only until that run's next message.

Evidence: node_directory_test "a message of a run that has ended does not hide the next one": without the check 2 addresses in place of 3.

--- a/briarglade/entry/node_directory.cc
+++ b/briarglade/entry/node_directory.cc
@@ -50,12 +50,31 @@
   m_nodesByRunKey[MakeNodeRunKey(aNode, aRow->m_incarnation)] = aNode;
   const auto [entry, isNew] = m_others.try_emplace(aNode);
   KnownNode& node = entry->second;
-  const bool isRestarted = node.m_row.m_incarnation != aRow->m_incarnation;
+  const uint64_t before = node.m_row.m_incarnation;
+  const bool isRestarted = before != aRow->m_incarnation;
   if (isNew || (isRestarted && node.m_incarnation != aRow->m_incarnation)) {
     node = KnownNode();
     node.m_knownSince = aNow;
   }
   node.m_row = *aRow;
+  if (!isNew && isRestarted) {
+    node.m_replacedRun = ReplacedRun{ before, aNow };
+  }
+}
+
+// Returns whether a later message is known of the node, or a message was sent
+// by a run that has ended. If the store returns from an older copy of itself, a
+// row that is read may be the older one, but what comes after that is not.
+bool NodeDirectory::IsOutdated(const SendTime& aSentAt,
+                               const NodeNews& aUpdate,
+                               const KnownNode& aNode)
+{
+  const bool isOfReplacedRun =
+    aNode.m_replacedRun &&
+    aNode.m_replacedRun->m_incarnation == aUpdate.m_incarnation &&
+    aSentAt.NotBefore() <= aNode.m_replacedRun->m_replacedAt;
+  return isOfReplacedRun ||
+         (aNode.m_lastSeenAt && aSentAt.NotBefore() < *aNode.m_lastSeenAt);
 }
 
 void NodeDirectory::OnPeerUpdate(const SendTime& aSentAt,
@@ -69,9 +88,7 @@
   if (aUpdate.m_incarnation == node.m_row.m_incarnation) {
     node.m_readsPacked = aUpdate.m_readsPacked;
   }
-  const bool isOutdated =
-    node.m_lastSeenAt && aSentAt.NotBefore() < *node.m_lastSeenAt;
-  if (!aSentAt.IsKnown() || isOutdated) {
+  if (!aSentAt.IsKnown() || IsOutdated(aSentAt, aUpdate, node)) {
     return;
   }
   node.m_incarnation = aUpdate.m_incarnation;
--- a/briarglade/entry/node_directory.h
+++ b/briarglade/entry/node_directory.h
@@ -24,6 +24,14 @@
 
 namespace briarglade {
 
+// A run whose row was replaced by that of another run, and when this node first
+// saw that. What it sent before may still come.
+struct ReplacedRun
+{
+  uint64_t m_incarnation = 0;
+  Millis m_replacedAt;
+};
+
 // A registered node, and its last reported condition.
 struct KnownNode
 {
@@ -35,7 +43,9 @@
   // The run of the process that was last seen.
   uint64_t m_incarnation = 0;
   NodeCondition m_condition;
-  // Whether that run can read compressed values of rows.
+  // The run of its row before the present one; nothing: there was none.
+  std::optional<ReplacedRun> m_replacedRun;
+  // Whether the run that was last seen can read compressed values of rows.
   bool m_readsPacked = false;
   // Since when the store has rejected the node; nothing: the store serves it.
   std::optional<Millis> m_storeLostSince;
@@ -99,6 +109,9 @@
   void RecordCondition(Millis aSeenAt,
                        KnownNode& aNode,
                        const NodeCondition& aCondition);
+  static bool IsOutdated(const SendTime& aSentAt,
+                         const NodeNews& aUpdate,
+                         const KnownNode& aNode);
   bool WasSeenWithin(Millis aNow, const KnownNode& aNode, Millis aWithin) const;
 
   NodeRow m_self;
--- a/briarglade/entry/node_directory_test.cc
+++ b/briarglade/entry/node_directory_test.cc
@@ -226,5 +226,34 @@
   CHECK(world.Count() == 2);
 }
 
+// Guards against a node being unseen for good: a message of its earlier run
+// came after its new row, so that no status of the new run counted.
+TEST_CASE("a message of a run that has ended does not hide the next one")
+{
+  World world;
+  const NodeRow next = MakeRow("n2", 2, 5);
+  world.m_directory.OnRow(world.m_now, next.m_node, &next);
+  world.m_directory.OnPeerUpdate(SentAt(world.m_now), MakeNews("n2", 1));
+  CHECK(world.Count() == 2);
+  NodeStatus status;
+  status.m_key = MakeNodeRunKey(NodeId("n2"), 5);
+  status.m_condition.m_isReady = true;
+  world.m_now += Millis(500);
+  world.m_directory.OnStatus(SentAt(world.m_now), status);
+  CHECK(world.Count() == 3);
+  CHECK_FALSE(world.m_directory.IsLost(world.m_now, NodeId("n2"), 5));
+}
+
+TEST_CASE(
+  "a run whose row was replaced by that of an earlier run is seen again")
+{
+  World world;
+  const NodeRow earlier = MakeRow("n2", 2, 0);
+  world.m_directory.OnRow(world.m_now, earlier.m_node, &earlier);
+  world.m_now += Millis(20);
+  world.m_directory.OnPeerUpdate(SentAt(world.m_now), MakeNews("n2", 1));
+  CHECK(world.Count() == 3);
+}
+
 } // namespace
 } // namespace briarglade
