--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -155,6 +155,7 @@
                 std::vector<ServerLoad> aOthers,
                 const std::vector<GroupId>& aSuspects);
   SendTime TimeOf(const PeerUpdateReceived& aReceived);
+  void LogReturns(const SendTime& aSentAt, const NodeNews& aUpdate);
   void AnswerEchoRequest(const NodeNews& aUpdate);
   void HandleReport(const SendTime& aSentAt, const NodeNews& aUpdate);
   void HandleZoneAges(const SendTime& aSentAt, const NodeNews& aUpdate);
--- a/briarglade/entry/internal/update_receiving.cc
+++ b/briarglade/entry/internal/update_receiving.cc
@@ -81,6 +81,7 @@
       HandleZoneDigest(sentAt, zone);
     }
   }
+  LogReturns(sentAt, update);
   RecordVersions(sentAt, update);
   if (update.m_requestsRows) {
     AnswerWithRows(update);
@@ -111,6 +112,23 @@
   return sentAt;
 }
 
+// Logs each node that a message has shown to live again: who said so, how old
+// that is, and how much of that age is the way of the message.
+void EntryReduction::LogReturns(const SendTime& aSentAt,
+                                const NodeNews& aUpdate)
+{
+  for (const NodeReturn& node : m_state.m_directory.TakeReturns()) {
+    Log(LogLevel::Info,
+        "node-seen-again",
+        { { "node", node.m_node.Value() },
+          { "incarnation", std::to_string(node.m_incarnation) },
+          { "by", aUpdate.m_node.Value() },
+          { "age-ms", std::to_string((m_now - node.m_seenAt).Count()) },
+          { "way-ms", std::to_string(aSentAt.KnownDelay().Count()) },
+          { "unseen-ms", std::to_string(node.m_unseenFor.Count()) } });
+  }
+}
+
 // Answers a node that asks how long its messages take, and asks in turn if this
 // node does not know how long the other one's take. Any message will do.
 void EntryReduction::AnswerEchoRequest(const NodeNews& aUpdate)
--- a/briarglade/entry/node_directory.cc
+++ b/briarglade/entry/node_directory.cc
@@ -126,6 +126,11 @@
                                     KnownNode& aNode,
                                     const NodeCondition& aCondition)
 {
+  const Millis unseenFor = aSeenAt - aNode.m_lastSeenAt.value_or(aSeenAt);
+  if (unseenFor > kLiveTimeout) {
+    m_returns.push_back(NodeReturn{
+      aNode.m_row.m_node, aNode.m_incarnation, aSeenAt, unseenFor });
+  }
   aNode.m_lastSeenAt = aSeenAt;
   aNode.m_condition = aCondition;
   if (!aCondition.m_isStoreLost) {
--- a/briarglade/entry/node_directory.h
+++ b/briarglade/entry/node_directory.h
@@ -51,6 +51,16 @@
   std::optional<Millis> m_storeLostSince;
 };
 
+// A node that was seen again after it had not counted as live.
+struct NodeReturn
+{
+  NodeId m_node;
+  uint64_t m_incarnation = 0;
+  // When it was last seen now, and for how long it had not been.
+  Millis m_seenAt;
+  Millis m_unseenFor;
+};
+
 // The nodes as one node knows them. A node counts as live if it was seen
 // recently.
 class NodeDirectory
@@ -70,6 +80,8 @@
   // Records a node's status as reported by another node in a message. Returns
   // whether the status is of another node whose row is known.
   bool OnStatus(const SendTime& aSentAt, const NodeStatus& aStatus);
+  // Returns the nodes that have been seen again since the last call.
+  std::vector<NodeReturn> TakeReturns() { return std::exchange(m_returns, {}); }
   // Sets whether callers may be directed to this node itself.
   void SetSelf(bool aIsReady, bool aIsLeaving);
 
@@ -118,6 +130,7 @@
   bool m_isSelfReady = false;
   bool m_isSelfLeaving = false;
   std::map<NodeId, KnownNode> m_others;
+  std::vector<NodeReturn> m_returns;
   // Advances with each address list that cannot hold all addresses.
   size_t m_rotationOffset = 0;
   // The registered runs, by the short keys that statuses use.
--- a/briarglade/entry/node_directory_test.cc
+++ b/briarglade/entry/node_directory_test.cc
@@ -255,5 +255,24 @@
   CHECK(world.Count() == 3);
 }
 
+TEST_CASE(
+  "a node that is seen again after it did not count as live is told once")
+{
+  World world;
+  world.m_now += Millis(1'000);
+  world.m_directory.OnPeerUpdate(SentAt(world.m_now), MakeNews("n3"));
+  CHECK(world.m_directory.TakeReturns().empty());
+  world.m_now += Millis(4'000);
+  const SendTime sentAt(world.m_now, world.m_now - Millis(30));
+  world.m_directory.OnPeerUpdate(sentAt, MakeNews("n2"));
+  const std::vector<NodeReturn> returns = world.m_directory.TakeReturns();
+  REQUIRE(returns.size() == 1);
+  CHECK(returns[0].m_node == NodeId("n2"));
+  CHECK(returns[0].m_incarnation == 1);
+  CHECK(returns[0].m_seenAt == sentAt.NotBefore());
+  CHECK(returns[0].m_unseenFor == Millis(4'970));
+  CHECK(world.m_directory.TakeReturns().empty());
+}
+
 } // namespace
 } // namespace briarglade
