Test: nodes of an earlier version and of the present one during a roll

Callers see nothing of it. An earlier version tells no time of sending; what it sends counts as sent when it comes. The fleet world can make a node like that, and a roll of nine nodes with both versions keeps all nodes seen by all.

--- a/briarglade/entry/fleet_world_test.h
+++ b/briarglade/entry/fleet_world_test.h
@@ -213,6 +213,12 @@
   {
     m_nodes[aNode].m_readsPacked = aReadsPacked;
   }
+  // Makes the node like an earlier version of the program, whose messages tell
+  // no time of sending and return nothing of earlier messages.
+  void SetTellsSendTime(size_t aNode, bool aTellsSendTime)
+  {
+    m_nodes[aNode].m_tellsSendTime = aTellsSendTime;
+  }
   // Partitions the node from all other nodes, or heals the partition.
   void SetCutOff(size_t aNode, bool aIsCutOff)
   {
@@ -520,6 +526,7 @@
     uint64_t m_updatesSent = 0;
     uint64_t m_updatesSentTo = 0;
     bool m_readsPacked = true;
+    bool m_tellsSendTime = true;
     // Zero: unlimited.
     size_t m_linkRate = 0;
     LinkQueue m_sending;
@@ -910,6 +917,11 @@
           ClearPacked(bulletin.m_rowChanges);
         }
       }
+      if (!m_nodes[aFrom].m_tellsSendTime || !m_nodes[aTo].m_tellsSendTime) {
+        received.m_update.m_sentAt.reset();
+        received.m_update.m_requestsEcho = false;
+        received.m_echo.reset();
+      }
       const Millis way = Millis(delay(m_random)) + *transfer;
       const auto heldBack = m_heldBack.find({ aFrom, aTo });
       if (heldBack != m_heldBack.end()) {
--- a/briarglade/entry/late_updates_test.cc
+++ b/briarglade/entry/late_updates_test.cc
@@ -314,5 +314,22 @@
   }
 }
 
+TEST_CASE("nodes of an earlier version, which tells no time of sending, and of "
+          "the present one see each other during a roll")
+{
+  LateUpdatesWorld world(1);
+  for (size_t node = 0; node < world.NodeCount(); ++node) {
+    world.Kill(node);
+    world.Start(node);
+    world.SetTellsSendTime(node, node % 2 == 0);
+    world.Run(Millis(4'000));
+    for (size_t other = 0; other < world.NodeCount(); ++other) {
+      CAPTURE(node);
+      CAPTURE(other);
+      CHECK(world.CountBelievers(other) == kNodes - 1);
+    }
+  }
+}
+
 } // namespace
 } // namespace briarglade
