--- a/briarglade/entry/internal/update_receiving.cc
+++ b/briarglade/entry/internal/update_receiving.cc
@@ -251,8 +251,7 @@
 }
 
 // Applies the in-flight loads and suspected groups of all other nodes, as of
-// aAsOf. The
-// holder of the control lease uses the suspected groups, too.
+// aAsOf. The holder of the control lease uses the suspected groups, too.
 void EntryReduction::UseLoads(Millis aAsOf,
                               std::vector<ServerLoad> aOthers,
                               const std::vector<GroupId>& aSuspects)
