--- a/review/lib-3/small_fleet.py
+++ b/review/lib-3/small_fleet.py
@@ -191,8 +191,8 @@
         self.changed = asyncio.Event()
         self.http = HttpPeer(self.handle)
         self.address = None
-        # Called with the method and the target of each call, before it is served.
-        self.before_call = None
+        # Called with the query of each read of a table, once its answer is made.
+        self.after_read = None
 
     async def start(self):
         ip = address_of(1, 0)
@@ -222,12 +222,12 @@
         url = urlsplit(target)
         query = {name: values[0] for name, values in
                  parse_qs(url.query, keep_blank_values=True).items()}
-        if self.before_call:
-            await self.before_call(url.path, query)
         await asyncio.sleep(self.ANSWER_S)
         status, answer = 400, {}
         if url.path == "/-/rows-get":
             status, answer = 200, self.get(query)
+            if self.after_read:
+                self.after_read(query)
         elif url.path == "/-/rows-feed":
             status, answer = 200, await self.feed(query)
         elif url.path == "/-/rows-tx":
@@ -334,8 +334,8 @@
 class Node:
     """One `target/briarglade serve`."""
 
-    def __init__(self, folder, number, store_address, first=True):
-        self.name, self.zone = f"front-{number}", ZONES[number % len(ZONES)]
+    def __init__(self, folder, number, store_address, first=True, zone=None):
+        self.name, self.zone = f"front-{number}", zone or ZONES[number % len(ZONES)]
         self.ip = address_of(100, number)
         names = ["front", "ready", "directory", "peers", "metrics"]
         self.ports = {}
