--- a/review/lib-3/model_servers.py
+++ b/review/lib-3/model_servers.py
@@ -22,6 +22,7 @@
         self.order_count, self.fence, self.seen_epoch = 0, 0, 0
         self.staged, self.last_model = [], None
         self.violations = []
+        self.is_dead = False
         fleet[self.id] = self
 
     # What it says of itself.
@@ -122,7 +123,8 @@
         if serves:
             self.violations.append((now(), old["name"], order["group"], group["state"]))
             self.record(f"TWO      {self.id} takes a join of {order['group']} while {head.id}, the "
-                        f"head of its group {old['name']}, is {group['state']} with "
+                        f"head of its group {old['name']}, is {group['state']}"
+                        f"{' and stands still' if group.get('stands_still') else ''} with "
                         f"{head.running} requests at work")
 
     def set_state(self, group, state):
@@ -151,6 +153,42 @@
         await asyncio.sleep(self.formation_s)
         if self.group is group and group["state"] == "ready":
             self.set_state(group, "open")
+            await self.watch_members(group)
+
+    STALL_S = 6.0
+
+    def crash(self):
+        """The process is gone: nothing listens, and nothing more is registered."""
+        self.is_dead, self.group = True, None
+        self.end()
+
+    def has_all_members(self, group):
+        """Whether each member still is in the group; the head notices one that isn't."""
+        for member in group["members"]:
+            server = self.fleet[member]
+            there = server.group and server.group["name"] == group["name"]
+            if server.is_dead or not there:
+                return False
+        return True
+
+    async def watch_members(self, group):
+        """A group that lacks a member stands still, and is broken after stall_ms."""
+        since = None
+        while self.group is group and group["state"] != "broken":
+            if self.has_all_members(group):
+                since = None
+            elif since is None:
+                since = now()
+            elif now() - since >= self.STALL_S:
+                self.set_state(group, "broken")
+            group["stands_still"] = since is not None
+            await asyncio.sleep(0.02)
+
+    async def wait_for_members(self, group):
+        """Waits while the group stands still. Returns whether it goes on."""
+        while self.group is group and group.get("stands_still") and group["state"] != "broken":
+            await asyncio.sleep(0.02)
+        return self.group is group and group["state"] != "broken"
 
     def end_closing(self):
         if self.group and self.group["state"] == "closing" and self.running == 0:
@@ -178,21 +216,22 @@
         if not group or group["rank"] != 0 or group["state"] != "open":
             writer.write(answer_bytes(421, {"Attempt-Id": attempt, "Not-Executed": "1"}))
             return
-        await self.stream(group, attempt, writer)
+        await self.stream(group, attempt, int(headers.get("last-event-id", 0)), writer)
 
     EVENTS, EVENT_S = 24, 0.2
 
-    async def stream(self, group, attempt, writer):
-        """Writes a stream of 24 events in 4.8 s; it goes on while the server leads the group."""
+    async def stream(self, group, attempt, last, writer):
+        """Writes a stream of 24 events in 4.8 s, or what follows the event `last` of it; it goes on
+        while the server leads the group."""
         self.running += 1
-        self.record(f"run      {attempt} at {self.id}, head of {group['name']}")
+        self.record(f"run      {attempt} at {self.id}, head of {group['name']}, after event {last}")
         try:
             writer.write((f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                           f"Attempt-Id: {attempt}\r\nResponse-Signature: sig.{self.id}\r\n"
                           f"Transfer-Encoding: chunked\r\n\r\n").encode())
-            for number in range(1, self.EVENTS + 1):
+            for number in range(last + 1, self.EVENTS + 1):
                 await asyncio.sleep(self.EVENT_S)
-                if self.group is not group:
+                if not await self.wait_for_members(group):
                     writer.transport.abort()
                     return
                 event = f"id: {number}\ndata: words {number}\n\n".encode()
