--- a/review/15/case.py
+++ b/review/15/case.py
@@ -2,11 +2,7 @@
 one page of the store."""
 
 import asyncio
-import os
-import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-3"))
-# pylint: disable=wrong-import-position
 from small_fleet import (HOST, KEY, SIGTERM, ZONES, DeskServer, Node, Store, address_of,
                          configuration, now, route, run_case, service, until)
 
