store: a read of several pages makes known what its first page makes known

What callers saw: bookings reached order desks for seconds after their entries had been removed (DRAIN, review/15).

Cause: RowCache::Apply() took the greatest version of any row of a whole read for the version up to which all changes are known. Rows of later pages may be newer than the first page, and a change between the two of a row that had been read already then counted as known: it was never asked for, nor handed on. A follower that reads all again (the store has discarded its history) tells this to every other node.

Change: only rows that aren't newer than the read as a whole advance the claim.

Evidence: the simulated store answers in pages, one in each step, without removed rows, and knows its history. whole_read_test puts a removal or a drain after each of 10 pages, of a server of each page, and checks each step that every node has the rows that it says it knows.

--- a/briarglade/entry/fleet_world_test.h
+++ b/briarglade/entry/fleet_world_test.h
@@ -18,6 +18,7 @@
 #include <deque>
 #include <doctest/doctest.h>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -31,8 +32,10 @@
 #include "briarglade/base/overloaded.h"
 #include "briarglade/entry/crashing_servers_test.h"
 #include "briarglade/entry/own_rows.h"
+#include "briarglade/entry/paged_read.h"
 #include "briarglade/entry/reduce_entry.h"
 #include "briarglade/entry/state_invariants_test.h"
+#include "briarglade/entry/store_history_test.h"
 #include "briarglade/entry/store_version.h"
 
 namespace briarglade {
@@ -65,6 +68,9 @@
   EntryBounds m_bounds;
   // The nodes' steady clocks differ by up to this.
   Millis m_clockSpread;
+  // Rows of one page of a read of a whole feed. The store makes one page in
+  // each step.
+  size_t m_pageRows = 500;
 };
 
 // A request that a server received.
@@ -136,6 +142,20 @@
     m_watches.clear();
   }
 
+  // Lets the store forget which rows changed so far: who asks for it must read
+  // all again. The calls that wait for changes end so, too.
+  void DropHistory()
+  {
+    m_historyFrom = m_version;
+    BreakWatches(StoreStatus::HistoryGone);
+  }
+  // Sets a hook that runs after the store has made a page of a node's read of a
+  // whole feed. It gets the node, the feed and the number of the page, from 1.
+  void SetPageHook(std::function<void(size_t, Feed, size_t)> aHook)
+  {
+    m_onPage = std::move(aHook);
+  }
+
   // Keeps a copy of the store, and lets the store come back from it. Its
   // writers do not write again by themselves.
   void SaveStoreCopy() { m_copy = StoreCopy{ m_rows, m_version }; }
@@ -143,7 +163,9 @@
   {
     m_rows = m_copy.m_rows;
     m_version = m_copy.m_version;
+    m_historyFrom = std::min(m_historyFrom, m_version);
     m_era = m_era.Next();
+    m_history.ReturnTo(m_version, m_era);
     BreakWatches(StoreStatus::HistoryGone);
   }
   StoreEra Era() const { return m_era; }
@@ -318,6 +340,7 @@
         m_onStep();
       }
       Deliver();
+      ContinueReads();
       AnswerWatches();
       for (size_t i = 0; i < m_nodes.size(); ++i) {
         if (IsRunning(i)) {
@@ -364,6 +387,20 @@
     CheckInvariants(aNode);
   }
 
+  // Returns what is wrong with the rows of a node by the store's history, each
+  // row considered; an empty text if nothing is.
+  std::string BrokenRows(size_t aNode) const
+  {
+    for (const Feed feed : { Feed::Operator, Feed::Servers, Feed::Own }) {
+      std::string broken =
+        m_history.BrokenClaim(StateOf(aNode).m_rows, feed, RowVersion());
+      if (!broken.empty()) {
+        return broken;
+      }
+    }
+    return "";
+  }
+
   const EntryState& StateOf(size_t aNode) const
   {
     return *m_nodes[aNode].m_state;
@@ -545,6 +582,17 @@
     WatchFeed m_call;
     Millis m_until;
   };
+  // A read of a whole feed, between two of its pages.
+  struct PendingRead
+  {
+    size_t m_node = 0;
+    uint64_t m_run = 0;
+    ReadFeed m_call;
+    PagedRead m_read;
+    std::string m_from;
+    size_t m_pages = 0;
+    Millis m_nextAt;
+  };
   struct StoreCopy
   {
     std::map<std::pair<Feed, std::string>, StoredRow> m_rows;
@@ -736,6 +784,7 @@
     row.m_key = aKey;
     row.m_version = RowVersion(++m_version);
     row.m_value = std::move(aText);
+    m_history.Record(aFeed, aKey, m_version, row.m_value.has_value());
   }
 
   void Send(size_t aNode, Millis aDelay, EntryEvent aEvent)
@@ -781,13 +830,75 @@
     return answer;
   }
 
+  // Returns the rows that exist from a key on, up to one page of them.
+  FeedPage MakePage(Feed aFeed, const std::string& aFrom) const
+  {
+    FeedPage page;
+    page.m_answer = MakeAnswer(aFeed, RowVersion());
+    std::vector<StoredRow> rows;
+    for (StoredRow& row : page.m_answer.m_rows) {
+      if (row.m_value && row.m_key >= aFrom) {
+        rows.push_back(std::move(row));
+      }
+    }
+    page.m_isTruncated = rows.size() > m_options.m_pageRows;
+    rows.resize(std::min(rows.size(), m_options.m_pageRows));
+    page.m_answer.m_rows = std::move(rows);
+    return page;
+  }
+
   void Call(size_t aNode, const ReadFeed& aCall)
   {
-    FeedAnswered answer = MakeAnswer(aCall.m_feed, RowVersion());
-    answer.m_call = aCall.m_call;
-    answer.m_isWhole = true;
-    if (!FailIfUnavailable(aNode, answer)) {
-      Send(aNode, kStep, answer);
+    FeedAnswered failed;
+    failed.m_feed = aCall.m_feed;
+    failed.m_call = aCall.m_call;
+    failed.m_isWhole = true;
+    if (FailIfUnavailable(aNode, failed)) {
+      return;
+    }
+    PendingRead read{
+      aNode, m_nodes[aNode].m_run, aCall, PagedRead(aCall.m_feed), "", 0, m_now
+    };
+    if (!ContinueRead(read)) {
+      m_reads.push_back(std::move(read));
+    }
+  }
+
+  // Makes the next page of a read. Returns whether the read has ended.
+  bool ContinueRead(PendingRead& aRead)
+  {
+    const Feed feed = aRead.m_call.m_feed;
+    FeedPage page = MakePage(feed, aRead.m_from);
+    const StoreStatus status = m_nodes[aRead.m_node].m_storeStatus;
+    page.m_answer.m_status = status;
+    const std::optional<std::string> next = aRead.m_read.Add(std::move(page));
+    ++aRead.m_pages;
+    if (m_onPage && status == StoreStatus::Ok) {
+      m_onPage(aRead.m_node, feed, aRead.m_pages);
+    }
+    if (next) {
+      aRead.m_from = *next;
+      aRead.m_nextAt = m_now + kStep;
+      return false;
+    }
+    FeedAnswered answer = aRead.m_read.TakeAnswer();
+    answer.m_call = aRead.m_call.m_call;
+    const bool isSilent = status == StoreStatus::Unknown;
+    Send(aRead.m_node, isSilent ? kAnswerTimeout : kStep, answer);
+    return true;
+  }
+
+  void ContinueReads()
+  {
+    for (auto read = m_reads.begin(); read != m_reads.end();) {
+      const Node& node = m_nodes[read->m_node];
+      const bool isGone = !node.m_isUp || node.m_run != read->m_run;
+      const bool isDue = m_now >= read->m_nextAt;
+      if (isGone || (isDue && ContinueRead(*read))) {
+        read = m_reads.erase(read);
+      } else {
+        ++read;
+      }
     }
   }
 
@@ -799,7 +910,8 @@
     if (FailIfUnavailable(aNode, answer, aCall.m_wait)) {
       return;
     }
-    if (EraOf(aCall.m_after) != m_era) {
+    if (EraOf(aCall.m_after) != m_era ||
+        NumberOf(aCall.m_after) < m_historyFrom) {
       answer.m_status = StoreStatus::HistoryGone;
       Send(aNode, kStep, answer);
     } else {
@@ -1037,6 +1149,8 @@
   std::map<std::pair<Feed, std::string>, StoredRow> m_rows;
   uint64_t m_version = 0;
   StoreEra m_era{ 1 };
+  uint64_t m_historyFrom = 0;
+  StoreHistory m_history;
   StoreCopy m_copy;
   uint64_t m_lastIncarnation = 0;
   uint64_t m_lastMessage = 0;
@@ -1045,6 +1159,8 @@
   uint64_t m_refused = 0;
   ResultCode m_lastRejection = ResultCode::Ok;
   std::deque<Watch> m_watches;
+  std::list<PendingRead> m_reads;
+  std::function<void(size_t, Feed, size_t)> m_onPage;
   std::priority_queue<Message> m_messages;
   std::map<HostId, std::vector<ServedRequest>> m_served;
   std::set<HostId> m_leaving;
--- a/briarglade/entry/row_cache.cc
+++ b/briarglade/entry/row_cache.cc
@@ -95,8 +95,13 @@
 std::vector<StoredRow> RowCache::Apply(const FeedAnswered& aAnswer)
 {
   std::vector<StoredRow> changed = UpdateRows(aAnswer.m_rows);
+  const RowVersion version(aAnswer.m_version.Value());
   for (const StoredRow& row : aAnswer.m_rows) {
-    AdvanceComplete(aAnswer.m_feed, row.m_version);
+    // Rows of later pages may be newer than the answer as a whole, and show
+    // nothing of changes in between.
+    if (row.m_version <= version) {
+      AdvanceComplete(aAnswer.m_feed, row.m_version);
+    }
   }
   if (!aAnswer.m_isWhole) {
     return changed;
@@ -105,7 +110,6 @@
   for (const StoredRow& row : aAnswer.m_rows) {
     present.insert(row.m_key);
   }
-  const RowVersion version(aAnswer.m_version.Value());
   for (auto& [key, row] : RowsOf(aAnswer.m_feed)) {
     const bool isDeleted = row.m_value.has_value() && present.count(key) == 0 &&
                            row.m_version <= version;
@@ -122,6 +126,13 @@
   return changed;
 }
 
+const StoredRow* RowCache::Find(Feed aFeed, const std::string& aKey) const
+{
+  const FeedRows& rows = m_rows[static_cast<size_t>(aFeed)];
+  const auto row = rows.find(aKey);
+  return row == rows.end() ? nullptr : &row->second;
+}
+
 RowChanges RowCache::ChangesAfter(Feed aFeed, RowVersion aVersion) const
 {
   RowChanges changes;
--- a/briarglade/entry/row_cache.h
+++ b/briarglade/entry/row_cache.h
@@ -37,6 +37,9 @@
   {
     return m_complete[static_cast<size_t>(aFeed)];
   }
+  // Returns a row, also a removed one that is still kept; null if there is
+  // none.
+  const StoredRow* Find(Feed aFeed, const std::string& aKey) const;
   // Returns the changes of a feed after a version, removed rows included. If
   // there are too many for one message, returns only the first ones.
   RowChanges ChangesAfter(Feed aFeed, RowVersion aVersion) const;
--- a/briarglade/entry/row_cache_test.cc
+++ b/briarglade/entry/row_cache_test.cc
@@ -122,6 +122,34 @@
   CHECK(cache.ChangesAfter(Feed::Servers, RowVersion(11)).m_rows.empty());
 }
 
+// Guards against DRAIN (review/15): a node said that it knew all changes up to
+// that of a later page's row, and one in between was never asked for again.
+TEST_CASE("newer rows of later pages don't make the changes before them known, "
+          "here or on a node that is told")
+{
+  RowCache follower;
+  RowCache other;
+  for (RowCache* cache : { &follower, &other }) {
+    cache->Apply(Whole({ Row("a", 5, "x"), Row("z", 9, "y") }, 9));
+  }
+  // Between the two pages row a was removed, as of 11.
+  follower.Apply(Whole({ Row("a", 5, "x"), Row("z", 12, "newer") }, 10));
+  CHECK(follower.CompleteUpTo(Feed::Servers) == RowVersion(9));
+  other.ApplyChanges(follower.ChangesAfter(Feed::Servers, RowVersion(9)));
+  CHECK(other.CompleteUpTo(Feed::Servers) == RowVersion(9));
+  FeedAnswered changes =
+    Whole({ Row("a", 11, nullptr), Row("z", 12, "newer") }, 12);
+  changes.m_isWhole = false;
+  follower.Apply(changes);
+  CHECK(follower.CompleteUpTo(Feed::Servers) == RowVersion(12));
+  const std::vector<StoredRow> changed =
+    other.ApplyChanges(follower.ChangesAfter(Feed::Servers, RowVersion(9)));
+  REQUIRE(changed.size() == 2);
+  CHECK(changed[0].m_key == "a");
+  CHECK_FALSE(changed[0].m_value);
+  CHECK(other.CompleteUpTo(Feed::Servers) == RowVersion(12));
+}
+
 TEST_CASE("rows behind a gap are taken, and the gap stays known")
 {
   RowCache cache;
--- a/briarglade/entry/store_feed.h
+++ b/briarglade/entry/store_feed.h
@@ -120,8 +120,10 @@
   // Whether m_rows holds every row of the feed rather than changes only.
   bool m_isWhole = false;
   std::vector<StoredRow> m_rows;
+  // The version up to which it tells every change. Single rows of m_rows may be
+  // newer.
   StoreVersion m_version;
-  // The time of the store's steady clock.
+  // The time of the store's steady clock as of that version.
   Millis m_storeTime;
 };
 
--- /dev/null
+++ b/briarglade/entry/whole_read_test.cc
@@ -0,0 +1,185 @@
+// Tests of what nodes know of servers whose entries change between the pages of
+// a read, with the change put after each page in turn.
+
+#include <algorithm>
+#include <cstdio>
+#include <doctest/doctest.h>
+#include <string>
+
+#include "briarglade/entry/fleet_world_test.h"
+
+namespace briarglade {
+namespace {
+
+constexpr size_t kNodes = 6;
+constexpr size_t kServers = 30;
+constexpr size_t kPageRows = 3;
+constexpr size_t kPages = kServers / kPageRows;
+// Within this time after its entry was removed, a server gets no requests.
+constexpr Millis kDrainTime = Millis(2'000);
+
+std::string NameOf(size_t aServer)
+{
+  char name[8];
+  std::snprintf(name, sizeof(name), "s%02zu", aServer);
+  return name;
+}
+
+// What happens to a server's entry between two pages.
+enum class EntryChange
+{
+  Removed,
+  Draining
+};
+
+// A change of one server after a page of a read, and then one of a server of a
+// later page, which makes that page newer than the change.
+struct ChangeBetweenPages
+{
+  size_t m_page = 1;
+  size_t m_server = 0;
+  EntryChange m_change = EntryChange::Removed;
+};
+
+class WholeReadWorld : public FleetWorld
+{
+public:
+  WholeReadWorld()
+    : FleetWorld(Options())
+  {
+    for (size_t server = 0; server < kServers; ++server) {
+      Write(server, false);
+    }
+    Run(Millis(4'000));
+  }
+
+  // Lets the change happen during a node's next read of the servers.
+  void ChangeDuringRead(size_t aNode, const ChangeBetweenPages& aChange)
+  {
+    m_hasChanged = false;
+    SetPageHook([this, aNode, aChange](size_t aBy, Feed aFeed, size_t aPage) {
+      const bool isDue =
+        aBy == aNode && aFeed == Feed::Servers && aPage == aChange.m_page;
+      if (isDue && !m_hasChanged) {
+        m_hasChanged = true;
+        Change(aChange);
+      }
+    });
+  }
+  bool HasChanged() const { return m_hasChanged; }
+
+  // Runs the world and checks, after each step, that each node has the rows
+  // that it says it knows.
+  void RunChecked(Millis aTime)
+  {
+    std::string broken;
+    for (Millis passed; passed < aTime; passed += kStep) {
+      Run(kStep);
+      for (size_t node = 0; node < NodeCount() && broken.empty(); ++node) {
+        broken = BrokenRows(node);
+      }
+    }
+    CHECK(broken == "");
+  }
+
+  // Checks that no node uses a server any more.
+  void CheckNoticed(size_t aServer) const
+  {
+    for (size_t node = 0; node < NodeCount(); ++node) {
+      CAPTURE(node);
+      const EntryState& state = StateOf(node);
+      const auto known = state.m_servers.find(HostId(NameOf(aServer)));
+      const bool isUsed =
+        known != state.m_servers.end() && !known->second.m_isDraining;
+      CHECK_FALSE(isUsed);
+      CHECK(state.m_servers.size() >= kServers - 1);
+    }
+  }
+
+private:
+  static FleetOptions Options()
+  {
+    FleetOptions options;
+    options.m_nodes = kNodes;
+    options.m_zones = 2;
+    options.m_pageRows = kPageRows;
+    return options;
+  }
+
+  void Write(size_t aServer, bool aIsDraining)
+  {
+    ServerRecord record;
+    record.m_host = HostId(NameOf(aServer));
+    record.m_sequence = ++m_sequence;
+    record.m_isDraining = aIsDraining;
+    AddServer(record);
+  }
+
+  void Change(const ChangeBetweenPages& aChange)
+  {
+    if (aChange.m_change == EntryChange::Removed) {
+      RemoveServer(NameOf(aChange.m_server));
+    } else {
+      Write(aChange.m_server, true);
+    }
+    if (aChange.m_page < kPages) {
+      Write(kServers - 1, false);
+    }
+  }
+
+  uint64_t m_sequence = 0;
+  bool m_hasChanged = false;
+};
+
+// Plays the change after each page, of a server of each page, during a read of
+// the servers that aBeginRead begins. It returns the node that reads.
+template<typename BeginRead>
+void PlayEachChange(const BeginRead& aBeginRead)
+{
+  for (const EntryChange change :
+       { EntryChange::Removed, EntryChange::Draining }) {
+    for (size_t page = 1; page <= kPages; ++page) {
+      for (size_t server = 0; server < kServers - 1; server += kPageRows) {
+        CAPTURE(static_cast<int>(change));
+        CAPTURE(page);
+        CAPTURE(server);
+        WholeReadWorld world;
+        const size_t reader = aBeginRead(world);
+        world.ChangeDuringRead(reader,
+                               ChangeBetweenPages{ page, server, change });
+        world.RunChecked(kDrainTime);
+        REQUIRE(world.HasChanged());
+        world.CheckNoticed(server);
+      }
+    }
+  }
+}
+
+// Guards against DRAIN (review/15): a node that started missed an entry's
+// removal between two pages of its read, and sent requests there.
+TEST_CASE("a node that starts notices a change between the pages of its read")
+{
+  PlayEachChange([](WholeReadWorld& aWorld) {
+    const size_t node = aWorld.Find(
+      [](const EntryState& aState) { return !aState.m_isFollower; });
+    aWorld.Kill(node);
+    // The other nodes have forgotten it by then, and tell it nothing.
+    aWorld.Run(Millis(4'000));
+    aWorld.Start(node);
+    return node;
+  });
+}
+
+// Guards against DRAIN (the leads of issue 75): after the store had discarded
+// its history, the followers noticed the removal and no other node ever did.
+TEST_CASE("all nodes notice a change between the pages of a read by the first "
+          "of those that follow the store")
+{
+  PlayEachChange([](WholeReadWorld& aWorld) {
+    aWorld.DropHistory();
+    return aWorld.FirstFollower();
+  });
+}
+
+} // namespace
+} // namespace briarglade
