entry: a node claims to know all changes only where it has a ground for it

A node that says that it knows every change up to a version is not told what it lacks, and hands its claim on.

A node that has read the whole feed, or has discarded removed rows, can't name the rows that were removed before, and handed its changes on as all. Of changes sent in parts each part counted as all up to its last version, though a row that has changed again since is in a later part. A change of which a node got a later one first was left out. Beside it, a late message brought a row back that had been removed before this node's read.

Change: FeedRows names the grounds. Changes from another node raise the claim if they follow on it and name every removal since (the sender tells), or if both nodes then hold the same rows, by a checksum of keys and versions. Otherwise the node asks the store (RowAudit). Parts but the last raise nothing; a request says where to go on. All messages tell the checksums: a node whose rows differ from those of all others with the same claim for 500 ms asks the store. A change that came though it counted as known is applied, logged (row-changes-missed) and handed on by whoever follows on it.

Evidence: after each event of each simulated fleet, every change up to a node's claim must now be in its rows by the store's history (StoreHistory).

--- a/briarglade/entry/entry_node.cc
+++ b/briarglade/entry/entry_node.cc
@@ -594,6 +594,8 @@
                      static_cast<double>(CountEvictions()));
   m_metrics.SetGauge("accept_failures",
                      static_cast<double>(CountAcceptFailures()));
+  m_metrics.SetGauge("row_changes_missed",
+                     static_cast<double>(m_state.m_missedChanges));
   m_metrics.SetGauge("holds_control", m_state.m_control.IsActive() ? 1 : 0);
   SetCapacityGauges();
   aExchange->Respond(
--- a/briarglade/entry/feed_follower.h
+++ b/briarglade/entry/feed_follower.h
@@ -59,6 +59,8 @@
   // Handles the result of a call. Returns the call if the store has accepted
   // it.
   std::optional<CallTimes> OnAnswered(Millis aNow, const FeedAnswered& aAnswer);
+  // Lets the next call read the whole feed.
+  void ReadAll() { m_mustReadAll = true; }
   // Sets the minimum time between two calls.
   void SetGap(Millis aGap) { m_pace.m_gap = aGap; }
   // Sets how long the store may wait for a change.
--- a/briarglade/entry/fleet_world_test.h
+++ b/briarglade/entry/fleet_world_test.h
@@ -213,6 +213,8 @@
       MakeEntryState(settings, ++m_lastIncarnation, MakeDecoder()));
     node.m_isUp = true;
     node.m_startedAt = m_now;
+    node.m_checkedUpTo = FeedVersions();
+    node.m_deferredEvents.clear();
     ++node.m_run;
   }
   // Stops the node's processing for a time; its events are deferred.
@@ -385,8 +387,12 @@
         effect);
     }
     CheckInvariants(aNode);
+    CheckClaims(aNode);
   }
 
+  // Lets nodes claim what they don't know from now on, as a test has told one.
+  void ExpectFalseClaim() { m_expectsFalseClaim = true; }
+
   // Returns what is wrong with the rows of a node by the store's history, each
   // row considered; an empty text if nothing is.
   std::string BrokenRows(size_t aNode) const
@@ -559,6 +565,8 @@
     // The number of times its process was started. Messages to an earlier run
     // are dropped.
     uint64_t m_run = 0;
+    // The claims that were checked against the store's history.
+    FeedVersions m_checkedUpTo;
     std::vector<EntryEvent> m_deferredEvents;
     uint64_t m_updatesSent = 0;
     uint64_t m_updatesSentTo = 0;
@@ -673,6 +681,26 @@
     }
   }
 
+  // Checks that a node has every change up to the version up to which it says
+  // that it knows all, whoever told it so.
+  void CheckClaims(size_t aNode)
+  {
+    Node& node = m_nodes[aNode];
+    const RowCache& rows = node.m_state->m_rows;
+    for (const Feed feed : { Feed::Operator, Feed::Servers, Feed::Own }) {
+      RowVersion& checked = node.m_checkedUpTo[static_cast<size_t>(feed)];
+      if (rows.CompleteUpTo(feed) == checked) {
+        continue;
+      }
+      const std::string broken = m_history.BrokenClaim(rows, feed, checked);
+      checked = rows.CompleteUpTo(feed);
+      if (!broken.empty() && !m_expectsFalseClaim && ++m_falseClaims == 1) {
+        FAIL_CHECK("at " << m_now.Count() << " ms: node " << aNode << ", "
+                         << broken);
+      }
+    }
+  }
+
   bool IsRunning(size_t aNode) const
   {
     return m_nodes[aNode].m_isUp && m_nodes[aNode].m_frozenUntil <= m_now;
@@ -1161,6 +1189,9 @@
   std::deque<Watch> m_watches;
   std::list<PendingRead> m_reads;
   std::function<void(size_t, Feed, size_t)> m_onPage;
+  // Claims that a node made of rows that it did not have.
+  size_t m_falseClaims = 0;
+  bool m_expectsFalseClaim = false;
   std::priority_queue<Message> m_messages;
   std::map<HostId, std::vector<ServedRequest>> m_served;
   std::set<HostId> m_leaving;
--- a/briarglade/entry/internal/bulletins.cc
+++ b/briarglade/entry/internal/bulletins.cc
@@ -158,7 +158,7 @@
     EndStoreCheck(aBulletin.m_origin, aBulletin.m_age.WhenSent());
   }
   RecordReportedDoubt(aBulletin.m_entryDoubt);
-  ApplyRowChanges(aBulletin.m_rowChanges);
+  ApplyRowChanges(aBulletin.m_origin, aBulletin.m_rowChanges);
   // The members may have restarted and be cold according to entries that the
   // holder knows and this node does not.
   if (aBulletin.m_serversComplete <=
--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -204,8 +204,14 @@
   void ChooseFollowers();
   Millis ServersWatchTime() const;
   void ForwardRowChanges(Feed aFeed, RowVersion aAfter);
+  void PublishRowChanges(Feed aFeed, RowVersion aAfter);
   void AnswerWithRows(const NodeNews& aUpdate);
-  void ApplyRowChanges(const std::vector<RowChanges>& aChanges);
+  void ApplyRowChanges(const NodeId& aSender,
+                       const std::vector<RowChanges>& aChanges);
+  std::optional<RowVersion> LogMissedChanges(Feed aFeed,
+                                             const std::string& aSource);
+  void CompareRows(const NodeNews& aUpdate);
+  void AuditRows();
   bool IsStoreSuspect() const;
   void SuspectStore();
   void RequestStoreCheck(Feed aFeed, const char* aReason);
--- a/briarglade/entry/internal/row_sharing.cc
+++ b/briarglade/entry/internal/row_sharing.cc
@@ -266,16 +266,21 @@
   return m_state.m_isFirstFollower ? kFirstWatchTime : kWatchTime;
 }
 
-// Adds the changes of a feed since a version to the next bulletin.
+// Adds the changes of a feed since a version to the next bulletin, if this node
+// is to forward what the store tells.
 void EntryReduction::ForwardRowChanges(Feed aFeed, RowVersion aAfter)
 {
   const bool isFirstRead = aAfter == RowVersion();
   // While the first follower may be refused, the others forward, too.
   const bool forwardsAsWell =
     IsSubstituteFollower() || (m_state.m_isFollower && IsStoreSuspect());
-  if ((!m_state.m_isFirstFollower && !forwardsAsWell) || isFirstRead) {
-    return;
+  if ((m_state.m_isFirstFollower || forwardsAsWell) && !isFirstRead) {
+    PublishRowChanges(aFeed, aAfter);
   }
+}
+
+void EntryReduction::PublishRowChanges(Feed aFeed, RowVersion aAfter)
+{
   RowChanges changes = m_state.m_rows.ChangesAfter(aFeed, aAfter);
   if (!changes.m_rows.empty()) {
     m_state.m_peerUpdates.m_nextBulletin.m_rowChanges.push_back(
@@ -345,11 +350,99 @@
     std::max(m_state.m_reportedDisturbedUntil, m_now + aDoubt);
 }
 
-void EntryReduction::ApplyRowChanges(const std::vector<RowChanges>& aChanges)
+// Applies rows that a node has sent, or handed on for another one.
+void EntryReduction::ApplyRowChanges(const NodeId& aSender,
+                                     const std::vector<RowChanges>& aChanges)
 {
   for (const RowChanges& changes : aChanges) {
     NoticeEra(changes.m_upTo);
     ApplyRows(m_state.m_rows.ApplyChanges(changes));
+    LogMissedChanges(changes.m_feed, aSender.Value());
+    if (m_state.m_rows.TakeUnproven(changes.m_feed)) {
+      m_state.m_rowAudits[changes.m_feed].OnUnproven();
+      Log(LogLevel::Info,
+          "row-changes-unproven",
+          { { "feed", FeedName(changes.m_feed) },
+            { "node", aSender.Value() },
+            { "after", std::to_string(changes.m_after.Value()) },
+            { "up-to", std::to_string(changes.m_upTo.Value()) },
+            { "known",
+              std::to_string(
+                m_state.m_rows.CompleteUpTo(changes.m_feed).Value()) } });
+    }
+  }
+}
+
+// Logs the changes of a feed that were missed although they counted as known,
+// and who has told them now. Returns the version before the first one; nothing
+// if there are none.
+std::optional<RowVersion> EntryReduction::LogMissedChanges(
+  Feed aFeed,
+  const std::string& aSource)
+{
+  const std::vector<MissedChange> missed = m_state.m_rows.TakeMissed(aFeed);
+  if (missed.empty()) {
+    return std::nullopt;
+  }
+  const auto first =
+    std::min_element(missed.begin(),
+                     missed.end(),
+                     [](const MissedChange& aA, const MissedChange& aB) {
+                       return aA.m_version < aB.m_version;
+                     });
+  m_state.m_missedChanges += missed.size();
+  Log(LogLevel::Warn,
+      "row-changes-missed",
+      { { "feed", FeedName(aFeed) },
+        { "count", std::to_string(missed.size()) },
+        { "first", first->m_key },
+        { "version", std::to_string(first->m_version.Value()) },
+        { "claimed", std::to_string(first->m_claim.Value()) },
+        { "told-by", aSource } });
+  return RowVersion(first->m_version.Value() - 1);
+}
+
+// Compares this node's rows with another one's, where both say that they know
+// the same changes.
+void EntryReduction::CompareRows(const NodeNews& aUpdate)
+{
+  for (const auto& [feed, follower] : m_state.m_feeds) {
+    const auto index = static_cast<size_t>(feed);
+    const std::optional<RowsChecksum> own = m_state.m_rows.Checksum(feed);
+    const bool isComparable =
+      own && aUpdate.m_checksums.size() == kFeedCount &&
+      aUpdate.m_checksums[index] != RowsChecksum() &&
+      aUpdate.m_completeUpTo[index] == m_state.m_rows.CompleteUpTo(feed);
+    if (isComparable) {
+      m_state.m_rowAudits[feed].OnCompared(m_now,
+                                           aUpdate.m_checksums[index] == *own);
+    }
+  }
+}
+
+// Asks the store where this node's rows may not be what it says they are.
+void EntryReduction::AuditRows()
+{
+  for (auto& [feed, follower] : m_state.m_feeds) {
+    if (follower.FailingSince()) {
+      continue;
+    }
+    const RowCheck check = m_state.m_rowAudits[feed].TakeDue(m_now);
+    if (check == RowCheck::None) {
+      continue;
+    }
+    Log(LogLevel::Info,
+        "rows-checked",
+        { { "feed", FeedName(feed) },
+          { "reads", check == RowCheck::All ? "all" : "changes" },
+          { "known",
+            std::to_string(m_state.m_rows.CompleteUpTo(feed).Value()) } });
+    if (check == RowCheck::All) {
+      follower.ReadAll();
+    } else if (const std::optional<FeedCall> call = follower.CheckNow(m_now)) {
+      std::visit([this](const auto& aCall) { m_effects.emplace_back(aCall); },
+                 *call);
+    }
   }
 }
 
@@ -386,6 +479,7 @@
                                    aUpdate.m_completeUpTo,
                                    OwnVersions());
   RequestMissingRows();
+  CompareRows(aUpdate);
   // A node with an older version is behind itself and confirms nothing.
   constexpr auto kOperator = static_cast<size_t>(Feed::Operator);
   const bool hasSameVersion = aUpdate.m_completeUpTo.size() > kOperator &&
@@ -450,12 +544,15 @@
   if (requester == m_state.m_directory.Others().end()) {
     return;
   }
+  const std::vector<RowVersion>& resumesAfter =
+    aUpdate.m_resumesAfter.size() == kFeedCount ? aUpdate.m_resumesAfter
+                                                : aUpdate.m_completeUpTo;
   NodeNews answer = MakePeerUpdate();
   // The requester must not take for removed what this node takes for expired.
   answer.m_condition.m_entryDoubt = EntryDoubt();
   for (const auto& [feed, follower] : m_state.m_feeds) {
     RowChanges changes = m_state.m_rows.ChangesAfter(
-      feed, aUpdate.m_completeUpTo[static_cast<size_t>(feed)]);
+      feed, resumesAfter[static_cast<size_t>(feed)]);
     if (!changes.m_rows.empty()) {
       answer.m_rowChanges.push_back(std::move(changes));
     }
--- a/briarglade/entry/internal/store_rows.cc
+++ b/briarglade/entry/internal/store_rows.cc
@@ -69,6 +69,8 @@
   }
   const RowVersion known = m_state.m_rows.CompleteUpTo(aAnswer.m_feed);
   ApplyRows(m_state.m_rows.Apply(aAnswer));
+  const std::optional<RowVersion> beforeMissed =
+    LogMissedChanges(aAnswer.m_feed, "store");
   if (aAnswer.m_feed == Feed::Own) {
     m_state.m_roster.OnKnownUpTo(aAnswer.m_storeTime);
     if (aAnswer.m_isWhole) {
@@ -76,7 +78,12 @@
       UpdateRoster();
     }
   }
-  ForwardRowChanges(aAnswer.m_feed, known);
+  if (beforeMissed) {
+    // The other nodes may have missed it as well.
+    PublishRowChanges(aAnswer.m_feed, std::min(known, *beforeMissed));
+  } else {
+    ForwardRowChanges(aAnswer.m_feed, known);
+  }
   if (aAnswer.m_feed == Feed::Operator) {
     follower.Rest(m_now, RestAfter(aAnswer));
   }
--- a/briarglade/entry/internal/update_receiving.cc
+++ b/briarglade/entry/internal/update_receiving.cc
@@ -70,7 +70,7 @@
   for (const Bulletin& bulletin : update.m_bulletins) {
     HandleBulletin(sentAt, bulletin, update.m_node);
   }
-  ApplyRowChanges(update.m_rowChanges);
+  ApplyRowChanges(update.m_node, update.m_rowChanges);
   UpdateRosterKnowledge(update);
   if (sentAt.IsKnown()) {
     HandleNotices(sentAt, update);
--- a/briarglade/entry/internal/update_sending.cc
+++ b/briarglade/entry/internal/update_sending.cc
@@ -102,8 +102,16 @@
   update.m_incarnation = m_state.m_incarnation;
   update.m_sentAt = m_now;
   update.m_condition = OwnCondition();
+  bool hasParts = false;
   for (const auto& [feed, follower] : m_state.m_feeds) {
-    update.m_completeUpTo.push_back(m_state.m_rows.CompleteUpTo(feed));
+    const RowCache& rows = m_state.m_rows;
+    update.m_completeUpTo.push_back(rows.CompleteUpTo(feed));
+    update.m_resumesAfter.push_back(rows.ResumesAfter(feed));
+    update.m_checksums.push_back(rows.Checksum(feed).value_or(RowsChecksum()));
+    hasParts = hasParts || rows.ResumesAfter(feed) > rows.CompleteUpTo(feed);
+  }
+  if (!hasParts) {
+    update.m_resumesAfter.clear();
   }
   update.m_rosterKnownUpTo = m_state.m_roster.KnownUpTo();
   update.m_storePeriod = m_state.m_storeUptime.Last();
--- a/briarglade/entry/node_news.capnp
+++ b/briarglade/entry/node_news.capnp
@@ -38,6 +38,11 @@
   rows @3 :List(Row);
   # Whether the sender knew no later change.
   last @4 :Bool;
+  # Of the last part: whether each removal since "after" is told. Earlier
+  # versions don't tell.
+  namesRemovals @5 :Bool;
+  # Of the last part: the checksum of the sender's rows; 0: none.
+  checksum @6 :UInt64;
 }
 
 # A group that was opened, its members in order of rank.
@@ -173,7 +178,8 @@
   node @0 :Text;
   incarnation @1 :UInt64;
   condition @2 :NodeCondition;
-  # The version up to which the sender has every change, of each feed.
+  # The version after which the sender lacks changes, of each feed. With "known"
+  # it may have received some parts of changes beyond those.
   complete @3 :List(UInt64);
   # The time of the store's clock, in milliseconds, up to which the sender knows
   # every node's row.
@@ -204,4 +210,9 @@
   tellsSendTime @22 :Bool;
   # The sender asks for an answer at once.
   requestsEcho @23 :Bool;
+  # The version up to which the sender has every change, of each feed, if that
+  # isn't what "complete" tells.
+  known @24 :List(UInt64);
+  # The checksums of the sender's rows of each feed; 0: none.
+  checksums @25 :List(UInt64);
 }
--- a/briarglade/entry/node_news.capnp.h
+++ b/briarglade/entry/node_news.capnp.h
@@ -112,7 +112,7 @@
 
   struct _capnpPrivate
   {
-    CAPNP_DECLARE_STRUCT_HEADER(966b647b7cbdaa8d, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(966b647b7cbdaa8d, 4, 1)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand()
     {
@@ -412,7 +412,7 @@
 
   struct _capnpPrivate
   {
-    CAPNP_DECLARE_STRUCT_HEADER(cedd4078abce72d1, 6, 13)
+    CAPNP_DECLARE_STRUCT_HEADER(cedd4078abce72d1, 6, 15)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand()
     {
@@ -828,6 +828,10 @@
 
   inline bool getLast() const;
 
+  inline bool getNamesRemovals() const;
+
+  inline ::uint64_t getChecksum() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -892,6 +896,12 @@
   inline bool getLast();
   inline void setLast(bool value);
 
+  inline bool getNamesRemovals();
+  inline void setNamesRemovals(bool value);
+
+  inline ::uint64_t getChecksum();
+  inline void setChecksum(::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -2998,6 +3008,14 @@
 
   inline bool getRequestsEcho() const;
 
+  inline bool hasKnown() const;
+  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader getKnown()
+    const;
+
+  inline bool hasChecksums() const;
+  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
+  getChecksums() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template<typename, ::capnp::Kind>
@@ -3247,6 +3265,34 @@
   inline bool getRequestsEcho();
   inline void setRequestsEcho(bool value);
 
+  inline bool hasKnown();
+  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+  getKnown();
+  inline void setKnown(
+    ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setKnown(::kj::ArrayPtr<const ::uint64_t> value);
+  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder initKnown(
+    unsigned int size);
+  inline void adoptKnown(
+    ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>&&
+      value);
+  inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+  disownKnown();
+
+  inline bool hasChecksums();
+  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+  getChecksums();
+  inline void setChecksums(
+    ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setChecksums(::kj::ArrayPtr<const ::uint64_t> value);
+  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+  initChecksums(unsigned int size);
+  inline void adoptChecksums(
+    ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>&&
+      value);
+  inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+  disownChecksums();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template<typename, ::capnp::Kind>
@@ -3751,6 +3797,37 @@
   _builder.setDataField<bool>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool HandedRows::Reader::getNamesRemovals() const
+{
+  return _reader.getDataField<bool>(::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline bool HandedRows::Builder::getNamesRemovals()
+{
+  return _builder.getDataField<bool>(::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void HandedRows::Builder::setNamesRemovals(bool value)
+{
+  _builder.setDataField<bool>(::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint64_t HandedRows::Reader::getChecksum() const
+{
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t HandedRows::Builder::getChecksum()
+{
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void HandedRows::Builder::setChecksum(::uint64_t value)
+{
+  _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
 inline bool OpenedGroup::Reader::hasGroup() const
 {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
@@ -7030,6 +7107,133 @@
                               value);
 }
 
+inline bool NodeNews::Reader::hasKnown() const
+{
+  return !_reader.getPointerField(::capnp::bounded<13>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool NodeNews::Builder::hasKnown()
+{
+  return !_builder.getPointerField(::capnp::bounded<13>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
+NodeNews::Reader::getKnown() const
+{
+  return ::capnp::_::
+    PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+      _reader.getPointerField(::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+NodeNews::Builder::getKnown()
+{
+  return ::capnp::_::
+    PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+      _builder.getPointerField(::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline void NodeNews::Builder::setKnown(
+  ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value)
+{
+  ::capnp::_::
+    PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+      _builder.getPointerField(::capnp::bounded<13>() * ::capnp::POINTERS),
+      value);
+}
+inline void NodeNews::Builder::setKnown(::kj::ArrayPtr<const ::uint64_t> value)
+{
+  ::capnp::_::
+    PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+      _builder.getPointerField(::capnp::bounded<13>() * ::capnp::POINTERS),
+      value);
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+NodeNews::Builder::initKnown(unsigned int size)
+{
+  return ::capnp::_::
+    PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::init(
+      _builder.getPointerField(::capnp::bounded<13>() * ::capnp::POINTERS),
+      size);
+}
+inline void NodeNews::Builder::adoptKnown(
+  ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>&& value)
+{
+  ::capnp::_::
+    PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::adopt(
+      _builder.getPointerField(::capnp::bounded<13>() * ::capnp::POINTERS),
+      kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+NodeNews::Builder::disownKnown()
+{
+  return ::capnp::_::
+    PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::disown(
+      _builder.getPointerField(::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+
+inline bool NodeNews::Reader::hasChecksums() const
+{
+  return !_reader.getPointerField(::capnp::bounded<14>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline bool NodeNews::Builder::hasChecksums()
+{
+  return !_builder.getPointerField(::capnp::bounded<14>() * ::capnp::POINTERS)
+            .isNull();
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
+NodeNews::Reader::getChecksums() const
+{
+  return ::capnp::_::
+    PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+      _reader.getPointerField(::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+NodeNews::Builder::getChecksums()
+{
+  return ::capnp::_::
+    PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+      _builder.getPointerField(::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+inline void NodeNews::Builder::setChecksums(
+  ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value)
+{
+  ::capnp::_::
+    PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+      _builder.getPointerField(::capnp::bounded<14>() * ::capnp::POINTERS),
+      value);
+}
+inline void NodeNews::Builder::setChecksums(
+  ::kj::ArrayPtr<const ::uint64_t> value)
+{
+  ::capnp::_::
+    PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+      _builder.getPointerField(::capnp::bounded<14>() * ::capnp::POINTERS),
+      value);
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+NodeNews::Builder::initChecksums(unsigned int size)
+{
+  return ::capnp::_::
+    PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::init(
+      _builder.getPointerField(::capnp::bounded<14>() * ::capnp::POINTERS),
+      size);
+}
+inline void NodeNews::Builder::adoptChecksums(
+  ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>&& value)
+{
+  ::capnp::_::
+    PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::adopt(
+      _builder.getPointerField(::capnp::bounded<14>() * ::capnp::POINTERS),
+      kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+NodeNews::Builder::disownChecksums()
+{
+  return ::capnp::_::
+    PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::disown(
+      _builder.getPointerField(::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+
 } // namespace
 } // namespace
 
--- a/briarglade/entry/node_news.cc
+++ b/briarglade/entry/node_news.cc
@@ -334,6 +334,8 @@
   aEntry.setAfter(aChanges.m_after.Value());
   aEntry.setUpTo(aChanges.m_upTo.Value());
   aEntry.setLast(aChanges.m_isLast);
+  aEntry.setNamesRemovals(aChanges.m_namesRemovals);
+  aEntry.setChecksum(aChanges.m_checksum.value_or(RowsChecksum()).Value());
   WriteList(
     aEntry.initRows(SizeOf(aChanges.m_rows)), aChanges.m_rows, WriteRow);
 }
@@ -351,6 +353,10 @@
     changes.m_after = RowVersion(entry.getAfter());
     changes.m_upTo = RowVersion(entry.getUpTo());
     changes.m_isLast = entry.getLast();
+    changes.m_namesRemovals = entry.getNamesRemovals();
+    if (entry.getChecksum() != 0) {
+      changes.m_checksum = RowsChecksum(entry.getChecksum());
+    }
     for (const auto read : entry.getRows()) {
       StoredRow row;
       row.m_feed = changes.m_feed;
@@ -494,6 +500,25 @@
   return bulletin;
 }
 
+template<typename Count>
+void WriteCounts(capnp::List<uint64_t>::Builder aList,
+                 const std::vector<Count>& aCounts)
+{
+  for (unsigned index = 0; index < aList.size(); ++index) {
+    aList.set(index, aCounts[index].Value());
+  }
+}
+
+template<typename Count>
+std::vector<Count> ReadCounts(capnp::List<uint64_t>::Reader aList)
+{
+  std::vector<Count> counts;
+  for (const uint64_t count : aList) {
+    counts.emplace_back(count);
+  }
+  return counts;
+}
+
 void WriteUpdate(wire::NodeNews::Builder aMessage, const NodeNews& aUpdate)
 {
   aMessage.setNode(aUpdate.m_node.Value());
@@ -502,10 +527,16 @@
   aMessage.setSentAt(aUpdate.m_sentAt.value_or(Millis()).Count());
   aMessage.setRequestsEcho(aUpdate.m_requestsEcho);
   WriteCondition(aMessage.initCondition(), aUpdate.m_condition);
-  auto complete = aMessage.initComplete(SizeOf(aUpdate.m_completeUpTo));
-  for (unsigned index = 0; index < complete.size(); ++index) {
-    complete.set(index, aUpdate.m_completeUpTo[index].Value());
-  }
+  const bool hasParts = !aUpdate.m_resumesAfter.empty();
+  const std::vector<RowVersion>& resumesAfter =
+    hasParts ? aUpdate.m_resumesAfter : aUpdate.m_completeUpTo;
+  WriteCounts(aMessage.initComplete(SizeOf(resumesAfter)), resumesAfter);
+  if (hasParts) {
+    WriteCounts(aMessage.initKnown(SizeOf(aUpdate.m_completeUpTo)),
+                aUpdate.m_completeUpTo);
+  }
+  WriteCounts(aMessage.initChecksums(SizeOf(aUpdate.m_checksums)),
+              aUpdate.m_checksums);
   aMessage.setRosterKnownUpTo(aUpdate.m_rosterKnownUpTo.Count());
   if (aUpdate.m_storePeriod) {
     aMessage.setStoreAvailableSince(aUpdate.m_storePeriod->m_since.Count());
@@ -555,10 +586,14 @@
   update.m_node = NodeId(ToText(aMessage.getNode()));
   update.m_incarnation = aMessage.getIncarnation();
   update.m_condition = ReadCondition(aMessage.getCondition());
-  for (const uint64_t version : aMessage.getComplete()) {
-    update.m_completeUpTo.emplace_back(version);
-  }
+  update.m_completeUpTo = ReadCounts<RowVersion>(aMessage.getComplete());
   update.m_completeUpTo.resize(kFeedCount);
+  if (aMessage.hasKnown()) {
+    update.m_resumesAfter = std::move(update.m_completeUpTo);
+    update.m_completeUpTo = ReadCounts<RowVersion>(aMessage.getKnown());
+    update.m_completeUpTo.resize(kFeedCount);
+  }
+  update.m_checksums = ReadCounts<RowsChecksum>(aMessage.getChecksums());
   update.m_rosterKnownUpTo = Millis(aMessage.getRosterKnownUpTo());
   if (aMessage.getStoreAvailableUntil() > 0) {
     update.m_storePeriod =
--- a/briarglade/entry/node_news.h
+++ b/briarglade/entry/node_news.h
@@ -171,6 +171,13 @@
   NodeCondition m_condition;
   // The version up to which the sender has every change, of each feed.
   std::vector<RowVersion> m_completeUpTo;
+  // The version after which the sender requests changes, of each feed: beyond
+  // m_completeUpTo if it has received some parts of more changes. Empty: that
+  // version for each feed.
+  std::vector<RowVersion> m_resumesAfter;
+  // The checksums of the sender's rows, of each feed. Empty: not told, as by
+  // earlier versions; zero: the sender has none.
+  std::vector<RowsChecksum> m_checksums;
   // The time of the store's clock up to which the sender knows every node's
   // row.
   Millis m_rosterKnownUpTo;
--- a/briarglade/entry/node_news_test.cc
+++ b/briarglade/entry/node_news_test.cc
@@ -48,6 +48,9 @@
       { { Feed::Servers, "i-1", RowVersion(9), std::string("a\0b", 3) },
         { Feed::Servers, "i-2", RowVersion(8), std::nullopt } } }
   };
+  bulletin.m_rowChanges[0].m_isLast = true;
+  bulletin.m_rowChanges[0].m_namesRemovals = true;
+  bulletin.m_rowChanges[0].m_checksum = RowsChecksum(4'711);
   return bulletin;
 }
 
@@ -64,6 +67,8 @@
   news.m_rateLimits = { RateLimitNotice{
     ServerRun{ HostId("i-3"), BootId("18") }, 0.25, Millis(5) } };
   news.m_completeUpTo = { RowVersion(1), RowVersion(2), RowVersion(3) };
+  news.m_resumesAfter = { RowVersion(1), RowVersion(5), RowVersion(3) };
+  news.m_checksums = { RowsChecksum(9), RowsChecksum(), RowsChecksum(~0ULL) };
   news.m_rosterKnownUpTo = Millis(4'711);
   news.m_storePeriod = StorePeriod{ Millis(1'700), Millis(4'800) };
   news.m_subscription = Subscription::All;
@@ -94,6 +99,9 @@
   CHECK(handed.m_feed == Feed::Servers);
   CHECK(handed.m_after == RowVersion(7));
   CHECK(handed.m_upTo == RowVersion(9));
+  CHECK(handed.m_isLast == aSent[0].m_isLast);
+  CHECK(handed.m_namesRemovals == aSent[0].m_namesRemovals);
+  CHECK(handed.m_checksum == aSent[0].m_checksum);
   REQUIRE(handed.m_rows.size() == 2);
   CHECK(handed.m_rows[0].m_value == aSent[0].m_rows[0].m_value);
   CHECK_FALSE(handed.m_rows[1].m_value);
@@ -113,6 +121,8 @@
   CHECK_FALSE(read->m_condition.m_isLeaving);
   CHECK(read->m_condition.m_entryDoubt == Millis());
   CHECK(read->m_completeUpTo == sent.m_completeUpTo);
+  CHECK(read->m_resumesAfter == sent.m_resumesAfter);
+  CHECK(read->m_checksums == sent.m_checksums);
   CHECK(read->m_rosterKnownUpTo == Millis(4'711));
   REQUIRE(read->m_storePeriod);
   CHECK(read->m_storePeriod->m_since == Millis(1'700));
--- a/briarglade/entry/reduce_entry.cc
+++ b/briarglade/entry/reduce_entry.cc
@@ -80,6 +80,7 @@
   CheckStore();
   FollowFeeds();
   RequestMissingRows();
+  AuditRows();
   RemoveExpiredServers();
   ReturnMissingZones();
   m_state.m_leavingServers.RemoveExpired(m_now);
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -30,6 +30,7 @@
 #include "briarglade/entry/node_roster.h"
 #include "briarglade/entry/peer_clocks.h"
 #include "briarglade/entry/peer_update_state.h"
+#include "briarglade/entry/row_audit.h"
 #include "briarglade/entry/row_cache.h"
 #include "briarglade/entry/row_requests.h"
 #include "briarglade/entry/store_check.h"
@@ -171,6 +172,11 @@
   ConfigCurrency m_configCurrency;
   // Requests for changes that another node has and this one lacks.
   RowRequests m_rowRequests;
+  // Whether the rows of each feed must be checked against the store.
+  std::map<Feed, RowAudit> m_rowAudits;
+  // The number of changes that this node lacked although it claimed to know
+  // them.
+  uint64_t m_missedChanges = 0;
   // Whether this node or another one has received a caller's request.
   bool m_hasTraffic = false;
   // The requests in flight or waiting for each model, smoothed.
--- a/briarglade/entry/row_cache.h
+++ b/briarglade/entry/row_cache.h
@@ -8,11 +8,10 @@
 #pragma once
 
 #include <array>
-#include <map>
 #include <string>
 #include <vector>
 
-#include "briarglade/entry/store_feed.h"
+#include "briarglade/entry/feed_rows.h"
 
 namespace briarglade {
 
@@ -23,43 +22,51 @@
 class RowCache
 {
 public:
-  // Applies an answer of the store and returns the rows that are new, changed
-  // or removed. Rows that are missing from an answer with the whole feed count
-  // as removed.
-  std::vector<StoredRow> Apply(const FeedAnswered& aAnswer);
-  // Applies rows that another node forwarded and returns those that changed.
-  // Once a new era's rows are complete, those that only the earlier era had
-  // count as removed.
-  std::vector<StoredRow> ApplyChanges(const RowChanges& aChanges);
-
-  // Returns the version up to which this node knows every change of the feed.
+  // Each applies to the rows of the feed that is named; see FeedRows.
+  std::vector<StoredRow> Apply(const FeedAnswered& aAnswer)
+  {
+    return RowsOf(aAnswer.m_feed).Apply(aAnswer);
+  }
+  std::vector<StoredRow> ApplyChanges(const RowChanges& aChanges)
+  {
+    return RowsOf(aChanges.m_feed).ApplyChanges(aChanges);
+  }
   RowVersion CompleteUpTo(Feed aFeed) const
   {
-    return m_complete[static_cast<size_t>(aFeed)];
+    return RowsOf(aFeed).CompleteUpTo();
+  }
+  RowVersion ResumesAfter(Feed aFeed) const
+  {
+    return RowsOf(aFeed).ResumesAfter();
+  }
+  std::optional<RowsChecksum> Checksum(Feed aFeed) const
+  {
+    return RowsOf(aFeed).Checksum();
   }
-  // Returns a row, also a removed one that is still kept; null if there is
-  // none.
-  const StoredRow* Find(Feed aFeed, const std::string& aKey) const;
-  // Returns the changes of a feed after a version, removed rows included. If
-  // there are too many for one message, returns only the first ones.
-  RowChanges ChangesAfter(Feed aFeed, RowVersion aVersion) const;
+  const StoredRow* Find(Feed aFeed, const std::string& aKey) const
+  {
+    return RowsOf(aFeed).Find(aKey);
+  }
+  RowChanges ChangesAfter(Feed aFeed, RowVersion aVersion) const
+  {
+    RowChanges changes = RowsOf(aFeed).ChangesAfter(aVersion);
+    changes.m_feed = aFeed;
+    return changes;
+  }
+  std::vector<MissedChange> TakeMissed(Feed aFeed)
+  {
+    return RowsOf(aFeed).TakeMissed();
+  }
+  bool TakeUnproven(Feed aFeed) { return RowsOf(aFeed).TakeUnproven(); }
 
 private:
-  using FeedRows = std::map<std::string, StoredRow>;
-
   FeedRows& RowsOf(Feed aFeed) { return m_rows[static_cast<size_t>(aFeed)]; }
-  bool UpdateRow(const StoredRow& aRow);
-  void RemoveRow(StoredRow& aRow,
-                 RowVersion aVersion,
-                 std::vector<StoredRow>& aChanged);
-  void RemoveEarlierEras(Feed aFeed,
-                         RowVersion aUpTo,
-                         std::vector<StoredRow>& aChanged);
-  std::vector<StoredRow> UpdateRows(const std::vector<StoredRow>& aRows);
-  void AdvanceComplete(Feed aFeed, RowVersion aUpTo);
+  const FeedRows& RowsOf(Feed aFeed) const
+  {
+    return m_rows[static_cast<size_t>(aFeed)];
+  }
 
   std::array<FeedRows, kFeedCount> m_rows;
-  std::array<RowVersion, kFeedCount> m_complete;
 };
 
 } // namespace briarglade
--- a/briarglade/entry/store_feed.h
+++ b/briarglade/entry/store_feed.h
@@ -127,17 +127,31 @@
   Millis m_storeTime;
 };
 
-// Every change of a feed between two versions, as one node forwards them to
-// another: versions greater than m_after, up to and including m_upTo.
+// A checksum of the rows of a feed that exist, by keys and versions. Zero:
+// none.
+using RowsChecksum = StrongCount<struct RowsChecksumTag>;
+
+// The changes of a feed between two versions, as one node forwards them to
+// another: the rows of versions greater than m_after, as they are last known,
+// up to m_upTo and, with the last part, beyond. A row that was changed again is
+// in a later part.
 struct RowChanges
 {
   Feed m_feed = Feed::Operator;
   RowVersion m_after;
+  // The version up to which the sender knows every change; of a part that is
+  // not the last one, that up to which its rows go.
   RowVersion m_upTo;
   // Sorted by version.
   std::vector<StoredRow> m_rows;
   // Whether the sender knew no later change.
   bool m_isLast = false;
+  // Of the last part: whether every row that was removed between the versions
+  // is in m_rows, or in an earlier part. Earlier versions don't tell.
+  bool m_namesRemovals = false;
+  // Of the last part: that of the sender's rows. Not set if it holds rows that
+  // are newer than m_upTo.
+  std::optional<RowsChecksum> m_checksum = std::nullopt;
 };
 
 // Waits for changes after a version, for at most the given time.
--- a/briarglade/entry/whole_read_test.cc
+++ b/briarglade/entry/whole_read_test.cc
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <doctest/doctest.h>
 #include <string>
+#include <vector>
 
 #include "briarglade/entry/fleet_world_test.h"
 
@@ -181,5 +182,70 @@
   });
 }
 
+// Guards against DRAIN (the leads of issue 75): those that followed the store
+// ended with a removal that they had told nobody, and those that followed it
+// next had never known the server.
+TEST_CASE("a removal is noticed though all that knew of it have just ended")
+{
+  for (const bool isHistoryGone : { false, true }) {
+    CAPTURE(isHistoryGone);
+    WholeReadWorld world;
+    std::vector<size_t> followers;
+    for (size_t node = 0; node < world.NodeCount(); ++node) {
+      if (world.StateOf(node).m_isFollower) {
+        followers.push_back(node);
+      }
+    }
+    REQUIRE(followers.size() == 2);
+    world.RemoveServer(NameOf(7));
+    for (const size_t node : followers) {
+      world.Kill(node);
+    }
+    if (isHistoryGone) {
+      world.DropHistory();
+    }
+    world.RunChecked(Millis(500));
+    for (const size_t node : followers) {
+      world.Start(node);
+    }
+    world.RunChecked(kDrainTime - Millis(500));
+    world.CheckNoticed(7);
+  }
+}
+
+// Guards against a false claim that stays: whoever made a node believe that it
+// knew all, it finds that its rows are not those of the other nodes.
+TEST_CASE("a node that was told a false claim notices that its rows differ")
+{
+  WholeReadWorld world;
+  const size_t node =
+    world.Find([](const EntryState& aState) { return !aState.m_isFollower; });
+  const size_t teller = world.FirstFollower();
+  const EntryState& state = world.StateOf(node);
+  const RowVersion claim = state.m_rows.CompleteUpTo(Feed::Servers);
+  world.SetCutOff(node, true);
+  world.RemoveServer(NameOf(7));
+  world.Run(Millis(100));
+  PeerUpdateReceived told;
+  told.m_update.m_node = world.StateOf(teller).m_settings.m_node;
+  told.m_update.m_incarnation = world.StateOf(teller).m_incarnation;
+  told.m_update.m_completeUpTo.resize(kFeedCount);
+  RowChanges changes;
+  changes.m_feed = Feed::Servers;
+  changes.m_after = claim;
+  changes.m_upTo = world.StateOf(teller).m_rows.CompleteUpTo(Feed::Servers);
+  changes.m_isLast = true;
+  changes.m_namesRemovals = true;
+  told.m_update.m_rowChanges = { changes };
+  world.ExpectFalseClaim();
+  world.Dispatch(node, told);
+  CHECK(state.m_rows.CompleteUpTo(Feed::Servers) > claim);
+  CHECK(state.m_servers.count(HostId(NameOf(7))) == 1);
+  world.SetCutOff(node, false);
+  world.Run(kDrainTime);
+  world.CheckNoticed(7);
+  CHECK(state.m_missedChanges == 1);
+}
+
 } // namespace
 } // namespace briarglade
