store: truncated changes are known up to before their last version

Cause: by reading. DecodeChanges() dropped `truncated`.

Change: TakeChanges(): of a truncated answer, changes are known up to before the version of its last row, as rows of one version may have been split. If all its rows have one version, or if there are none, the whole feed is read again.

Evidence: paged_read_test, two cases of it; before, there was nothing to call.

--- a/briarglade/entry/paged_read.cc
+++ b/briarglade/entry/paged_read.cc
@@ -2,6 +2,7 @@
 
 #include "briarglade/entry/paged_read.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "briarglade/entry/store_version.h"
@@ -49,4 +50,27 @@
   return lastKey + '\0';
 }
 
+FeedAnswered TakeChanges(FeedPage aPage)
+{
+  FeedAnswered changes = std::move(aPage.m_answer);
+  if (changes.m_status != StoreStatus::Ok || !aPage.m_isTruncated) {
+    return changes;
+  }
+  RowVersion last;
+  for (const StoredRow& row : changes.m_rows) {
+    last = std::max(last, row.m_version);
+  }
+  const bool hasEarlier =
+    std::any_of(changes.m_rows.begin(),
+                changes.m_rows.end(),
+                [&](const StoredRow& aRow) { return aRow.m_version < last; });
+  if (!hasEarlier) {
+    changes.m_status = StoreStatus::HistoryGone;
+    return changes;
+  }
+  changes.m_version =
+    std::min(changes.m_version, StoreVersion(last.Value() - 1));
+  return changes;
+}
+
 } // namespace briarglade
--- a/briarglade/entry/paged_read.h
+++ b/briarglade/entry/paged_read.h
@@ -42,4 +42,9 @@
   std::string m_lastKey;
 };
 
+// Returns the changes that a watch call has brought. Of an answer that lacks
+// rows at its end, they are known up to before its last version, of which some
+// rows may be missing; if it holds no other version, all must be read again.
+FeedAnswered TakeChanges(FeedPage aPage);
+
 } // namespace briarglade
--- a/briarglade/entry/paged_read_test.cc
+++ b/briarglade/entry/paged_read_test.cc
@@ -3,6 +3,8 @@
 #include "briarglade/entry/paged_read.h"
 
 #include <doctest/doctest.h>
+#include <string>
+#include <vector>
 
 #include "briarglade/entry/store_version.h"
 
@@ -84,5 +86,38 @@
   }
 }
 
+FeedPage ChangesPage(std::vector<uint64_t> aVersions, bool aIsTruncated)
+{
+  FeedPage page = Page(20, nullptr, aIsTruncated);
+  for (const uint64_t version : aVersions) {
+    StoredRow row;
+    row.m_key = "r" + std::to_string(version);
+    row.m_version = RowVersion(version);
+    page.m_answer.m_rows.push_back(row);
+  }
+  return page;
+}
+
+// Guards against changes that are never asked for: the answer tells the store's
+// newest version though not all rows came.
+TEST_CASE("truncated changes are known up to before their last version")
+{
+  const FeedAnswered all = TakeChanges(ChangesPage({ 11, 12, 15 }, false));
+  CHECK(all.m_version == StoreVersion(20));
+  const FeedAnswered some = TakeChanges(ChangesPage({ 11, 12, 15, 15 }, true));
+  CHECK(some.m_status == StoreStatus::Ok);
+  CHECK(some.m_version == StoreVersion(14));
+  CHECK(some.m_rows.size() == 4);
+}
+
+TEST_CASE("truncated changes of one version, or of none, don't lead on")
+{
+  for (const auto& versions :
+       { std::vector<uint64_t>(), std::vector<uint64_t>{ 15, 15 } }) {
+    CHECK(TakeChanges(ChangesPage(versions, true)).m_status ==
+          StoreStatus::HistoryGone);
+  }
+}
+
 } // namespace
 } // namespace briarglade
