entry: a node is ready once it knows the servers

Cause: IsReady() asked for the configuration and its currency, not for the servers.

Change: it asks also whether the servers are known: by a read of the whole feed, or by changes of another node that raised the claim. While the store is away and no node answers, a node knows no configuration and was not ready before either.

Evidence: whole_read_test, "a node that starts is not ready before it knows the servers", with other nodes and alone. With the new condition taken out it fails (2 checks); with it 250 of 250 cases of entry_test pass.

--- a/briarglade/entry/reduce_entry.cc
+++ b/briarglade/entry/reduce_entry.cc
@@ -293,8 +293,11 @@
 {
   const bool isOutdated = aState.m_configCurrency.IsLongInDoubt() &&
                           !aState.m_directory.Others().empty();
+  const bool knowsServers =
+    aState.m_rows.CompleteUpTo(Feed::Servers) > RowVersion() ||
+    aState.m_feeds.at(Feed::Servers).IsKnown();
   return aState.m_phase == EntryPhase::Serving && aState.m_routes != nullptr &&
-         !isOutdated;
+         knowsServers && !isOutdated;
 }
 
 } // namespace briarglade
--- a/briarglade/entry/reduce_entry.h
+++ b/briarglade/entry/reduce_entry.h
@@ -222,8 +222,9 @@
                     const std::string& aAddress);
 
 // Returns whether the node can serve requests, for the platform's readiness
-// checks. A node that may have lacked a version of the configuration for long
-// is not ready if there are other nodes.
+// checks. It must know the configuration and all servers, by a read of its own
+// or from a node that does. A node that may have lacked a version of the
+// configuration for long is not ready if there are other nodes.
 bool IsReady(const EntryState& aState);
 
 } // namespace briarglade
--- a/briarglade/entry/whole_read_test.cc
+++ b/briarglade/entry/whole_read_test.cc
@@ -182,6 +182,39 @@
   });
 }
 
+// Guards against callers that are refused by a node that the directory names:
+// it said that it was ready and did not know a single server.
+TEST_CASE("a node that starts is not ready before it knows the servers")
+{
+  // With others, and alone: a node may learn of the servers from either.
+  for (const bool isAlone : { false, true }) {
+    CAPTURE(isAlone);
+    WholeReadWorld world;
+    for (size_t node = 0; node < world.NodeCount(); ++node) {
+      if (node == 0 || isAlone) {
+        world.Kill(node);
+      }
+    }
+    world.Run(Millis(4'000));
+    world.Start(0);
+    Millis passed;
+    while (!IsReady(world.StateOf(0)) && passed < kDrainTime) {
+      world.Run(FleetWorld::kStep);
+      passed = passed + FleetWorld::kStep;
+    }
+    CHECK(IsReady(world.StateOf(0)));
+    CHECK(world.StateOf(0).m_servers.size() == kServers);
+  }
+}
+
+// A fleet without servers answers its callers, too: with what it refuses.
+TEST_CASE("a node is ready once it knows that there are no servers")
+{
+  FleetWorld world(FleetOptions{});
+  world.Run(Millis(500));
+  CHECK(IsReady(world.StateOf(0)));
+}
+
 // Guards against DRAIN (the leads of issue 75): those that followed the store
 // ended with a removal that they had told nobody, and those that followed it
 // next had never known the server.
