--- a/briarglade/entry/paged_read_test.cc
+++ b/briarglade/entry/paged_read_test.cc
@@ -86,7 +86,7 @@
   }
 }
 
-FeedPage ChangesPage(std::vector<uint64_t> aVersions, bool aIsTruncated)
+FeedPage ChangesPage(const std::vector<uint64_t>& aVersions, bool aIsTruncated)
 {
   FeedPage page = Page(20, nullptr, aIsTruncated);
   for (const uint64_t version : aVersions) {
