--- a/briarglade/entry/fleet_world_test.h
+++ b/briarglade/entry/fleet_world_test.h
@@ -70,7 +70,7 @@
   Millis m_clockSpread;
   // Rows of one page of a read of a whole feed. The store makes one page in
   // each step.
-  size_t m_pageRows = 500;
+  size_t m_pageRows = 5;
 };
 
 // A request that a server received.
