--- a/briarglade/entry/internal/entry_reduction.h
+++ b/briarglade/entry/internal/entry_reduction.h
@@ -11,6 +11,7 @@
 //   update_sending.cc   messages sent to other nodes, as a node or as a relay
 //   bulletins.cc        changes that every node must know immediately
 //   row_sharing.cc      choice of the store's followers, and forwarding of rows
+//   row_checks.cc       rows that other nodes forward, and checks of the rows
 //   control_duties.cc   the control lease, and group control by its holder
 //   caller_requests.cc  routes and accounts of callers' requests
 
