--- a/scripts/lib/soak_store.py
+++ b/scripts/lib/soak_store.py
@@ -11,9 +11,10 @@
 
 class Store:
     """Linearizable rows. `trouble` is None, "reset", "busy" or "silent"; `delay_s` slows
-    every answer."""
+    every answer. A read of a table is answered in pages of `page_rows` rows."""
 
-    def __init__(self):
+    def __init__(self, page_rows=500):
+        self.page_rows = page_rows
         self.rows = {}  # (table, key) -> (version, value or None)
         self.version = 0
         self.trouble = None
@@ -59,9 +60,11 @@
         url = urlsplit(line[1])
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         if url.path == "/-/rows-get":
-            return 200, self._page([(table, key, *row) for (table, key), row
-                                    in sorted(self.rows.items())
-                                    if table == query["table"] and row[1] is not None])
+            rows = [(table, key, *row) for (table, key), row in sorted(self.rows.items())
+                    if table == query["table"] and row[1] is not None
+                    and key >= query.get("from", "")]
+            return 200, {**self._page(rows[:self.page_rows]),
+                         "truncated": len(rows) > self.page_rows}
         if url.path == "/-/rows-feed":
             return 200, await self._feed(query["table"], int(query["after"]),
                                          int(query.get("wait_ms", 0)) / 1000)
