entry: an answer of a node that is behind doesn't end a transfer in parts

What callers would see: a node that the store refuses gets the servers from others in parts; each answer of a node that is behind the parts so far let it begin again, so that it might never know all.

Cause: FeedRows::ApplyChanges() took the end of such an answer for the end of the transfer.

Change: changes up to before the version after which they were requested tell nothing of what is missing.

--- a/briarglade/entry/feed_rows.cc
+++ b/briarglade/entry/feed_rows.cc
@@ -189,7 +189,10 @@
     m_resumesAfter = std::max(m_resumesAfter, aChanges.m_upTo);
     return changed;
   }
-  if (!aChanges.m_isLast || aChanges.m_upTo <= m_complete) {
+  // A sender that is behind what was requested has nothing to tell of it.
+  const bool isBehind =
+    aChanges.m_upTo <= m_complete || aChanges.m_upTo < aChanges.m_after;
+  if (!aChanges.m_isLast || isBehind) {
     return changed;
   }
   if (follows) {
--- a/briarglade/entry/feed_rows_test.cc
+++ b/briarglade/entry/feed_rows_test.cc
@@ -156,6 +156,30 @@
   CHECK(other.CompleteUpTo() == RowVersion(9 + kRows));
 }
 
+// Guards against a node that never gets all parts, as each answer of a node
+// that is behind lets it begin again.
+TEST_CASE("an answer of a node that is behind the parts so far changes nothing")
+{
+  FeedRows rows;
+  std::vector<StoredRow> all;
+  constexpr uint64_t kRows = 1'000;
+  for (uint64_t i = 0; i < kRows; ++i) {
+    all.push_back(Row("r" + std::to_string(i), 1 + i, "x"));
+  }
+  rows.Apply(Whole(kRows, all));
+  FeedRows behind;
+  behind.Apply(Whole(10, { Row("r8", 9, "x"), Row("r9", 10, "x") }));
+  FeedRows other;
+  other.ApplyChanges(rows.ChangesAfter(RowVersion()));
+  const RowVersion resumesAfter = other.ResumesAfter();
+  CHECK(resumesAfter > behind.CompleteUpTo());
+  other.ApplyChanges(behind.ChangesAfter(resumesAfter));
+  CHECK(other.ResumesAfter() == resumesAfter);
+  CHECK_FALSE(other.TakeUnproven());
+  CHECK(HandOnAll(rows, other) == 2);
+  CHECK(other.CompleteUpTo() == RowVersion(kRows));
+}
+
 TEST_CASE("a row that has replaced a change up to the claim is handed on")
 {
   FeedRows rows;
