entry: rows of an earlier era go only with the proof that all are known

What callers would see: after the store has come back from an older copy, a server out of use for a while, as a node believed that the store had lost it.

FeedRows::ApplyChanges() dropped the rows of earlier eras before it knew whether the changes are all; parts from two nodes may leave out a row that is in neither. The removal had no ground, as the claims had none.

Change: they are dropped with the claim that is raised. The checksum leaves them out, and is computed only where changes don't name each removal.

--- a/briarglade/entry/feed_rows.cc
+++ b/briarglade/entry/feed_rows.cc
@@ -41,6 +41,19 @@
   return RowsChecksum(m_hashes ^ kEmptyChecksum);
 }
 
+// Returns the checksum of the rows that exist and are of the era of a version,
+// or of a later one.
+RowsChecksum FeedRows::ChecksumSince(RowVersion aVersion) const
+{
+  uint64_t hashes = m_hashes;
+  for (const auto& [key, row] : m_rows) {
+    if (row.m_value && EraOf(row.m_version) < EraOf(aVersion)) {
+      hashes ^= HashOf(row);
+    }
+  }
+  return RowsChecksum(hashes ^ kEmptyChecksum);
+}
+
 const StoredRow* FeedRows::Find(const std::string& aKey) const
 {
   const auto row = m_rows.find(aKey);
@@ -195,17 +208,15 @@
   if (!aChanges.m_isLast || isBehind) {
     return changed;
   }
-  if (follows) {
-    RemoveEarlierEras(aChanges.m_upTo, changed);
-  }
   const bool isAllSinceClaim =
     aChanges.m_after <= m_complete && aChanges.m_namesRemovals;
-  const bool isSame =
-    aChanges.m_checksum == RowsChecksum(m_hashes ^ kEmptyChecksum);
+  const bool isSame = !isAllSinceClaim && aChanges.m_checksum &&
+                      aChanges.m_checksum == ChecksumSince(aChanges.m_upTo);
   if (isAllSinceClaim || isSame) {
     if (!isAllSinceClaim) {
       m_namesRemovalsAfter = std::max(m_namesRemovalsAfter, aChanges.m_upTo);
     }
+    RemoveEarlierEras(aChanges.m_upTo, changed);
     RaiseClaim(aChanges.m_upTo);
   } else if (follows) {
     m_resumesAfter = m_complete;
--- a/briarglade/entry/feed_rows.h
+++ b/briarglade/entry/feed_rows.h
@@ -78,6 +78,7 @@
 private:
   bool UpdateFromStore(const StoredRow& aRow, bool aIsCurrent);
   bool UpdateFromNode(const StoredRow& aRow);
+  RowsChecksum ChecksumSince(RowVersion aVersion) const;
   bool ChangesState(const StoredRow& aRow) const;
   void Put(const StoredRow& aRow);
   void RemoveRow(StoredRow& aRow,
