entry: a check of the rows that can't be made now is made later

What callers would see: a node that lacks a removal and was told so goes on with the server until something else asks the store.

Cause: on re-reading. AuditRows() took a check for made, and logged it, while another call was on its way and none was begun.

Change: it stays due, and is logged when it is made.

--- a/briarglade/entry/internal/row_checks.cc
+++ b/briarglade/entry/internal/row_checks.cc
@@ -90,15 +90,23 @@
     if (check == RowCheck::None) {
       continue;
     }
+    const bool readsAll = check == RowCheck::All;
+    const std::optional<FeedCall> call =
+      readsAll ? std::nullopt : follower.CheckNow(m_now);
+    if (!readsAll && !call) {
+      // Another call is on its way, and may have been made too early.
+      m_state.m_rowAudits[feed].OnUnproven();
+      continue;
+    }
     Log(LogLevel::Info,
         "rows-checked",
         { { "feed", FeedName(feed) },
-          { "reads", check == RowCheck::All ? "all" : "changes" },
+          { "reads", readsAll ? "all" : "changes" },
           { "known",
             std::to_string(m_state.m_rows.CompleteUpTo(feed).Value()) } });
-    if (check == RowCheck::All) {
+    if (readsAll) {
       follower.ReadAll();
-    } else if (const std::optional<FeedCall> call = follower.CheckNow(m_now)) {
+    } else {
       std::visit([this](const auto& aCall) { m_effects.emplace_back(aCall); },
                  *call);
     }
--- a/briarglade/entry/whole_read_test.cc
+++ b/briarglade/entry/whole_read_test.cc
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <doctest/doctest.h>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "briarglade/entry/fleet_world_test.h"
@@ -280,5 +281,31 @@
   CHECK(state.m_missedChanges == 1);
 }
 
+// Guards against a check that counts as made while another call to the store
+// was on its way, so that the node would not ask.
+TEST_CASE("a check of the rows that can't be made now is made later")
+{
+  WholeReadWorld world;
+  const size_t node =
+    world.Find([](const EntryState& aState) { return !aState.m_isFollower; });
+  EntryState state = world.StateOf(node);
+  const Millis now = world.LocalTime(node);
+  state.m_rowAudits[Feed::Servers].OnUnproven();
+  const auto asksNow = [&](Millis aNow) {
+    const EntryEffects effects = ReduceEntry(state, aNow, EntryTick{});
+    return std::any_of(effects.begin(), effects.end(), [](const auto& aEffect) {
+      const auto* call = std::get_if<WatchFeed>(&aEffect);
+      return call != nullptr && call->m_feed == Feed::Servers &&
+             call->m_wait == Millis();
+    });
+  };
+  // A call that asks for an answer at once is on its way.
+  REQUIRE(state.m_feeds[Feed::Servers].CheckNow(now));
+  CHECK_FALSE(asksNow(now));
+  // It has ended.
+  state.m_feeds[Feed::Servers] = world.StateOf(node).m_feeds.at(Feed::Servers);
+  CHECK(asksNow(now + Millis(1'000)));
+}
+
 } // namespace
 } // namespace briarglade
